--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint format demo bench fuzz clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: $(STAMP)
+	$(BIN)/python tools/demo.py $(if $(KEEP),--keep)
+
+clean:
+	rm -rf $(VENV) build *.egg-info
