Add stand-ins and the asyncio shell

Cause: every part needs a peer to run against and one way to perform effects. Change: platform and engine stand-ins with fault switches, ZeroMQ transport, platform client, log tailer, shell with timers and ticks, configuration and membership data types, call and admission types. Conclusion: the parts can be written in parallel against these interfaces.

--- /dev/null
+++ b/shallotpath/limits/_model.py
@@ -0,0 +1,54 @@
+"""Calls as the admission and routing decisions see them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from ..core import Code
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """Describe a request without its body."""
+
+    request_id: str
+    service: str
+    team: str
+    deadline: datetime
+    priority: int = 0
+    prompt_bytes: int = 0
+    max_tokens: int = 0
+    fingerprint: str = ""
+    prefix: str = ""
+    key: str = ""
+    repeatable: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Admit:
+    """Let the call run now."""
+
+
+@dataclass(slots=True, frozen=True)
+class Queue:
+    """Keep the call until capacity is free or its deadline is unreachable."""
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Refuse the call before it was handed to the upstream."""
+
+    code: Code
+    retry_after: timedelta | None = None
+
+
+Decision = Admit | Queue | Refuse
+
+
+@dataclass(slots=True, frozen=True)
+class Expired:
+    """Name a queued call that can no longer run and the reason."""
+
+    call: Call
+    code: Code
--- /dev/null
+++ b/shallotpath/runtime/__init__.py
@@ -0,0 +1,16 @@
+"""The asyncio shell that performs the effects of a node."""
+
+from ._log_tailer import LogTailer
+from ._platform_client import LogPage, PlatformClient
+from ._shell import Shell, Telemetry
+from ._transport import Transport, peer_identity
+
+__all__ = [
+    "LogPage",
+    "LogTailer",
+    "PlatformClient",
+    "Shell",
+    "Telemetry",
+    "Transport",
+    "peer_identity",
+]
--- /dev/null
+++ b/shallotpath/runtime/_log_tailer.py
@@ -0,0 +1,44 @@
+"""Tail a stream of the platform's log and feed its records to the node."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..core import LogContact, PlatformError, RecordsRead
+from ._shell import Shell
+
+RETRY_DELAY_S = 0.5
+
+
+class LogTailer:
+    """Read a stream from an offset for as long as the shell runs."""
+
+    __slots__ = ("next_offset_", "reachable_", "shell", "stream")
+
+    def __init__(self, shell: Shell, stream: str, start: int = 0) -> None:
+        self.shell = shell
+        self.stream = stream
+        self.next_offset_ = start
+        self.reachable_: bool | None = None
+
+    async def run(self) -> None:
+        """Read until cancelled; report when the log answers or stops answering."""
+        while True:
+            try:
+                page = await self.shell.platform.read(self.stream, self.next_offset_)
+            except PlatformError:
+                self._report(False)
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            self.next_offset_ = max(page.next_offset, page.first_offset)
+            if page.records:
+                self.shell.dispatch(
+                    RecordsRead(self.stream, page.records, self.next_offset_)
+                )
+            self._report(True)
+
+    def _report(self, reachable: bool) -> None:
+        # Every successful read counts as contact, so it is reported each time.
+        if reachable or self.reachable_ is not False:
+            self.shell.dispatch(LogContact(self.stream, reachable))
+        self.reachable_ = reachable
--- /dev/null
+++ b/shallotpath/standins/__init__.py
@@ -0,0 +1,20 @@
+"""Stand-ins for the platform and for engines, with switchable faults."""
+
+from ._engine import EngineApp, EngineFaults, make_token
+from ._link import RateLimiter
+from ._platform import PlatformApp, PlatformFaults
+from ._server import serve
+from ._weights import Manifest, make_chunk, make_manifest
+
+__all__ = [
+    "EngineApp",
+    "EngineFaults",
+    "Manifest",
+    "PlatformApp",
+    "PlatformFaults",
+    "RateLimiter",
+    "make_chunk",
+    "make_manifest",
+    "make_token",
+    "serve",
+]
