Add settings, telemetry, the time line and a checking load generator

Cause: programs need one way to check settings and to report what they do, and every experiment needs a load that checks each answer and not only its status. Change: INI settings with all faults listed, metrics, JSON logs, a bounded ring of events ordered by a hybrid logical clock that frames carry, admin endpoints, shallot-timeline, the programs of the stand-ins, and an open-loop load generator that checks each token against prompt and version.

--- a/shallotpath/core/__init__.py
+++ b/shallotpath/core/__init__.py
@@ -1,7 +1,7 @@
 """Events, effects, messages and the node that reduces them."""
 
 from ._clock import EPOCH, Clock, ManualClock, MonotonicClock
-from ._codec import MAX_FRAME_BYTES, PROTOCOL, decode, encode
+from ._codec import MAX_FRAME_BYTES, PROTOCOL, decode, decode_stamped, encode
 from ._effects import (
     Append,
     CancelTimer,
@@ -148,6 +148,7 @@
     "WitnessTable",
     "WitnessWrite",
     "decode",
+    "decode_stamped",
     "encode",
     "format_duration",
     "handles",
--- a/shallotpath/core/_codec.py
+++ b/shallotpath/core/_codec.py
@@ -1,4 +1,4 @@
-"""Frame codec: a msgpack envelope of protocol version, kind and body."""
+"""Frame codec: a msgpack envelope of protocol version, time stamp, kind and body."""
 
 from __future__ import annotations
 
@@ -17,23 +17,28 @@
 _decoder_by_kind = {
     name: msgspec.msgpack.Decoder(cls) for cls, name in _kind_by_type.items()
 }
-_envelope_decoder = msgspec.msgpack.Decoder(tuple[int, str, msgspec.Raw])
+_envelope_decoder = msgspec.msgpack.Decoder(tuple[int, int, str, msgspec.Raw])
 
 
-def encode(message: Message) -> bytes:
-    """Encode a message as one frame."""
-    return _encoder.encode((PROTOCOL, _kind_by_type[type(message)], message))
+def encode(message: Message, stamp: int = 0) -> bytes:
+    """Encode a message and the sender's hybrid time stamp as one frame."""
+    return _encoder.encode((PROTOCOL, stamp, _kind_by_type[type(message)], message))
 
 
 def decode(frame: bytes) -> Message:
-    """Decode a frame or raise `FrameError`."""
+    """Decode the message of a frame or raise `FrameError`."""
+    return decode_stamped(frame)[1]
+
+
+def decode_stamped(frame: bytes) -> tuple[int, Message]:
+    """Decode the time stamp and the message of a frame or raise `FrameError`."""
     if len(frame) > MAX_FRAME_BYTES:
         raise FrameError(
             f"frame of {len(frame)} bytes exceeds {MAX_FRAME_BYTES}; "
             "send smaller bodies or chunks"
         )
     try:
-        protocol, kind, body = _envelope_decoder.decode(frame)
+        protocol, stamp, kind, body = _envelope_decoder.decode(frame)
         if protocol != PROTOCOL:
             raise FrameError(
                 f"protocol {protocol} is not {PROTOCOL}; run one release on all VMs"
@@ -41,6 +46,6 @@
         decoder = _decoder_by_kind.get(kind)
         if decoder is None:
             raise FrameError(f"kind {kind!r} is unknown; run one release on all VMs")
-        return decoder.decode(body)
+        return stamp, decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
         raise FrameError(f"frame does not decode: {error}; check the sender") from error
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -11,11 +11,12 @@
 import contextlib
 from collections.abc import Callable
 from itertools import count
+from typing import Protocol
 
 import zmq
 import zmq.asyncio
 
-from ..core import FrameError, Message, decode, encode
+from ..core import FrameError, Message, decode_stamped, encode
 
 SEND_QUEUE_FRAMES = 1000
 ROUTED_PREFIX = "@"
@@ -23,6 +24,31 @@
 Receiver = Callable[[str, Message], None]
 
 
+class Stamper(Protocol):
+    """Issue and observe hybrid time stamps."""
+
+    def tick(self) -> int:
+        """Return a stamp later than all before."""
+        ...
+
+    def observe(self, stamp: int) -> None:
+        """Move past a stamp that another process sent."""
+        ...
+
+
+class NullStamper:
+    """Leave frames without time stamps."""
+
+    __slots__ = ()
+
+    def tick(self) -> int:
+        """Return 0."""
+        return 0
+
+    def observe(self, stamp: int) -> None:
+        """Ignore the stamp."""
+
+
 class Transport:
     """Send and receive frames; drop frames that do not decode."""
 
@@ -40,13 +66,21 @@
         "received_bytes_",
         "router_",
         "sent_bytes_",
+        "stamper",
         "tasks_by_address_",
     )
 
-    def __init__(self, identity: str, address: str, receive: Receiver) -> None:
+    def __init__(
+        self,
+        identity: str,
+        address: str,
+        receive: Receiver,
+        stamper: Stamper | None = None,
+    ) -> None:
         self.identity = identity
         self.address = address
         self.receive = receive
+        self.stamper = stamper or NullStamper()
         self.address_ = address
         self.context_ = zmq.asyncio.Context.instance()
         self.router_: zmq.asyncio.Socket | None = None
@@ -85,7 +119,7 @@
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; tell whether the queue took it."""
-        frame = encode(message)
+        frame = encode(message, self.stamper.tick())
         try:
             if peer.startswith(ROUTED_PREFIX):
                 parts = [bytes.fromhex(peer[1:]), frame]
@@ -147,10 +181,11 @@
     def _deliver(self, peer: str, frame: bytes) -> None:
         self.received_bytes_ += len(frame)
         try:
-            message = decode(frame)
+            stamp, message = decode_stamped(frame)
         except FrameError:
             self.bad_frames_ += 1
             return
+        self.stamper.observe(stamp)
         self.heard_at_by_peer_[peer] = asyncio.get_running_loop().time()
         self.receive(peer, message)
 
--- a/shallotpath/standins/_engine.py
+++ b/shallotpath/standins/_engine.py
@@ -97,6 +97,7 @@
         self.held_by_id_: dict[str, int] = {}
         self.counters_: Counter[str] = Counter()
         self.runs_by_key_: Counter[str] = Counter()
+        self.runs_by_prompt_: Counter[str] = Counter()
         self.load_history_: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=500)
         self.cache_events_: deque[dict] = deque(maxlen=CACHE_EVENTS_KEPT)
 
@@ -222,6 +223,7 @@
         await response.prepare(request)
         count = int(body.get("max_tokens", 16))
         prompt = str(body.get("prompt", ""))
+        self.runs_by_prompt_[prompt] += 1
         digest = self.digest_
         for index in range(int(body.get("resume_from", 0)), count):
             await asyncio.sleep(self._interval())
--- /dev/null
+++ b/shallotpath/telemetry/_admin.py
@@ -0,0 +1,42 @@
+"""HTTP endpoints for operators: health, metrics, status and events."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict
+
+from aiohttp import web
+
+from ._telemetry import ProcessTelemetry
+
+Status = Callable[[], dict]
+
+
+def make_admin_app(telemetry: ProcessTelemetry, status: Status) -> web.Application:
+    """Return the aiohttp application that operators' tools read."""
+
+    async def healthz(request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def metrics(request: web.Request) -> web.Response:
+        body, headers = telemetry.metrics.expose(request.headers.getall("Accept", []))
+        return web.Response(body=body, headers=headers)
+
+    async def status_page(request: web.Request) -> web.Response:
+        return web.json_response(status())
+
+    async def events(request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        page = telemetry.events_after(after)
+        return web.json_response({"events": [asdict(event) for event in page]})
+
+    app = web.Application()
+    app.add_routes(
+        [
+            web.get("/healthz", healthz),
+            web.get("/metrics", metrics),
+            web.get("/status", status_page),
+            web.get("/events", events),
+        ]
+    )
+    return app
--- /dev/null
+++ b/shallotpath/telemetry/_hlc.py
@@ -0,0 +1,36 @@
+"""Hybrid logical clock that orders events of all processes."""
+
+from __future__ import annotations
+
+from ..core import Clock
+
+LOGICAL_BITS = 16
+
+
+class HybridClock:
+    """Issue time stamps that grow with the clock and with what was heard.
+
+    A stamp holds microseconds in the upper bits and a counter in the lower 16,
+    so stamps compare as integers.
+    """
+
+    __slots__ = ("clock", "last_")
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.last_ = 0
+
+    def tick(self) -> int:
+        """Return a stamp later than all before."""
+        physical = int(self.clock.now().timestamp() * 1e6) << LOGICAL_BITS
+        self.last_ = max(self.last_ + 1, physical)
+        return self.last_
+
+    def observe(self, stamp: int) -> None:
+        """Move past a stamp that another process sent."""
+        self.last_ = max(self.last_, stamp)
+
+
+def stamp_seconds(stamp: int) -> float:
+    """Return the time of a stamp in seconds since 1970."""
+    return (stamp >> LOGICAL_BITS) / 1e6
--- /dev/null
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -0,0 +1,84 @@
+import json
+import logging
+from datetime import timedelta
+
+from aiohttp import ClientSession
+from pythonjsonlogger.json import JsonFormatter
+
+from shallotpath.core import ManualClock
+from shallotpath.standins import serve
+from shallotpath.telemetry import (
+    HybridClock,
+    ProcessTelemetry,
+    TimelineFilter,
+    format_html,
+    format_text,
+    make_admin_app,
+    merge_events,
+)
+
+
+def make_telemetry(name, clock):
+    return ProcessTelemetry(name, "bne-a", hlc=HybridClock(clock))
+
+
+def test_a_message_orders_events_although_the_clocks_disagree():
+    # Guards against a receiver with a slow clock that seems to act first.
+    ahead, behind = ManualClock(), ManualClock()
+    ahead.advance(timedelta(seconds=5))
+    a, b = make_telemetry("a", ahead), make_telemetry("b", behind)
+    a.trace("sent", {"request": "r1"})
+    b.hlc.observe(a.hlc.tick())
+    b.trace("received", {"request": "r1"})
+    merged = merge_events([*b.events_, *a.events_])
+    assert [event.kind for event in merged] == ["sent", "received"]
+
+
+def test_the_clock_never_goes_back():
+    clock = ManualClock()
+    hlc = HybridClock(clock)
+    first = hlc.tick()
+    clock.advance(timedelta(seconds=-10))
+    assert hlc.tick() > first
+
+
+def test_the_time_line_can_be_filtered_and_is_escaped(snapshot):
+    telemetry = make_telemetry("agent-1", ManualClock())
+    telemetry.trace("call_started", {"request": "r1", "path": "<script>"})
+    telemetry.trace("call_started", {"request": "r2"})
+    chosen = merge_events(telemetry.events_, TimelineFilter(request="r1"))
+    assert format_text(chosen) == snapshot
+    page = format_html(chosen)
+    assert "&lt;script&gt;" in page
+    assert "r2" not in page
+
+
+async def test_endpoints_serve_metrics_status_and_events():
+    telemetry = make_telemetry("agent-1", ManualClock())
+    telemetry.count("refused", {"code": "overloaded"}, 2)
+    telemetry.gauge("held_bytes", {}, 5)
+    telemetry.trace("drain_started", {})
+    app = make_admin_app(telemetry, lambda: {"id": "agent-1"})
+    async with serve(app) as url, ClientSession() as session:
+        text = await (await session.get(f"{url}/metrics")).text()
+        assert 'shallot_refused_total{code="overloaded"' in text
+        assert await (await session.get(f"{url}/status")).json() == {"id": "agent-1"}
+        page = await (await session.get(f"{url}/events?after=0")).json()
+        assert [event["kind"] for event in page["events"]] == ["drain_started"]
+        page = await (await session.get(f"{url}/events?after=1")).json()
+        assert page == {"events": []}
+    assert telemetry.metrics.value("refused", {"code": "overloaded"}) == 2
+    assert telemetry.metrics.value("never_set") == 0
+
+
+def test_log_lines_are_json():
+    records = []
+    logger = logging.Logger("test")
+    handler = logging.Handler()
+    handler.emit = records.append
+    logger.addHandler(handler)
+    telemetry = ProcessTelemetry("agent-1", logger=logger)
+    telemetry.log("limit_reset", {"reason": "incarnation"})
+    line = json.loads(JsonFormatter("%(message)s").format(records[0]))
+    assert line["message"] == "limit_reset"
+    assert line["fields"] == {"reason": "incarnation"}
