--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -1,5 +1,6 @@
 """Load generator and experiments."""
 
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
+from ._naive import NaiveEntry
 
 __all__ = ["LoadGenerator", "LoadResult", "Outcome", "Request", "StreamChecker"]
