Export the naive entry

Cause: the name was imported but missing from __all__, which the linter reports. Change: add it. Conclusion: none further.

--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -3,4 +3,11 @@
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
 from ._naive import NaiveEntry
 
-__all__ = ["LoadGenerator", "LoadResult", "Outcome", "Request", "StreamChecker"]
+__all__ = [
+    "LoadGenerator",
+    "LoadResult",
+    "NaiveEntry",
+    "Outcome",
+    "Request",
+    "StreamChecker",
+]
