--- a/shallotpath/core/_events.py
+++ b/shallotpath/core/_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ._errors import Code, RunState
-from ._messages import LogRecord, Message
+from ._messages import LogRecord, Message, QuarantineUpdate
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +109,20 @@
     incarnation: str
 
 
+@dataclass(slots=True, frozen=True)
+class QuarantineAnnounced(Event):
+    """Ask membership to pass fingerprints on to all processes."""
+
+    updates: list[QuarantineUpdate]
+
+
+@dataclass(slots=True, frozen=True)
+class QuarantineReceived(Event):
+    """Report fingerprints that other processes announced."""
+
+    updates: list[QuarantineUpdate]
+
+
 @dataclass(slots=True, frozen=True)
 class EngineObserved(Event):
     """Report the state that the engine or plain service returned."""
--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -154,6 +154,16 @@
 
     nonce: int
     load: Load
+    id: str = ""
+    incarnation: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class PingRequest:
+    """Ask a peer to probe an address and to pass its answer on."""
+
+    address: str
+    nonce: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -179,6 +189,26 @@
     fingerprint: str
     crashes: int
     time_left: timedelta
+    cleared: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class DomainSummary:
+    """Summarise what the sender knows about the members of a failure domain."""
+
+    domain: str
+    members: int
+    checksum: int
+
+
+@dataclass(slots=True, frozen=True)
+class DomainContact:
+    """Tell whether a relay of the sender's domain hears another domain."""
+
+    domain: str
+    observer: str
+    version: int
+    reachable: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -189,6 +219,8 @@
     members: list[MemberUpdate] = field(default_factory=list)
     quarantine: list[QuarantineUpdate] = field(default_factory=list)
     config_offset: int = -1
+    summaries: list[DomainSummary] = field(default_factory=list)
+    contacts: list[DomainContact] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -294,6 +326,7 @@
     | Resume
     | Ping
     | Pong
+    | PingRequest
     | Gossip
     | ConfigPull
     | ConfigPush
--- /dev/null
+++ b/shallotpath/membership/_links.py
@@ -0,0 +1,108 @@
+"""Links between failure domains, kept by the relays of each domain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import datetime
+
+from ..core import (
+    DomainContact,
+    DomainSummary,
+    Effect,
+    Gossip,
+    MemberUpdate,
+    QuarantineUpdate,
+    Send,
+)
+from ._model import Member
+from ._relay import Contacts
+from ._roster import Roster
+from ._spread import SpreadQueue
+from ._table import to_update
+
+MAX_MEMBERS_PER_MESSAGE = 48
+
+MakeGossip = Callable[[list[MemberUpdate], list[DomainSummary] | None], Gossip]
+
+
+class DomainLinks:
+    """Pass news to other domains and watch whether they can be heard."""
+
+    __slots__ = ("contacts_", "make_gossip", "roster", "spread_", "turn_")
+
+    def __init__(self, roster: Roster, make_gossip: MakeGossip, turn: int) -> None:
+        self.roster = roster
+        self.make_gossip = make_gossip
+        self.contacts_ = Contacts(roster.me_.incarnation)
+        self.spread_: SpreadQueue[DomainContact] = SpreadQueue()
+        self.turn_ = turn
+
+    def contact(self, now: datetime) -> list[Effect]:
+        """Greet the other domains and report which of them are silent."""
+        relays = self.roster.relays()
+        effects: list[Effect] = []
+        if self.roster.is_relay:
+            others = [d for d in relays if d != self.roster.domain and relays[d]]
+            for contact in self.contacts_.observe(others, self._observers(), now):
+                self._queue(contact)
+            gossip = self.make_gossip(
+                [to_update(self.roster.me_)], self.roster.table_.summaries()
+            )
+            effects += [Send(m.address, gossip) for m in self._next_relays()]
+        return effects + self._update_reachability()
+
+    def merge(self, contacts: list[DomainContact]) -> list[Effect]:
+        """Take reports of the relays of the own domain."""
+        fresh = [contact for contact in contacts if self.contacts_.merge(contact)]
+        for contact in fresh:
+            self._queue(contact)
+        return self._update_reachability() if fresh else []
+
+    def relay_deltas(self, quarantine: list[QuarantineUpdate]) -> list[Effect]:
+        """Pass the news of the own domain to a relay of each other domain."""
+        updates = list(self.roster.relayed_by_id_.values())
+        self.roster.relayed_by_id_.clear()
+        if not (updates or quarantine) or not self.roster.is_relay:
+            return []
+        messages = [
+            self.make_gossip(updates[start : start + MAX_MEMBERS_PER_MESSAGE], None)
+            for start in range(0, len(updates), MAX_MEMBERS_PER_MESSAGE)
+        ]
+        if quarantine:
+            messages.append(replace(self.make_gossip([], None), quarantine=quarantine))
+        relays = self._next_relays()
+        return [Send(r.address, message) for r in relays for message in messages]
+
+    def all_relays(self) -> list[Member]:
+        """Return the relays of all domains."""
+        return [m for relays in self.roster.relays().values() for m in relays]
+
+    def _next_relays(self) -> list[Member]:
+        # Over three rounds each relay hears every relay of another domain once.
+        self.turn_ += 1
+        return [
+            relays[self.turn_ % len(relays)]
+            for domain, relays in self.roster.relays().items()
+            if domain != self.roster.domain and relays
+        ]
+
+    def _observers(self) -> list[str]:
+        relays = self.roster.relays()[self.roster.domain]
+        return [relay.incarnation for relay in relays]
+
+    def _queue(self, contact: DomainContact) -> None:
+        key = (contact.domain, contact.observer)
+        self.spread_.put(key, contact, self.roster.sends())
+
+    def _update_reachability(self) -> list[Effect]:
+        observers = self._observers()
+        unreachable = frozenset(
+            domain
+            for domain in self.roster.relays()
+            if domain != self.roster.domain
+            and not self.contacts_.reachable(domain, observers)
+        )
+        if unreachable == self.roster.unreachable_domains_:
+            return []
+        return self.roster.set_unreachable(unreachable)
--- /dev/null
+++ b/shallotpath/membership/_probe.py
@@ -0,0 +1,114 @@
+"""Direct and indirect probes of the neighbours of a member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from ..core import Ping, PingRequest, Pong, Send
+
+# Three times the longest round trip between regions plus one tick.
+DIRECT_TIMEOUT = timedelta(milliseconds=500)
+INDIRECT_TIMEOUT = timedelta(milliseconds=800)
+INDIRECT_PROBES = 3
+
+
+@dataclass(slots=True)
+class Probe:
+    """Hold a probe that has not been answered."""
+
+    member_id: str
+    incarnation: str
+    address: str
+    deadline: datetime
+    indirect: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardedPing:
+    """Hold what is needed to pass on the answer to a forwarded probe."""
+
+    requester: str
+    nonce: int
+    deadline: datetime
+
+
+class Prober:
+    """Keep the open probes of a member and those it forwards for others."""
+
+    __slots__ = (
+        "forwarded_by_nonce_",
+        "misses_by_address_",
+        "nonce_",
+        "probes_by_nonce_",
+    )
+
+    def __init__(self, first_nonce: int) -> None:
+        self.nonce_ = first_nonce
+        self.probes_by_nonce_: dict[int, Probe] = {}
+        self.forwarded_by_nonce_: dict[int, ForwardedPing] = {}
+        self.misses_by_address_: dict[str, int] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether any probe is open."""
+        return bool(self.probes_by_nonce_ or self.forwarded_by_nonce_)
+
+    def probe(
+        self, member_id: str, incarnation: str, address: str, now: datetime
+    ) -> Send:
+        """Open a probe."""
+        self.nonce_ += 1
+        self.probes_by_nonce_[self.nonce_] = Probe(
+            member_id, incarnation, address, now + DIRECT_TIMEOUT
+        )
+        return Send(address, Ping(self.nonce_))
+
+    def forward(self, request: PingRequest, requester: str, now: datetime) -> Send:
+        """Open a probe on behalf of another member."""
+        self.nonce_ += 1
+        self.forwarded_by_nonce_[self.nonce_] = ForwardedPing(
+            requester, request.nonce, now + INDIRECT_TIMEOUT
+        )
+        return Send(request.address, Ping(self.nonce_))
+
+    def answer(self, pong: Pong) -> tuple[Probe | None, list[Send]]:
+        """Close the probe of an answer and pass on what others asked for."""
+        forwarded = self.forwarded_by_nonce_.pop(pong.nonce, None)
+        if forwarded is not None:
+            answer = Pong(forwarded.nonce, pong.load, pong.id, pong.incarnation)
+            return None, [Send(forwarded.requester, answer)]
+        probe = self.probes_by_nonce_.pop(pong.nonce, None)
+        if probe is not None and not probe.indirect:
+            self.misses_by_address_.pop(probe.address, None)
+        return probe, []
+
+    def expire(
+        self, helpers: list[str], now: datetime
+    ) -> tuple[list[Probe], list[Send]]:
+        """Return failed probes and the requests for indirect ones."""
+        failed: list[Probe] = []
+        sends: list[Send] = []
+        for nonce, probe in list(self.probes_by_nonce_.items()):
+            if now < probe.deadline:
+                continue
+            if probe.indirect or not helpers:
+                failed.append(self.probes_by_nonce_.pop(nonce))
+                continue
+            probe.indirect = True
+            probe.deadline = now + INDIRECT_TIMEOUT
+            misses = self.misses_by_address_.get(probe.address, 0)
+            self.misses_by_address_[probe.address] = misses + 1
+            request = PingRequest(probe.address, nonce)
+            sends += [
+                Send(helper, request) for helper in helpers if helper != probe.address
+            ]
+        for nonce, forwarded in list(self.forwarded_by_nonce_.items()):
+            if now >= forwarded.deadline:
+                del self.forwarded_by_nonce_[nonce]
+        return failed, sends
+
+    def reset(self) -> None:
+        """Forget all open probes, for example after this process was paused."""
+        self.probes_by_nonce_.clear()
+        self.forwarded_by_nonce_.clear()
--- /dev/null
+++ b/shallotpath/membership/_relay.py
@@ -0,0 +1,83 @@
+"""Contact between failure domains, kept by a few relays per domain."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+
+from ..core import DomainContact, rendezvous_order
+from ._model import Member, MemberState
+
+RELAYS_PER_DOMAIN = 3
+# Each relay hears every other domain about once a second; five missed
+# messages in a row are not explained by a loss of 10%.
+CONTACT_TIMEOUT = timedelta(seconds=5)
+
+
+class Contacts:
+    """Keep what the relays of the own domain report about the others."""
+
+    __slots__ = ("contacts_by_key_", "heard_at_by_domain_", "incarnation", "version_")
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.contacts_by_key_: dict[tuple[str, str], DomainContact] = {}
+        self.heard_at_by_domain_: dict[str, datetime] = {}
+        self.version_ = 0
+
+    def hear(self, domain: str, now: datetime) -> None:
+        """Note a message from another domain."""
+        self.heard_at_by_domain_[domain] = now
+
+    def merge(self, contact: DomainContact) -> bool:
+        """Take a report; tell whether it was new."""
+        key = (contact.domain, contact.observer)
+        known = self.contacts_by_key_.get(key)
+        if known is not None and known.version >= contact.version:
+            return False
+        self.contacts_by_key_[key] = contact
+        return True
+
+    def observe(
+        self, domains: Iterable[str], observers: Iterable[str], now: datetime
+    ) -> list[DomainContact]:
+        """Return the changed reports of this relay."""
+        changed = []
+        observers = list(observers)
+        for domain in domains:
+            heard_at = self.heard_at_by_domain_.get(domain)
+            if heard_at is None:
+                # A new relay starts from what the others report.
+                silent = not self.reachable(domain, observers)
+                heard_at = now - CONTACT_TIMEOUT if silent else now
+                self.heard_at_by_domain_[domain] = heard_at
+            reachable = now - heard_at < CONTACT_TIMEOUT
+            known = self.contacts_by_key_.get((domain, self.incarnation))
+            if known is not None and known.reachable == reachable:
+                continue
+            self.version_ += 1
+            contact = DomainContact(domain, self.incarnation, self.version_, reachable)
+            self.merge(contact)
+            changed.append(contact)
+        return changed
+
+    def reachable(self, domain: str, observers: Iterable[str]) -> bool:
+        """Tell whether any of the given relays hears a domain."""
+        reports = [
+            contact.reachable
+            for observer in observers
+            if (contact := self.contacts_by_key_.get((domain, observer))) is not None
+        ]
+        return not reports or any(reports)
+
+    def reset(self, now: datetime) -> None:
+        """Restart the silence of all domains, after this process was paused."""
+        for domain in self.heard_at_by_domain_:
+            self.heard_at_by_domain_[domain] = now
+
+
+def choose_relays(domain: str, members: Iterable[Member]) -> list[Member]:
+    """Return the relays of a domain."""
+    by_id = {m.id: m for m in members if m.state is MemberState.ALIVE}
+    order = rendezvous_order(f"relays {domain}", by_id)
+    return [by_id[id] for id in order[:RELAYS_PER_DOMAIN]]
--- /dev/null
+++ b/shallotpath/membership/_ring.py
@@ -0,0 +1,48 @@
+"""Neighbours of a member: its successors on several hashed rings."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ._table import RINGS, ring_positions
+
+
+class Rings:
+    """Choose a bounded number of neighbours for each member.
+
+    Each member is the successor of exactly one other on each ring, so nobody is
+    left without probes, as could happen with independent random choices.
+    """
+
+    __slots__ = ("id", "positions_by_id_")
+
+    def __init__(self, id: str) -> None:
+        self.id = id
+        self.positions_by_id_: dict[str, tuple[int, ...]] = {}
+
+    def successors(self, ids: Iterable[str]) -> list[str]:
+        """Return the distinct successors of this member among others."""
+        others = [id for id in ids if id != self.id]
+        own = self._positions(self.id)
+        positions = [(self._positions(id), id) for id in others]
+        chosen: dict[str, None] = {}
+        for ring in range(RINGS):
+            start = own[ring]
+            nearest = min(
+                positions,
+                key=lambda item: (item[0][ring] - start) % 2**64,  # noqa: B023
+                default=None,
+            )
+            if nearest is not None:
+                chosen[nearest[1]] = None
+        return list(chosen)
+
+    def forget(self, id: str) -> None:
+        """Drop the cached positions of a member."""
+        self.positions_by_id_.pop(id, None)
+
+    def _positions(self, id: str) -> tuple[int, ...]:
+        positions = self.positions_by_id_.get(id)
+        if positions is None:
+            positions = self.positions_by_id_[id] = ring_positions(id)
+        return positions
