Test the configuration against races, outages and reordering

The fold and the distribution had no tests of their own. Two tests switch the base-offset check and the ordering off and expect the proofs to fail.

--- /dev/null
+++ b/shallotpath/config/tests/test_convergence.py
@@ -0,0 +1,131 @@
+"""Any order of deliveries leads all processes to the same configuration."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotpath.config import (
+    ApplyPreset,
+    BringDomainIn,
+    DefinePreset,
+    Preset,
+    Replica,
+    TakeDomainOut,
+    decode_record,
+    digest_state,
+)
+from shallotpath.config import _fold as fold_module
+
+from .helpers import make_log, make_record
+
+CHANGES = st.one_of(
+    st.builds(ApplyPreset, st.sampled_from(["ordinary", "peak", "calm"])),
+    st.builds(
+        lambda id, share: DefinePreset(Preset(id, retry_share=share)),
+        st.sampled_from(["peak", "calm"]),
+        st.sampled_from([0.1, 0.2]),
+    ),
+    st.builds(BringDomainIn, st.sampled_from("ab"), st.just("r")),
+    st.builds(TakeDomainOut, st.sampled_from("ab"), st.booleans()),
+)
+
+
+@st.composite
+def logs(draw):
+    records = []
+    for n in range(draw(st.integers(1, 12))):
+        if records and draw(st.integers(0, 5)) == 0:
+            records.append(draw(st.sampled_from(records)))
+        else:
+            base = draw(st.integers(-1, n))
+            operator = draw(st.sampled_from(["ann", "bo"]))
+            records.append(make_record(draw(CHANGES), base, operator=operator))
+    return make_log(records)
+
+
+DELIVERIES = st.lists(
+    st.tuples(
+        st.sampled_from(["log", "peer", "snapshot"]),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.integers(0, 12),
+        st.integers(1, 5),
+    ),
+    max_size=40,
+)
+
+
+def deliver(replicas, log, delivery):
+    kind, source, target, start, count = delivery
+    replica = replicas[target]
+    if kind == "log":
+        replica.add(log[start : start + count])
+    elif kind == "peer":
+        push = replicas[source].push_after(start - 1)
+        if push is not None:
+            replica.add_snapshot(push.snapshot_offset, push.snapshot)
+            replica.add(push.records)
+    elif replicas[source].offset >= 0:
+        sender = replicas[source]
+        replica.add_snapshot(sender.offset, sender.encode_snapshot())
+
+
+@given(logs(), DELIVERIES)
+def test_every_interleaving_leads_to_the_same_configuration(log, deliveries):
+    replicas = [Replica() for _ in range(3)]
+    digests_by_offset = {}
+    for delivery in deliveries:
+        before = [replica.offset for replica in replicas]
+        deliver(replicas, log, delivery)
+        for offset, replica in zip(before, replicas, strict=True):
+            assert replica.offset >= offset
+            state = replica.state_
+            assert state.preset_id in state.presets_by_id
+            digest = digest_state(state)
+            assert digests_by_offset.setdefault(replica.offset, digest) == digest
+    for replica in replicas:
+        replica.add(log)
+    assert len({digest_state(replica.state_) for replica in replicas}) == 1
+
+
+def accepted_unseen(log):
+    """Count accepted changes of an object that had changed after their base."""
+    replica = Replica()
+    lost = 0
+    marks = {}
+    for item in log:
+        replica.add([item])
+        record = decode_record(item.data)
+        outcome = replica.state_.outcomes_by_command_id[record.header.command_id]
+        if outcome.offset != item.offset or not outcome.accepted:
+            continue
+        key = fold_module.object_written(record.change)
+        lost += marks.get(key, -1) > record.header.base_offset
+        marks[key] = item.offset
+    return lost
+
+
+@given(logs())
+def test_no_accepted_change_overwrites_one_that_its_operator_had_not_seen(log):
+    assert accepted_unseen(log) == 0
+
+
+def test_the_proof_fails_when_the_last_writer_wins(monkeypatch):
+    # Shows that the property above depends on the check of the base offset.
+    monkeypatch.setattr(fold_module, "check_conflict", lambda record, state: None)
+    prove = test_no_accepted_change_overwrites_one_that_its_operator_had_not_seen
+    with pytest.raises(AssertionError):
+        prove()
+
+
+def test_the_proof_fails_without_the_order_of_offsets(monkeypatch):
+    # Shows that the interleaving test notices records applied as they arrive.
+    def apply_at_once(self, records):
+        for record in records:
+            self._apply(record)
+
+    monkeypatch.setattr(Replica, "add", apply_at_once)
+    with pytest.raises((AssertionError, ExceptionGroup)) as raised:
+        test_every_interleaving_leads_to_the_same_configuration()
+    found = ExceptionGroup("found", [raised.value])
+    assert found.subgroup(AssertionError) is not None
