Add the gate, the router and the retry policy

Cause: entries and agents need admission, selection and retry decisions before the request path can be put together. Change: Gate with count, memory, deadline and fair-share admission, cold start and two adaptive rules; Suspects with mergeable crash ids; Router with four selection rules, domain ramp, subsets and locality; RetryPolicy with a budget per team. Core gains the code isolated and the crash ids in QuarantineUpdate, because a plain count cannot be merged without counting a crash twice.

--- a/shallotpath/core/_errors.py
+++ b/shallotpath/core/_errors.py
@@ -31,6 +31,7 @@
     DOMAIN_OUT = "domain_out"
     WEIGHTS_NOT_READY = "weights_not_ready"
     QUARANTINED = "quarantined"
+    ISOLATED = "isolated"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_LOST = "upstream_lost"
     SLOW_READER = "slow_reader"
--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -174,11 +174,17 @@
 
 @dataclass(slots=True, frozen=True)
 class QuarantineUpdate:
-    """Carry the fingerprint of a request that crashed upstreams."""
+    """Carry the crashes that a fingerprint was part of and those disproved since.
+
+    Crash ids make a merge idempotent: two reports of one crash count once, and
+    two crashes at different agents count twice.
+    """
 
     fingerprint: str
     crashes: int
     time_left: timedelta
+    crash_ids: list[str] = field(default_factory=list)
+    cleared_ids: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/shallotpath/limits/_fair_queue.py
@@ -0,0 +1,131 @@
+"""A bounded queue with priorities and weighted fair shares of teams."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from math import ceil
+
+from ._model import Call
+
+MIN_WEIGHT = 1
+
+
+class FairQueue:
+    """Hold calls and release them by priority, then by weighted share of teams.
+
+    Start-time fair queueing: each team has a virtual start time, which grows by
+    cost / weight with each call of the team that is released.
+    """
+
+    __slots__ = ("calls_by_class_", "capacity", "start_by_team_", "virtual_", "weight")
+
+    def __init__(self, capacity: int, weight: Callable[[str], int]) -> None:
+        self.capacity = capacity
+        self.weight = weight
+        self.calls_by_class_: dict[int, dict[str, deque[Call]]] = {}
+        self.start_by_team_: dict[str, float] = {}
+        self.virtual_ = 0.0
+
+    def __len__(self) -> int:
+        return sum(
+            len(calls)
+            for calls_by_team in self.calls_by_class_.values()
+            for calls in calls_by_team.values()
+        )
+
+    def __iter__(self) -> Iterator[Call]:
+        for calls_by_team in self.calls_by_class_.values():
+            for calls in calls_by_team.values():
+                yield from calls
+
+    def push(self, call: Call, capacity: int | None = None) -> Call | None:
+        """Add a call and return the call that has to leave, if the queue is full."""
+        capacity = self.capacity if capacity is None else capacity
+        calls_by_team = self.calls_by_class_.setdefault(call.priority, {})
+        calls_by_team.setdefault(call.team, deque()).append(call)
+        if len(self) <= capacity:
+            return None
+        return self._displace()
+
+    def charge(self, call: Call, cost: float) -> None:
+        """Count a call of a team that runs, whether or not it was queued."""
+        start = max(self.start_by_team_.get(call.team, 0.0), self.virtual_)
+        weight = max(MIN_WEIGHT, self.weight(call.team))
+        self.start_by_team_[call.team] = start + cost / weight
+        # A team that used idle capacity must not pay for it later.
+        self.virtual_ = start
+        if not self.calls_by_class_:
+            self._forget_idle_teams()
+
+    def peek(self) -> Call | None:
+        """Return the call that runs next."""
+        if not self.calls_by_class_:
+            return None
+        calls_by_team = self.calls_by_class_[max(self.calls_by_class_)]
+        team = min(calls_by_team, key=self._start)
+        return calls_by_team[team][0]
+
+    def pop(self) -> Call:
+        """Remove and return the call that runs next."""
+        call = self.peek()
+        if call is None:
+            raise IndexError("the queue is empty; peek before pop")
+        self.remove(call)
+        return call
+
+    def remove(self, call: Call) -> None:
+        """Remove a call."""
+        calls_by_team = self.calls_by_class_[call.priority]
+        calls_by_team[call.team].remove(call)
+        if not calls_by_team[call.team]:
+            del calls_by_team[call.team]
+        if not calls_by_team:
+            del self.calls_by_class_[call.priority]
+
+    def find(self, request_id: str) -> Call | None:
+        """Return a queued call."""
+        return next((call for call in self if call.request_id == request_id), None)
+
+    def ahead(self, call: Call) -> int:
+        """Estimate how many queued calls run before a call that would join now."""
+        higher = sum(
+            len(calls)
+            for priority, calls_by_team in self.calls_by_class_.items()
+            if priority > call.priority
+            for calls in calls_by_team.values()
+        )
+        return higher + self._ahead_in_class(call)
+
+    def _ahead_in_class(self, call: Call) -> int:
+        calls_by_team = self.calls_by_class_.get(call.priority, {})
+        own = len(calls_by_team.get(call.team, ()))
+        rounds = (own + 1) / max(MIN_WEIGHT, self.weight(call.team))
+        return own + sum(
+            min(len(calls), ceil(rounds * max(MIN_WEIGHT, self.weight(team))))
+            for team, calls in calls_by_team.items()
+            if team != call.team
+        )
+
+    def _start(self, team: str) -> float:
+        return max(self.start_by_team_.get(team, 0.0), self.virtual_)
+
+    def _displace(self) -> Call:
+        """Remove the last call of the team that is furthest above its share."""
+        calls_by_team = self.calls_by_class_[min(self.calls_by_class_)]
+        team = max(
+            calls_by_team,
+            key=lambda team: (
+                len(calls_by_team[team]) / max(MIN_WEIGHT, self.weight(team))
+            ),
+        )
+        call = calls_by_team[team][-1]
+        self.remove(call)
+        return call
+
+    def _forget_idle_teams(self) -> None:
+        self.start_by_team_ = {
+            team: start
+            for team, start in self.start_by_team_.items()
+            if start > self.virtual_
+        }
--- /dev/null
+++ b/shallotpath/limits/_gate.py
@@ -0,0 +1,375 @@
+"""Admission control of one upstream."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+
+from ..config import ConfigurationView, ServiceKind
+from ..core import (
+    Code,
+    ConfigurationChanged,
+    DrainRequested,
+    Effect,
+    EngineLost,
+    EngineObserved,
+    Event,
+    Load,
+    Log,
+    Tick,
+    rendezvous_choice,
+)
+from ..membership import MembershipView, MemberState, Role
+from ._adaptive_limit import AdaptiveLimit
+from ._fair_queue import FairQueue
+from ._limit_rules import AimdRule, LimitRule
+from ._memory import MemoryLedger
+from ._model import Admit, Call, Decision, Expired, Queue, Refuse
+from ._readiness import Readiness
+from ._settings import GateSettings
+from ._suspects import Suspects, Suspicion
+
+# Calls queued per running call while no run time is known to predict the wait.
+UNMEASURED_QUEUE = 2
+
+
+@dataclass(slots=True)
+class _Running:
+    call: Call
+    started: datetime
+    held: int
+    streaming: bool = False
+
+
+class Gate:
+    """Admit calls to one upstream within its count and memory limits."""
+
+    __slots__ = (
+        "expired_",
+        "in_flight_by_team_",
+        "limit",
+        "membership",
+        "memory",
+        "node_id",
+        "queue",
+        "readiness",
+        "running_by_id_",
+        "settings",
+        "streaming_",
+        "suspects",
+    )
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        domain: str,
+        service: str,
+        configuration: ConfigurationView,
+        membership: MembershipView,
+        suspects: Suspects,
+        settings: GateSettings | None = None,
+        rule: LimitRule | None = None,
+        allowed_digests: Callable[[], Collection[str]] | None = None,
+    ) -> None:
+        settings = settings or GateSettings()
+        self.node_id = node_id
+        self.membership = membership
+        self.suspects = suspects
+        self.settings = settings
+        self.readiness = Readiness(domain, service, configuration, allowed_digests)
+        self.limit = AdaptiveLimit(settings, rule or AimdRule(settings.max_limit))
+        self.memory = MemoryLedger(
+            settings.memory_bytes, settings.memory_share, settings.report_lag
+        )
+        self.queue = FairQueue(settings.queue_capacity, self._weight)
+        self.running_by_id_: dict[str, _Running] = {}
+        self.in_flight_by_team_: Counter[str] = Counter()
+        self.expired_: list[Expired] = []
+        self.streaming_ = 0
+
+    @singledispatchmethod
+    def reduce(self, event: Event, now: datetime) -> list[Effect]:
+        """Handle an event; unknown types have no effect."""
+        return []
+
+    @reduce.register
+    def _(self, event: EngineObserved, now: datetime) -> list[Effect]:
+        self.readiness.observed_ = event
+        self.memory.observe(event.held_bytes, event.memory_bytes, now)
+        reset = self.limit.observe(event)
+        self._close_queue()
+        return self._log_reset("reported", reset)
+
+    @reduce.register
+    def _(self, event: EngineLost, now: datetime) -> list[Effect]:
+        self.readiness.observed_ = None
+        self.limit.reset()
+        self.running_by_id_.clear()
+        self.streaming_ = 0
+        self.in_flight_by_team_.clear()
+        self.memory.clear()
+        self._close_queue()
+        return self._log_reset("engine_lost", True)
+
+    @reduce.register
+    def _(self, event: ConfigurationChanged, now: datetime) -> list[Effect]:
+        self._close_queue()
+        return []
+
+    @reduce.register
+    def _(self, event: DrainRequested, now: datetime) -> list[Effect]:
+        self.readiness.draining_ = True
+        self._close_queue()
+        return []
+
+    @reduce.register
+    def _(self, event: Tick, now: datetime) -> list[Effect]:
+        return self._log_reset("stalled", self._look(now))
+
+    def request(self, call: Call, now: datetime) -> Decision:
+        """Decide on a call: admit it, queue it, or refuse it before it ran."""
+        if call.request_id in self.running_by_id_ or self.queue.find(call.request_id):
+            raise ValueError(
+                f"request {call.request_id} is already held; "
+                "answer a repeated attempt from its record"
+            )
+        self._look(now)
+        refusal = self._refusal(call, now)
+        if refusal is not None:
+            return refusal
+        if not self.queue and self._fits(call, now):
+            self._start(call, now)
+            return Admit()
+        return self._enqueue(call, now)
+
+    def release(self, request_id: str, completed: bool, now: datetime) -> list[Call]:
+        """End a call and return the queued calls that may run now."""
+        self._look(now)
+        running = self.running_by_id_.pop(request_id, None)
+        if running is not None:
+            self._ended(running, completed, now)
+        else:
+            queued = self.queue.find(request_id)
+            if queued is not None:
+                self.queue.remove(queued)
+        return self.ready(now)
+
+    def ready(self, now: datetime) -> list[Call]:
+        """Start and return the queued calls that may run now."""
+        started: list[Call] = []
+        while (call := self.queue.peek()) is not None:
+            code = self._unrunnable(call, now)
+            if code is not None:
+                self.queue.remove(call)
+                self.expired_.append(Expired(call, code))
+                continue
+            if not self._fits(call, now):
+                break
+            self.queue.pop()
+            self._start(call, now)
+            started.append(call)
+        return started
+
+    def held(self, request_id: str, size: int, now: datetime | None = None) -> None:
+        """Take the bytes that a running call holds on the engine."""
+        running = self.running_by_id_.get(request_id)
+        if running is None:
+            return
+        if now is not None:
+            self._look(now)
+        grown = max(0, size - running.held)
+        if grown and not running.streaming:
+            self._set_streaming(running, True)
+        running.held = max(size, running.held)
+        self.memory.grow(request_id, size)
+        self.limit.pace.progressed(grown / self._bytes_per_unit())
+
+    def expire(self, now: datetime) -> list[Expired]:
+        """Return the queued calls that have to leave."""
+        for call in list(self.queue):
+            code = self._unrunnable(call, now)
+            if code is not None:
+                self.queue.remove(call)
+                self.expired_.append(Expired(call, code))
+        expired = self.expired_
+        self.expired_ = []
+        return expired
+
+    def load(self) -> Load:
+        """Return what this upstream holds and may still take."""
+        observed = self.readiness.observed_
+        closed = self.readiness.closed() is not None
+        return Load(
+            limit=0 if closed else self.limit.limit,
+            in_flight=len(self.running_by_id_) + len(self.queue),
+            held_bytes=self.memory.held,
+            incarnation=observed.incarnation if observed else "",
+            digest=observed.digest if observed else "",
+        )
+
+    def estimate(self, call: Call) -> int:
+        """Return the bytes that a call may come to hold."""
+        return call.prompt_bytes + int(self._units(call) * self._bytes_per_token())
+
+    def _refusal(self, call: Call, now: datetime) -> Refuse | None:
+        code = self.readiness.closed()
+        if code is None and call.service != self.readiness.service_id:
+            code = Code.UNKNOWN_SERVICE
+        if code is not None:
+            return Refuse(code, self.settings.refuse_retry_after)
+        code = self._unrunnable(call, now)
+        if code is Code.QUARANTINED:
+            return Refuse(code, self.suspects.time_left(call.fingerprint, now))
+        if code is not None:
+            return Refuse(code, self.settings.refuse_retry_after)
+        if self.memory.capacity_ and self.estimate(call) > self.memory.usable:
+            return Refuse(Code.BODY_TOO_LARGE)
+        return self._over_share(call)
+
+    def _over_share(self, call: Call) -> Refuse | None:
+        configuration = self.readiness.configuration
+        if call.priority < configuration.preset.min_priority:
+            return Refuse(Code.OVERLOADED, self.settings.refuse_retry_after)
+        team = configuration.teams_by_id.get(call.team)
+        in_flight = self.in_flight_by_team_[call.team]
+        if team is not None and in_flight >= team.max_in_flight:
+            return Refuse(Code.TEAM_LIMIT, self.settings.refuse_retry_after)
+        return None
+
+    def _unrunnable(self, call: Call, now: datetime) -> Code | None:
+        """Return why a call that is not running cannot run here any more."""
+        if now + self._run_time(call) > call.deadline:
+            return Code.DEADLINE_UNREACHABLE
+        suspicion = self.suspects.state(call.fingerprint, now)
+        if suspicion is Suspicion.QUARANTINED:
+            return Code.QUARANTINED
+        if suspicion is Suspicion.SUSPECT and not self._designated(call):
+            return Code.ISOLATED
+        return None
+
+    def _designated(self, call: Call) -> bool:
+        agents = [
+            member.id
+            for member in self.membership.members_by_id.values()
+            if member.role is Role.AGENT
+            and member.service == call.service
+            and member.state is MemberState.ALIVE
+            and not self._domain_out(member.domain)
+        ]
+        return rendezvous_choice(call.fingerprint, agents) in (None, self.node_id)
+
+    def _domain_out(self, domain_id: str) -> bool:
+        domain = self.readiness.configuration.domains_by_id.get(domain_id)
+        return domain is not None and domain.out
+
+    def _enqueue(self, call: Call, now: datetime) -> Decision:
+        wait = self._wait(call)
+        time_left = call.deadline - now - self._run_time(call)
+        if wait > time_left * self.readiness.configuration.preset.queue_share:
+            return Refuse(Code.OVERLOADED, max(wait, self.settings.refuse_retry_after))
+        capacity = self.settings.queue_capacity
+        if self.limit.pace_ is None:
+            capacity = min(capacity, UNMEASURED_QUEUE * self.limit.limit)
+        displaced = self.queue.push(call, capacity)
+        if displaced is call:
+            return Refuse(Code.OVERLOADED, self.settings.refuse_retry_after)
+        if displaced is not None:
+            self.expired_.append(Expired(displaced, Code.OVERLOADED))
+        return Queue()
+
+    def _wait(self, call: Call) -> timedelta:
+        ahead = self.queue.ahead(call) + 1
+        return self._run_time(call) * ahead / max(1, self.limit.limit)
+
+    def _run_time(self, call: Call) -> timedelta:
+        return timedelta(
+            seconds=(self.limit.pace_ or 0.0) * max(1.0, self._units(call))
+        )
+
+    def _fits(self, call: Call, now: datetime) -> bool:
+        if len(self.running_by_id_) >= self.limit.limit or self.readiness.closed():
+            return False
+        if not self.memory.fits(self.estimate(call)):
+            return False
+        if self.running_by_id_ and self._suspect(call, now):
+            return False
+        return not any(
+            self._suspect(running.call, now) for running in self.running_by_id_.values()
+        )
+
+    def _suspect(self, call: Call, now: datetime) -> bool:
+        return self.suspects.state(call.fingerprint, now) is not Suspicion.CLEAR
+
+    def _start(self, call: Call, now: datetime) -> None:
+        self.running_by_id_[call.request_id] = _Running(call, now, call.prompt_bytes)
+        self.in_flight_by_team_[call.team] += 1
+        self.memory.reserve(call.request_id, self.estimate(call), now)
+        self.queue.charge(call, max(1.0, self._units(call)))
+
+    def _ended(self, running: _Running, completed: bool, now: datetime) -> None:
+        call = running.call
+        self._set_streaming(running, False)
+        self.memory.free(call.request_id, now)
+        self.in_flight_by_team_[call.team] -= 1
+        if self.in_flight_by_team_[call.team] <= 0:
+            del self.in_flight_by_team_[call.team]
+        if not completed:
+            return
+        self.suspects.completed(call.fingerprint, now)
+        units = self._units_done(running)
+        elapsed = (now - running.started).total_seconds()
+        self.limit.completed(elapsed / units, len(self.running_by_id_))
+
+    def _units_done(self, running: _Running) -> float:
+        if not self._bytes_per_token():
+            self.limit.pace.progressed(1)
+            return 1.0
+        grown = running.held - running.call.prompt_bytes
+        return max(1.0, grown / self._bytes_per_token() or self._units(running.call))
+
+    def _set_streaming(self, running: _Running, streaming: bool) -> None:
+        self.streaming_ += int(streaming) - int(running.streaming)
+        running.streaming = streaming
+
+    def _look(self, now: datetime) -> bool:
+        # A call that still reads its prompt yields no tokens and says nothing.
+        model = self._bytes_per_token()
+        active = self.streaming_ if model else len(self.running_by_id_)
+        return self.limit.look(active, now)
+
+    def _close_queue(self) -> None:
+        """Move all queued calls out if no new work may start."""
+        code = self.readiness.closed()
+        if code is None:
+            return
+        for call in list(self.queue):
+            self.queue.remove(call)
+            self.expired_.append(Expired(call, code))
+
+    def _weight(self, team_id: str) -> int:
+        team = self.readiness.configuration.teams_by_id.get(team_id)
+        return 1 if team is None else team.weight
+
+    def _units(self, call: Call) -> float:
+        service = self.readiness.service
+        if service is None or service.kind is not ServiceKind.MODEL:
+            return 0.0
+        return float(call.max_tokens or service.default_max_tokens)
+
+    def _bytes_per_token(self) -> int:
+        service = self.readiness.service
+        if service is None or service.kind is not ServiceKind.MODEL:
+            return 0
+        return service.bytes_per_token
+
+    def _bytes_per_unit(self) -> int:
+        return max(1, self._bytes_per_token())
+
+    def _log_reset(self, reason: str, reset: bool) -> list[Effect]:
+        if not reset:
+            return []
+        return [Log("limit_reset", {"reason": reason})]
--- /dev/null
+++ b/shallotpath/limits/_memory.py
@@ -0,0 +1,84 @@
+"""Memory that the admitted calls may come to hold on the engine."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import datetime, timedelta
+
+# The correction for unaccounted bytes fades by half in about 14 reports.
+CORRECTION_DECAY = 0.95
+
+
+class MemoryLedger:
+    """Reserve the estimate of each call and correct it by what is observed."""
+
+    __slots__ = (
+        "capacity_",
+        "history_",
+        "lag",
+        "reserved_",
+        "reserved_by_id_",
+        "share",
+        "unaccounted_",
+    )
+
+    def __init__(self, capacity: int, share: float, lag: timedelta) -> None:
+        self.share = share
+        self.lag = lag
+        self.capacity_ = capacity
+        self.reserved_by_id_: dict[str, int] = {}
+        self.reserved_ = 0
+        self.unaccounted_ = 0.0
+        self.history_: deque[tuple[datetime, int]] = deque(maxlen=512)
+
+    @property
+    def usable(self) -> int:
+        """Return the bytes that calls may hold, or 0 if the capacity is unknown."""
+        return int(self.capacity_ * self.share)
+
+    @property
+    def held(self) -> int:
+        """Return the reserved bytes including those that only the engine reports."""
+        return self.reserved_ + int(self.unaccounted_)
+
+    def fits(self, size: int) -> bool:
+        """Tell whether a call of an estimated size fits beside the others."""
+        return not self.capacity_ or self.held + size <= self.usable
+
+    def reserve(self, request_id: str, size: int, now: datetime) -> None:
+        """Add a call."""
+        self.reserved_by_id_[request_id] = size
+        self.reserved_ += size
+        self.history_.append((now, self.reserved_))
+
+    def grow(self, request_id: str, size: int) -> None:
+        """Raise the reservation of a call that holds more than estimated."""
+        reserved = self.reserved_by_id_.get(request_id)
+        if reserved is not None and size > reserved:
+            self.reserved_by_id_[request_id] = size
+            self.reserved_ += size - reserved
+
+    def free(self, request_id: str, now: datetime) -> None:
+        """Remove a call."""
+        self.reserved_ -= self.reserved_by_id_.pop(request_id, 0)
+        self.history_.append((now, self.reserved_))
+
+    def observe(self, held: int, capacity: int, now: datetime) -> None:
+        """Take a lagging report.
+
+        The report describes some moment within the lag, so only bytes above the
+        largest reservation of that window are held by something unknown.
+        """
+        self.capacity_ = capacity or self.capacity_
+        while len(self.history_) > 1 and self.history_[1][0] <= now - self.lag:
+            self.history_.popleft()
+        peak = max((size for _, size in self.history_), default=0)
+        excess = max(0, held - max(peak, self.reserved_))
+        self.unaccounted_ = max(float(excess), self.unaccounted_ * CORRECTION_DECAY)
+
+    def clear(self) -> None:
+        """Forget all calls: the engine lost them."""
+        self.reserved_by_id_.clear()
+        self.reserved_ = 0
+        self.unaccounted_ = 0.0
+        self.history_.clear()
--- /dev/null
+++ b/shallotpath/routing/_pool.py
@@ -0,0 +1,81 @@
+"""The agents of one service in one failure domain."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+
+from ..core import rendezvous_score
+
+# Keys share slots so that the order of a slot is computed once; 4096 slots keep
+# the number of slots per agent within about a third of its mean at 900 agents.
+SLOTS = 4096
+ORDER_LENGTH = 3
+# Above this many joins, a slot is ordered anew instead of being caught up.
+MAX_JOINS = 64
+
+
+class Pool:
+    """Keep the agents, this entry's subset of them, and an order of them per key.
+
+    Joins and leaves cost a binary search; the order of a slot is brought up to
+    date when it is used next.
+    """
+
+    __slots__ = ("entry_id", "ids_", "joins_", "orders_by_slot_", "ranked_", "seq_")
+
+    def __init__(self, entry_id: str) -> None:
+        self.entry_id = entry_id
+        self.ids_: set[str] = set()
+        self.ranked_: list[tuple[int, str]] = []
+        self.joins_: list[str] = []
+        self.seq_ = 0
+        self.orders_by_slot_: dict[int, tuple[int, list[tuple[int, str]]]] = {}
+
+    def __len__(self) -> int:
+        return len(self.ids_)
+
+    def add(self, member_id: str) -> None:
+        """Add an agent."""
+        if member_id in self.ids_:
+            return
+        self.ids_.add(member_id)
+        insort(self.ranked_, (rendezvous_score(self.entry_id, member_id), member_id))
+        self.joins_.append(member_id)
+        self.seq_ += 1
+        if len(self.joins_) > MAX_JOINS:
+            del self.joins_[0]
+
+    def remove(self, member_id: str) -> None:
+        """Remove an agent."""
+        if member_id not in self.ids_:
+            return
+        self.ids_.discard(member_id)
+        item = (rendezvous_score(self.entry_id, member_id), member_id)
+        del self.ranked_[bisect_left(self.ranked_, item)]
+
+    def at(self, index: int) -> str:
+        """Return an agent of this entry's subset by its rank."""
+        return self.ranked_[index][1]
+
+    def order(self, key: str) -> list[str]:
+        """Return the first agents in the rendezvous order of a key."""
+        slot = rendezvous_score(key, "slot") % SLOTS
+        seen, ranked = self.orders_by_slot_.get(slot, (-1, []))
+        missed = self.seq_ - seen
+        gone = any(member_id not in self.ids_ for _, member_id in ranked)
+        if seen < 0 or gone or missed > len(self.joins_):
+            ranked = self._rank(slot, self.ids_)
+        elif missed:
+            ids = {member_id for _, member_id in ranked}
+            ids.update(id_ for id_ in self.joins_[-missed:] if id_ in self.ids_)
+            ranked = self._rank(slot, ids)
+        if missed or gone:
+            self.orders_by_slot_[slot] = (self.seq_, ranked)
+        return [member_id for _, member_id in ranked]
+
+    def _rank(self, slot: int, ids: set[str]) -> list[tuple[int, str]]:
+        key = str(slot)
+        ranked = sorted(
+            ((rendezvous_score(key, id_), id_) for id_ in ids), reverse=True
+        )
+        return ranked[:ORDER_LENGTH]
--- /dev/null
+++ b/shallotpath/routing/_ramp.py
@@ -0,0 +1,45 @@
+"""The share of traffic that a returning failure domain gets."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+
+from ..config import ConfigurationView
+
+
+class DomainRamp:
+    """Raise the share of a domain as a whole after operators bring it back in."""
+
+    __slots__ = ("configuration", "out_", "returned_by_id_", "start")
+
+    def __init__(self, configuration: ConfigurationView, start: float) -> None:
+        self.configuration = configuration
+        self.start = start
+        self.out_: set[str] = set()
+        self.returned_by_id_: dict[str, datetime] = {}
+
+    def update(self, now: datetime) -> None:
+        """Read which domains are out."""
+        out = {
+            domain.id
+            for domain in self.configuration.domains_by_id.values()
+            if domain.out
+        }
+        for domain_id in self.out_ - out:
+            self.returned_by_id_[domain_id] = now
+        for domain_id in out:
+            self.returned_by_id_.pop(domain_id, None)
+        self.out_ = out
+
+    def share(self, domain_id: str, now: datetime) -> float:
+        """Return the share between 0 and 1 of calls that may go to a domain."""
+        if domain_id in self.out_:
+            return 0.0
+        returned = self.returned_by_id_.get(domain_id)
+        if returned is None:
+            return 1.0
+        duration = self.configuration.preset.domain_ramp
+        if duration <= timedelta() or now - returned >= duration:
+            del self.returned_by_id_[domain_id]
+            return 1.0
+        return self.start + (1.0 - self.start) * ((now - returned) / duration)
--- /dev/null
+++ b/shallotpath/routing/_repeats.py
@@ -0,0 +1,47 @@
+"""Requests that are sent again before a copy of them completed."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from ..limits import Call
+
+
+@dataclass(slots=True)
+class _Seen:
+    request_id: str
+    until: datetime
+    completed: bool = False
+
+
+class Repeats:
+    """Remember fingerprints, so that a repeated one does not spread further."""
+
+    __slots__ = ("capacity", "seen_by_fingerprint_", "window")
+
+    def __init__(self, capacity: int, window: timedelta) -> None:
+        self.capacity = capacity
+        self.window = window
+        self.seen_by_fingerprint_: OrderedDict[str, _Seen] = OrderedDict()
+
+    def repeated(self, call: Call, now: datetime) -> bool:
+        """Note a call; tell whether another request had its unproven fingerprint."""
+        if not call.fingerprint:
+            return False
+        seen = self.seen_by_fingerprint_.get(call.fingerprint)
+        if seen is None or seen.until <= now:
+            seen = _Seen(call.request_id, now)
+            self.seen_by_fingerprint_[call.fingerprint] = seen
+        seen.until = now + self.window
+        self.seen_by_fingerprint_.move_to_end(call.fingerprint)
+        if len(self.seen_by_fingerprint_) > self.capacity:
+            self.seen_by_fingerprint_.popitem(last=False)
+        return not seen.completed and seen.request_id != call.request_id
+
+    def completed(self, call: Call) -> None:
+        """Note that a run completed: the request crashes no upstream."""
+        seen = self.seen_by_fingerprint_.get(call.fingerprint)
+        if seen is not None:
+            seen.completed = True
--- /dev/null
+++ b/shallotpath/routing/_router.py
@@ -0,0 +1,207 @@
+"""Selection of an upstream for one attempt of a call."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+from random import Random
+
+from ..config import ConfigurationView
+from ..core import (
+    Code,
+    ConfigurationChanged,
+    Effect,
+    Event,
+    Load,
+    MemberChanged,
+    rendezvous_choice,
+)
+from ..limits import Call, Suspects, Suspicion
+from ..membership import Member, MembershipView
+from ._directory import Directory
+from ._health import CALL_CODES, HealthRule, SkipRule
+from ._loads import Loads
+from ._pool import Pool
+from ._ramp import DomainRamp
+from ._repeats import Repeats
+from ._rules import FULL, AffinityRule, SelectionRule
+from ._settings import RouterSettings
+
+
+class Router:
+    """Choose upstreams for the calls of one entry."""
+
+    __slots__ = (
+        "directory",
+        "domain",
+        "health",
+        "loads",
+        "ramp",
+        "region",
+        "repeats",
+        "rng",
+        "rule",
+        "settings",
+        "suspects",
+    )
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        domain: str,
+        region: str,
+        configuration: ConfigurationView,
+        membership: MembershipView,
+        rng: Random,
+        suspects: Suspects | None = None,
+        settings: RouterSettings | None = None,
+        rule: Callable[[Loads, Random], SelectionRule] = AffinityRule,
+        health: HealthRule | None = None,
+    ) -> None:
+        settings = settings or RouterSettings()
+        self.domain = domain
+        self.region = region
+        self.rng = rng
+        self.suspects = suspects
+        self.settings = settings
+        self.loads = Loads(settings.tracked_members, settings.unknown_limit)
+        self.rule = rule(self.loads, rng)
+        self.health = health or SkipRule()
+        self.ramp = DomainRamp(configuration, settings.ramp_start)
+        self.repeats = Repeats(settings.tracked_fingerprints, settings.repeat_window)
+        self.directory = Directory(entry_id, membership)
+        self.directory.load()
+
+    @singledispatchmethod
+    def reduce(self, event: Event, now: datetime) -> list[Effect]:
+        """Handle an event; unknown types have no effect."""
+        return []
+
+    @reduce.register
+    def _(self, event: MemberChanged, now: datetime) -> list[Effect]:
+        self.directory.update(event.id)
+        # A new incarnation starts cold, so what was known of the old one misleads.
+        self.loads.forget(event.id)
+        self.health.forget(event.id)
+        return []
+
+    @reduce.register
+    def _(self, event: ConfigurationChanged, now: datetime) -> list[Effect]:
+        self.ramp.update(now)
+        return []
+
+    def choose(
+        self, call: Call, exclude: Collection[str], now: datetime
+    ) -> Member | None:
+        """Return the upstream for the next attempt, or `None` if there is none."""
+        suspicion = Suspicion.CLEAR
+        if self.suspects is not None:
+            suspicion = self.suspects.state(call.fingerprint, now)
+        if suspicion is Suspicion.QUARANTINED:
+            return None
+        if suspicion is Suspicion.SUSPECT:
+            return self._designated(call, exclude)
+        repeated = self.repeats.repeated(call, now)
+        return self._nearest(call, exclude, now, spill=not repeated)
+
+    def started(self, member_id: str) -> None:
+        """Count an attempt that was sent to an upstream."""
+        for evicted in self.loads.started(member_id):
+            self.health.forget(evicted)
+
+    def ended(self, member_id: str) -> None:
+        """Count the end of an attempt."""
+        self.loads.ended(member_id)
+
+    def completed(self, call: Call, member_id: str) -> None:
+        """Take a complete response; its request and its upstream work."""
+        self.repeats.completed(call)
+        self.health.succeeded(member_id)
+
+    def observe_load(self, member_id: str, load: Load, now: datetime) -> None:
+        """Take the load that came with a message of an upstream."""
+        for evicted in self.loads.observe(member_id, load):
+            self.health.forget(evicted)
+
+    def observe_failure(
+        self,
+        member_id: str,
+        code: Code,
+        now: datetime,
+        retry_after: timedelta | None = None,
+    ) -> None:
+        """Take a refusal or failure of an upstream."""
+        if code not in CALL_CODES:
+            self.health.failed(member_id, code, now, retry_after)
+
+    def _nearest(
+        self, call: Call, exclude: Collection[str], now: datetime, spill: bool
+    ) -> Member | None:
+        """Take the nearest upstream with room, else the least loaded one found."""
+        best: str | None = None
+        for pool in self._pools(call.service, now):
+            member_id = self._in_pool(call, pool, exclude, now, spill)
+            if member_id is None:
+                continue
+            if self.loads.utilisation(member_id) <= FULL:
+                return self.directory.member(member_id)
+            if best is None or self._load(member_id) < self._load(best):
+                best = member_id
+        return None if best is None else self.directory.member(best)
+
+    def _load(self, member_id: str) -> float:
+        return self.loads.utilisation(member_id)
+
+    def _in_pool(
+        self,
+        call: Call,
+        pool: Pool,
+        exclude: Collection[str],
+        now: datetime,
+        spill: bool,
+    ) -> str | None:
+        def usable(member_id: str) -> bool:
+            return (
+                member_id not in exclude
+                and self.health.available(member_id, now)
+                and self.directory.member(member_id) is not None
+            )
+
+        return self.rule.choose(call, pool, self.settings.subset_size, usable, spill)
+
+    def _pools(self, service: str, now: datetime) -> list[Pool]:
+        """Return the pools from near to far, ramping domains by their share."""
+        pools = self.directory.pools(service)
+        near: list[tuple[int, float, Pool]] = []
+        ramping: list[Pool] = []
+        for domain_id, pool in pools.items():
+            share = self.ramp.share(domain_id, now)
+            if share >= 1.0 or (share > 0.0 and self.rng.random() < share):
+                near.append((self._distance(domain_id), self.rng.random(), pool))
+            elif share > 0.0:
+                ramping.append(pool)
+        near.sort(key=lambda item: item[:2])
+        # A ramping domain serves rather than no domain; its gates protect it.
+        return [pool for _, _, pool in near] or ramping
+
+    def _distance(self, domain_id: str) -> int:
+        if domain_id == self.domain:
+            return 0
+        domain = self.ramp.configuration.domains_by_id.get(domain_id)
+        return 1 if domain is not None and domain.region == self.region else 2
+
+    def _designated(self, call: Call, exclude: Collection[str]) -> Member | None:
+        """Return the one agent that runs a suspect request."""
+        agents = [
+            member_id
+            for domain_id, pool in self.directory.pools(call.service).items()
+            if domain_id not in self.ramp.out_
+            for member_id in pool.ids_
+            if self.directory.member(member_id) is not None
+        ]
+        choice = rendezvous_choice(call.fingerprint, agents)
+        if choice is None or choice in exclude:
+            return None
+        return self.directory.member(choice)
--- /dev/null
+++ b/shallotpath/routing/_rules.py
@@ -0,0 +1,132 @@
+"""Rules that select one upstream of a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from ..limits import Call
+from ._loads import Loads
+from ._pool import Pool
+
+# Random draws before the subset is scanned for a usable upstream.
+DRAWS = 6
+# An upstream that holds fewer calls than its limit has room.
+FULL = 1.0
+
+Usable = Callable[[str], bool]
+
+
+class SelectionRule(Protocol):
+    """Select one upstream of a pool."""
+
+    def choose(
+        self, call: Call, pool: Pool, size: int, usable: Usable, spill: bool
+    ) -> str | None:
+        """Return an upstream among the first `size`, or `None`."""
+        ...
+
+
+class RandomRule:
+    """Take any usable upstream."""
+
+    __slots__ = ("rng",)
+
+    def __init__(self, loads: Loads, rng: Random) -> None:
+        self.rng = rng
+
+    def choose(
+        self, call: Call, pool: Pool, size: int, usable: Usable, spill: bool
+    ) -> str | None:
+        """Return a random upstream of the subset."""
+        return next(iter(draw(pool, size, usable, self.rng, 1)), None)
+
+
+class LeastLoadedRule:
+    """Take the upstream with the least reported load of the whole subset."""
+
+    __slots__ = ("loads", "rng")
+
+    def __init__(self, loads: Loads, rng: Random) -> None:
+        self.loads = loads
+        self.rng = rng
+
+    def choose(
+        self, call: Call, pool: Pool, size: int, usable: Usable, spill: bool
+    ) -> str | None:
+        """Return the upstream of the subset that reported the least load."""
+        ids = [pool.at(index) for index in range(min(size, len(pool)))]
+        return min(filter(usable, ids), key=self.loads.reported, default=None)
+
+
+class TwoChoicesRule:
+    """Take the better of two random upstreams by report and own calls."""
+
+    __slots__ = ("loads", "rng")
+
+    def __init__(self, loads: Loads, rng: Random) -> None:
+        self.loads = loads
+        self.rng = rng
+
+    def choose(
+        self, call: Call, pool: Pool, size: int, usable: Usable, spill: bool
+    ) -> str | None:
+        """Return the less loaded of two random upstreams of the subset."""
+        drawn = draw(pool, size, usable, self.rng, 2)
+        return min(drawn, key=self.loads.utilisation, default=None)
+
+
+class AffinityRule:
+    """Take one of two upstreams that the request itself determines.
+
+    The first comes from the prefix, so that equal prompts find a warm prefix
+    cache, the second from the fingerprint, so that requests with a popular prefix
+    spread. A request that is sent again reaches the same two.
+    """
+
+    __slots__ = ("fallback", "loads")
+
+    def __init__(self, loads: Loads, rng: Random) -> None:
+        self.loads = loads
+        self.fallback = TwoChoicesRule(loads, rng)
+
+    def choose(
+        self, call: Call, pool: Pool, size: int, usable: Usable, spill: bool
+    ) -> str | None:
+        """Return one of the pair, or another upstream if both are full."""
+        if not call.repeatable or not (call.prefix or call.fingerprint):
+            return self.fallback.choose(call, pool, size, usable, spill)
+        pair = [id_ for id_ in affinity_pair(call, pool) if usable(id_)]
+        for member_id in pair:
+            if self.loads.utilisation(member_id) <= FULL:
+                return member_id
+        if spill:
+            other = self.fallback.choose(call, pool, size, usable, spill)
+            pair = [other, *pair] if other is not None else pair
+        return min(pair, key=self.loads.utilisation, default=None)
+
+
+def affinity_pair(call: Call, pool: Pool) -> list[str]:
+    """Return the at most two upstreams that a repeatable call prefers."""
+    by_prefix = pool.order(call.prefix or call.fingerprint)
+    by_call = pool.order(call.fingerprint or call.prefix)
+    others = [id_ for id_ in by_call if id_ not in by_prefix[:1]]
+    return by_prefix[:1] + others[:1]
+
+
+def draw(pool: Pool, size: int, usable: Usable, rng: Random, count: int) -> list[str]:
+    """Draw distinct usable upstreams of the subset."""
+    size = min(size, len(pool))
+    drawn: list[str] = []
+    for _ in range(DRAWS if size else 0):
+        member_id = pool.at(rng.randrange(size))
+        if member_id not in drawn and usable(member_id):
+            drawn.append(member_id)
+            if len(drawn) == count:
+                return drawn
+    if not drawn:
+        rest = [pool.at(index) for index in range(size)]
+        rest = [member_id for member_id in rest if usable(member_id)]
+        drawn = rng.sample(rest, min(count, len(rest)))
+    return drawn
--- /dev/null
+++ b/shallotpath/routing/tests/test_router.py
@@ -0,0 +1,169 @@
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from shallotpath.config import DomainState, Preset, StaticConfiguration
+from shallotpath.core import (
+    EPOCH,
+    Code,
+    ConfigurationChanged,
+    EngineLost,
+    Load,
+    MemberChanged,
+    RunState,
+)
+from shallotpath.limits import Call, Suspects
+from shallotpath.membership import Member, MemberState, Role, StaticMembership
+from shallotpath.routing import (
+    AffinityRule,
+    LeastLoadedRule,
+    RandomRule,
+    RetryPolicy,
+    Router,
+    TwoChoicesRule,
+)
+
+SECOND = timedelta(seconds=1)
+
+
+def make_member(name, domain="a", state=MemberState.ALIVE):
+    return Member(name, Role.AGENT, domain, "r", name, "i1", state, "s")
+
+
+def make_router(members, rule=AffinityRule, seed=1, **fields):
+    configuration = StaticConfiguration(
+        domains_by_id={name: DomainState(name, "r") for name in "ab"}
+    )
+    membership = StaticMembership({member.id: member for member in members})
+    return Router(
+        entry_id=f"e{seed}",
+        domain="a",
+        region="r",
+        configuration=configuration,
+        membership=membership,
+        rng=Random(seed),
+        rule=rule,
+        **fields,
+    )
+
+
+def make_call(name="c1", team="t", **fields):
+    return Call(name, "s", team, EPOCH + 30 * SECOND, **fields)
+
+
+@pytest.mark.parametrize(
+    "rule", [RandomRule, LeastLoadedRule, TwoChoicesRule, AffinityRule]
+)
+def test_rules_skip_excluded_refusing_and_leaving_members(rule):
+    members = [make_member(f"m{n}") for n in range(5)]
+    members[1] = make_member("m1", state=MemberState.SUSPECT)
+    members[2] = make_member("m2", state=MemberState.LEAVING)
+    router = make_router(members, rule)
+    router.observe_failure("m3", Code.OVERLOADED, EPOCH, SECOND)
+    for n in range(50):
+        call = make_call(f"c{n}", prefix=f"p{n}", fingerprint=f"f{n}")
+        assert router.choose(call, ["m0"], EPOCH).id == "m4"
+    assert router.choose(make_call(), ["m0", "m4"], EPOCH) is None
+    assert router.choose(make_call(), ["m0", "m4"], EPOCH + 2 * SECOND).id == "m3"
+
+
+def test_equal_requests_reach_the_same_two_upstreams_through_all_entries():
+    # Guards against a poison request that spreads when it is sent again.
+    members = [make_member(f"m{n}") for n in range(40)]
+    chosen = set()
+    for seed in range(20):
+        router = make_router(members, seed=seed)
+        for n in range(6):
+            call = make_call(f"c{seed}-{n}", prefix="p", fingerprint="f")
+            member = router.choose(call, [], EPOCH)
+            router.started(member.id)
+            chosen.add(member.id)
+    assert len(chosen) <= 2
+
+
+def test_a_domain_that_is_out_gets_nothing_and_ramps_up_on_return():
+    router = make_router([make_member("m1", "a"), make_member("m2", "b")])
+    domains = router.ramp.configuration.domains_by_id
+    domains["a"] = DomainState("a", "r", out=True)
+    router.reduce(ConfigurationChanged(1), EPOCH)
+    assert all(router.choose(make_call(), [], EPOCH).id == "m2" for _ in range(50))
+    domains["a"] = DomainState("a", "r")
+    router.reduce(ConfigurationChanged(2), EPOCH)
+    shares = [
+        sum(router.choose(make_call(), [], now).id == "m1" for _ in range(400)) / 400
+        for now in (EPOCH, EPOCH + 10 * SECOND, EPOCH + 20 * SECOND)
+    ]
+    assert shares[0] < 0.2 < shares[1] < 0.8 < shares[2]
+
+
+def test_calls_leave_the_own_domain_only_when_it_is_full():
+    router = make_router([make_member("m1", "a"), make_member("m2", "b")])
+    router.observe_load("m1", Load(4, 3), EPOCH)
+    assert router.choose(make_call(), [], EPOCH).id == "m1"
+    router.started("m1")
+    assert router.choose(make_call(), [], EPOCH).id == "m2"
+
+
+def test_members_that_join_and_leave_move_only_their_own_keys():
+    members = [make_member(f"m{n}") for n in range(10)]
+    router = make_router(members[:9])
+    calls = [make_call(f"c{n}", prefix=f"p{n}") for n in range(100)]
+    before = [router.choose(call, [], EPOCH).id for call in calls]
+    router.directory.membership.members_by_id["m9"] = members[9]
+    router.reduce(MemberChanged("m9", "alive", "i1"), EPOCH)
+    joined = [router.choose(call, [], EPOCH).id for call in calls]
+    assert all(b in (a, "m9") for a, b in zip(before, joined, strict=True))
+    del router.directory.membership.members_by_id["m9"]
+    router.reduce(MemberChanged("m9", "dead", "i1"), EPOCH)
+    assert [router.choose(call, [], EPOCH).id for call in calls] == before
+
+
+def test_a_suspect_goes_to_one_agent_and_a_quarantined_request_to_none():
+    suspects = Suspects(node_id="e1", incarnation="i")
+    router = make_router([make_member(f"m{n}") for n in range(9)], suspects=suspects)
+    suspects.reduce(EngineLost(["f"]), EPOCH)
+    call = make_call(fingerprint="f")
+    member = router.choose(call, [], EPOCH)
+    assert {router.choose(call, [], EPOCH).id for _ in range(20)} == {member.id}
+    assert router.choose(call, [member.id], EPOCH) is None
+    suspects.reduce(EngineLost(["f"]), EPOCH)
+    assert router.choose(call, [], EPOCH) is None
+
+
+def make_policy(share=0.1):
+    configuration = StaticConfiguration(preset=Preset("p", retry_share=share))
+    return RetryPolicy(configuration, Random(1))
+
+
+@pytest.mark.parametrize(
+    ("run", "repeatable", "retried"),
+    [
+        (RunState.NO, False, True),
+        (RunState.UNKNOWN, True, True),
+        (RunState.UNKNOWN, False, False),
+        (RunState.YES, True, False),
+    ],
+)
+def test_retries_only_where_a_second_run_does_no_harm(run, repeatable, retried):
+    call = make_call(repeatable=repeatable)
+    delay = make_policy().next(call, Code.UPSTREAM_LOST, run, 1, EPOCH)
+    assert (delay is not None) == retried
+
+
+def test_retries_honour_deadline_and_retry_after():
+    call = make_call()
+    arguments = (call, Code.OVERLOADED, RunState.NO, 1)
+    policy = make_policy()
+    assert policy.next(*arguments, EPOCH, retry_after=2 * SECOND) >= 2 * SECOND
+    assert policy.next(*arguments, call.deadline - SECOND / 1000) is None
+
+
+def test_retries_stay_within_the_share_of_first_attempts_and_the_floor():
+    policy = make_policy()
+    granted = 0
+    for _ in range(1000):
+        policy.started(make_call())
+        arguments = (make_call(), Code.OVERLOADED, RunState.NO, 1)
+        granted += policy.next(*arguments, EPOCH) is not None
+    assert 100 <= granted <= 103
