--- a/shallotpath/membership/_quarantine.py
+++ b/shallotpath/membership/_quarantine.py
@@ -37,7 +37,7 @@
         """Take updates and return those that were new."""
         fresh = [update for update in updates if self._is_new(update, now)]
         for update in fresh:
-            remembered = Remembered(update, now + update.time_left)
+            remembered = self._join(update, now)
             self.remembered_by_fingerprint_[update.fingerprint] = remembered
             self.fresh_by_fingerprint_[update.fingerprint] = remembered
             self.spread_.put(update.fingerprint, remembered, sends)
@@ -58,10 +58,31 @@
     def _is_new(self, update: QuarantineUpdate, now: datetime) -> bool:
         if update.time_left <= timedelta(0):
             return False
-        known = self.remembered_by_fingerprint_.get(update.fingerprint)
-        if known is None or now >= known.until:
+        known = self._known(update.fingerprint, now)
+        if known is None:
             return True
-        return _order(update) > _order(known.update)
+        return not (
+            set(update.crash_ids) <= set(known.update.crash_ids)
+            and set(update.cleared_ids) <= set(known.update.cleared_ids)
+        )
+
+    def _join(self, update: QuarantineUpdate, now: datetime) -> Remembered:
+        # Both id sets only grow, so the order of arrival does not matter.
+        until = now + update.time_left
+        known = self._known(update.fingerprint, now)
+        if known is None:
+            return Remembered(update, until)
+        joined = replace(
+            update,
+            crashes=max(update.crashes, known.update.crashes),
+            crash_ids=sorted({*update.crash_ids, *known.update.crash_ids}),
+            cleared_ids=sorted({*update.cleared_ids, *known.update.cleared_ids}),
+        )
+        return Remembered(joined, max(until, known.until))
+
+    def _known(self, fingerprint: str, now: datetime) -> Remembered | None:
+        known = self.remembered_by_fingerprint_.get(fingerprint)
+        return None if known is None or now >= known.until else known
 
     def _bound(self, now: datetime) -> None:
         remembered = self.remembered_by_fingerprint_
@@ -74,8 +95,3 @@
 
 def _remaining(item: Remembered, now: datetime) -> QuarantineUpdate:
     return replace(item.update, time_left=max(timedelta(0), item.until - now))
-
-
-def _order(update: QuarantineUpdate) -> tuple[int, bool]:
-    # A cleared suspect overrides the crash it was suspected of, not a later one.
-    return (update.crashes, update.cleared)
