Add claims: home sets, claim table and witnesses

Non-repeatable calls must run at most once over the whole system, also while the platform's log is out.

Adds the record types and the fold of the claims stream, the claim table of a home agent and the witness store. Witness messages carry both incarnations, so that an acknowledgement cannot count for a restarted home agent or witness.

--- /dev/null
+++ b/shallotpath/claims/_outbox.py
@@ -0,0 +1,158 @@
+"""Batches records into appends until they have been read back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from ..core import Append, Effect, SetTimer
+from ._model import Identity
+from ._records import STREAM, Claims, Record, encode_record
+
+FLUSH_TIMER = "claims_flush"
+# 500 keys of 64 bytes stay far below the limits of one HTTP request.
+MAX_BATCH_KEYS = 500
+# An append that is neither confirmed nor reported as failed is given up.
+APPEND_TIMEOUT = timedelta(seconds=10)
+# A confirmed record that a stalled reader has not delivered is appended again.
+RESEND_AFTER = timedelta(seconds=5)
+
+
+@dataclass(slots=True)
+class Item:
+    """Hold when a record or key was last appended."""
+
+    record: Record | None = None
+    sent_at: datetime | None = None
+    token: int = -1
+
+
+class Outbox:
+    """Append what has not been read back, one append at a time."""
+
+    __slots__ = (
+        "identity",
+        "in_flight_",
+        "items_by_name_",
+        "keys_by_offline_",
+        "not_before_",
+        "retry_interval",
+        "sent_at_",
+        "token_",
+    )
+
+    def __init__(self, identity: Identity, retry_interval: timedelta) -> None:
+        self.identity = identity
+        self.retry_interval = retry_interval
+        self.items_by_name_: dict[str, Item] = {}
+        self.keys_by_offline_: dict[bool, dict[str, Item]] = {False: {}, True: {}}
+        self.token_ = 0
+        self.in_flight_: int | None = None
+        self.sent_at_: datetime | None = None
+        self.not_before_: datetime | None = None
+
+    @property
+    def unlogged(self) -> dict[str, Item]:
+        """Return the keys decided without the log that are not read back."""
+        return self.keys_by_offline_[True]
+
+    def put(self, name: str, record: Record) -> None:
+        """Append a record until it is dropped; replace one of the same name."""
+        item = self.items_by_name_.get(name)
+        if item is None or item.record != record:
+            self.items_by_name_[name] = Item(record)
+
+    def drop(self, name: str) -> None:
+        """Stop appending a record."""
+        self.items_by_name_.pop(name, None)
+
+    def holds(self, name: str) -> bool:
+        """Tell whether a record has not been read back."""
+        return name in self.items_by_name_
+
+    def names(self, prefix: str) -> list[str]:
+        """Return the names of records with a prefix."""
+        return [name for name in self.items_by_name_ if name.startswith(prefix)]
+
+    def put_key(self, key: str, *, offline: bool) -> None:
+        """Claim a key in the log until it is dropped."""
+        self.keys_by_offline_[not offline].pop(key, None)
+        self.keys_by_offline_[offline].setdefault(key, Item())
+
+    def drop_key(self, key: str) -> bool:
+        """Stop claiming a key; tell whether it was decided without the log."""
+        self.keys_by_offline_[False].pop(key, None)
+        return self.keys_by_offline_[True].pop(key, None) is not None
+
+    def done(self, token: int) -> None:
+        """Note that an append took effect."""
+        if token == self.in_flight_:
+            self.in_flight_ = None
+
+    def failed(self, token: int, now: datetime) -> None:
+        """Note that an append failed or its answer was lost."""
+        if token == self.in_flight_:
+            self.in_flight_ = None
+            self.not_before_ = now + self.retry_interval
+        for item in self._items():
+            if item.token == token:
+                item.sent_at = None
+
+    def flush(self, now: datetime, interval: timedelta) -> list[Effect]:
+        """Append the records that are due, or set a timer for them."""
+        if self._busy(now):
+            return []
+        if self.sent_at_ is not None and self.sent_at_ + interval > now:
+            wait = self.sent_at_ + interval - now
+            return [SetTimer(FLUSH_TIMER, wait)] if self._has_due(now) else []
+        self.token_ += 1
+        records = [encode_record(record) for record in self._take(now)]
+        if not records:
+            return []
+        self.in_flight_ = self.token_
+        self.sent_at_ = now
+        return [Append(STREAM, self.token_, records)]
+
+    def _busy(self, now: datetime) -> bool:
+        if self.in_flight_ is not None:
+            return self.sent_at_ is not None and now - self.sent_at_ < APPEND_TIMEOUT
+        return self.not_before_ is not None and now < self.not_before_
+
+    def _items(self) -> list[Item]:
+        keyed = (i for keys in self.keys_by_offline_.values() for i in keys.values())
+        return [*self.items_by_name_.values(), *keyed]
+
+    def _has_due(self, now: datetime) -> bool:
+        return any(self._due(item, now) for item in self._items())
+
+    def _due(self, item: Item, now: datetime) -> bool:
+        return item.sent_at is None or now - item.sent_at >= RESEND_AFTER
+
+    def _take(self, now: datetime) -> list[Record]:
+        records = []
+        for item in self.items_by_name_.values():
+            if self._due(item, now):
+                self._mark(item, now)
+                records.append(item.record)
+        for offline in (True, False):
+            keys = self._take_keys(self.keys_by_offline_[offline], now)
+            if keys:
+                me = self.identity
+                records.append(
+                    Claims(me.service, me.member, me.incarnation, keys, offline)
+                )
+        return records
+
+    def _take_keys(self, keys: dict[str, Item], now: datetime) -> list[str]:
+        taken = []
+        for key, item in keys.items():
+            if len(taken) == MAX_BATCH_KEYS:
+                break
+            if self._due(item, now):
+                self._mark(item, now)
+                taken.append(key)
+        return taken
+
+    def _mark(self, item: Item, now: datetime) -> None:
+        item.sent_at = now
+        item.token = self.token_
--- /dev/null
+++ b/shallotpath/claims/_records.py
@@ -0,0 +1,103 @@
+"""Records of the claims stream and their encoding."""
+
+from __future__ import annotations
+
+from typing import get_args
+
+import msgspec
+
+STREAM = "claims"
+
+
+class Witness(msgspec.Struct, frozen=True, array_like=True):
+    """Name a process at one incarnation that stores claims for a home agent."""
+
+    id: str
+    incarnation: str
+    address: str
+
+
+class Join(msgspec.Struct, frozen=True, tag=True):
+    """Ask to become a home agent.
+
+    `replaces` names the incarnation that the author found in its slot, so that
+    a join that takes effect late cannot displace a newer incarnation.
+    """
+
+    service: str
+    member: str
+    incarnation: str
+    domain: str
+    replaces: str = ""
+    read: int = -1
+    vm_incarnation: str = ""
+
+
+class Leave(msgspec.Struct, frozen=True, tag=True):
+    """Tell that a home agent makes no further claim."""
+
+    service: str
+    member: str
+    incarnation: str
+
+
+class Retire(msgspec.Struct, frozen=True, tag=True):
+    """Tell that a home agent has stopped, and the evidence for it."""
+
+    service: str
+    member: str
+    incarnation: str
+    evidence: str
+
+
+class Contact(msgspec.Struct, frozen=True, tag=True):
+    """Confirm the offset that a home agent has read and name its witnesses."""
+
+    service: str
+    member: str
+    incarnation: str
+    seq: int
+    read: int
+    witnesses: list[Witness]
+
+
+class Claims(msgspec.Struct, frozen=True, tag=True):
+    """Claim keys; `offline` marks claims that were decided without the log."""
+
+    service: str
+    member: str
+    incarnation: str
+    keys: list[str]
+    offline: bool = False
+
+
+class Settled(msgspec.Struct, frozen=True, tag=True):
+    """Record all that a retired home agent claimed without the log."""
+
+    service: str
+    member: str
+    incarnation: str
+    keys: list[str]
+    evidence: str
+
+
+Record = Join | Leave | Retire | Contact | Claims | Settled
+
+_decoder = msgspec.msgpack.Decoder(Record)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_record(record: Record) -> bytes:
+    """Encode a record for the log."""
+    return _encoder.encode(record)
+
+
+def decode_record(data: bytes) -> Record | None:
+    """Decode a record; return nothing if it is garbled."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError):
+        return None
+
+
+RECORD_TYPES = get_args(Record)
--- /dev/null
+++ b/shallotpath/claims/_seat.py
@@ -0,0 +1,236 @@
+"""The place of one agent in the home set: join, contact, leave, retirement."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+from ..core import ListUpdated, rendezvous_order
+from ..membership import MembershipView, MemberState
+from ._homes import Home, HomeSet
+from ._model import ClaimSettings, Identity
+from ._outbox import Outbox
+from ._records import Contact, Join, Leave, Retire, Witness
+
+MIN_WITNESSES = 2
+JOIN, CONTACT, LEAVE, RETIRE = "join", "contact", "leave", "retire/"
+
+
+class Seat:
+    """Keep one agent in the home set and know what it has promised.
+
+    A contact record that confirms a join is a promise from the moment it is
+    handed to the log, because an append whose answer is lost may take effect at
+    any later time. The same holds for the witnesses that it names.
+    """
+
+    __slots__ = (
+        "confirmed_",
+        "contact_",
+        "contact_at_",
+        "homes",
+        "identity",
+        "leave_sent_",
+        "leaving_",
+        "membership",
+        "outbox",
+        "raised_version_",
+        "seen_version_by_vm_",
+        "seq_",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        identity: Identity,
+        homes: HomeSet,
+        membership: MembershipView,
+        outbox: Outbox,
+        settings: ClaimSettings,
+    ) -> None:
+        self.identity = identity
+        self.homes = homes
+        self.membership = membership
+        self.outbox = outbox
+        self.settings = settings
+        self.confirmed_ = -1
+        self.contact_: Contact | None = None
+        self.contact_at_: datetime | None = None
+        self.raised_version_ = -1
+        self.seq_ = 0
+        self.leaving_ = False
+        self.leave_sent_ = False
+        self.seen_version_by_vm_: dict[tuple[str, str], int] = {}
+
+    @property
+    def home(self) -> Home | None:
+        """Return this incarnation in the home set, active or pending."""
+        me = self.identity
+        return self.homes.service(me.service).find(me.member, me.incarnation)
+
+    @property
+    def departed(self) -> bool:
+        """Tell whether this incarnation left, was retired or was replaced."""
+        return self.homes.departed(self.identity.incarnation)
+
+    def is_home(self, key: str) -> bool:
+        """Tell whether the log, as far as read, makes this agent the home."""
+        me = self.identity
+        active = self.homes.service(me.service).active_by_id.get(me.member)
+        if active is None or active.incarnation != me.incarnation:
+            return False
+        return self.homes.home_of(me.service, key) == me.member
+
+    def is_sole_home(self, key: str) -> bool:
+        """Tell whether no other agent can have become the home of a key.
+
+        Holds until this agent itself confirms a join that moves the key, leaves,
+        or has stopped.
+        """
+        me = self.identity
+        if self.leave_sent_ or not self.is_home(key):
+            return False
+        after = self.homes.home_after(me.service, key, self.confirmed_)
+        return after == me.member
+
+    def witness_sets(self) -> list[list[Witness]]:
+        """Return the sets of which the log may name any one as the last.
+
+        Empty until the first contact record was read back.
+        """
+        home = self.home
+        if home is None or home.seq < 0:
+            return []
+        sets = [home.witnesses]
+        if self.contact_ is not None and self.contact_.witnesses != home.witnesses:
+            sets.append(self.contact_.witnesses)
+        return sets
+
+    def update(self, now: datetime) -> None:
+        """Put the records that are due into the outbox."""
+        home = self.home
+        if home is None:
+            self.outbox.drop(CONTACT)
+            self._update_join()
+        else:
+            self.outbox.drop(JOIN)
+            self._update_contact(home, now)
+        self._update_leave(home)
+        self._drop_retired()
+
+    def observe_list(self, event: ListUpdated) -> None:
+        """Retire home agents whose VM was listed and is not listed any more.
+
+        The list lags, so a VM that was never seen in it may be too new.
+        """
+        listed = {(vm.id, vm.incarnation) for vm in event.vms}
+        homes = self.homes.service(self.identity.service)
+        current = [*homes.active_by_id.values(), *homes.pending_by_id.values()]
+        vms = {(h.member, h.vm_incarnation) for h in current if h.vm_incarnation}
+        seen = self.seen_version_by_vm_
+        for vm in vms & listed:
+            seen[vm] = event.version
+        for vm in seen.keys() - vms:
+            del seen[vm]
+        for home in current:
+            seen_at = seen.get((home.member, home.vm_incarnation), event.version)
+            if seen_at < event.version:
+                self._put_retire(home, f"list {event.version}, seen in {seen_at}")
+
+    def _put_retire(self, home: Home, evidence: str) -> None:
+        me = self.identity
+        # Every home agent is an author: duplicates are harmless and an author
+        # chosen among them might be one of those that failed.
+        record = Retire(me.service, home.member, home.incarnation, evidence)
+        self.outbox.put(RETIRE + home.incarnation, record)
+
+    def _drop_retired(self) -> None:
+        for name in self.outbox.names(RETIRE):
+            if self.homes.departed(name.removeprefix(RETIRE)):
+                self.outbox.drop(name)
+
+    def _update_join(self) -> None:
+        if self.leaving_ or self.departed:
+            self.outbox.drop(JOIN)
+            return
+        me = self.identity
+        homes = self.homes.service(me.service)
+        occupant = homes.active_by_id.get(me.member)
+        occupant = occupant or homes.pending_by_id.get(me.member)
+        replaces = occupant.incarnation if occupant else ""
+        item = self.outbox.items_by_name_.get(JOIN)
+        if item is not None and item.record.replaces == replaces:
+            return
+        self.confirmed_ = max(self.confirmed_, self.homes.offset)
+        record = Join(
+            me.service,
+            me.member,
+            me.incarnation,
+            me.domain,
+            replaces,
+            self.homes.offset,
+            me.vm_incarnation,
+        )
+        self.outbox.put(JOIN, record)
+
+    def _update_contact(self, home: Home, now: datetime) -> None:
+        if self.contact_ is not None:
+            if home.seq < self.contact_.seq:
+                return
+            self.contact_ = None
+            self.outbox.drop(CONTACT)
+        if self.leave_sent_:
+            return
+        # Claims that only witnesses hold must be in the log before the agent
+        # names other witnesses or confirms a join that moves keys away.
+        bound = bool(self.outbox.unlogged)
+        witnesses = home.witnesses if bound else self._choose_witnesses(home)
+        changed = not bound and (
+            self.homes.version != self.raised_version_ or witnesses != home.witnesses
+        )
+        interval = self.settings.contact_interval
+        elapsed = self.contact_at_ is None or now - self.contact_at_ >= interval
+        if not changed and not elapsed:
+            return
+        if not bound:
+            self.confirmed_ = max(self.confirmed_, self.homes.offset)
+            self.raised_version_ = self.homes.version
+        self._put_contact(witnesses, now)
+
+    def _put_contact(self, witnesses: list[Witness], now: datetime) -> None:
+        me = self.identity
+        self.seq_ += 1
+        self.contact_at_ = now
+        self.contact_ = Contact(
+            me.service,
+            me.member,
+            me.incarnation,
+            self.seq_,
+            self.confirmed_,
+            witnesses,
+        )
+        self.outbox.put(CONTACT, self.contact_)
+
+    def _choose_witnesses(self, home: Home) -> list[Witness]:
+        me = self.identity
+        alive = {
+            member.id: Witness(member.id, member.incarnation, member.address)
+            for member in self.membership.members_by_id.values()
+            if member.domain == me.domain
+            and member.id != me.member
+            and member.state is MemberState.ALIVE
+        }
+        kept = [w for w in home.witnesses if alive.get(w.id) == w]
+        for name in rendezvous_order(me.member, alive):
+            if len(kept) >= self.settings.witness_count:
+                break
+            if alive[name] not in kept:
+                kept.append(alive[name])
+        return kept if len(kept) >= MIN_WITNESSES else []
+
+    def _update_leave(self, home: Home | None) -> None:
+        if home is None:
+            self.outbox.drop(LEAVE)
+        elif self.leaving_ and not self.outbox.unlogged:
+            me = self.identity
+            self.leave_sent_ = True
+            self.outbox.put(LEAVE, Leave(me.service, me.member, me.incarnation))
--- /dev/null
+++ b/shallotpath/claims/_witnessing.py
@@ -0,0 +1,158 @@
+"""Messages between a home agent and witnesses: writes and reads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from ..core import Effect, Send, WitnessAck, WitnessRead, WitnessTable, WitnessWrite
+from ._homes import Debt
+from ._model import Identity
+from ._records import Witness
+
+# Rounds that are still unanswered after this many newer ones are forgotten;
+# their keys are written again.
+ROUNDS_KEPT = 256
+
+WitnessId = tuple[str, str]
+
+
+def write_quorum(count: int) -> int:
+    """Return how many of the named witnesses must store a claim."""
+    return count // 2 + 1
+
+
+def read_quorum(count: int) -> int:
+    """Return how many named witnesses to read so that every write is seen."""
+    return count - write_quorum(count) + 1
+
+
+class WitnessWriter:
+    """Write keys to witnesses and count the acknowledgements."""
+
+    __slots__ = ("acks_by_key_", "identity", "keys_by_nonce_", "nonce_")
+
+    def __init__(self, identity: Identity) -> None:
+        self.identity = identity
+        self.nonce_ = 0
+        self.keys_by_nonce_: dict[int, list[str]] = {}
+        self.acks_by_key_: dict[str, set[WitnessId]] = {}
+
+    def write(self, keys: list[str], sets: list[list[Witness]]) -> list[Effect]:
+        """Ask all witnesses of all sets to store keys."""
+        if not keys:
+            return []
+        self.nonce_ += 1
+        self.keys_by_nonce_[self.nonce_] = keys
+        if len(self.keys_by_nonce_) > ROUNDS_KEPT:
+            del self.keys_by_nonce_[next(iter(self.keys_by_nonce_))]
+        for key in keys:
+            self.acks_by_key_.setdefault(key, set())
+        me = self.identity
+        message = WitnessWrite(me.member, me.incarnation, keys, self.nonce_)
+        return _send_all(message, sets)
+
+    def acknowledge(self, ack: WitnessAck) -> list[str]:
+        """Count an acknowledgement and return its keys."""
+        me = self.identity
+        if (ack.home, ack.incarnation) != (me.member, me.incarnation):
+            return []
+        keys = self.keys_by_nonce_.get(ack.nonce, [])
+        for key in keys:
+            acks = self.acks_by_key_.get(key)
+            if acks is not None:
+                acks.add((ack.witness, ack.witness_incarnation))
+        return keys
+
+    def stored(self, key: str, sets: list[list[Witness]]) -> bool:
+        """Tell whether enough witnesses of every set hold a key."""
+        acks = self.acks_by_key_.get(key)
+        if not acks or not sets:
+            return False
+        return all(
+            sum((w.id, w.incarnation) in acks for w in witnesses)
+            >= write_quorum(len(witnesses))
+            for witnesses in sets
+        )
+
+    def forget(self, key: str) -> bool:
+        """Drop the acknowledgements of a key; tell whether it was written."""
+        return self.acks_by_key_.pop(key, None) is not None
+
+    def release(self, keys: list[str], sets: list[list[Witness]]) -> list[Effect]:
+        """Tell the witnesses that the log holds the keys now."""
+        if not keys:
+            return []
+        me = self.identity
+        message = WitnessWrite(me.member, me.incarnation, [], 0, keys)
+        return _send_all(message, sets)
+
+
+@dataclass(slots=True)
+class DebtReading:
+    """Hold what the witnesses of one retired home agent have answered."""
+
+    debt: Debt
+    sent_at: datetime | None = None
+    keys_by_witness: dict[WitnessId, list[str]] = field(default_factory=dict)
+
+
+class DebtReader:
+    """Read the claims of retired home agents from their witnesses."""
+
+    __slots__ = ("nonce_", "readings_by_incarnation_", "retry", "settled_")
+
+    def __init__(self, retry: timedelta) -> None:
+        self.retry = retry
+        self.nonce_ = 0
+        self.readings_by_incarnation_: dict[str, DebtReading] = {}
+        self.settled_: set[str] = set()
+
+    def settled(self, debt: Debt) -> bool:
+        """Tell whether enough witnesses have answered."""
+        return debt.incarnation in self.settled_
+
+    def read(self, debt: Debt, now: datetime) -> list[Effect]:
+        """Ask the witnesses, unless that was done a moment ago."""
+        if self.settled(debt):
+            return []
+        reading = self.readings_by_incarnation_.setdefault(
+            debt.incarnation, DebtReading(debt)
+        )
+        if reading.sent_at is not None and now - reading.sent_at < self.retry:
+            return []
+        reading.sent_at = now
+        self.nonce_ += 1
+        message = WitnessRead(debt.member, debt.incarnation, self.nonce_)
+        return _send_all(message, [debt.witnesses])
+
+    def take(self, table: WitnessTable) -> list[str] | None:
+        """Take an answer; return all keys once enough witnesses have answered."""
+        reading = self.readings_by_incarnation_.get(table.incarnation)
+        if reading is None:
+            return None
+        named = {(w.id, w.incarnation) for w in reading.debt.witnesses}
+        witness = (table.witness, table.witness_incarnation)
+        # A witness that restarted since it was named has lost what it held.
+        if witness not in named:
+            return None
+        reading.keys_by_witness[witness] = table.keys
+        if len(reading.keys_by_witness) < read_quorum(len(named)):
+            return None
+        self.settled_.add(table.incarnation)
+        del self.readings_by_incarnation_[table.incarnation]
+        keys = reading.keys_by_witness.values()
+        return list(dict.fromkeys(key for held in keys for key in held))
+
+    def keep(self, open_incarnations: Iterable[str]) -> None:
+        """Forget the retired agents whose claims the log holds by now."""
+        kept = set(open_incarnations)
+        self.settled_ &= kept
+        for incarnation in self.readings_by_incarnation_.keys() - kept:
+            del self.readings_by_incarnation_[incarnation]
+
+
+def _send_all(message: object, sets: list[list[Witness]]) -> list[Effect]:
+    addresses = dict.fromkeys(w.address for witnesses in sets for w in witnesses)
+    return [Send(address, message) for address in addresses]
--- /dev/null
+++ b/shallotpath/claims/tests/world.py
@@ -0,0 +1,360 @@
+"""A small world of home agents, witnesses, a log and links, for the proofs.
+
+All nondeterminism is a method: tests choose the interleaving. The world checks
+after each decision that no key runs twice and that `run: no` is true.
+"""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from shallotpath.claims import (
+    ClaimDecided,
+    ClaimSettings,
+    ClaimTable,
+    HomeSet,
+    Identity,
+    KnownClaim,
+    RefuseClaim,
+    Retire,
+    RunClaim,
+    WitnessStore,
+    encode_record,
+)
+from shallotpath.core import (
+    Append,
+    AppendDone,
+    AppendFailed,
+    Emit,
+    ListedVm,
+    ListUpdated,
+    LogContact,
+    LogRecord,
+    ManualClock,
+    Received,
+    RecordsRead,
+    RunState,
+    Send,
+    Tick,
+)
+from shallotpath.membership import Member, MemberState, Role, StaticMembership
+
+SERVICE = "kit-desk"
+SETTINGS = ClaimSettings(
+    hand_over=timedelta(seconds=2),
+    contact_interval=timedelta(seconds=2),
+    decide_within=timedelta(seconds=4),
+    retry_interval=timedelta(milliseconds=500),
+    appends_per_second=100.0,
+)
+
+
+@dataclass
+class Flight:
+    sender: str
+    receiver: str
+    message: object
+
+
+@dataclass
+class Request:
+    key: str
+    request_id: str
+    fresh: bool
+    sent_after_first: bool = False
+
+
+@dataclass
+class Agent:
+    member: str
+    domain: str
+    incarnation: str
+    table: ClaimTable
+    store: WitnessStore
+    read: int = 0
+    paused: bool = False
+    appends: list = field(default_factory=list)
+
+
+class World:
+    def __init__(self, table=ClaimTable, homes=HomeSet, settings=SETTINGS):
+        self.make_table = table
+        self.make_homes = homes
+        self.settings = settings
+        self.clock = ManualClock()
+        self.membership = StaticMembership()
+        self.log = []
+        self.log_up = True
+        self.lose_answers = False
+        self.apply_late = False
+        self.late = []
+        self.cut = set()
+        self.agents = {}
+        self.witnesses = {}
+        self.flights = []
+        self.serial = Counter()
+        self.entry_homes = homes()
+        self.runs = Counter()
+        self.ran_by = defaultdict(list)
+        self.attempts = defaultdict(list)
+        self.requests = {}
+        self.decisions = {}
+        self.faults = []
+        self.vms = {}
+        self.list_version = 0
+
+    def now(self):
+        return self.clock.now()
+
+    def add_agent(self, member, domain):
+        self.serial[member] += 1
+        incarnation = f"{member}.{self.serial[member]}"
+        table = self.make_table(
+            Identity(SERVICE, member, incarnation, domain, vm_incarnation=incarnation),
+            self.membership,
+            settings=self.settings,
+            homes=self.make_homes(),
+        )
+        store = WitnessStore(member_id=member, incarnation=incarnation)
+        self.agents[member] = Agent(member, domain, incarnation, table, store)
+        self._register(member, domain, incarnation, Role.AGENT)
+        self.vms[member] = ListedVm(member, incarnation, member, domain, "live")
+        self.list_version += 1
+        return self.agents[member]
+
+    def add_witness(self, member, domain):
+        self.serial[member] += 1
+        incarnation = f"{member}.{self.serial[member]}"
+        self.witnesses[member] = WitnessStore(member_id=member, incarnation=incarnation)
+        self._register(member, domain, incarnation, Role.ENTRY)
+
+    def _register(self, member, domain, incarnation, role):
+        self.membership.members_by_id[member] = Member(
+            member, role, domain, "r", member, incarnation
+        )
+
+    def domain_of(self, member):
+        return self.membership.members_by_id[member].domain
+
+    def kill(self, member):
+        """Stop a process; its appends may still take effect."""
+        agent = self.agents.pop(member, None)
+        if agent is not None:
+            self.late.extend(a.records for a in agent.appends)
+        self.witnesses.pop(member, None)
+        known = self.membership.members_by_id[member]
+        self.membership.members_by_id[member] = Member(
+            known.id,
+            known.role,
+            known.domain,
+            known.region,
+            known.address,
+            known.incarnation,
+            MemberState.DEAD,
+        )
+        if self.vms.pop(member, None) is not None:
+            self.list_version += 1
+
+    def restart(self, member):
+        domain = self.domain_of(member)
+        was_agent = member in self.agents
+        self.kill(member)
+        if was_agent:
+            self.add_agent(member, domain)
+        else:
+            self.add_witness(member, domain)
+
+    def send_list(self, member):
+        self.dispatch(member, ListUpdated(self.list_version, list(self.vms.values())))
+
+    def retire(self, member):
+        """Retire a stopped agent as an operator does."""
+        home = self.entry_homes.service(SERVICE).active_by_id.get(member)
+        assert member not in self.agents, "only stopped agents are retired"
+        if home is not None:
+            record = Retire(SERVICE, member, home.incarnation, "operator")
+            self.store([encode_record(record)])
+
+    def store(self, records):
+        for data in records:
+            self.log.append(data)
+        start = self.entry_homes.offset + 1
+        self.entry_homes.reduce(
+            RecordsRead(
+                "claims",
+                [LogRecord(n, d) for n, d in enumerate(self.log)][start:],
+                len(self.log),
+            ),
+            self.now(),
+        )
+
+    def reaches_log(self, member):
+        return self.log_up and self.domain_of(member) not in self.cut
+
+    def dispatch(self, member, event):
+        agent = self.agents.get(member)
+        if agent is None or agent.paused:
+            return
+        self.perform(agent, agent.table.reduce(event, self.now()))
+
+    def perform(self, agent, effects):
+        for effect in effects:
+            if isinstance(effect, Emit) and isinstance(effect.event, ClaimDecided):
+                self.decide(agent, effect.event)
+            elif isinstance(effect, Send):
+                self.flights.append(Flight(agent.member, effect.peer, effect.message))
+            elif isinstance(effect, Append):
+                agent.appends.append(effect)
+
+    def decide(self, agent, event):
+        if event.request_id in self.decisions:
+            self.faults.append(f"{event.request_id} decided twice")
+        self.decisions[event.request_id] = event.decision
+        if isinstance(event.decision, RunClaim):
+            self.runs[event.key] += 1
+            self.ran_by[event.key].append((agent.incarnation, event.request_id))
+            if self.runs[event.key] > 1:
+                self.faults.append(f"{event.key} ran: {self.ran_by[event.key]}")
+        elif isinstance(event.decision, RefuseClaim):
+            self.check_refusal(event)
+
+    def check_refusal(self, event):
+        # An entry drops answers to a first attempt that it has superseded.
+        request = self.requests[event.request_id]
+        last = self.attempts[event.key][-1] is request
+        told = event.decision.run is RunState.NO and (last or not request.fresh)
+        if told and self.runs[event.key]:
+            self.faults.append(f"{event.key} refused with run: no after it ran")
+
+    def check(self):
+        assert not self.faults, self.faults
+
+    def run_append(self, member, outcome="ok"):
+        """Let the oldest append of an agent end: ok, lost, late or fail."""
+        agent = self.agents.get(member)
+        if agent is None or not agent.appends:
+            return
+        append = agent.appends.pop(0)
+        if not self.reaches_log(member) and outcome in ("ok", "lost"):
+            outcome = "fail"
+        if outcome in ("ok", "lost"):
+            self.store(append.records)
+        if outcome == "late":
+            self.late.append(append.records)
+        if outcome == "ok":
+            done = AppendDone("claims", append.token, len(self.log) - 1)
+            self.dispatch(member, done)
+        else:
+            self.dispatch(member, AppendFailed("claims", append.token))
+
+    def land_late(self, index=0):
+        if self.late:
+            self.store(self.late.pop(index % len(self.late)))
+
+    def read(self, member, limit=1000):
+        agent = self.agents.get(member)
+        if agent is None or agent.paused:
+            return
+        if not self.reaches_log(member):
+            self.dispatch(member, LogContact("claims", False))
+            return
+        records = [LogRecord(n, d) for n, d in enumerate(self.log)]
+        records = records[agent.read : agent.read + limit]
+        agent.read += len(records)
+        if records:
+            self.dispatch(member, RecordsRead("claims", records, agent.read))
+        self.dispatch(member, LogContact("claims", True))
+
+    def linked(self, one, other):
+        first, second = self.domain_of(one), self.domain_of(other)
+        return first == second or not {first, second} & self.cut
+
+    def deliver(self, index=0):
+        if not self.flights:
+            return
+        flight = self.flights.pop(index % len(self.flights))
+        if not self.linked(flight.sender, flight.receiver):
+            return
+        agent = self.agents.get(flight.receiver)
+        received = Received(flight.sender, flight.message)
+        store = agent.store if agent else self.witnesses.get(flight.receiver)
+        if store is None or (agent and agent.paused):
+            return
+        for effect in store.reduce(received, self.now()):
+            if isinstance(effect, Send):
+                self.flights.append(
+                    Flight(flight.receiver, effect.peer, effect.message)
+                )
+        self.dispatch(flight.receiver, received)
+
+    def advance(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
+        for member in list(self.agents):
+            self.dispatch(member, Tick())
+
+    def request(self, key, member, fresh=False):
+        """Send a request for a key to an agent; return its id."""
+        request = Request(key, f"q{len(self.requests)}", fresh)
+        self.requests[request.request_id] = request
+        self.attempts[key].append(request)
+        self.arrive(request, member)
+        return request.request_id
+
+    def arrive(self, request, member):
+        agent = self.agents.get(member)
+        if agent is not None and not agent.paused:
+            self.perform(
+                agent,
+                agent.table.request(
+                    request.key, request.request_id, request.fresh, self.now()
+                ),
+            )
+
+    def settle(self, rounds=12, seconds=0.3):
+        """Let everything that can happen happen, in order."""
+        for _ in range(rounds):
+            for member in list(self.agents):
+                while self.agents[member].appends and not self.agents[member].paused:
+                    self.run_append(member)
+                self.read(member)
+            while self.flights:
+                self.deliver()
+            self.advance(seconds)
+
+    def heal(self):
+        self.log_up = True
+        self.cut.clear()
+        while self.late:
+            self.land_late()
+        for agent in self.agents.values():
+            agent.paused = False
+
+    def home(self, key):
+        return self.entry_homes.home_of(SERVICE, key)
+
+    def key_of(self, member, prefix="k"):
+        """Return a key whose home is a member."""
+        return next(
+            key
+            for key in (f"{prefix}{n}" for n in range(10_000))
+            if self.home(key) == member
+        )
+
+    def ran(self, request_id):
+        return isinstance(self.decisions.get(request_id), RunClaim)
+
+    def known(self, request_id):
+        return isinstance(self.decisions.get(request_id), KnownClaim)
+
+
+def make_world(agents=("a1", "a2", "b1"), **kwargs):
+    """Return a world with joined agents and three witnesses in each domain."""
+    world = World(**kwargs)
+    for domain in "ab":
+        for n in range(3):
+            world.add_witness(f"{domain}w{n}", domain)
+    for member in agents:
+        world.add_agent(member, member[0])
+        world.settle(8)
+    world.settle(12)
+    return world
--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -243,12 +243,13 @@
 
 @dataclass(slots=True, frozen=True)
 class WitnessWrite:
-    """Ask a witness to store claims made without the log."""
+    """Ask a witness to store claims and to drop those that the log now holds."""
 
     home: str
     incarnation: str
     keys: list[str]
     nonce: int
+    logged: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -258,6 +259,8 @@
     home: str
     witness: str
     nonce: int
+    witness_incarnation: str = ""
+    incarnation: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -278,6 +281,7 @@
     witness_incarnation: str
     keys: list[str]
     nonce: int
+    incarnation: str = ""
 
 
 Message = (
