--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -280,12 +280,13 @@
 
 @dataclass(slots=True, frozen=True)
 class WitnessWrite:
-    """Ask a witness to store claims made without the log."""
+    """Ask a witness to store claims and to drop those that the log now holds."""
 
     home: str
     incarnation: str
     keys: list[str]
     nonce: int
+    logged: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -295,6 +296,8 @@
     home: str
     witness: str
     nonce: int
+    witness_incarnation: str = ""
+    incarnation: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -315,6 +318,7 @@
     witness_incarnation: str
     keys: list[str]
     nonce: int
+    incarnation: str = ""
 
 
 Message = (
