Add the pure parts of the request path

Answers between entry and agent may be lost, late, crossed or sent twice, and a caller must still get the whole answer to its own request.

Frames are numbered, bounded by a credit window and repeated on request; an answer is complete only if count, length, checksum and weights digest of the end match. The core gains the Head message, so that status and type reach the caller before the body, an attempt in StatusQuery, so that an agent can bar a late Submit after it answered `unknown`, and fresh_key in Submit for the claim rule of new keys.

--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -37,6 +37,7 @@
     window_bytes: int = 65536
     resume_from: int = 0
     digest: str = ""
+    fresh_key: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +61,17 @@
     retry_after: timedelta | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Head:
+    """Open an answer with its status, type and weights digest."""
+
+    request_id: str
+    attempt: int
+    status: int
+    content_type: str
+    digest: str
+
+
 @dataclass(slots=True, frozen=True)
 class Data:
     """Carry a part of the answer."""
@@ -115,9 +127,10 @@
 
 @dataclass(slots=True, frozen=True)
 class StatusQuery:
-    """Ask an agent what it knows about a request."""
+    """Ask an agent what it knows about an attempt of a request."""
 
     request_id: str
+    attempt: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -284,6 +297,7 @@
     Submit
     | Accepted
     | Refused
+    | Head
     | Data
     | End
     | Failed
--- /dev/null
+++ b/shallotpath/streams/_budget.py
@@ -0,0 +1,69 @@
+"""Budget of a process for bytes held for slow readers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime
+
+
+@dataclass(slots=True)
+class HeldStream:
+    """Record what one stream holds and when its reader last took something."""
+
+    held_bytes: int
+    progress_at: datetime
+
+
+class SlowReaderBudget:
+    """Choose the streams to cancel when the held bytes exceed the budget."""
+
+    __slots__ = ("budget_bytes", "held_bytes_", "streams_by_id_")
+
+    def __init__(self, budget_bytes: int) -> None:
+        self.budget_bytes = budget_bytes
+        self.streams_by_id_: dict[str, HeldStream] = {}
+        self.held_bytes_ = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for all readers."""
+        return self.held_bytes_
+
+    def update(
+        self, stream_id: str, held_bytes: int, now: datetime, *, progress: bool = False
+    ) -> None:
+        """Record the bytes a stream holds; `progress` tells that its reader read."""
+        stream = self.streams_by_id_.get(stream_id)
+        if stream is None:
+            stream = self.streams_by_id_[stream_id] = HeldStream(0, now)
+        if progress or stream.held_bytes == 0:
+            stream.progress_at = now
+        self.held_bytes_ += held_bytes - stream.held_bytes
+        stream.held_bytes = held_bytes
+
+    def remove(self, stream_id: str) -> None:
+        """Forget a stream."""
+        stream = self.streams_by_id_.pop(stream_id, None)
+        if stream is not None:
+            self.held_bytes_ -= stream.held_bytes
+
+    def victims(self, now: datetime) -> list[str]:
+        """Return the streams to cancel, the worst first, until the rest fits."""
+        excess = self.held_bytes_ - self.budget_bytes
+        if excess <= 0:
+            return []
+        chosen = []
+        for stream_id in sorted(self.streams_by_id_, key=self._cost_at(now)):
+            if excess <= 0:
+                break
+            chosen.append(stream_id)
+            excess -= self.streams_by_id_[stream_id].held_bytes
+        return chosen
+
+    def _cost_at(self, now: datetime):
+        def cost(stream_id: str) -> tuple[float, int]:
+            stream = self.streams_by_id_[stream_id]
+            stalled_s = (now - stream.progress_at).total_seconds()
+            return -stream.held_bytes * stalled_s, -stream.held_bytes
+
+        return cost
--- /dev/null
+++ b/shallotpath/streams/_call.py
@@ -0,0 +1,120 @@
+"""Attempts of one request at an entry."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import datetime
+
+from transitions import Machine
+
+from ..core import Code, RunState, Submit
+
+_RUN_ORDER = [RunState.NO, RunState.UNKNOWN, RunState.YES]
+
+_TRANSITIONS = [
+    ["submit", ["new", "between"], "submitted"],
+    ["admit", ["submitted", "admitted"], "admitted"],
+    ["deliver", ["submitted", "admitted", "delivering"], "delivering"],
+    ["pause", ["submitted", "admitted", "delivering"], "between"],
+    ["complete", ["submitted", "admitted", "delivering"], "completed"],
+    ["give_up", ["new", "submitted", "admitted", "delivering", "between"], "failed"],
+]
+
+
+class OutgoingCall:
+    """Track the attempts of one request and decide whether another is allowed."""
+
+    def __init__(
+        self, template: Submit, deadline: datetime, *, generation: bool
+    ) -> None:
+        self.template = template
+        self.deadline = deadline
+        self.generation = generation
+        self.attempt_ = 0
+        self.run_ = RunState.NO
+        self.tokens_ = 0
+        self.relayed_bytes_ = 0
+        self.digest_ = ""
+        self.tried_ids_: set[str] = set()
+        _machine.add_model(self)
+        # The triggers are bound to the call; the list of models would keep every
+        # call for the life of the process.
+        _machine.remove_model(self)
+
+    @property
+    def attempt(self) -> int:
+        """Return the number of the current attempt, from 1."""
+        return self.attempt_
+
+    @property
+    def run(self) -> RunState:
+        """Return what is known about runs over all attempts."""
+        return self.run_
+
+    @property
+    def tokens(self) -> int:
+        """Return the number of tokens that the caller has received."""
+        return self.tokens_
+
+    def begin(self, member_id: str, now: datetime) -> Submit:
+        """Start the next attempt and return its message."""
+        self.submit()
+        self.attempt_ += 1
+        self.tried_ids_.add(member_id)
+        return replace(
+            self.template,
+            attempt=self.attempt_,
+            time_left=self.deadline - now,
+            resume_from=self.tokens_,
+            # A resumed generation must not continue on other weights.
+            digest=self.digest_ if self.tokens_ else "",
+            fresh_key=self.template.fresh_key and self.attempt_ == 1,
+        )
+
+    def accepted(self) -> None:
+        """Record that the agent admitted the attempt."""
+        if self.state == "submitted":
+            self.admit()
+
+    def delivered(self, size: int, tokens: int, digest: str) -> None:
+        """Record what was relayed to the caller."""
+        if self.state != "delivering":
+            self.deliver()
+        self.relayed_bytes_ += size
+        self.tokens_ += tokens
+        self.digest_ = digest
+
+    def ended(self, run: RunState) -> None:
+        """Record the end of an attempt that did not complete."""
+        self.pause()
+        # A later refusal does not undo what an earlier attempt may have run.
+        self.run_ = max(self.run_, run, key=_RUN_ORDER.index)
+
+    def may_retry(self, code: Code, run: RunState) -> bool:
+        """Tell whether the last attempt permits another one."""
+        if code in (Code.SLOW_READER, Code.CANCELLED, Code.DEADLINE_EXCEEDED):
+            return False
+        if run is RunState.NO:
+            return True
+        if not self.template.repeatable:
+            return False
+        if self.generation:
+            return True
+        return run is RunState.UNKNOWN and self.relayed_bytes_ == 0
+
+
+_machine = Machine(
+    model=None,
+    states=[
+        "new",
+        "submitted",
+        "admitted",
+        "delivering",
+        "between",
+        "completed",
+        "failed",
+    ],
+    transitions=_TRANSITIONS,
+    initial="new",
+    auto_transitions=False,
+)
--- /dev/null
+++ b/shallotpath/streams/_reader.py
@@ -0,0 +1,185 @@
+"""Receiver of one answer: order, gaps, credit and the final check."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+from hashlib import sha256
+
+from ..core import Credit, Data, End, Head, Message, Resume
+
+# Silence on a stream after which the reader asks again. A lost last frame is
+# noticed only by its absence.
+RESUME_AFTER = timedelta(seconds=1)
+
+
+class AnswerReader:
+    """Put the frames of one attempt in order and check them against the end."""
+
+    __slots__ = (
+        "asked_seq_",
+        "attempt",
+        "broken_",
+        "chunks_",
+        "complete_",
+        "consumed_",
+        "duplicates_",
+        "granted_",
+        "hash_",
+        "head_",
+        "heard_at_",
+        "held_",
+        "length_",
+        "next_seq_",
+        "request_id",
+        "window_bytes",
+    )
+
+    def __init__(
+        self, request_id: str, attempt: int, window_bytes: int, now: datetime
+    ) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.window_bytes = window_bytes
+        self.heard_at_ = now
+        self.head_: Head | None = None
+        self.next_seq_ = 0
+        self.asked_seq_ = -1
+        self.length_ = 0
+        self.consumed_ = 0
+        self.granted_ = window_bytes
+        self.hash_ = sha256()
+        self.chunks_: deque[bytes] = deque()
+        self.held_ = 0
+        self.complete_ = False
+        self.broken_ = False
+        self.duplicates_ = 0
+
+    @property
+    def head(self) -> Head | None:
+        """Return the head of the answer, if it has arrived."""
+        return self.head_
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether the whole answer arrived and matches its end."""
+        return self.complete_
+
+    @property
+    def broken(self) -> bool:
+        """Tell whether the answer contradicts its end or its credit."""
+        return self.broken_
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that the caller has not consumed."""
+        return self.held_
+
+    @property
+    def next_seq(self) -> int:
+        """Return the sequence number of the next expected frame."""
+        return self.next_seq_
+
+    @singledispatchmethod
+    def receive(self, message: Message, now: datetime) -> list[Message]:
+        """Take a frame and return the messages to send back."""
+        raise TypeError(f"{type(message).__name__} is no frame of an answer")
+
+    @receive.register
+    def _(self, head: Head, now: datetime) -> list[Message]:
+        if self._concerns(head) and self.head_ is None:
+            self.heard_at_ = now
+            self.head_ = head
+        return []
+
+    @receive.register
+    def _(self, data: Data, now: datetime) -> list[Message]:
+        if not self._concerns(data):
+            return []
+        if data.seq < self.next_seq_:
+            self.duplicates_ += 1
+            return []
+        if data.seq > self.next_seq_ or self.head_ is None:
+            return self._ask_once()
+        if self.length_ + len(data.payload) > self.granted_:
+            self.broken_ = True
+            return []
+        self._append(data.payload, now)
+        return []
+
+    @receive.register
+    def _(self, end: End, now: datetime) -> list[Message]:
+        if not self._concerns(end):
+            return []
+        if end.frames > self.next_seq_:
+            return self._ask_once()
+        self.heard_at_ = now
+        if self.head_ is None:
+            self.head_ = _head_of(end)
+        self.complete_ = (
+            end.frames == self.next_seq_
+            and end.length == self.length_
+            and end.checksum == self.hash_.hexdigest()
+            and end.digest == self.head_.digest
+        )
+        self.broken_ = not self.complete_
+        return [self._confirmation()] if self.complete_ else []
+
+    def read(self) -> bytes:
+        """Return the next part of the answer, or nothing if none is held."""
+        return self.chunks_.popleft() if self.chunks_ else b""
+
+    def consume(self, size: int) -> Credit | None:
+        """Release bytes that the caller took and return a credit if one is due."""
+        self.held_ -= size
+        self.consumed_ += size
+        total = self.consumed_ + self.window_bytes
+        # Half a window at a time keeps the number of credits small.
+        if total - self.granted_ < self.window_bytes // 2 or self.complete_:
+            return None
+        self.granted_ = total
+        return Credit(self.request_id, self.attempt, total)
+
+    def poll(self, now: datetime) -> list[Message]:
+        """Ask again for the next frame if the stream has been silent."""
+        if self.complete_ or self.broken_ or now - self.heard_at_ < RESUME_AFTER:
+            return []
+        self.heard_at_ = now
+        return [self.resume()]
+
+    def resume(self) -> Resume:
+        """Return a request for everything from the next expected frame."""
+        return Resume(self.request_id, self.attempt, self.next_seq_, self.granted_)
+
+    def _concerns(self, message: Head | Data | End) -> bool:
+        return (
+            message.request_id == self.request_id
+            and message.attempt == self.attempt
+            and not self.complete_
+            and not self.broken_
+        )
+
+    def _append(self, payload: bytes, now: datetime) -> None:
+        self.heard_at_ = now
+        self.next_seq_ += 1
+        self.length_ += len(payload)
+        self.held_ += len(payload)
+        self.hash_.update(payload)
+        self.chunks_.append(payload)
+
+    def _confirmation(self) -> Credit:
+        # A credit beyond the end lets the sender release the answer.
+        total = self.length_ + self.window_bytes + 1
+        return Credit(self.request_id, self.attempt, total)
+
+    def _ask_once(self) -> list[Message]:
+        # Every frame behind a gap shows the same gap; one request covers them.
+        if self.asked_seq_ == self.next_seq_:
+            return []
+        self.asked_seq_ = self.next_seq_
+        return [self.resume()]
+
+
+def _head_of(end: End) -> Head:
+    return Head(end.request_id, end.attempt, end.status, end.content_type, end.digest)
--- /dev/null
+++ b/shallotpath/streams/_sse.py
@@ -0,0 +1,95 @@
+"""Incremental parser of server-sent events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..core import FrameError
+
+# Events of engines are a few dozen bytes; the bound keeps a stream without event
+# boundaries from filling memory.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class Token(msgspec.Struct):
+    """Decode the data of a token event."""
+
+    i: int
+
+
+class EndOfAnswer(msgspec.Struct):
+    """Decode the data of the end event."""
+
+    n: int
+
+
+_token_decoder = msgspec.json.Decoder(Token)
+_end_decoder = msgspec.json.Decoder(EndOfAnswer)
+
+
+@dataclass(slots=True, frozen=True)
+class SseEvent:
+    """Hold one event as sent, its name and data."""
+
+    raw: bytes
+    name: str
+    data: bytes
+
+    def token_index(self) -> int | None:
+        """Return the position of a token event, or `None` for another event."""
+        if self.name:
+            return None
+        return _decode(_token_decoder, self.data).i
+
+    def token_count(self) -> int | None:
+        """Return the count that an end event states, or `None` for another event."""
+        if self.name != "end":
+            return None
+        return _decode(_end_decoder, self.data).n
+
+
+class SseParser:
+    """Split a byte stream into events, whatever the frame boundaries."""
+
+    __slots__ = ("rest_",)
+
+    def __init__(self) -> None:
+        self.rest_ = b""
+
+    @property
+    def partial(self) -> bool:
+        """Tell whether an incomplete event is held."""
+        return bool(self.rest_)
+
+    def feed(self, payload: bytes) -> list[SseEvent]:
+        """Take bytes and return the events that they complete."""
+        parts = (self.rest_ + payload).split(b"\n\n")
+        self.rest_ = parts.pop()
+        if len(self.rest_) > MAX_EVENT_BYTES:
+            raise FrameError(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes; check the engine's stream"
+            )
+        return [parse_event(part) for part in parts if part]
+
+
+def parse_event(block: bytes) -> SseEvent:
+    """Parse the lines of one event."""
+    name = ""
+    data = []
+    for line in block.split(b"\n"):
+        if line.startswith(b"data:"):
+            data.append(line[5:].strip())
+        elif line.startswith(b"event:"):
+            name = line[6:].strip().decode(errors="replace")
+    return SseEvent(block + b"\n\n", name, b"\n".join(data))
+
+
+def _decode(decoder: msgspec.json.Decoder, data: bytes):
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise FrameError(
+            f"an event of the engine does not decode: {error}; check the engine"
+        ) from error
--- /dev/null
+++ b/shallotpath/streams/tests/test_answer.py
@@ -0,0 +1,161 @@
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotpath.core import EPOCH, Credit, Data, End, Head, Load, Resume
+from shallotpath.streams import AnswerReader, AnswerWriter
+
+LOAD = Load(1, 0)
+SECOND = timedelta(seconds=1)
+
+
+def make_pair(window=64):
+    writer = AnswerWriter("r", 1, window)
+    writer.begin(200, "text/plain", "d")
+    return writer, AnswerReader("r", 1, window, EPOCH)
+
+
+def consume_all(reader):
+    taken = b""
+    replies = []
+    while payload := reader.read():
+        taken += payload
+        credit = reader.consume(len(payload))
+        if credit is not None:
+            replies.append(credit)
+    return taken, replies
+
+
+def apply(writer, message):
+    if isinstance(message, Resume):
+        writer.resume(message.from_seq, message.total_bytes)
+    elif isinstance(message, Credit):
+        writer.credit(message.total_bytes)
+
+
+@given(
+    parts=st.lists(st.binary(min_size=1, max_size=100), max_size=12),
+    window=st.integers(min_value=8, max_value=80),
+    data=st.data(),
+)
+def test_an_answer_is_whole_under_lost_late_crossed_and_duplicated_frames(
+    parts, window, data
+):
+    # Guards against truncated or mixed answers, and against unbounded tails.
+    writer, reader = make_pair(window)
+    for part in parts:
+        writer.write(part)
+    writer.finish(LOAD)
+    to_reader, to_writer, taken, now = [], [], b"", EPOCH
+    faults_left = 40
+    for _ in range(2000):
+        if reader.complete and not reader.held_bytes:
+            break
+        to_reader += writer.frames()
+        assert writer.tail_bytes_ <= window
+        if not to_reader and not to_writer:
+            now += SECOND
+            to_writer += reader.poll(now)
+        for queue, deliver in ((to_reader, "r"), (to_writer, "w")):
+            if not queue:
+                continue
+            fault = "none"
+            if faults_left:
+                faults_left -= 1
+                fault = data.draw(st.sampled_from(["none", "lose", "cross", "twice"]))
+            index = data.draw(st.integers(0, len(queue) - 1)) if fault == "cross" else 0
+            message = queue.pop(index)
+            if fault == "lose":
+                continue
+            if fault == "twice":
+                queue.append(message)
+            if deliver == "r":
+                to_writer += reader.receive(message, now)
+            else:
+                apply(writer, message)
+        assert not reader.broken
+        read, credits = consume_all(reader)
+        taken += read
+        to_writer += credits
+    assert reader.complete
+    assert taken == b"".join(parts)
+
+
+def test_the_writer_stops_at_the_window_until_credit_arrives():
+    # Guards against buffering without bound for a reader that stalls.
+    writer, reader = make_pair(window=10)
+    writer.write(b"x" * 25)
+    sent = [m for m in writer.frames() if isinstance(m, Data)]
+    assert sum(len(m.payload) for m in sent) == 10
+    assert writer.room < 0
+    assert writer.frames() == []
+    writer.credit(20)
+    assert sum(len(m.payload) for m in writer.frames()) == 10
+    assert reader.held_bytes == 0
+
+
+def test_a_wrong_credit_does_not_lift_the_window():
+    writer, _ = make_pair(window=10)
+    writer.credit(10**9)
+    writer.write(b"x" * 100)
+    assert sum(len(m.payload) for m in writer.frames()[1:]) == 10
+
+
+@pytest.mark.parametrize(
+    "change", [{"checksum": "0"}, {"length": 4}, {"frames": 0}, {"digest": "other"}]
+)
+def test_an_end_that_does_not_match_breaks_the_answer(change):
+    # Guards against accepting an answer with lost, altered or foreign bytes.
+    writer, reader = make_pair()
+    writer.write(b"abc")
+    writer.finish(LOAD)
+    *frames, end = writer.frames()
+    for frame in frames:
+        reader.receive(frame, EPOCH)
+    fields = {name: getattr(end, name) for name in End.__slots__}
+    reader.receive(End(**{**fields, **change}), EPOCH)
+    assert reader.broken
+    assert not reader.complete
+
+
+def test_frames_of_another_attempt_or_request_are_dropped():
+    # Guards against answers that are swapped between requests.
+    _, reader = make_pair()
+    reader.receive(Head("r", 1, 200, "text/plain", "d"), EPOCH)
+    assert reader.receive(Data("r", 2, 0, b"late"), EPOCH) == []
+    assert reader.receive(Data("other", 1, 0, b"swapped"), EPOCH) == []
+    assert reader.held_bytes == 0
+
+
+def test_data_beyond_the_credit_breaks_the_answer():
+    _, reader = make_pair(window=4)
+    reader.receive(Head("r", 1, 200, "text/plain", "d"), EPOCH)
+    reader.receive(Data("r", 1, 0, b"12345"), EPOCH)
+    assert reader.broken
+
+
+def test_a_confirmed_answer_is_settled_and_holds_nothing():
+    # Guards against tails of finished answers that stay in memory.
+    writer, reader = make_pair()
+    writer.write(b"abc")
+    writer.finish(LOAD)
+    replies = []
+    for frame in writer.frames():
+        replies += reader.receive(frame, EPOCH)
+    assert not writer.settled
+    for reply in replies:
+        apply(writer, reply)
+    assert writer.settled
+    assert writer.held_bytes == 0
+
+
+def test_a_late_resume_for_released_frames_changes_nothing():
+    writer, _ = make_pair(window=4)
+    writer.write(b"12345678")
+    writer.frames()
+    writer.credit(8)
+    writer.frames()
+    assert not writer.resume(0, 4)
+    assert writer.frames() == []
--- /dev/null
+++ b/shallotpath/streams/tests/test_call.py
@@ -0,0 +1,132 @@
+from datetime import timedelta
+
+import pytest
+from transitions import MachineError
+
+from shallotpath.core import EPOCH, Code, FrameError, RunState, Submit
+from shallotpath.streams import OutgoingCall, SlowReaderBudget, SseParser
+
+SECOND = timedelta(seconds=1)
+
+
+def make_call(*, repeatable=True, generation=False, fresh_key=False):
+    template = Submit(
+        "r",
+        0,
+        "s",
+        "p",
+        "t",
+        b"",
+        SECOND,
+        repeatable=repeatable,
+        fresh_key=fresh_key,
+    )
+    return OutgoingCall(template, EPOCH + 30 * SECOND, generation=generation)
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "generation", "run", "allowed"),
+    [
+        (False, False, RunState.NO, True),
+        (False, False, RunState.UNKNOWN, False),
+        (False, False, RunState.YES, False),
+        (True, False, RunState.NO, True),
+        (True, False, RunState.UNKNOWN, True),
+        (True, False, RunState.YES, False),
+        (True, True, RunState.YES, True),
+    ],
+)
+def test_only_safe_attempts_are_repeated(repeatable, generation, run, allowed):
+    # Guards against orders that run twice.
+    call = make_call(repeatable=repeatable, generation=generation)
+    call.begin("a", EPOCH)
+    call.ended(run)
+    assert call.may_retry(Code.UPSTREAM_FAILED, run) is allowed
+
+
+def test_a_plain_answer_that_has_started_is_not_repeated():
+    call = make_call()
+    call.begin("a", EPOCH)
+    call.delivered(10, 0, "d")
+    call.ended(RunState.UNKNOWN)
+    assert not call.may_retry(Code.UPSTREAM_LOST, RunState.UNKNOWN)
+
+
+def test_a_generation_resumes_behind_its_tokens_on_the_same_weights():
+    call = make_call(generation=True)
+    assert call.begin("a", EPOCH).digest == ""
+    call.accepted()
+    call.delivered(10, 3, "d")
+    call.ended(RunState.YES)
+    submit = call.begin("b", EPOCH + SECOND)
+    assert (submit.resume_from, submit.digest, submit.attempt) == (3, "d", 2)
+    assert submit.time_left == 29 * SECOND
+    assert call.tried_ids_ == {"a", "b"}
+
+
+def test_a_later_refusal_does_not_hide_an_earlier_run():
+    # Guards against a refusal that reports a run request as not run.
+    call = make_call()
+    call.begin("a", EPOCH)
+    call.ended(RunState.UNKNOWN)
+    call.begin("b", EPOCH)
+    call.ended(RunState.NO)
+    assert call.run is RunState.UNKNOWN
+
+
+def test_a_key_is_fresh_only_in_the_first_attempt():
+    call = make_call(repeatable=False, fresh_key=True)
+    assert call.begin("a", EPOCH).fresh_key
+    call.ended(RunState.NO)
+    assert not call.begin("a", EPOCH).fresh_key
+
+
+def test_a_finished_call_takes_no_further_attempt():
+    call = make_call()
+    call.begin("a", EPOCH)
+    call.complete()
+    with pytest.raises(MachineError):
+        call.begin("b", EPOCH)
+
+
+def test_the_stream_with_most_bytes_and_time_is_cancelled_first():
+    budget = SlowReaderBudget(100)
+    budget.update("old_small", 30, EPOCH)
+    budget.update("new_large", 60, EPOCH + 9 * SECOND)
+    budget.update("old_large", 50, EPOCH)
+    assert budget.victims(EPOCH + 10 * SECOND) == ["old_large"]
+    budget.remove("old_large")
+    assert budget.victims(EPOCH + 10 * SECOND) == []
+    assert budget.held_bytes == 90
+
+
+def test_a_reader_that_progresses_is_spared():
+    budget = SlowReaderBudget(100)
+    budget.update("stalled", 60, EPOCH)
+    budget.update("reads", 90, EPOCH)
+    budget.update("reads", 90, EPOCH + 9 * SECOND, progress=True)
+    assert budget.victims(EPOCH + 10 * SECOND) == ["stalled"]
+
+
+def test_events_are_split_whatever_the_frame_boundaries():
+    stream = b'data: {"i": 0, "t": "a"}\n\nevent: end\ndata: {"n": 1}\n\n'
+    for cut in range(len(stream)):
+        parser = SseParser()
+        events = parser.feed(stream[:cut]) + parser.feed(stream[cut:])
+        assert [event.token_index() for event in events] == [0, None]
+        assert events[1].token_count() == 1
+        assert not parser.partial
+
+
+@pytest.mark.parametrize(
+    "data", [b"data: {\n\n", b'data: {"i": "x"}\n\n', b"data: \n\n"]
+)
+def test_a_malformed_event_is_a_typed_error(data):
+    (event,) = SseParser().feed(data)
+    with pytest.raises(FrameError, match="check the engine"):
+        event.token_index()
+
+
+def test_an_event_without_an_end_is_bounded():
+    with pytest.raises(FrameError, match="exceeds"):
+        SseParser().feed(b"x" * 300_000)
