Add the agent's side of the request path

Only the agent may hand work to its engine, and it must not report a request as not run when it ran.

It refuses before the gate (drain, domain, weights, deadline), streams under credit, fails the calls in flight of a lost engine once, and bars a late Submit after it answered that a request is unknown. A place is given back to the gate only after the engine confirmed the cancellation, so a cancelled run and its successor never exceed the limit together.

--- /dev/null
+++ b/shallotpath/runtime/_agent_calls.py
@@ -0,0 +1,402 @@
+"""The calls that an agent holds: admission, runs, ends and time-outs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+
+import msgspec
+
+from ..config import ConfigurationView
+from ..core import (
+    Accepted,
+    CallEnded,
+    Code,
+    EngineLost,
+    EngineObserved,
+    Failed,
+    Load,
+    Message,
+    Refused,
+    RunState,
+    Submit,
+)
+from ..limits import Admit, Call, Refuse
+from ..streams import AnswerWriter, SlowReaderBudget
+from ._admission import AdmissionChecks
+from ._agent_part import ClaimFinished, ClaimWanted
+from ._engine_client import EngineClient
+from ._engine_run import EngineRun
+from ._engine_watch import EngineWatch
+from ._inbound import CallState, Failure, InboundCall, make_call
+from ._ports import (
+    ClaimDecided,
+    ClaimDecision,
+    GatePort,
+    KnownClaim,
+    RefuseClaim,
+    WeightsPort,
+)
+from ._shell import Shell
+
+RETRY_AFTER = timedelta(seconds=1)
+# Bounds what one stream may hold, whatever window its entry asks for.
+MAX_WINDOW_BYTES = 1024 * 1024
+# Refusals that end by themselves soon.
+BRIEF_REFUSALS = frozenset({Code.WEIGHTS_NOT_READY, Code.UPSTREAM_LOST})
+
+
+@dataclass(slots=True, frozen=True)
+class AgentTimeouts:
+    """Hold the time-outs of the agent's request path."""
+
+    # An entry needs 2 s to notice silence and some more for a new connection.
+    entry_silence: timedelta = timedelta(seconds=8)
+    # How long an answer waits for its reader to confirm or resume it.
+    answer_kept: timedelta = timedelta(seconds=30)
+
+
+class AgentCalls:
+    """Admit calls, run them on the engine and keep what entries may ask for."""
+
+    def __init__(
+        self,
+        *,
+        shell: Shell,
+        configuration: ConfigurationView,
+        gate: GatePort,
+        engine: EngineClient,
+        weights: WeightsPort,
+        service: str,
+        domain: str,
+        incarnation: str,
+        timeouts: AgentTimeouts,
+        budget: SlowReaderBudget,
+    ) -> None:
+        self.shell = shell
+        self.configuration = configuration
+        self.gate = gate
+        self.engine = engine
+        self.weights = weights
+        self.service = service
+        self.incarnation = incarnation
+        self.timeouts = timeouts
+        self.budget = budget
+        self.watch = EngineWatch(engine, shell.clock, self._observed, self._lost)
+        self.runner = EngineRun(engine, self.watch, self.flush, gate.held)
+        self.checks = AdmissionChecks(
+            configuration=configuration,
+            weights=weights,
+            watch=self.watch,
+            service=service,
+            domain=domain,
+        )
+        self.calls_by_id_: dict[str, InboundCall] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that are queued or run."""
+        return sum(call.active for call in self.calls_by_id_.values())
+
+    def load(self) -> Load:
+        """Return the load to report to entries."""
+        return replace(
+            self.gate.load(), incarnation=self.incarnation, digest=self.watch.digest
+        )
+
+    def unfinished(self, call: InboundCall) -> bool:
+        """Tell whether a drain must wait for the call."""
+        return call.active or (
+            call.state is CallState.ENDED
+            and not call.writer.settled
+            and not call.detached
+            and self.shell.clock.now() - call.done_at < self.timeouts.answer_kept
+        )
+
+    def submit(self, peer: str, submit: Submit) -> None:
+        """Refuse, queue or start an attempt."""
+        now = self.shell.clock.now()
+        code = self.checks.refusal(submit, now)
+        if code is not None:
+            retry_after = RETRY_AFTER if code in BRIEF_REFUSALS else None
+            self.refuse(peer, submit, code, retry_after)
+            return
+        service = self.configuration.services_by_id[submit.service]
+        try:
+            described = make_call(submit, service, now)
+        except msgspec.DecodeError:
+            self.refuse(peer, submit, Code.MALFORMED_REQUEST)
+            return
+        decision = self.gate.request(described, now)
+        if isinstance(decision, Refuse):
+            self.refuse(peer, submit, decision.code, decision.retry_after)
+            return
+        call = self._record(peer, submit, described)
+        if isinstance(decision, Admit):
+            self._start(call)
+
+    def refuse(
+        self,
+        peer: str,
+        submit: Submit,
+        code: Code,
+        retry_after: timedelta | None = None,
+    ) -> None:
+        """Answer that an attempt was not handed to the upstream."""
+        refused = Refused(
+            submit.request_id, submit.attempt, code, self.load(), retry_after
+        )
+        self.shell.telemetry.count("refused", {"code": code}, 1)
+        self._send(peer, refused)
+
+    def detach(self, call: InboundCall) -> None:
+        """Stop a repeatable call, or let another one run to its end unread."""
+        if call.submit.repeatable or call.state is CallState.QUEUED:
+            self.stop(call, Code.CANCELLED)
+        else:
+            call.detached = True
+            call.room.set()
+
+    def stop(self, call: InboundCall, code: Code) -> None:
+        """Stop a call early."""
+        if call.task is None:
+            self._end(call, Failure(code, RunState.NO))
+        elif call.stop is None:
+            call.stop = Failure(code, call.run)
+            self._interrupt(call)
+
+    def _interrupt(self, call: InboundCall) -> None:
+        if call.task is not asyncio.current_task():
+            call.task.cancel()
+
+    def flush(self, call: InboundCall, *, progress: bool = False) -> None:
+        """Send what the credit allows and account for the rest."""
+        for message in call.writer.frames():
+            self._send(call.peer, message)
+        if call.writer.room > 0:
+            call.room.set()
+        self.budget.update(
+            call.submit.request_id,
+            call.writer.held_bytes,
+            self.shell.clock.now(),
+            progress=progress,
+        )
+
+    def repeat_outcome(self, call: InboundCall) -> None:
+        """Send the refusal or failure of a call again, if it has one."""
+        if call.outcome is not None:
+            self._send(call.peer, call.outcome)
+
+    def claim_decided(self, event: ClaimDecided) -> None:
+        """Continue a call whose key is decided."""
+        call = self.calls_by_id_.get(event.request_id)
+        if call is not None and call.decided and not call.decided.done():
+            call.decided.set_result(event.decision)
+
+    def check(self, heard_at_by_peer: dict[str, datetime]) -> None:
+        """Expire queued calls and stop those that must not go on."""
+        now = self.shell.clock.now()
+        for expired in self.gate.expire(now):
+            call = self.calls_by_id_.get(expired.call.request_id)
+            if call is not None:
+                self._end(call, Failure(expired.code, RunState.NO))
+        for call in list(self.calls_by_id_.values()):
+            if call.active:
+                self._check_active(call, now, heard_at_by_peer)
+            else:
+                self._check_done(call, now)
+        for request_id in self.budget.victims(now):
+            self._stop_reading(self.calls_by_id_[request_id])
+
+    def _record(self, peer: str, submit: Submit, described: Call) -> InboundCall:
+        window = max(1, min(submit.window_bytes, MAX_WINDOW_BYTES))
+        writer = AnswerWriter(submit.request_id, submit.attempt, window)
+        call = InboundCall(submit, described, peer, writer)
+        self.calls_by_id_[submit.request_id] = call
+        return call
+
+    def _start(self, call: InboundCall) -> None:
+        submit = call.submit
+        call.state = CallState.RUNNING if submit.repeatable else CallState.CLAIMING
+        accepted = Accepted(
+            submit.request_id, submit.attempt, self.incarnation, self.load()
+        )
+        self._send(call.peer, accepted)
+        call.task = self.shell.spawn(self._run(call))
+        call.task.add_done_callback(lambda _: self._ended_early(call))
+
+    def _ended_early(self, call: InboundCall) -> None:
+        # A task that is cancelled before its first step runs no handler.
+        if call.stop is not None:
+            self._end(call, call.stop)
+
+    async def _run(self, call: InboundCall) -> None:
+        try:
+            failure = await self._claim_and_run(call)
+        except asyncio.CancelledError:
+            if call.stop is None:
+                raise
+            failure = call.stop
+        except Exception:
+            self._end(call, Failure(Code.UPSTREAM_FAILED, call.run))
+            raise
+        if failure is not None and call.handed_over:
+            # The gate must not give the place away while the engine still runs.
+            await self.engine.cancel(call.run_id)
+        self._end(call, failure)
+
+    async def _claim_and_run(self, call: InboundCall) -> Failure | None:
+        if not call.submit.repeatable:
+            decision = await self._decide(call)
+            if isinstance(decision, RefuseClaim):
+                return Failure(decision.code, decision.run)
+            if isinstance(decision, KnownClaim):
+                return self._answer_known(call, decision)
+            call.claimed = True
+            call.state = CallState.RUNNING
+        digest = self.weights.digest(self.service)
+        # The engine may have changed while the call was queued.
+        code = self.checks.engine_refusal(call.submit, self.shell.clock.now())
+        if code is not None:
+            return Failure(code, RunState.NO)
+        service = self.configuration.services_by_id[self.service]
+        return await self.runner.run(call, service, digest)
+
+    async def _decide(self, call: InboundCall) -> ClaimDecision:
+        submit = call.submit
+        call.decided = asyncio.get_running_loop().create_future()
+        wanted = ClaimWanted(submit.key, submit.request_id, submit.fresh_key)
+        self.shell.dispatch(wanted)
+        return await call.decided
+
+    def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
+        if decision.state == "running":
+            return Failure(Code.CLAIM_IN_PROGRESS, RunState.YES)
+        if decision.state == "unknown":
+            return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+        call.writer.begin(200, "application/json", "")
+        state = {"idempotency_key": call.submit.key, "state": decision.state}
+        call.writer.write(msgspec.json.encode(state))
+        return None
+
+    def _end(self, call: InboundCall, failure: Failure | None) -> None:
+        if not call.active:
+            return
+        now = self.shell.clock.now()
+        call.done_at = now
+        self._report_end(call, failure)
+        if failure is None and call.discarded:
+            failure = Failure(Code.SLOW_READER, RunState.YES)
+        if failure is None:
+            call.state = CallState.ENDED
+            call.writer.finish(self.load())
+            self.flush(call)
+        else:
+            self._fail(call, failure)
+        completed = call.state is CallState.ENDED
+        for described in self.gate.release(call.submit.request_id, completed, now):
+            self._start_queued(described)
+
+    def _report_end(self, call: InboundCall, failure: Failure | None) -> None:
+        submit = call.submit
+        run = failure.run if failure else RunState.YES
+        code = failure.code if failure else None
+        if call.handed_over:
+            self.shell.dispatch(CallEnded(submit.request_id, run, code))
+        if call.claimed:
+            status = "completed" if failure is None else "unknown"
+            status = "not_run" if run is RunState.NO else status
+            self.shell.dispatch(ClaimFinished(submit.key, submit.request_id, status))
+
+    def _fail(self, call: InboundCall, failure: Failure) -> None:
+        submit = call.submit
+        ids = (submit.request_id, submit.attempt, failure.code)
+        if failure.run is RunState.NO:
+            call.state = CallState.REFUSED
+            call.outcome = Refused(*ids, self.load(), RETRY_AFTER)
+        else:
+            call.state = CallState.FAILED
+            call.outcome = Failed(*ids, failure.run, self.load())
+        self._drop_answer(call)
+        self.shell.telemetry.count("call_failed", {"code": failure.code}, 1)
+        self.repeat_outcome(call)
+
+    def _start_queued(self, described: Call) -> None:
+        call = self.calls_by_id_.get(described.request_id)
+        if call is not None and call.state is CallState.QUEUED:
+            self._start(call)
+        else:
+            now = self.shell.clock.now()
+            for other in self.gate.release(described.request_id, False, now):
+                self._start_queued(other)
+
+    def _check_active(
+        self, call: InboundCall, now: datetime, heard_at_by_peer: dict[str, datetime]
+    ) -> None:
+        heard_at = heard_at_by_peer.get(call.peer, now)
+        if call.state is CallState.QUEUED and self.checks.domain_out:
+            self.stop(call, Code.DOMAIN_OUT)
+        elif now - heard_at > self.timeouts.entry_silence:
+            self.detach(call)
+        elif now > call.call.deadline and call.submit.repeatable:
+            self.stop(call, Code.DEADLINE_EXCEEDED)
+
+    def _check_done(self, call: InboundCall, now: datetime) -> None:
+        kept = self.timeouts.answer_kept
+        if now - call.done_at > kept and call.writer.held_bytes:
+            self._drop_answer(call)
+            ids = (call.submit.request_id, call.submit.attempt)
+            call.outcome = Failed(*ids, Code.SLOW_READER, RunState.YES, self.load())
+        # The record outlives the deadline, so that a late status query is never
+        # told that a request which ran is unknown.
+        if now > max(call.done_at, call.call.deadline) + kept:
+            self.budget.remove(call.submit.request_id)
+            del self.calls_by_id_[call.submit.request_id]
+
+    def _stop_reading(self, call: InboundCall) -> None:
+        if call.active and call.submit.repeatable:
+            self.stop(call, Code.SLOW_READER)
+            return
+        # A run that must not be cut off goes on without its reader.
+        call.detached = call.discarded = True
+        self._drop_answer(call)
+        call.room.set()
+        if not call.active:
+            ids = (call.submit.request_id, call.submit.attempt)
+            call.outcome = Failed(*ids, Code.SLOW_READER, RunState.YES, self.load())
+            self.repeat_outcome(call)
+
+    def _drop_answer(self, call: InboundCall) -> None:
+        call.writer.drop()
+        self.budget.remove(call.submit.request_id)
+
+    def _observed(self, observed: EngineObserved) -> None:
+        self.shell.dispatch(observed)
+        if not self.in_flight - self._queued():
+            # Without a run whose end would release queued calls, ask for them.
+            for described in self.gate.release("", False, self.shell.clock.now()):
+                self._start_queued(described)
+
+    def _queued(self) -> int:
+        states = [call.state for call in self.calls_by_id_.values()]
+        return states.count(CallState.QUEUED)
+
+    def _lost(self, successor: str) -> None:
+        lost = [
+            call
+            for call in self.calls_by_id_.values()
+            if call.active
+            and call.handed_over
+            and (not call.incarnation or call.incarnation != successor)
+        ]
+        self.shell.telemetry.log("engine_lost", {"in_flight": str(len(lost))})
+        fingerprints = [call.submit.fingerprint for call in lost]
+        self.shell.dispatch(EngineLost([text for text in fingerprints if text]))
+        for call in lost:
+            self.stop(call, Code.UPSTREAM_FAILED)
+
+    def _send(self, peer: str, message: Message) -> None:
+        # A frame that the queue does not take is repeated on request.
+        if not self.shell.peer.send(peer, message):
+            self.shell.telemetry.count("send_dropped", {}, 1)
--- /dev/null
+++ b/shallotpath/runtime/_engine_run.py
@@ -0,0 +1,90 @@
+"""One run on the engine: hand over, check the weights, stream under credit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..config import Service, ServiceKind
+from ..core import Code, RunState
+from ._engine_client import EngineAnswer, EngineClient, EngineRunError
+from ._engine_watch import EngineWatch
+from ._inbound import Failure, InboundCall, engine_body
+
+READ_BYTES = 16 * 1024
+# The gate learns the growth of a call in steps, not for each token.
+HELD_REPORT_TOKENS = 16
+SSE_BOUNDARY = b"\n\n"
+
+
+class EngineRun:
+    """Run calls on the engine and write their answers."""
+
+    __slots__ = ("client", "flush", "held", "watch")
+
+    def __init__(
+        self,
+        client: EngineClient,
+        watch: EngineWatch,
+        flush: Callable[[InboundCall], None],
+        held: Callable[[str, int], None],
+    ) -> None:
+        self.client = client
+        self.watch = watch
+        self.flush = flush
+        self.held = held
+
+    async def run(
+        self, call: InboundCall, service: Service, digest: str
+    ) -> Failure | None:
+        """Run a call to its end and return why it failed, if it did."""
+        body = engine_body(call.submit, call.call, service)
+        call.handed_over = True
+        try:
+            async with self.client.run(call.run_id, call.submit, body) as answer:
+                return await self._relay(call, service, digest, answer)
+        except EngineRunError as error:
+            call.handed_over = error.run is not RunState.NO
+            return await self._explain(call)
+
+    async def _relay(
+        self, call: InboundCall, service: Service, digest: str, answer: EngineAnswer
+    ) -> Failure | None:
+        call.incarnation = answer.incarnation
+        model = service.kind is ServiceKind.MODEL
+        if model and answer.status != 200:
+            return Failure(Code.UPSTREAM_FAILED, RunState.UNKNOWN)
+        if model and answer.digest != digest:
+            return Failure(Code.WEIGHTS_NOT_READY, RunState.YES)
+        call.output_seen = True
+        call.writer.begin(answer.status, answer.content_type, answer.digest)
+        self.flush(call)
+        while payload := await answer.read(await self._room(call)):
+            self._take(call, service, payload)
+        return None
+
+    async def _room(self, call: InboundCall) -> int:
+        # Not reading is what makes the engine wait for a slow caller.
+        while call.writer.room <= 0 and not call.discarded:
+            if call.detached:
+                call.discarded = True
+                break
+            call.room.clear()
+            await call.room.wait()
+        return READ_BYTES if call.discarded else min(READ_BYTES, call.writer.room)
+
+    def _take(self, call: InboundCall, service: Service, payload: bytes) -> None:
+        if not call.discarded:
+            call.writer.write(payload)
+            self.flush(call)
+        if service.kind is ServiceKind.MODEL:
+            before = call.tokens
+            call.tokens += payload.count(SSE_BOUNDARY)
+            if call.tokens // HELD_REPORT_TOKENS > before // HELD_REPORT_TOKENS:
+                size = len(call.submit.body) + call.tokens * service.bytes_per_token
+                self.held(call.call.request_id, size)
+
+    async def _explain(self, call: InboundCall) -> Failure:
+        # A broken answer may be the first sign of a crash, which concerns all
+        # calls in flight.
+        await self.watch.observe()
+        return call.stop or Failure(Code.UPSTREAM_FAILED, call.run)
--- /dev/null
+++ b/shallotpath/runtime/_inbound.py
@@ -0,0 +1,135 @@
+"""Records of the calls that an agent holds."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import StrEnum
+
+import msgspec
+
+from ..config import Service, ServiceKind
+from ..core import Code, Failed, Refused, RunState, Submit, sha256_hex
+from ..limits import Call
+from ..streams import AnswerWriter
+
+PREFIX_CHARACTERS = 256
+
+
+class CallState(StrEnum):
+    """Name the stages of a call at an agent."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ENDED = "ended"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+ACTIVE_STATES = frozenset({CallState.QUEUED, CallState.CLAIMING, CallState.RUNNING})
+# What an agent answers about a request that it has never seen.
+UNKNOWN_STATE = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class Failure:
+    """Say why a call ended early and whether it ran."""
+
+    code: Code
+    run: RunState
+
+
+@dataclass(slots=True)
+class InboundCall:
+    """Hold one attempt of a request at an agent."""
+
+    submit: Submit
+    call: Call
+    peer: str
+    writer: AnswerWriter
+    state: CallState = CallState.QUEUED
+    task: asyncio.Task | None = None
+    room: asyncio.Event = field(default_factory=asyncio.Event)
+    decided: asyncio.Future | None = None
+    stop: Failure | None = None
+    outcome: Refused | Failed | None = None
+    handed_over: bool = False
+    output_seen: bool = False
+    claimed: bool = False
+    detached: bool = False
+    discarded: bool = False
+    incarnation: str = ""
+    tokens: int = 0
+    done_at: datetime | None = None
+
+    @property
+    def active(self) -> bool:
+        """Tell whether the call is queued or runs."""
+        return self.state in ACTIVE_STATES
+
+    @property
+    def run_id(self) -> str:
+        """Return the name of this attempt at the engine."""
+        return f"{self.submit.request_id}.{self.submit.attempt}"
+
+    @property
+    def run(self) -> RunState:
+        """Return what the agent knows about a run."""
+        if self.output_seen:
+            return RunState.YES
+        return RunState.UNKNOWN if self.handed_over else RunState.NO
+
+
+class ModelBody(msgspec.Struct):
+    """Decode the fields of a generation request that admission needs."""
+
+    prompt: str
+    max_tokens: int | None = None
+    resume_from: int | None = None
+
+
+_body_decoder = msgspec.json.Decoder(ModelBody)
+
+
+def parse_model_body(body: bytes) -> ModelBody:
+    """Decode a generation request or raise `msgspec.DecodeError`."""
+    return _body_decoder.decode(body)
+
+
+def make_call(submit: Submit, service: Service, now: datetime) -> Call:
+    """Describe a submitted request for admission and routing."""
+    max_tokens = 0
+    prefix = ""
+    if service.kind is ServiceKind.MODEL:
+        model_body = parse_model_body(submit.body)
+        max_tokens = (
+            service.default_max_tokens
+            if model_body.max_tokens is None
+            else model_body.max_tokens
+        )
+        prefix = sha256_hex(model_body.prompt[:PREFIX_CHARACTERS].encode())
+    return Call(
+        submit.request_id,
+        submit.service,
+        submit.team,
+        now + max(submit.time_left, timedelta(0)),
+        submit.priority,
+        len(submit.body),
+        max_tokens,
+        submit.fingerprint,
+        prefix,
+        submit.key,
+        submit.repeatable,
+    )
+
+
+def engine_body(submit: Submit, call: Call, service: Service) -> bytes:
+    """Return the body for the engine, with the position to resume from."""
+    if service.kind is not ServiceKind.MODEL:
+        return submit.body
+    body = msgspec.json.decode(submit.body)
+    body["max_tokens"] = call.max_tokens
+    body["resume_from"] = submit.resume_from
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/shallotpath/runtime/_ports.py
@@ -0,0 +1,156 @@
+"""What the request path needs from the decision parts of other packages."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Protocol
+
+from ..config import ConfigurationView, ServiceKind
+from ..core import Code, Effect, Event, Load, RunState
+from ..limits import Call, Decision, Expired
+from ..membership import Member
+
+
+@dataclass(slots=True, frozen=True)
+class RunClaim:
+    """Let the call run; its key has not run before."""
+
+
+@dataclass(slots=True, frozen=True)
+class KnownClaim:
+    """Report the state of the run that the key already has."""
+
+    state: str
+
+
+@dataclass(slots=True, frozen=True)
+class RefuseClaim:
+    """Refuse the call with what is known about a run."""
+
+    code: Code
+    run: RunState
+
+
+ClaimDecision = RunClaim | KnownClaim | RefuseClaim
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimDecided(Event):
+    """Report the decision on the idempotency key of a request."""
+
+    request_id: str
+    key: str
+    decision: ClaimDecision
+
+
+class GatePort(Protocol):
+    """Admit calls to one upstream."""
+
+    def request(self, call: Call, now: datetime) -> Decision:
+        """Decide on a call."""
+        ...
+
+    def release(self, request_id: str, completed: bool, now: datetime) -> list[Call]:
+        """Forget a call and return queued calls that may run now.
+
+        An unknown request id changes nothing but still returns runnable calls.
+        """
+        ...
+
+    def held(self, request_id: str, size: int) -> None:
+        """Record the estimated memory of a running call."""
+        ...
+
+    def expire(self, now: datetime) -> list[Expired]:
+        """Return queued calls that can no longer run."""
+        ...
+
+    def load(self) -> Load:
+        """Return what the upstream holds and may still take."""
+        ...
+
+
+class ClaimPort(Protocol):
+    """Decide on idempotency keys; the decision arrives as `ClaimDecided`."""
+
+    def request(
+        self, key: str, request_id: str, fresh: bool, now: datetime
+    ) -> list[Effect]:
+        """Ask for a decision."""
+        ...
+
+    def finished(
+        self, key: str, request_id: str, status: str, now: datetime
+    ) -> list[Effect]:
+        """Record the end of a run."""
+        ...
+
+
+class RouterPort(Protocol):
+    """Choose upstreams and learn from their behaviour."""
+
+    def choose(
+        self, call: Call, exclude: Collection[str], now: datetime
+    ) -> Member | None:
+        """Return an upstream for a call, or `None`."""
+        ...
+
+    def started(self, member_id: str) -> None:
+        """Record that an attempt was sent."""
+        ...
+
+    def ended(self, member_id: str) -> None:
+        """Record that an attempt ended."""
+        ...
+
+    def observe_load(self, member_id: str, load: Load, now: datetime) -> None:
+        """Record a load report."""
+        ...
+
+    def observe_failure(self, member_id: str, code: Code, now: datetime) -> None:
+        """Record a refusal or failure."""
+        ...
+
+
+class RetryPort(Protocol):
+    """Decide on further attempts within the retry budget."""
+
+    def started(self, call: Call) -> None:
+        """Record a first attempt."""
+        ...
+
+    def next(
+        self, call: Call, code: Code, run: RunState, attempts: int, now: datetime
+    ) -> timedelta | None:
+        """Return the delay before another attempt, or `None` to give up."""
+        ...
+
+
+class WeightsPort(Protocol):
+    """Name the weights that a service may answer from at this upstream."""
+
+    def digest(self, service_id: str) -> str | None:
+        """Return the digest, `""` for a plain service, `None` if there is none."""
+        ...
+
+
+class ConfiguredWeights:
+    """Require exactly the version that the configuration names."""
+
+    __slots__ = ("configuration",)
+
+    def __init__(self, configuration: ConfigurationView) -> None:
+        self.configuration = configuration
+
+    def digest(self, service_id: str) -> str | None:
+        """Return the digest, `""` for a plain service, `None` if there is none."""
+        service = self.configuration.services_by_id.get(service_id)
+        if service is None:
+            return None
+        if service.kind is ServiceKind.PLAIN:
+            return ""
+        version_id = f"{service.model}/{service.version}"
+        version = self.configuration.versions_by_id.get(version_id)
+        return version.digest if version else None
--- /dev/null
+++ b/shallotpath/runtime/tests/parts.py
@@ -0,0 +1,268 @@
+"""Small fakes of the decision parts and the helpers that tests share."""
+
+import asyncio
+from collections import deque
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from aiohttp import ClientSession
+
+from shallotpath.config import (
+    DomainState,
+    ModelVersion,
+    Service,
+    ServiceKind,
+    StaticConfiguration,
+    Team,
+)
+from shallotpath.core import (
+    CallEnded,
+    Code,
+    Emit,
+    EngineLost,
+    EngineObserved,
+    Event,
+    Load,
+    MonotonicClock,
+    Node,
+    sha256_hex,
+)
+from shallotpath.limits import Admit, Queue, Refuse
+from shallotpath.membership import Member, Role
+from shallotpath.runtime import Shell
+from shallotpath.runtime._agent import AgentServer
+from shallotpath.runtime._agent_part import AgentPart
+from shallotpath.runtime._engine_client import EngineClient
+from shallotpath.runtime._ports import ClaimDecided, KnownClaim, RunClaim
+from shallotpath.standins import EngineApp, serve
+
+TOKEN = "secret"
+PATIENCE_S = 20
+
+
+class MemoryTelemetry:
+    def __init__(self):
+        self.gauges_ = {}
+        self.logs_ = []
+        self.counts_ = {}
+
+    def count(self, name, labels, amount):
+        self.counts_[name] = self.counts_.get(name, 0) + amount
+
+    def gauge(self, name, labels, value):
+        self.gauges_[name] = value
+
+    def log(self, kind, fields):
+        self.logs_.append((kind, fields))
+
+    def trace(self, kind, fields):
+        pass
+
+
+class FakeGate:
+    def __init__(self, limit=100, queue=100):
+        self.limit = limit
+        self.queue = queue
+        self.running_ = set()
+        self.queued_ = deque()
+        self.held_by_id_ = {}
+
+    def request(self, call, now):
+        if len(self.running_) < self.limit:
+            self.running_.add(call.request_id)
+            return Admit()
+        if len(self.queued_) < self.queue:
+            self.queued_.append(call)
+            return Queue()
+        return Refuse(Code.OVERLOADED, timedelta(seconds=1))
+
+    def release(self, request_id, completed, now):
+        self.running_.discard(request_id)
+        self.queued_ = deque(c for c in self.queued_ if c.request_id != request_id)
+        started = []
+        while self.queued_ and len(self.running_) < self.limit:
+            call = self.queued_.popleft()
+            self.running_.add(call.request_id)
+            started.append(call)
+        return started
+
+    def held(self, request_id, size):
+        self.held_by_id_[request_id] = size
+
+    def expire(self, now):
+        return []
+
+    def load(self):
+        return Load(self.limit, len(self.running_))
+
+
+class FakeClaims:
+    """Decide at once; a key runs once."""
+
+    def __init__(self):
+        self.states_by_key_ = {}
+
+    def request(self, key, request_id, fresh, now):
+        state = self.states_by_key_.get(key)
+        decision = RunClaim() if state is None else KnownClaim(state)
+        self.states_by_key_.setdefault(key, "running")
+        return [Emit(ClaimDecided(request_id, key, decision))]
+
+    def finished(self, key, request_id, status, now):
+        self.states_by_key_[key] = status
+        return []
+
+
+class FakeRouter:
+    """Choose the first member that is not excluded."""
+
+    def __init__(self, members):
+        self.members = members
+        self.failures_ = []
+        self.in_flight_ = 0
+
+    def choose(self, call, exclude, now):
+        fitting = [m for m in self.members if m.service == call.service]
+        return next((m for m in fitting if m.id not in exclude), None)
+
+    def started(self, member_id):
+        self.in_flight_ += 1
+
+    def ended(self, member_id):
+        self.in_flight_ -= 1
+
+    def observe_load(self, member_id, load, now):
+        pass
+
+    def observe_failure(self, member_id, code, now):
+        self.failures_.append((member_id, code))
+
+
+class FakeRetries:
+    def __init__(self, attempts=3, delay=timedelta(milliseconds=20)):
+        self.attempts = attempts
+        self.delay = delay
+        self.first_attempts_ = 0
+
+    def started(self, call):
+        self.first_attempts_ += 1
+
+    def next(self, call, code, run, attempts, now):
+        return self.delay if attempts < self.attempts else None
+
+
+class EventLog:
+    """Record the events that concern the engine."""
+
+    def __init__(self):
+        self.events_ = []
+
+    @singledispatchmethod
+    def reduce(self, event: Event, now):
+        return []
+
+    @reduce.register(EngineLost)
+    @reduce.register(EngineObserved)
+    @reduce.register(CallEnded)
+    def _(self, event, now):
+        self.events_.append(event)
+        return []
+
+    def of(self, kind):
+        return [event for event in self.events_ if isinstance(event, kind)]
+
+
+def make_configuration(**services):
+    configuration = StaticConfiguration()
+    configuration.teams_by_id["t"] = Team("t", sha256_hex(TOKEN.encode()))
+    configuration.versions_by_id["fold/1"] = ModelVersion("fold", "1", "d1", 1, 1)
+    configuration.versions_by_id["fold/2"] = ModelVersion("fold", "2", "d2", 1, 1)
+    configuration.domains_by_id["bne-a"] = DomainState("bne-a", "brisbane")
+    configuration.services_by_id["fold-model"] = Service(
+        "fold-model", ServiceKind.MODEL, "fold", "1"
+    )
+    configuration.services_by_id["kit-desk"] = Service(
+        "kit-desk", ServiceKind.PLAIN, non_repeatable_paths=["orders"]
+    )
+    configuration.services_by_id.update(services)
+    return configuration
+
+
+def make_shell(name, parts, telemetry=None):
+    return Shell(
+        node=Node(name, parts),
+        clock=MonotonicClock(),
+        telemetry=telemetry or MemoryTelemetry(),
+        identity=name,
+    )
+
+
+class Upstream:
+    """Run one engine stand-in with its agent."""
+
+    def __init__(self, name, service, **options):
+        self.name = name
+        self.service = service
+        self.engine = EngineApp(
+            service=service,
+            model=service == "fold-model",
+            **{"digest": "d1", "memory_bytes": 2**30, **options},
+        )
+        self.engine.cold_runs_left_ = 0
+        self.gate = FakeGate()
+        self.claims = FakeClaims()
+        self.events = EventLog()
+        self.telemetry = MemoryTelemetry()
+
+    @asynccontextmanager
+    async def run(self, configuration, **options):
+        part = AgentPart(self.claims)
+        self.shell = make_shell(self.name, [part, self.events], self.telemetry)
+        async with serve(self.engine.build()) as url, ClientSession() as session:
+            await self.shell.start()
+            self.agent = AgentServer(
+                shell=self.shell,
+                part=part,
+                configuration=configuration,
+                gate=self.gate,
+                engine=EngineClient(session, url),
+                service=self.service,
+                domain="bne-a",
+                incarnation=f"{self.name}-1",
+                **options,
+            )
+            await self.agent.start()
+            await until(lambda: self.events.of(EngineObserved))
+            try:
+                yield self
+            finally:
+                await self.agent.stop()
+                await self.shell.stop()
+
+    @property
+    def member(self):
+        return Member(
+            self.name,
+            Role.AGENT,
+            "bne-a",
+            "brisbane",
+            self.shell.peer.address_,
+            f"{self.name}-1",
+            service=self.service,
+        )
+
+
+@asynccontextmanager
+async def running(upstreams, configuration, **options):
+    async with AsyncExitStack() as stack:
+        for upstream in upstreams:
+            await stack.enter_async_context(upstream.run(configuration, **options))
+        yield upstreams
+
+
+async def until(condition):
+    """Wait for a condition; the time-out only bounds a failing test."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -0,0 +1,296 @@
+import asyncio
+import json
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+
+import pytest
+
+from shallotpath.config import DomainState
+from shallotpath.core import (
+    Accepted,
+    CallEnded,
+    Cancel,
+    Code,
+    Credit,
+    Data,
+    End,
+    EngineLost,
+    Failed,
+    Head,
+    Ping,
+    Pong,
+    Refused,
+    Resume,
+    RunState,
+    StatusQuery,
+    StatusReply,
+    Submit,
+    Tick,
+)
+from shallotpath.runtime._agent_calls import AgentTimeouts
+from shallotpath.standins import make_token
+
+from .parts import PATIENCE_S, Upstream, make_configuration, make_shell, until
+
+
+class RawEntry:
+    """Send frames to one agent and collect its replies."""
+
+    def __init__(self, address):
+        self.address = address
+        self.shell = make_shell("entry", [])
+        self.replies = asyncio.Queue()
+        self.seen_ = []
+
+    async def __aenter__(self):
+        for kind in (Accepted, Refused, Head, Data, End, Failed, StatusReply, Pong):
+            self.shell.handlers_by_type[kind] = lambda _, m: self.replies.put_nowait(m)
+        await self.shell.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.shell.stop()
+
+    def send(self, message):
+        self.shell.peer.send(self.address, message)
+
+    def submit(self, request_id="r", **changes):
+        fields = {
+            "service": "fold-model",
+            "path": "generate",
+            "team": "t",
+            "body": json.dumps({"prompt": "crane", "max_tokens": 5}).encode(),
+            "time_left": timedelta(seconds=30),
+            "fingerprint": "f",
+        }
+        self.send(Submit(request_id, **{"attempt": 1, **fields, **changes}))
+
+    async def next(self, *kinds):
+        while True:
+            message = await asyncio.wait_for(self.replies.get(), PATIENCE_S)
+            self.seen_.append(message)
+            if isinstance(message, kinds):
+                return message
+
+    def payload(self, request_id="r"):
+        return b"".join(
+            m.payload
+            for m in self.seen_
+            if isinstance(m, Data) and m.request_id == request_id
+        )
+
+
+@asynccontextmanager
+async def agent(service="fold-model", *, timeouts=None, **options):
+    configuration = make_configuration()
+    upstream = Upstream("a", service, **options)
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(upstream.run(configuration, timeouts=timeouts))
+        entry = RawEntry(upstream.shell.peer.address_)
+        await stack.enter_async_context(entry)
+        yield upstream, entry, configuration
+
+
+async def test_a_generation_is_streamed_to_its_end():
+    async with agent() as (upstream, entry, _):
+        entry.submit()
+        end = await entry.next(End)
+        assert make_token("d1", "crane", 4).encode() in entry.payload()
+        assert (end.length, end.digest) == (len(entry.payload()), "d1")
+        assert [type(m) for m in entry.seen_[:2]] == [Accepted, Head]
+        assert upstream.gate.running_ == set()
+        entry.send(Credit("r", 1, end.length + 65537))
+        await asyncio.wait_for(upstream.agent.drain(), PATIENCE_S)
+
+
+async def test_back_pressure_reaches_the_engine():
+    # Guards against an agent that buffers what its reader does not take.
+    body = json.dumps({"prompt": "p", "max_tokens": 400_000}).encode()
+    async with agent(token_interval_s=0.0) as (upstream, entry, _):
+        entry.submit(body=body, window_bytes=1000)
+        await entry.next(Data)
+        tokens = -1
+        while tokens != upstream.engine.counters_["tokens"]:
+            tokens = upstream.engine.counters_["tokens"]
+            await asyncio.sleep(0.5)
+        assert 0 < tokens < 400_000
+        assert upstream.agent.held_bytes <= 1000
+        entry.send(Credit("r", 1, 2000))
+        await until(lambda: upstream.agent.calls.calls_by_id_["r"].writer.next_seq > 1)
+
+
+async def test_an_engine_crash_fails_the_calls_in_flight_and_names_them():
+    async with agent(token_interval_s=0.05) as (upstream, entry, _):
+        entry.submit("r", fingerprint="f1")
+        entry.submit("q", fingerprint="f2")
+        await entry.next(Data)
+        await entry.next(Data)
+        upstream.engine.crash()
+        failed = [await entry.next(Failed) for _ in range(2)]
+        assert {f.code for f in failed} == {Code.UPSTREAM_FAILED}
+        assert {f.run for f in failed} == {RunState.YES}
+        (lost,) = upstream.events.of(EngineLost)
+        assert sorted(lost.fingerprints) == ["f1", "f2"]
+        entry.submit("s")
+        assert (await entry.next(Refused)).code is Code.UPSTREAM_LOST
+
+
+async def test_a_lost_plain_run_without_output_is_unknown():
+    async with agent("kit-desk", call_s=30) as (upstream, entry, _):
+        entry.submit(service="kit-desk", path="stock", body=b"{}")
+        await until(lambda: upstream.engine.tasks_by_id_)
+        upstream.engine.crash()
+        assert (await entry.next(Failed)).run is RunState.UNKNOWN
+        ended = upstream.events.of(CallEnded)[0]
+        assert (ended.run, ended.code) == (RunState.UNKNOWN, Code.UPSTREAM_FAILED)
+
+
+async def test_an_answer_of_other_weights_is_not_passed_on():
+    # Guards against answers from a version that the configuration does not name.
+    async with agent() as (upstream, entry, configuration):
+        upstream.agent.watch_task_.cancel()
+        upstream.engine.digest_ = "d2"
+        entry.submit()
+        failed = await entry.next(Failed)
+        assert (failed.code, failed.run) == (Code.WEIGHTS_NOT_READY, RunState.YES)
+        assert entry.payload() == b""
+
+
+async def test_refusals_before_the_engine_are_true():
+    async with agent() as (upstream, entry, configuration):
+        entry.submit("pinned", digest="d2")
+        assert (await entry.next(Refused)).code is Code.WEIGHTS_NOT_READY
+        entry.submit("late", time_left=timedelta(0))
+        assert (await entry.next(Refused)).code is Code.DEADLINE_UNREACHABLE
+        entry.submit("malformed", body=b"{")
+        assert (await entry.next(Refused)).code is Code.MALFORMED_REQUEST
+        entry.submit("other", service="kit-desk")
+        assert (await entry.next(Refused)).code is Code.UNKNOWN_SERVICE
+        configuration.domains_by_id["bne-a"] = DomainState("bne-a", "b", out=True)
+        entry.submit("out")
+        assert (await entry.next(Refused)).code is Code.DOMAIN_OUT
+        upstream.agent.refuse_new_work()
+        entry.submit("drain")
+        assert (await entry.next(Refused)).code is Code.DRAINING
+        assert upstream.engine.counters_["runs"] == 0
+
+
+async def test_a_submit_that_arrives_after_the_answer_unknown_does_not_run():
+    # Guards against a request that is reported as not run and runs afterwards.
+    async with agent() as (upstream, entry, _):
+        entry.send(StatusQuery("r", 1))
+        assert (await entry.next(StatusReply)).state == "unknown"
+        entry.submit()
+        assert (await entry.next(Refused)).code is Code.CANCELLED
+        entry.submit(attempt=2)
+        await entry.next(End)
+        assert upstream.engine.counters_["runs"] == 1
+
+
+async def test_a_repeated_submit_runs_once():
+    async with agent() as (upstream, entry, _):
+        entry.submit()
+        entry.submit()
+        await entry.next(End)
+        entry.submit()
+        entry.send(Ping(1))
+        await entry.next(Pong)
+        assert upstream.engine.counters_["runs"] == 1
+
+
+async def test_a_replaced_connection_resumes_the_stream():
+    async with agent(token_interval_s=0.01) as (upstream, entry, _):
+        body = json.dumps({"prompt": "p", "max_tokens": 30}).encode()
+        entry.submit(body=body)
+        await entry.next(Data)
+        entry.shell.peer.reconnect(entry.address)
+        entry.send(Resume("r", 1, 0, 65536))
+        end = await entry.next(End)
+        frames = {m.seq: m.payload for m in entry.seen_ if isinstance(m, Data)}
+        assert len(frames) == end.frames
+        whole = b"".join(frames[seq] for seq in sorted(frames))
+        assert len(whole) == end.length
+        assert upstream.engine.counters_["runs"] == 1
+
+
+async def test_a_cancel_reaches_the_engine_and_frees_the_place():
+    async with agent(token_interval_s=0.2) as (upstream, entry, _):
+        entry.submit()
+        await entry.next(Data)
+        entry.send(Cancel("r", 1))
+        await until(lambda: not upstream.gate.running_)
+        assert upstream.engine.tasks_by_id_ == {}
+        assert upstream.engine.counters_["cancelled"] == 1
+
+
+@pytest.mark.parametrize("silent", [False, True])
+async def test_an_order_runs_to_its_end_when_its_entry_disappears(silent):
+    timeouts = AgentTimeouts(entry_silence=timedelta(milliseconds=50))
+    async with agent("kit-desk", call_s=0.5, timeouts=timeouts) as parts:
+        upstream, entry, _ = parts
+        order = {"service": "kit-desk", "path": "orders", "body": b"{}"}
+        entry.submit(**order, key="k", repeatable=False)
+        await entry.next(Accepted)
+        if not silent:
+            entry.send(Cancel("r", 1))
+        await until(lambda: upstream.engine.counters_["completed"] == 1)
+        await until(lambda: upstream.claims.states_by_key_["k"] == "completed")
+        entry.submit("again", **order, key="k", repeatable=False)
+        while (await entry.next(End)).request_id != "again":
+            pass
+        assert json.loads(entry.payload("again"))["state"] == "completed"
+        assert upstream.engine.runs_by_key_["k"] == 1
+
+
+async def test_a_repeatable_call_of_a_silent_entry_is_cancelled():
+    timeouts = AgentTimeouts(entry_silence=timedelta(milliseconds=50))
+    async with agent(token_interval_s=1.0, timeouts=timeouts) as parts:
+        upstream, entry, _ = parts
+        entry.submit()
+        await entry.next(Accepted)
+        await until(lambda: not upstream.gate.running_)
+        await until(lambda: upstream.engine.counters_["cancelled"] == 1)
+
+
+async def test_queued_calls_start_when_a_place_is_free_and_leave_with_the_domain():
+    async with agent(token_interval_s=0.02) as (upstream, entry, configuration):
+        upstream.gate.limit = 1
+        entry.submit("r")
+        entry.submit("q")
+        assert (await entry.next(End)).request_id == "r"
+        assert (await entry.next(End)).request_id == "q"
+        entry.submit("running")
+        entry.submit("queued")
+        await entry.next(Data)
+        configuration.domains_by_id["bne-a"] = DomainState("bne-a", "b", out=True)
+        upstream.shell.dispatch(Tick())
+        refused = await entry.next(Refused)
+        assert (refused.request_id, refused.code) == ("queued", Code.DOMAIN_OUT)
+        assert (await entry.next(End)).request_id == "running"
+
+
+async def test_a_frozen_engine_gets_no_new_work():
+    async with agent() as (upstream, entry, _):
+        watch = upstream.agent.calls.watch
+        await until(lambda: watch.observed_ is not None)
+        upstream.agent.watch_task_.cancel()
+        watch.observed_at_ -= timedelta(seconds=10)
+        entry.submit()
+        assert (await entry.next(Refused)).code is Code.UPSTREAM_LOST
+
+
+async def test_the_gauges_show_held_bytes_and_calls_in_flight():
+    async with agent(token_interval_s=0.05) as (upstream, entry, _):
+        entry.submit()
+        await entry.next(Data)
+        upstream.shell.dispatch(Tick())
+        assert upstream.telemetry.gauges_["in_flight"] == 1
+        assert upstream.telemetry.gauges_["held_bytes"] > 0
+
+
+async def test_a_bad_frame_changes_nothing():
+    async with agent() as (upstream, entry, _):
+        await entry.shell.peer._dealer(entry.address).send(b"\x93\x01\xa6Submit\x80")
+        entry.submit()
+        await entry.next(End)
+        assert upstream.shell.peer.bad_frames_ == 1
--- a/shallotpath/streams/_writer.py
+++ b/shallotpath/streams/_writer.py
@@ -135,6 +135,14 @@
         self.credit(total_bytes)
         return True
 
+    def drop(self) -> None:
+        """Release everything held; the answer cannot be sent any more."""
+        self.head_ = None
+        self.pending_.clear()
+        self.tail_.clear()
+        self.pending_bytes_ = 0
+        self.tail_bytes_ = 0
+
     def frames(self) -> list[Message]:
         """Return the frames to send now, within the credit."""
         if self.head_ is None:
