Hand suspects to membership for gossip

Cause: suspects reached only connected entries; membership had a hook that nobody used. Change: Suspects emits QuarantineAnnounced and takes QuarantineReceived; the gossip test checks the sets of crash ids instead of the removed flag, with the same demand: every process hears each state exactly once and in order. Conclusion: both ways feed one merge.

--- a/shallotpath/limits/_suspects.py
+++ b/shallotpath/limits/_suspects.py
@@ -11,9 +11,12 @@
 from ..core import (
     Count,
     Effect,
+    Emit,
     EngineLost,
     Event,
     Gossip,
+    QuarantineAnnounced,
+    QuarantineReceived,
     QuarantineUpdate,
     Received,
     Send,
@@ -98,15 +101,14 @@
     def _(self, event: Received, now: datetime) -> list[Effect]:
         if not isinstance(event.message, Gossip) or not event.message.quarantine:
             return []
-        for update in event.message.quarantine:
-            self._merge(
-                update.fingerprint,
-                set(update.crash_ids),
-                set(update.cleared_ids),
-                now + min(update.time_left, self.quarantine),
-            )
+        self._merge_updates(event.message.quarantine, now)
         return self._flush(now, source=event.peer)
 
+    @reduce.register
+    def _(self, event: QuarantineReceived, now: datetime) -> list[Effect]:
+        self._merge_updates(event.updates, now)
+        return self._flush(now)
+
     @reduce.register
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         # Records are in order of their last change, which is close to expiry.
@@ -140,6 +142,15 @@
         newest = list(reversed(self.records_by_fingerprint_))[:limit]
         return [self._update(fingerprint, now) for fingerprint in newest]
 
+    def _merge_updates(self, updates: list[QuarantineUpdate], now: datetime) -> None:
+        for update in updates:
+            self._merge(
+                update.fingerprint,
+                set(update.crash_ids),
+                set(update.cleared_ids),
+                now + min(update.time_left, self.quarantine),
+            )
+
     def _merge(
         self, fingerprint: str, crashes: set[str], cleared: set[str], expires: datetime
     ) -> None:
@@ -172,7 +183,8 @@
         if not updates:
             return []
         message = Gossip(self.node_id, quarantine=updates)
-        return [Send(peer, message) for peer in self.connected() if peer != source]
+        direct = [Send(peer, message) for peer in self.connected() if peer != source]
+        return [*direct, Emit(QuarantineAnnounced(updates))]
 
     def _update(self, fingerprint: str, now: datetime) -> QuarantineUpdate:
         record = self.records_by_fingerprint_[fingerprint]
--- a/shallotpath/membership/tests/test_membership.py
+++ b/shallotpath/membership/tests/test_membership.py
@@ -161,11 +161,12 @@
     for address, membership in made.items():
         link.add(address, [membership, received[address]])
     link.seconds(15)
-    update = QuarantineUpdate("f", 1, timedelta(minutes=10))
+    update = QuarantineUpdate("f", 1, timedelta(minutes=10), ["crash-1"])
     link.dispatch("tcp://vm-d0-0", QuarantineAnnounced([update]))
     link.seconds(4)
-    link.dispatch("tcp://vm-d0-0", QuarantineAnnounced([replace(update, cleared=True)]))
+    cleared = replace(update, cleared_ids=["crash-1"])
+    link.dispatch("tcp://vm-d0-0", QuarantineAnnounced([cleared]))
     link.seconds(4)
-    seen = {a: [(u.crashes, u.cleared) for u in r.seen] for a, r in received.items()}
+    seen = {a: [tuple(u.cleared_ids) for u in r.seen] for a, r in received.items()}
     del seen["tcp://vm-d0-0"]
-    assert set(map(tuple, seen.values())) == {((1, False), (1, True))}
+    assert set(map(tuple, seen.values())) == {((), ("crash-1",))}
