--- a/shallotpath/runtime/_shell.py
+++ b/shallotpath/runtime/_shell.py
@@ -29,6 +29,7 @@
     Trace,
 )
 from ._platform_client import PlatformClient
+from ._security import Security
 from ._transport import Transport
 
 TICK_INTERVAL_S = 0.2
@@ -86,13 +87,14 @@
         peer_address: str = "tcp://127.0.0.1:0",
         bulk_address: str = "tcp://127.0.0.1:0",
         platform: PlatformClient | None = None,
+        security: Security | None = None,
     ) -> None:
         self.node = node
         self.clock = clock
         self.telemetry = telemetry
         self.platform = platform
-        self.peer = Transport(identity, peer_address, self.receive)
-        self.bulk = Transport(identity, bulk_address, self.receive)
+        self.peer = Transport(identity, peer_address, self.receive, security)
+        self.bulk = Transport(identity, bulk_address, self.receive, security)
         self.handlers_by_type: dict[type, Handler] = {}
         self.timers_by_name_: dict[str, asyncio.TimerHandle] = {}
         self.tasks_: set[asyncio.Task] = set()
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable
 from itertools import count
 
@@ -16,8 +17,14 @@
 import zmq.asyncio
 
 from ..core import FrameError, Message, decode, encode
+from ._security import Security
 
 SEND_QUEUE_FRAMES = 1000
+# Frames that are sent again if the peer turns out to use another accepted key.
+MAX_UNCONFIRMED_FRAMES = 100
+# Without a delay that grows, 900 dead peers cost 9,000 attempts a second.
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 5_000
 ROUTED_PREFIX = "@"
 
 Receiver = Callable[[str, Message], None]
@@ -39,16 +46,26 @@
         "receive",
         "received_bytes_",
         "router_",
+        "security",
         "sent_bytes_",
         "tasks_by_address_",
+        "unconfirmed_by_address_",
     )
 
-    def __init__(self, identity: str, address: str, receive: Receiver) -> None:
+    def __init__(
+        self,
+        identity: str,
+        address: str,
+        receive: Receiver,
+        security: Security | None = None,
+    ) -> None:
         self.identity = identity
         self.address = address
         self.receive = receive
+        self.security = security
         self.address_ = address
-        self.context_ = zmq.asyncio.Context.instance()
+        self.context_: zmq.asyncio.Context | None = None
+        self.unconfirmed_by_address_: dict[str, deque[bytes]] = {}
         self.router_: zmq.asyncio.Socket | None = None
         self.dealers_by_address_: dict[str, zmq.asyncio.Socket] = {}
         self.tasks_by_address_: dict[str, asyncio.Task] = {}
@@ -61,7 +78,13 @@
 
     async def start(self) -> None:
         """Bind the router; a port of 0 binds any free port."""
+        if self.security is None:
+            self.context_ = zmq.asyncio.Context.instance()
+        else:
+            self.context_ = self.security.start()
         router = self.context_.socket(zmq.ROUTER)
+        if self.security is not None:
+            self.security.secure_server(router)
         router.setsockopt(zmq.LINGER, 0)
         router.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
@@ -82,6 +105,8 @@
             self.dealers_by_address_.pop(address).close(0)
         if self.router_ is not None:
             self.router_.close(0)
+            if self.security is not None:
+                self.security.stop()
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; tell whether the queue took it."""
@@ -92,6 +117,8 @@
                 zmq.Socket.send_multipart(self.router_, parts, zmq.DONTWAIT)
             else:
                 zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
+                if peer in self.unconfirmed_by_address_:
+                    self.unconfirmed_by_address_[peer].append(frame)
         except zmq.ZMQError:
             self.dropped_frames_ += 1
             return False
@@ -108,8 +135,23 @@
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
             self.tasks_by_address_.pop(address).cancel()
+            watcher = self.tasks_by_address_.pop(f"watch {address}", None)
+            if watcher is not None:
+                watcher.cancel()
             dealer.close(0)
         self.heard_at_by_peer_.pop(address, None)
+        self.unconfirmed_by_address_.pop(address, None)
+
+    def _handshake_done(self, address: str, succeeded: bool) -> None:
+        self.tasks_by_address_.pop(f"watch {address}", None)
+        frames = self.unconfirmed_by_address_.pop(address, deque())
+        if succeeded:
+            return
+        self.reconnect(address)
+        for frame in frames:
+            with contextlib.suppress(zmq.ZMQError):
+                zmq.Socket.send(self.dealers_by_address_[address], frame, zmq.DONTWAIT)
+            self.unconfirmed_by_address_[address].append(frame)
 
     def _any_port(self) -> bool:
         return self.address.endswith(":0")
@@ -124,6 +166,10 @@
             # connection cannot reach its successor.
             identity = f"{self.identity}/{next(self.identity_counter_)}"
             dealer.setsockopt(zmq.IDENTITY, identity.encode())
+            dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            if self.security is not None:
+                self._secure(address, dealer)
             dealer.connect(address)
             self.dealers_by_address_[address] = dealer
             self.tasks_by_address_[address] = asyncio.create_task(
@@ -131,6 +177,14 @@
             )
         return dealer
 
+    def _secure(self, address: str, dealer: zmq.asyncio.Socket) -> None:
+        self.security.secure_client(dealer, address)
+        if self.security.rotates:
+            self.unconfirmed_by_address_[address] = deque(maxlen=MAX_UNCONFIRMED_FRAMES)
+            self.tasks_by_address_[f"watch {address}"] = asyncio.create_task(
+                self.security.watch(dealer, address, self._handshake_done)
+            )
+
     async def _read_router(self, router: zmq.asyncio.Socket) -> None:
         while True:
             parts = await router.recv_multipart()
