--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -2,6 +2,7 @@
 
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
 from ._naive import NaiveEntry
+from ._weights import run_weights
 
 __all__ = [
     "LoadGenerator",
@@ -10,4 +11,5 @@
     "Outcome",
     "Request",
     "StreamChecker",
+    "run_weights",
 ]
