Add the entry's side of the request path

A caller must get the whole answer to its own request, or a typed error whose run state is true, whatever happens to connections, agents and engines.

Add EntryServer: request checks, attempts, relays of token streams and plain bodies, heartbeats, replacement of silent connections, the slow-reader budget and drain. Transport gains connect_beside, which reads the old connection until the new one is heard. The send buffer of a caller's socket is limited, because the kernel otherwise holds megabytes per caller that does not read.

--- /dev/null
+++ b/shallotpath/runtime/_caller.py
@@ -0,0 +1,99 @@
+"""The response to one caller: writing, what it still holds, and errors."""
+
+from __future__ import annotations
+
+import socket
+
+from aiohttp import web
+
+from ._problem import ProblemError
+
+# A small buffer lets a slow caller be noticed early and bounds what it costs.
+WRITE_BUFFER_BYTES = 16 * 1024
+# Without a limit the kernel holds megabytes for each caller that does not read.
+SOCKET_BUFFER_BYTES = 64 * 1024
+
+
+class CallerStream:
+    """Write one response and know how much of it the caller has taken."""
+
+    __slots__ = ("blocked_", "drained_", "request", "response_", "sse", "written_")
+
+    def __init__(self, request: web.Request, *, sse: bool) -> None:
+        self.request = request
+        self.sse = sse
+        self.response_: web.StreamResponse | None = None
+        self.written_ = 0
+        self.drained_ = 0
+        self.blocked_ = False
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the response has started."""
+        return self.response_ is not None
+
+    @property
+    def blocked(self) -> bool:
+        """Tell whether a write waits for the caller."""
+        return self.blocked_
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the written bytes that wait for the caller's connection."""
+        transport = self.request.transport
+        return transport.get_write_buffer_size() if transport else 0
+
+    def progressed(self) -> bool:
+        """Tell whether the connection took bytes since the last look."""
+        drained = self.written_ - self.held_bytes
+        progressed = drained > self.drained_
+        self.drained_ = drained
+        return progressed
+
+    async def start(self, status: int, content_type: str, version: str) -> None:
+        """Send the status and the headers."""
+        headers = {"Content-Type": content_type}
+        if version:
+            headers["X-Weights-Version"] = version
+        if self.sse:
+            headers["Cache-Control"] = "no-cache"
+        response = web.StreamResponse(status=status, headers=headers)
+        transport = self.request.transport
+        if transport is None:
+            raise ConnectionResetError("the caller closed the connection")
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+        )
+        self.response_ = response
+        await response.prepare(self.request)
+
+    async def write(self, payload: bytes) -> None:
+        """Write a part of the body; wait while the caller takes nothing."""
+        self.written_ += len(payload)
+        self.blocked_ = True
+        try:
+            await self.response_.write(payload)
+        finally:
+            self.blocked_ = False
+
+    async def finish(self) -> web.StreamResponse:
+        """End the response."""
+        await self.response_.write_eof()
+        return self.response_
+
+    async def fail(self, problem: ProblemError) -> web.StreamResponse:
+        """End the response with an error, in the form that its state permits."""
+        if not self.started:
+            return problem.response()
+        if self.sse:
+            await self.write(problem.event())
+            return await self.finish()
+        # A body without its last chunk cannot be taken for a whole one.
+        self.abort()
+        return self.response_
+
+    def abort(self) -> None:
+        """Break the caller's connection."""
+        if self.request.transport is not None:
+            self.request.transport.abort()
--- /dev/null
+++ b/shallotpath/runtime/_entry.py
@@ -0,0 +1,187 @@
+"""Entry server: the callers' HTTP interface and the life cycle of the entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from aiohttp import web
+
+from ..config import ConfigurationView
+from ..core import Code, RunState
+from ..membership import Member, MembershipView
+from ..streams import SlowReaderBudget
+from ._entry_calls import EntryCalls
+from ._entry_part import EntryPart
+from ._entry_request import EntryLimits, EntryRequest, malformed, parse_request
+from ._exchanges import EntryTimeouts, Exchanges
+from ._ports import RetryPort, RouterPort
+from ._problem import ProblemError
+from ._shell import Shell
+
+DRAIN_POLL_S = 0.02
+# Answers that were written but not yet taken by the callers' connections.
+CLOSE_TIMEOUT_S = 5.0
+DEFAULT_BUDGET_BYTES = 8 * 1024**2
+
+
+class EntryServer:
+    """Accept callers' requests and relay the answers of upstreams."""
+
+    def __init__(
+        self,
+        *,
+        shell: Shell,
+        part: EntryPart,
+        configuration: ConfigurationView,
+        membership: MembershipView,
+        router: RouterPort,
+        retries: RetryPort,
+        home_of: Callable[[str, str], Member | None],
+        new_key: Callable[[str], str],
+        domain: str,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        limits: EntryLimits | None = None,
+        timeouts: EntryTimeouts | None = None,
+        budget_bytes: int = DEFAULT_BUDGET_BYTES,
+        routes: Sequence[web.RouteDef] = (),
+    ) -> None:
+        self.shell = shell
+        self.part = part
+        self.configuration = configuration
+        self.new_key = new_key
+        self.domain = domain
+        self.host = host
+        self.port = port
+        self.limits = limits or EntryLimits()
+        self.routes = routes
+        self.exchanges = Exchanges(
+            shell=shell,
+            membership=membership,
+            router=router,
+            timeouts=timeouts or EntryTimeouts(),
+            budget=SlowReaderBudget(budget_bytes),
+        )
+        self.calls = EntryCalls(
+            shell=shell,
+            configuration=configuration,
+            exchanges=self.exchanges,
+            router=router,
+            retries=retries,
+            home_of=home_of,
+        )
+        self.runner_: web.AppRunner | None = None
+        self.draining_ = False
+        self.in_flight_ = 0
+        self.in_flight_by_team_: Counter[str] = Counter()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for callers."""
+        return self.exchanges.budget.held_bytes
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are not answered yet."""
+        return self.in_flight_
+
+    @property
+    def url(self) -> str:
+        """Return the base URL that is bound."""
+        host, port = self.runner_.addresses[0][:2]
+        return f"http://{host}:{port}"
+
+    async def start(self) -> None:
+        """Take messages and bind the HTTP port; the shell must have started."""
+        self.part.listener_ = self
+        self.exchanges.register()
+        app = web.Application(
+            client_max_size=self.limits.body_bytes, middlewares=[answer_with_problems]
+        )
+        app.add_routes([web.get("/healthz", self._health), *self.routes])
+        app.router.add_route("*", "/{service}/{path:.*}", self._handle)
+        self.runner_ = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=self.limits.header_bytes,
+            max_field_size=self.limits.header_bytes,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        await self.runner_.setup()
+        await web.TCPSite(self.runner_, self.host, self.port).start()
+
+    async def drain(self) -> None:
+        """Refuse new work and wait until all requests are answered."""
+        self.refuse_new_work()
+        while self.in_flight_:  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Close the HTTP server."""
+        self.part.listener_ = None
+        await self.runner_.cleanup()
+
+    def refuse_new_work(self) -> None:
+        """Start to refuse new work."""
+        if not self.draining_:
+            self.draining_ = True
+            self.shell.telemetry.log("draining", {"in_flight": str(self.in_flight_)})
+
+    def schedule_check(self) -> None:
+        """Check heartbeats, deadlines and budgets after the current event."""
+        asyncio.get_running_loop().call_soon(self.exchanges.check)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        # The load balancer takes an entry out whose domain is out; requests that
+        # still arrive are served by upstreams of other domains.
+        domain = self.configuration.domains_by_id.get(self.domain)
+        out = domain is not None and domain.out
+        if self.draining_ or out or self.configuration.offset < 0:
+            return web.Response(status=503, text="not in service\n")
+        return web.Response(text="ok\n")
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if self.draining_:
+            raise ProblemError(Code.DRAINING)
+        self.in_flight_ += 1
+        try:
+            parsed = await parse_request(
+                request,
+                self.configuration,
+                self.limits,
+                self.new_key,
+                self.shell.clock.now(),
+            )
+            return await self._serve(parsed, request)
+        finally:
+            self.in_flight_ -= 1
+
+    async def _serve(
+        self, parsed: EntryRequest, request: web.Request
+    ) -> web.StreamResponse:
+        team = parsed.team
+        if self.in_flight_by_team_[team.id] >= team.max_in_flight:
+            raise ProblemError(Code.TEAM_LIMIT)
+        self.in_flight_by_team_[team.id] += 1
+        try:
+            return await self.calls.serve(parsed, request)
+        finally:
+            self.in_flight_by_team_[team.id] -= 1
+
+
+@web.middleware
+async def answer_with_problems(request: web.Request, handler) -> web.StreamResponse:
+    """Turn errors into problem responses."""
+    try:
+        return await handler(request)
+    except ProblemError as problem:
+        return problem.response()
+    except web.HTTPNotFound:
+        detail = "the path names no service; use /<service>/<path>"
+        return ProblemError(Code.UNKNOWN_SERVICE, RunState.NO, detail).response()
+    except web.HTTPException as error:
+        detail = f"{error.reason}; correct the request"
+        return malformed(detail, status=error.status).response()
--- /dev/null
+++ b/shallotpath/runtime/_entry_request.py
@@ -0,0 +1,196 @@
+"""Parsing and checking of callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from uuid import uuid4
+
+import msgspec
+from aiohttp import web
+
+from ..config import ConfigurationView, Service, ServiceKind, Team
+from ..core import Code, RunState, Submit, parse_duration, sha256_hex
+from ..limits import Call
+from ._inbound import make_call, parse_model_body
+from ._problem import ProblemError
+
+MAX_DEADLINE = timedelta(minutes=10)
+# The check for non-repeatable paths and the engine must see the same path, so
+# characters that servers decode or normalise differently are refused.
+_PATH = re.compile(
+    r"(?:[A-Za-z0-9_~-][A-Za-z0-9._~-]*/)*[A-Za-z0-9_~-][A-Za-z0-9._~-]*"
+)
+_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+
+
+@dataclass(slots=True, frozen=True)
+class EntryLimits:
+    """Hold the limits on callers' requests."""
+
+    body_bytes: int = 1024 * 1024
+    header_bytes: int = 8 * 1024
+    body_time: timedelta = timedelta(seconds=10)
+    window_bytes: int = 64 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class EntryRequest:
+    """Hold a checked request."""
+
+    submit: Submit
+    call: Call
+    service: Service
+    team: Team
+
+    @property
+    def generation(self) -> bool:
+        """Tell whether the answer is a stream of tokens."""
+        return self.service.kind is ServiceKind.MODEL
+
+
+async def parse_request(
+    request: web.Request,
+    configuration: ConfigurationView,
+    limits: EntryLimits,
+    new_key: Callable[[str], str],
+    now: datetime,
+) -> EntryRequest:
+    """Return the checked request or raise `ProblemError`."""
+    if configuration.offset < 0:
+        raise ProblemError(Code.NO_CONFIGURATION)
+    team = find_team(request.headers.get("Authorization", ""), configuration)
+    service = configuration.services_by_id.get(request.match_info["service"])
+    if service is None:
+        raise ProblemError(Code.UNKNOWN_SERVICE)
+    path = check_path(request)
+    time_left = check_deadline(request.headers.get("X-Deadline"), service)
+    key = check_key(request.headers.get("Idempotency-Key"))
+    body = await read_body(request, limits)
+    if service.kind is ServiceKind.MODEL:
+        check_model_body(body)
+    submit = Submit(
+        request_id=uuid4().hex,
+        attempt=0,
+        service=service.id,
+        path=path,
+        team=team.id,
+        body=body,
+        time_left=time_left,
+        priority=team.priority,
+        repeatable=service.repeatable(path),
+        fingerprint=sha256_hex(
+            b"\x00".join([service.id.encode(), path.encode(), body])
+        ),
+        window_bytes=limits.window_bytes,
+    )
+    submit = add_key(submit, key, new_key)
+    return EntryRequest(submit, make_call(submit, service, now), service, team)
+
+
+def find_team(header: str, configuration: ConfigurationView) -> Team:
+    """Return the team of a bearer token."""
+    scheme, _, token = header.partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        raise ProblemError(Code.UNAUTHORIZED)
+    digest = sha256_hex(token.strip().encode(errors="surrogateescape"))
+    for team in configuration.teams_by_id.values():
+        if team.token_digest == digest:
+            return team
+    raise ProblemError(Code.UNAUTHORIZED)
+
+
+def check_path(request: web.Request) -> str:
+    """Return the path behind the service."""
+    if request.method != "POST":
+        raise malformed("the method is not POST; use POST", status=405)
+    if request.query_string:
+        raise malformed("the URL has a query; send the parameters in the body")
+    path = request.match_info["path"].strip("/")
+    if _PATH.fullmatch(path) is None:
+        raise malformed(
+            "the path is empty or has unusual characters; use letters, digits, "
+            "`.`, `_`, `~`, `-` and single slashes"
+        )
+    return path
+
+
+def check_deadline(header: str | None, service: Service) -> timedelta:
+    """Return the time that the caller allows."""
+    if header is None:
+        return service.default_deadline
+    try:
+        time_left = parse_duration(header)
+    except ValueError as error:
+        raise malformed(f"X-Deadline: {error}") from error
+    except OverflowError:
+        time_left = timedelta.max
+    if not timedelta(0) < time_left <= MAX_DEADLINE:
+        raise malformed("X-Deadline is out of range; use more than 0s, at most 10min")
+    return time_left
+
+
+def check_key(header: str | None) -> str:
+    """Return the caller's idempotency key, if there is one."""
+    if header is None:
+        return ""
+    if _KEY.fullmatch(header) is None:
+        raise malformed(
+            "Idempotency-Key is empty, too long or has unusual characters; use 1 to "
+            "200 printable ASCII characters without spaces"
+        )
+    return header
+
+
+async def read_body(request: web.Request, limits: EntryLimits) -> bytes:
+    """Return the body within its limits of size and time."""
+    if (request.content_length or 0) > limits.body_bytes:
+        raise too_large(limits)
+    try:
+        async with asyncio.timeout(limits.body_time.total_seconds()):
+            return await request.read()
+    except TimeoutError as error:
+        raise malformed(
+            "the body did not arrive in time; send it faster", status=408
+        ) from error
+    except web.HTTPRequestEntityTooLarge as error:
+        raise too_large(limits) from error
+    except web.RequestPayloadError as error:
+        raise malformed("the body is broken; check its encoding and length") from error
+
+
+def check_model_body(body: bytes) -> None:
+    """Check the JSON body of a generation request."""
+    try:
+        model_body = parse_model_body(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise malformed(
+            f"the body is no generation request ({error}); send a JSON object with "
+            "`prompt` and `max_tokens`"
+        ) from error
+    if model_body.resume_from is not None:
+        raise malformed("`resume_from` is set by the entry; remove it")
+
+
+def add_key(submit: Submit, key: str, new_key: Callable[[str], str]) -> Submit:
+    """Return the request with the key under which it may run once."""
+    if submit.repeatable:
+        return submit
+    if key:
+        # Teams choose their keys independently of each other.
+        return replace(submit, key=f"{submit.service}/{submit.team}/{key}")
+    return replace(submit, key=new_key(submit.service), fresh_key=True)
+
+
+def malformed(detail: str, status: int = 0) -> ProblemError:
+    """Return the error for a request that the caller must correct."""
+    return ProblemError(Code.MALFORMED_REQUEST, RunState.NO, detail, status=status)
+
+
+def too_large(limits: EntryLimits) -> ProblemError:
+    """Return the error for a body above the limit."""
+    detail = f"the body exceeds {limits.body_bytes} bytes; send a smaller one"
+    return ProblemError(Code.BODY_TOO_LARGE, RunState.NO, detail)
--- /dev/null
+++ b/shallotpath/runtime/_exchange.py
@@ -0,0 +1,201 @@
+"""One attempt as the entry sees it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+
+from ..core import (
+    Accepted,
+    Code,
+    Credit,
+    Data,
+    End,
+    Failed,
+    Head,
+    Message,
+    Refused,
+    RunState,
+    StatusQuery,
+    StatusReply,
+    Submit,
+)
+from ..membership import Member
+from ..streams import AnswerReader
+from ._caller import CallerStream
+from ._inbound import UNKNOWN_STATE
+
+ASK_AFTER = timedelta(seconds=1)
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptFailure:
+    """Say why an attempt ended early; `at_agent` if the agent knows it."""
+
+    code: Code
+    run: RunState
+    retry_after: timedelta | None = None
+    at_agent: bool = False
+
+
+class Exchange:
+    """Collect what the agent sends for one attempt."""
+
+    __slots__ = (
+        "accepted_",
+        "asked_at_",
+        "caller",
+        "deadline",
+        "failure_",
+        "incarnation_",
+        "member",
+        "reader",
+        "submit",
+        "wake_",
+    )
+
+    def __init__(
+        self,
+        submit: Submit,
+        member: Member,
+        caller: CallerStream,
+        deadline: datetime,
+        now: datetime,
+    ) -> None:
+        self.submit = submit
+        self.member = member
+        self.caller = caller
+        self.deadline = deadline
+        self.reader = AnswerReader(
+            submit.request_id, submit.attempt, submit.window_bytes, now
+        )
+        self.accepted_ = False
+        self.incarnation_ = member.incarnation
+        self.asked_at_ = now
+        self.failure_: AttemptFailure | None = None
+        self.wake_ = asyncio.Event()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for the caller."""
+        return self.reader.held_bytes + self.caller.held_bytes
+
+    @property
+    def run(self) -> RunState:
+        """Return what the entry knows about a run of this attempt."""
+        return RunState.UNKNOWN if self.reader.head is None else RunState.YES
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the agent confirmed that it holds the attempt."""
+        return self.accepted_
+
+    @property
+    def failure(self) -> AttemptFailure | None:
+        """Return why the attempt ended early, if it did."""
+        return self.failure_
+
+    def fail(
+        self,
+        code: Code,
+        run: RunState,
+        retry_after: timedelta | None = None,
+        *,
+        at_agent: bool = False,
+    ) -> None:
+        """End the attempt early; the first reason stays."""
+        if self.failure_ is None and not self.reader.complete:
+            self.failure_ = AttemptFailure(code, run, retry_after, at_agent)
+            self.wake_.set()
+
+    @singledispatchmethod
+    def receive(self, message: Message, now: datetime) -> list[Message]:
+        """Take a frame of this attempt and return the messages to send back."""
+        raise TypeError(f"{type(message).__name__} does not concern an attempt")
+
+    @receive.register(Head)
+    @receive.register(Data)
+    @receive.register(End)
+    def _(self, message: Head | Data | End, now: datetime) -> list[Message]:
+        self.accepted_ = True
+        replies = self.reader.receive(message, now)
+        if self.reader.broken:
+            self.fail(Code.BAD_FRAME, RunState.YES)
+        self.wake_.set()
+        return replies
+
+    @receive.register
+    def _(self, message: Accepted, now: datetime) -> list[Message]:
+        self.accepted_ = True
+        # The agent may be newer than the member list that the choice was based on.
+        self.incarnation_ = message.incarnation
+        return []
+
+    @receive.register
+    def _(self, message: Refused, now: datetime) -> list[Message]:
+        self.fail(message.code, RunState.NO, message.retry_after, at_agent=True)
+        return []
+
+    @receive.register
+    def _(self, message: Failed, now: datetime) -> list[Message]:
+        self.fail(message.code, message.run, at_agent=True)
+        return []
+
+    @receive.register
+    def _(self, message: StatusReply, now: datetime) -> list[Message]:
+        if message.incarnation != self.incarnation_:
+            # Another incarnation knows nothing about what the earlier one ran.
+            self.fail(Code.UPSTREAM_LOST, RunState.UNKNOWN)
+        elif message.state != UNKNOWN_STATE:
+            self.accepted_ = True
+        elif self.accepted_:
+            self.fail(Code.UPSTREAM_LOST, self.run)
+        else:
+            self.fail(Code.UPSTREAM_LOST, RunState.NO, at_agent=True)
+        return []
+
+    def member_now(self, incarnation: str) -> None:
+        """Compare the incarnation that the member list names now."""
+        if incarnation not in (self.member.incarnation, self.incarnation_):
+            self.fail(Code.UPSTREAM_LOST, self.run)
+
+    def poll(self, now: datetime) -> list[Message]:
+        """Check the deadline and ask about an attempt that is silent."""
+        if now >= self.deadline:
+            self.fail(Code.DEADLINE_EXCEEDED, self.run)
+        if self.failure_ is not None:
+            return []
+        if self.accepted_:
+            return self.reader.poll(now)
+        if now - self.asked_at_ < ASK_AFTER:
+            return []
+        self.asked_at_ = now
+        return [self.status_query()]
+
+    def status_query(self) -> StatusQuery:
+        """Return a query for the state of this attempt."""
+        return StatusQuery(self.submit.request_id, self.submit.attempt)
+
+    def reconnected(self) -> list[Message]:
+        """Return the messages that move the attempt to a new connection."""
+        if self.accepted_:
+            return [self.status_query(), self.reader.resume()]
+        return [self.status_query()]
+
+    def take(self) -> bytes:
+        """Return all bytes that are in order."""
+        parts = []
+        while part := self.reader.read():
+            parts.append(part)
+        return b"".join(parts)
+
+    def consume(self, size: int) -> Credit | None:
+        """Release bytes that the caller took and return a credit if one is due."""
+        return self.reader.consume(size)
+
+    async def wait(self) -> None:
+        """Wait for a change."""
+        self.wake_.clear()
+        await self.wake_.wait()
--- /dev/null
+++ b/shallotpath/runtime/_exchanges.py
@@ -0,0 +1,191 @@
+"""All attempts that an entry has open, and the connections that carry them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+
+from ..core import (
+    Accepted,
+    Cancel,
+    Code,
+    Data,
+    End,
+    Failed,
+    Head,
+    Message,
+    Ping,
+    Pong,
+    Refused,
+    RunState,
+    StatusReply,
+)
+from ..membership import MembershipView
+from ..streams import (
+    HeartbeatAction,
+    Heartbeats,
+    Lost,
+    Probe,
+    Replace,
+    SlowReaderBudget,
+)
+from ._exchange import Exchange
+from ._ports import RouterPort
+from ._shell import Shell
+
+
+@dataclass(slots=True, frozen=True)
+class EntryTimeouts:
+    """Hold the time-outs of the entry's request path."""
+
+    ping_interval: timedelta = timedelta(milliseconds=500)
+    silence: timedelta = timedelta(seconds=2)
+    lost_after: timedelta = timedelta(seconds=5)
+    # How long a caller may take nothing while bytes are held for it.
+    write: timedelta = timedelta(seconds=20)
+
+
+class Exchanges:
+    """Route frames to attempts, keep the connections alive, bound held bytes."""
+
+    def __init__(
+        self,
+        *,
+        shell: Shell,
+        membership: MembershipView,
+        router: RouterPort,
+        timeouts: EntryTimeouts,
+        budget: SlowReaderBudget,
+    ) -> None:
+        self.shell = shell
+        self.membership = membership
+        self.router = router
+        self.timeouts = timeouts
+        self.budget = budget
+        self.heartbeats = Heartbeats(
+            timeouts.ping_interval, timeouts.silence, timeouts.lost_after
+        )
+        self.exchanges_by_id_: dict[str, Exchange] = {}
+
+    def register(self) -> None:
+        """Take the agents' messages."""
+        for kind in (Accepted, Refused, Head, Data, End, Failed, StatusReply):
+            self.shell.handlers_by_type[kind] = self._on_message
+        self.shell.handlers_by_type[Pong] = self._on_pong
+
+    def open(self, exchange: Exchange) -> bool:
+        """Send an attempt; tell whether the connection took it."""
+        self.exchanges_by_id_[exchange.submit.request_id] = exchange
+        self.router.started(exchange.member.id)
+        return self.shell.peer.send(exchange.member.address, exchange.submit)
+
+    def close(self, exchange: Exchange) -> None:
+        """Forget an attempt; tell the agent unless it knows the end."""
+        submit = exchange.submit
+        del self.exchanges_by_id_[submit.request_id]
+        self.budget.remove(submit.request_id)
+        self.router.ended(exchange.member.id)
+        known = exchange.failure is not None and exchange.failure.at_agent
+        if not exchange.reader.complete and not known:
+            self._send(exchange, Cancel(submit.request_id, submit.attempt))
+
+    def consumed(self, exchange: Exchange, size: int) -> None:
+        """Record what the caller took and extend the credit."""
+        credit = exchange.consume(size)
+        if credit is not None:
+            self._send(exchange, credit)
+        self._account(exchange)
+
+    def check(self) -> None:
+        """Check heartbeats, deadlines, incarnations and held bytes."""
+        now = self.shell.clock.now()
+        addresses = {e.member.address for e in self.exchanges_by_id_.values()}
+        for action in self.heartbeats.poll(addresses, now):
+            self._act(action)
+        for exchange in list(self.exchanges_by_id_.values()):
+            member = self.membership.members_by_id.get(exchange.member.id)
+            if member is not None:
+                exchange.member_now(member.incarnation)
+            for message in exchange.poll(now):
+                self._send(exchange, message)
+            self._account(exchange)
+        self._stop_slow_readers(now)
+
+    def _on_message(self, peer: str, message: Message) -> None:
+        now = self.shell.clock.now()
+        self.heartbeats.heard(peer, now)
+        exchange = self.exchanges_by_id_.get(message.request_id)
+        if exchange is None or exchange.submit.attempt != message.attempt:
+            self.shell.telemetry.count("late_frames", {}, 1)
+            return
+        if isinstance(message, Accepted | Refused | End | Failed):
+            self.router.observe_load(exchange.member.id, message.load, now)
+        for reply in exchange.receive(message, now):
+            self._send(exchange, reply)
+        if isinstance(message, Data):
+            self._account(exchange)
+            if self.budget.held_bytes > self.budget.budget_bytes:
+                self._stop_slow_readers(now)
+
+    def _on_pong(self, peer: str, pong: Pong) -> None:
+        now = self.shell.clock.now()
+        self.heartbeats.heard(peer, now)
+        for exchange in self._at(peer):
+            self.router.observe_load(exchange.member.id, pong.load, now)
+            return
+
+    @singledispatchmethod
+    def _act(self, action: HeartbeatAction) -> None:
+        raise TypeError(f"{type(action).__name__} is no heartbeat action")
+
+    @_act.register
+    def _(self, action: Probe) -> None:
+        self.shell.peer.send(action.peer, Ping(0))
+
+    @_act.register
+    def _(self, action: Replace) -> None:
+        self.shell.telemetry.log("connection_replaced", {"peer": action.peer})
+        self.shell.peer.connect_beside(action.peer)
+        for exchange in self._at(action.peer):
+            for message in exchange.reconnected():
+                self._send(exchange, message)
+
+    @_act.register
+    def _(self, action: Lost) -> None:
+        self.shell.telemetry.log("peer_lost", {"peer": action.peer})
+        for exchange in self._at(action.peer):
+            exchange.fail(Code.UPSTREAM_LOST, exchange.run)
+
+    def _at(self, peer: str) -> list[Exchange]:
+        exchanges = self.exchanges_by_id_.values()
+        return [e for e in exchanges if e.member.address == peer]
+
+    def _account(self, exchange: Exchange) -> None:
+        self.budget.update(
+            exchange.submit.request_id,
+            exchange.held_bytes,
+            self.shell.clock.now(),
+            progress=exchange.caller.progressed(),
+        )
+
+    def _stop_slow_readers(self, now: datetime) -> None:
+        victims = self.budget.victims(now)
+        victims += self.budget.stalled(now - self.timeouts.write)
+        for request_id in victims:
+            exchange = self.exchanges_by_id_.get(request_id)
+            if exchange is not None:
+                self._stop_slow_reader(exchange)
+
+    def _stop_slow_reader(self, exchange: Exchange) -> None:
+        if exchange.failure is None:
+            self.shell.telemetry.count("slow_readers_cancelled", {}, 1)
+        exchange.fail(Code.SLOW_READER, RunState.YES)
+        if exchange.caller.blocked:
+            # The error could only wait behind the bytes that are not read.
+            exchange.caller.abort()
+
+    def _send(self, exchange: Exchange, message: Message) -> None:
+        # A frame that the queue does not take is asked for again.
+        if not self.shell.peer.send(exchange.member.address, message):
+            self.shell.telemetry.count("send_dropped", {}, 1)
--- a/shallotpath/runtime/_inbound.py
+++ b/shallotpath/runtime/_inbound.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
@@ -86,7 +87,7 @@
     """Decode the fields of a generation request that admission needs."""
 
     prompt: str
-    max_tokens: int | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=0)] | None = None
     resume_from: int | None = None
 
 
--- /dev/null
+++ b/shallotpath/runtime/_relay.py
@@ -0,0 +1,118 @@
+"""Relays of answers to callers: token streams and plain bodies."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..core import Head
+from ..streams import OutgoingCall, SseEvent, SseParser
+from ._caller import CallerStream
+
+
+class BrokenAnswer(Exception):  # noqa: N818
+    """Report an answer that contradicts itself."""
+
+
+class TokenRelay:
+    """Relay whole events, each token exactly once over all attempts."""
+
+    __slots__ = ("call", "caller", "end_", "parser_", "version_of")
+
+    def __init__(
+        self,
+        call: OutgoingCall,
+        caller: CallerStream,
+        version_of: Callable[[str], str],
+    ) -> None:
+        self.call = call
+        self.caller = caller
+        self.version_of = version_of
+        self.parser_ = SseParser()
+        self.end_ = b""
+
+    def begin_attempt(self) -> None:
+        """Forget the incomplete event of an attempt that broke off."""
+        self.parser_ = SseParser()
+        self.end_ = b""
+
+    async def feed(self, head: Head, payload: bytes) -> None:
+        """Relay the events that a payload completes."""
+        expected = self.call.tokens
+        parts = []
+        for event in self.parser_.feed(payload):
+            expected = self._take(event, expected, parts)
+        tokens = expected - self.call.tokens
+        if not parts:
+            return
+        joined = b"".join(parts)
+        # Counted before the write: a token handed to the connection is never
+        # sent again.
+        self.call.delivered(len(joined), tokens, head.digest)
+        await self._start(head)
+        await self.caller.write(joined)
+
+    async def finish(self, head: Head) -> None:
+        """Relay the end, once the whole answer is verified."""
+        if not self.end_ or self.parser_.partial:
+            raise BrokenAnswer("the stream has no end event")
+        await self._start(head)
+        await self.caller.write(self.end_)
+
+    def _take(self, event: SseEvent, expected: int, parts: list[bytes]) -> int:
+        if self.end_:
+            raise BrokenAnswer("an event follows the end event")
+        count = event.token_count()
+        if count is not None:
+            if count != expected:
+                raise BrokenAnswer(f"{expected} tokens arrived, {count} were announced")
+            self.end_ = event.raw
+            return expected
+        if not event.name and not event.data:
+            # A comment keeps the connection in use and carries nothing.
+            return expected
+        index = event.token_index()
+        if index is None or index > expected:
+            raise BrokenAnswer("a token is missing")
+        if index < expected:
+            return expected
+        parts.append(event.raw)
+        return expected + 1
+
+    async def _start(self, head: Head) -> None:
+        if not self.caller.started:
+            version = self.version_of(head.digest)
+            await self.caller.start(head.status, head.content_type, version)
+
+
+class PlainRelay:
+    """Relay a body as it is."""
+
+    __slots__ = ("call", "caller", "version_of")
+
+    def __init__(
+        self,
+        call: OutgoingCall,
+        caller: CallerStream,
+        version_of: Callable[[str], str],
+    ) -> None:
+        self.call = call
+        self.caller = caller
+        self.version_of = version_of
+
+    def begin_attempt(self) -> None:
+        """Prepare for an attempt; nothing has been relayed before."""
+
+    async def feed(self, head: Head, payload: bytes) -> None:
+        """Relay a part of the body."""
+        self.call.delivered(len(payload), 0, head.digest)
+        await self._start(head)
+        await self.caller.write(payload)
+
+    async def finish(self, head: Head) -> None:
+        """Start a response that has no body."""
+        await self._start(head)
+
+    async def _start(self, head: Head) -> None:
+        if not self.caller.started:
+            version = self.version_of(head.digest)
+            await self.caller.start(head.status, head.content_type, version)
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -38,6 +38,7 @@
         "identity_counter_",
         "receive",
         "received_bytes_",
+        "retired_by_address_",
         "router_",
         "sent_bytes_",
         "tasks_by_address_",
@@ -52,6 +53,9 @@
         self.router_: zmq.asyncio.Socket | None = None
         self.dealers_by_address_: dict[str, zmq.asyncio.Socket] = {}
         self.tasks_by_address_: dict[str, asyncio.Task] = {}
+        self.retired_by_address_: dict[
+            str, tuple[zmq.asyncio.Socket, asyncio.Task]
+        ] = {}
         self.identity_counter_ = count()
         self.heard_at_by_peer_: dict[str, float] = {}
         self.bad_frames_ = 0
@@ -78,6 +82,8 @@
             task.cancel()
         await asyncio.gather(*self.tasks_by_address_.values(), return_exceptions=True)
         self.tasks_by_address_.clear()
+        for address in list(self.retired_by_address_):
+            self._close_retired(address)
         for address in list(self.dealers_by_address_):
             self.dealers_by_address_.pop(address).close(0)
         if self.router_ is not None:
@@ -103,14 +109,31 @@
         self.disconnect(address)
         self._dealer(address)
 
+    def connect_beside(self, address: str) -> None:
+        """Open a new connection and read the old one until the new one is heard."""
+        self._close_retired(address)
+        dealer = self.dealers_by_address_.pop(address, None)
+        if dealer is not None:
+            task = self.tasks_by_address_.pop(address)
+            self.retired_by_address_[address] = (dealer, task)
+        self._dealer(address)
+
     def disconnect(self, address: str) -> None:
         """Close the connection to a peer."""
+        self._close_retired(address)
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
             self.tasks_by_address_.pop(address).cancel()
             dealer.close(0)
         self.heard_at_by_peer_.pop(address, None)
 
+    def _close_retired(self, address: str) -> None:
+        retired = self.retired_by_address_.pop(address, None)
+        if retired is not None:
+            dealer, task = retired
+            task.cancel()
+            dealer.close(0)
+
     def _any_port(self) -> bool:
         return self.address.endswith(":0")
 
@@ -142,7 +165,10 @@
     async def _read_dealer(self, address: str, dealer: zmq.asyncio.Socket) -> None:
         with contextlib.suppress(zmq.ZMQError):
             while True:
-                self._deliver(address, await dealer.recv())
+                frame = await dealer.recv()
+                if self.dealers_by_address_.get(address) is dealer:
+                    self._close_retired(address)
+                self._deliver(address, frame)
 
     def _deliver(self, peer: str, frame: bytes) -> None:
         self.received_bytes_ += len(frame)
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -1,10 +1,13 @@
 """Small fakes of the decision parts and the helpers that tests share."""
 
 import asyncio
+import json
 from collections import deque
 from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
 from functools import singledispatchmethod
+from itertools import count
+from types import SimpleNamespace
 
 from aiohttp import ClientSession
 
@@ -26,16 +29,23 @@
     Load,
     MonotonicClock,
     Node,
+    Submit,
     sha256_hex,
 )
 from shallotpath.limits import Admit, Queue, Refuse
-from shallotpath.membership import Member, Role
-from shallotpath.runtime import Shell
-from shallotpath.runtime._agent import AgentServer
-from shallotpath.runtime._agent_part import AgentPart
-from shallotpath.runtime._engine_client import EngineClient
-from shallotpath.runtime._ports import ClaimDecided, KnownClaim, RunClaim
-from shallotpath.standins import EngineApp, serve
+from shallotpath.membership import Member, Role, StaticMembership
+from shallotpath.runtime import (
+    AgentPart,
+    AgentServer,
+    ClaimDecided,
+    EngineClient,
+    EntryPart,
+    EntryServer,
+    KnownClaim,
+    RunClaim,
+    Shell,
+)
+from shallotpath.standins import EngineApp, make_token, serve
 
 TOKEN = "secret"
 PATIENCE_S = 20
@@ -254,10 +264,10 @@
 
 
 @asynccontextmanager
-async def running(upstreams, configuration, **options):
+async def running(upstreams, configuration):
     async with AsyncExitStack() as stack:
         for upstream in upstreams:
-            await stack.enter_async_context(upstream.run(configuration, **options))
+            await stack.enter_async_context(upstream.run(configuration))
         yield upstreams
 
 
@@ -266,3 +276,147 @@
     async with asyncio.timeout(PATIENCE_S):
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
+
+
+class Entry:
+    """Run one entry in front of upstreams."""
+
+    def __init__(self, upstreams):
+        self.members = [upstream.member for upstream in upstreams]
+        self.router = FakeRouter(self.members)
+        self.retries = FakeRetries()
+        self.membership = StaticMembership()
+        self.telemetry = MemoryTelemetry()
+        self.part = EntryPart()
+        self.shell = make_shell("entry", [self.part], self.telemetry)
+        self.keys_ = count()
+        self.homes_ = None
+
+    def home_of(self, service, key):
+        if self.homes_ is not None:
+            return next(self.homes_)
+        return self.router.choose(SimpleNamespace(service=service), (), None)
+
+    def new_key(self, service):
+        return f"{service}/new/{next(self.keys_)}"
+
+    @asynccontextmanager
+    async def run(self, configuration, **options):
+        await self.shell.start()
+        self.server = EntryServer(
+            shell=self.shell,
+            part=self.part,
+            configuration=configuration,
+            membership=self.membership,
+            router=self.router,
+            retries=self.retries,
+            home_of=self.home_of,
+            new_key=self.new_key,
+            domain="bne-a",
+            **options,
+        )
+        await self.server.start()
+        try:
+            async with ClientSession() as self.session:
+                yield self
+        finally:
+            await self.server.stop()
+            await self.shell.stop()
+
+    def post(self, path, *, headers=None, **options):
+        headers = {"Authorization": f"Bearer {TOKEN}", **(headers or {})}
+        return self.session.post(self.server.url + path, headers=headers, **options)
+
+    async def generate(self, prompt="crane", max_tokens=20, **options):
+        body = {"prompt": prompt, "max_tokens": max_tokens}
+        async with self.post("/fold-model/generate", json=body, **options) as answer:
+            return await answer.text()
+
+
+def expected_stream(prompt, max_tokens, digest="d1"):
+    """Return what the engine stand-in generates for a prompt."""
+    tokens = (
+        json.dumps({"i": index, "t": make_token(digest, prompt, index)})
+        for index in range(max_tokens)
+    )
+    end = f'event: end\ndata: {{"n": {max_tokens}}}\n\n'
+    return "".join(f"data: {token}\n\n" for token in tokens) + end
+
+
+@asynccontextmanager
+async def system(upstreams, *, configuration=None, **options):
+    """Run upstreams and an entry."""
+    configuration = configuration or make_configuration()
+    async with running(upstreams, configuration):
+        entry = Entry(upstreams)
+        async with entry.run(configuration, **options):
+            yield entry
+
+
+class SilentLink:
+    """Forward TCP; established connections can go silent while new ones work."""
+
+    def __init__(self, address):
+        self.host, port = address.removeprefix("tcp://").split(":")
+        self.port = int(port)
+        self.generation_ = 0
+        self.dead_ = False
+        self.tasks_ = []
+
+    async def __aenter__(self):
+        self.server_ = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = f"tcp://127.0.0.1:{self.server_.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server_.close()
+        for task in self.tasks_:
+            task.cancel()
+        await asyncio.gather(*self.tasks_, return_exceptions=True)
+
+    def silence(self):
+        self.generation_ += 1
+
+    def silence_for_good(self):
+        self.dead_ = True
+
+    async def _accept(self, reader, writer):
+        generation = self.generation_
+        up_reader, up_writer = await asyncio.open_connection(self.host, self.port)
+        for source, target in ((reader, up_writer), (up_reader, writer)):
+            copy = self._copy(source, target, generation)
+            self.tasks_.append(asyncio.create_task(copy))
+
+    async def _copy(self, source, target, generation):
+        while data := await source.read(65536):
+            if not self.dead_ and generation == self.generation_:
+                target.write(data)
+                await target.drain()
+
+
+class FaultyTransport:
+    """Lose, repeat and swap the frames that a process sends."""
+
+    def __init__(self, transport, random, rate):
+        self.transport = transport
+        self.random = random
+        self.rate = rate
+        self.late_ = []
+
+    def send(self, peer, message):
+        draw = self.random.random()
+        if isinstance(message, Submit) or draw > self.rate:
+            self.transport.send(peer, message)
+        elif draw < self.rate / 3:
+            pass
+        elif draw < self.rate * 2 / 3:
+            self.late_.append((peer, message))
+        else:
+            self.transport.send(peer, message)
+            self.transport.send(peer, message)
+        if self.late_ and self.random.random() < 0.3:
+            self.transport.send(*self.late_.pop(0))
+        return True
+
+    def __getattr__(self, name):
+        return getattr(self.transport, name)
--- a/shallotpath/streams/_budget.py
+++ b/shallotpath/streams/_budget.py
@@ -60,6 +60,14 @@
             excess -= self.streams_by_id_[stream_id].held_bytes
         return chosen
 
+    def stalled(self, since: datetime) -> list[str]:
+        """Return the streams that hold bytes and made no progress since a time."""
+        return [
+            stream_id
+            for stream_id, stream in self.streams_by_id_.items()
+            if stream.held_bytes and stream.progress_at <= since
+        ]
+
     def _cost_at(self, now: datetime):
         def cost(stream_id: str) -> tuple[float, int]:
             stream = self.streams_by_id_[stream_id]
--- a/shallotpath/streams/_call.py
+++ b/shallotpath/streams/_call.py
@@ -11,13 +11,25 @@
 
 _RUN_ORDER = [RunState.NO, RunState.UNKNOWN, RunState.YES]
 
+# Another upstream would answer the same, or nobody waits for its answer.
+FINAL_CODES = frozenset(
+    {
+        Code.MALFORMED_REQUEST,
+        Code.BODY_TOO_LARGE,
+        Code.QUARANTINED,
+        Code.TEAM_LIMIT,
+        Code.SLOW_READER,
+        Code.DEADLINE_EXCEEDED,
+        Code.CLAIM_IN_PROGRESS,
+    }
+)
+
 _TRANSITIONS = [
     ["submit", ["new", "between"], "submitted"],
-    ["admit", ["submitted", "admitted"], "admitted"],
-    ["deliver", ["submitted", "admitted", "delivering"], "delivering"],
-    ["pause", ["submitted", "admitted", "delivering"], "between"],
-    ["complete", ["submitted", "admitted", "delivering"], "completed"],
-    ["give_up", ["new", "submitted", "admitted", "delivering", "between"], "failed"],
+    ["deliver", ["submitted", "delivering"], "delivering"],
+    ["pause", ["submitted", "delivering"], "between"],
+    ["complete", ["submitted", "delivering"], "completed"],
+    ["give_up", ["new", "submitted", "delivering", "between"], "failed"],
 ]
 
 
@@ -71,11 +83,6 @@
             fresh_key=self.template.fresh_key and self.attempt_ == 1,
         )
 
-    def accepted(self) -> None:
-        """Record that the agent admitted the attempt."""
-        if self.state == "submitted":
-            self.admit()
-
     def delivered(self, size: int, tokens: int, digest: str) -> None:
         """Record what was relayed to the caller."""
         if self.state != "delivering":
@@ -92,7 +99,7 @@
 
     def may_retry(self, code: Code, run: RunState) -> bool:
         """Tell whether the last attempt permits another one."""
-        if code in (Code.SLOW_READER, Code.CANCELLED, Code.DEADLINE_EXCEEDED):
+        if code in FINAL_CODES:
             return False
         if run is RunState.NO:
             return True
@@ -108,7 +115,6 @@
     states=[
         "new",
         "submitted",
-        "admitted",
         "delivering",
         "between",
         "completed",
--- /dev/null
+++ b/shallotpath/streams/_heartbeats.py
@@ -0,0 +1,107 @@
+"""Heartbeats to the peers in use."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+PING_INTERVAL = timedelta(milliseconds=500)
+SILENCE = timedelta(seconds=2)
+# Leaves room for one more connection after the first replacement.
+LOST_AFTER = timedelta(seconds=5)
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """Ask for a ping to a peer."""
+
+    peer: str
+
+
+@dataclass(slots=True, frozen=True)
+class Replace:
+    """Ask for a new connection to a silent peer."""
+
+    peer: str
+
+
+@dataclass(slots=True, frozen=True)
+class Lost:
+    """Report that a peer did not answer on new connections either."""
+
+    peer: str
+
+
+HeartbeatAction = Probe | Replace | Lost
+
+
+@dataclass(slots=True)
+class PeerTimes:
+    """Hold when a peer was heard, probed and connected to."""
+
+    heard_at: datetime
+    probed_at: datetime
+    connected_at: datetime
+
+
+class Heartbeats:
+    """Decide when to probe, reconnect to and give up peers in use."""
+
+    __slots__ = ("interval", "lost_after", "polled_at_", "silence", "times_by_peer_")
+
+    def __init__(
+        self,
+        interval: timedelta = PING_INTERVAL,
+        silence: timedelta = SILENCE,
+        lost_after: timedelta = LOST_AFTER,
+    ) -> None:
+        self.interval = interval
+        self.silence = silence
+        self.lost_after = lost_after
+        self.times_by_peer_: dict[str, PeerTimes] = {}
+        self.polled_at_: datetime | None = None
+
+    def heard(self, peer: str, now: datetime) -> None:
+        """Record a frame from a peer."""
+        times = self.times_by_peer_.get(peer)
+        if times is not None:
+            times.heard_at = now
+
+    def poll(self, peers: Collection[str], now: datetime) -> list[HeartbeatAction]:
+        """Return what to do about the peers in use."""
+        self._forgive_pause(now)
+        for peer in self.times_by_peer_.keys() - set(peers):
+            del self.times_by_peer_[peer]
+        actions: list[HeartbeatAction] = []
+        for peer in peers:
+            actions.extend(self._poll_peer(peer, now))
+        return actions
+
+    def _poll_peer(self, peer: str, now: datetime) -> list[HeartbeatAction]:
+        times = self.times_by_peer_.get(peer)
+        if times is None:
+            self.times_by_peer_[peer] = PeerTimes(now, now, now)
+            return [Probe(peer)]
+        if now - times.heard_at >= self.lost_after:
+            del self.times_by_peer_[peer]
+            return [Lost(peer)]
+        actions: list[HeartbeatAction] = []
+        if now - max(times.heard_at, times.connected_at) >= self.silence:
+            times.connected_at = now
+            times.probed_at = now - self.interval
+            actions.append(Replace(peer))
+        if now - times.probed_at >= self.interval:
+            times.probed_at = now
+            actions.append(Probe(peer))
+        return actions
+
+    def _forgive_pause(self, now: datetime) -> None:
+        # While this process was paused it read nothing, which says nothing about
+        # its peers.
+        if self.polled_at_ is not None:
+            pause = now - self.polled_at_ - self.interval
+            if pause > timedelta(0):
+                for times in self.times_by_peer_.values():
+                    times.heard_at += pause
+        self.polled_at_ = now
--- a/shallotpath/streams/tests/test_call.py
+++ b/shallotpath/streams/tests/test_call.py
@@ -55,7 +55,6 @@
 def test_a_generation_resumes_behind_its_tokens_on_the_same_weights():
     call = make_call(generation=True)
     assert call.begin("a", EPOCH).digest == ""
-    call.accepted()
     call.delivered(10, 3, "d")
     call.ended(RunState.YES)
     submit = call.begin("b", EPOCH + SECOND)
