--- /dev/null
+++ b/shallotpath/streams/tests/test_heartbeats.py
@@ -0,0 +1,45 @@
+from datetime import timedelta
+
+from shallotpath.core import EPOCH
+from shallotpath.streams import Heartbeats, Lost, Probe, Replace
+
+STEP = timedelta(milliseconds=200)
+
+
+def run(heartbeats, seconds, start, heard=False):
+    actions = []
+    now = start
+    while now < start + timedelta(seconds=seconds):
+        if heard:
+            heartbeats.heard("a", now)
+        actions += heartbeats.poll({"a"}, now)
+        now += STEP
+    return actions, now
+
+
+def test_a_silent_peer_gets_new_connections_and_is_then_lost():
+    # Guards against streams that wait for a connection that stays silent.
+    actions, _ = run(Heartbeats(), 5.1, EPOCH)
+    assert actions.count(Replace("a")) == 2
+    assert actions[-1] == Lost("a")
+
+
+def test_a_peer_that_answers_is_only_probed():
+    actions, _ = run(Heartbeats(), 10, EPOCH, heard=True)
+    assert set(actions) == {Probe("a")}
+    assert 10 <= len(actions) <= 20
+
+
+def test_a_pause_of_this_process_is_not_silence_of_its_peers():
+    # Guards against giving up all peers after a pause.
+    heartbeats = Heartbeats()
+    _, now = run(heartbeats, 1, EPOCH, heard=True)
+    actions = heartbeats.poll({"a"}, now + timedelta(seconds=30))
+    assert actions == [Probe("a")]
+
+
+def test_a_peer_that_is_used_again_starts_anew():
+    heartbeats = Heartbeats()
+    _, now = run(heartbeats, 1, EPOCH)
+    heartbeats.poll(set(), now)
+    assert heartbeats.poll({"a"}, now + timedelta(hours=1)) == [Probe("a")]
