--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -1,8 +1,28 @@
-"""The asyncio shell that performs the effects of a node."""
+"""The asyncio shell that performs the effects of a node, and the servers."""
 
+from ._agent import AgentServer
+from ._agent_calls import AgentTimeouts
+from ._agent_part import AgentPart
 from ._control import ControlLoop, status_of
+from ._engine_client import EngineClient
+from ._entry import EntryServer
+from ._entry_part import EntryPart
+from ._entry_request import EntryLimits
+from ._exchanges import EntryTimeouts
 from ._log_tailer import LogTailer
 from ._platform_client import LogPage, PlatformClient
+from ._ports import (
+    ClaimDecided,
+    ClaimPort,
+    ConfiguredWeights,
+    GatePort,
+    KnownClaim,
+    RefuseClaim,
+    RetryPort,
+    RouterPort,
+    RunClaim,
+    WeightsPort,
+)
 from ._security import Security, check_keys
 from ._shell import Shell, Telemetry
 from ._transport import Transport, peer_identity
@@ -10,17 +30,35 @@
 from ._weights_engine import EngineWeightsClient
 
 __all__ = [
+    "AgentPart",
+    "AgentServer",
+    "AgentTimeouts",
     "AgentWeights",
+    "ClaimDecided",
+    "ClaimPort",
+    "ConfiguredWeights",
     "ControlLoop",
+    "EngineClient",
     "EngineWeightsClient",
+    "EntryLimits",
+    "EntryPart",
+    "EntryServer",
+    "EntryTimeouts",
+    "GatePort",
+    "KnownClaim",
     "LinkPacer",
     "LogPage",
     "LogTailer",
     "PlatformClient",
+    "RefuseClaim",
+    "RetryPort",
+    "RouterPort",
+    "RunClaim",
     "Security",
     "Shell",
     "Telemetry",
     "Transport",
+    "WeightsPort",
     "check_keys",
     "peer_identity",
     "status_of",
