Compose entry and agent programs from their parts

Cause: the parts stood alone; the path from caller to engine ran only in tests with fakes, and two packages had each defined the decisions on claims. Change: nodes/ composes the processes from settings; the agent uses the claim types of the claims package; a claimed call that was never handed over is released, so that a later request may run it; an old version serves during an update but not after its failure domain was out.

--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -144,10 +144,18 @@
         """Keep the outcome of a run for requests that repeat its key."""
         entry = self.entries_by_key_.get(key)
         if entry is not None and entry.phase is Phase.RUNNING:
-            entry.phase = Phase.FINISHED
+            # A status of 0 stands for a run whose outcome is not known.
+            entry.phase = Phase.FINISHED if status else Phase.UNKNOWN
             entry.status = status
         return []
 
+    def released(self, key: str, request_id: str, now: datetime) -> list[Effect]:
+        """Let the next request run a key whose call was never handed over."""
+        entry = self.entries_by_key_.get(key)
+        if entry is not None and entry.phase is Phase.RUNNING:
+            entry.phase = Phase.CLAIMED
+        return []
+
     def leave(self, now: datetime) -> list[Effect]:
         """Leave the home set after the last claim."""
         self.seat_.leaving_ = True
--- /dev/null
+++ b/shallotpath/cli/_node.py
@@ -0,0 +1,24 @@
+"""Run an entry or an agent with its endpoints for operators."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..nodes import Process
+from ..telemetry import make_admin_app
+from ..webserver import serve
+
+
+async def run_process(process: Process, stopping: asyncio.Event) -> None:
+    """Start, wait for the signal, drain within the time allowed and stop."""
+    await process.start()
+    admin = make_admin_app(process.telemetry, process.status)
+    async with serve(admin, *process.settings.http):
+        await stopping.wait()
+        limit = process.settings.drain.total_seconds()
+        try:
+            async with asyncio.timeout(limit):
+                await process.drain()
+        except TimeoutError:
+            process.telemetry.log("drain_timed_out", {"seconds": f"{limit:g}"})
+    await process.stop()
--- /dev/null
+++ b/shallotpath/nodes/__init__.py
@@ -0,0 +1,8 @@
+"""Composition of entries and agents from their parts."""
+
+from ._agent import AgentProcess
+from ._entry import EntryProcess
+from ._process import Process
+from ._served import ServedVersion
+
+__all__ = ["AgentProcess", "EntryProcess", "Process", "ServedVersion"]
--- /dev/null
+++ b/shallotpath/nodes/_process.py
@@ -0,0 +1,162 @@
+"""What entries and agents have in common: shell, membership, configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from random import Random
+from uuid import uuid4
+
+from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+
+from ..claims import STREAM as CLAIMS_STREAM
+from ..claims import WitnessStore
+from ..config import Configuration
+from ..core import Clock, DrainRequested, Load, MonotonicClock, Node, Part
+from ..limits import Suspects
+from ..membership import Member, Membership, Role
+from ..runtime import (
+    ControlLoop,
+    LogTailer,
+    PlatformClient,
+    Shell,
+    status_of,
+)
+from ..settings import NodeSettings
+from ..telemetry import HybridClock, ProcessTelemetry
+
+
+class Process:
+    """Compose one process from its settings.
+
+    Subclasses add their parts in `make_parts` and their servers in `open`.
+    """
+
+    role: Role
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        clock: Clock | None = None,
+        seed: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.random = Random(seed)
+        self.incarnation = uuid4().hex[:12]
+        self.stack_ = AsyncExitStack()
+        hlc = HybridClock(self.clock)
+        self.telemetry = ProcessTelemetry(settings.id, settings.domain, hlc=hlc)
+        self.membership = Membership(
+            me=self.make_member(),
+            random=self.random,
+            seeds=settings.seeds,
+            config_offset=lambda: self.configuration.offset,
+            load=self.load,
+        )
+        self.configuration = Configuration(
+            id=settings.id,
+            domain=settings.domain,
+            membership=self.membership,
+            random=self.random,
+            neighbours=self.membership.neighbours,
+        )
+        self.suspects = Suspects(
+            node_id=settings.id,
+            incarnation=self.incarnation,
+            connected=self.connected,
+        )
+        self.witnesses = WitnessStore(
+            member_id=settings.id, incarnation=self.incarnation
+        )
+        self.shell: Shell | None = None
+        self.control: ControlLoop | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that this process holds."""
+        raise NotImplementedError
+
+    def make_member(self) -> Member:
+        """Describe this process to the others."""
+        return Member(
+            id=self.settings.id,
+            role=self.role,
+            domain=self.settings.domain,
+            region=self.settings.region,
+            address=self.settings.peer,
+            incarnation=self.incarnation,
+            bulk_address=self.settings.bulk,
+        )
+
+    def make_parts(self) -> Sequence[Part]:
+        """Return the parts that only this role has."""
+        raise NotImplementedError
+
+    def connected(self) -> list[str]:
+        """Return the peers that are told of suspects at once."""
+        return []
+
+    def load(self) -> Load:
+        """Return the load to report in heartbeats."""
+        return Load(0, 0)
+
+    async def start(self) -> None:
+        """Bind the sockets and start to serve."""
+        session = ClientSession(
+            connector=TCPConnector(limit=0),
+            timeout=ClientTimeout(total=None),
+            cookie_jar=DummyCookieJar(),
+        )
+        self.session = await self.stack_.enter_async_context(session)
+        common = [
+            self.membership,
+            self.configuration,
+            self.suspects,
+            self.witnesses,
+        ]
+        node = Node(self.settings.id, common)
+        self.shell = Shell(
+            node=node,
+            clock=self.clock,
+            telemetry=self.telemetry,
+            identity=self.settings.id,
+            peer_address=self.settings.peer,
+            bulk_address=self.settings.bulk,
+            platform=PlatformClient(session, self.settings.platform_url),
+            stamper=self.telemetry.hlc,
+        )
+        node.parts = [*common, *self.make_parts()]
+        await self.shell.start()
+        self.control = ControlLoop(
+            self.shell,
+            self.configuration,
+            self.membership,
+            list_interval_s=self.settings.vm_list_interval.total_seconds(),
+        )
+        await self.control.start()
+        self.shell.spawn(LogTailer(self.shell, CLAIMS_STREAM).run())
+        await self.open()
+        self.telemetry.log("started", {"incarnation": self.incarnation})
+
+    async def open(self) -> None:
+        """Start the servers of this role."""
+        raise NotImplementedError
+
+    async def drain(self) -> None:
+        """Announce that the process leaves and finish what it holds."""
+        self.shell.dispatch(DrainRequested())
+
+    async def stop(self) -> None:
+        """Stop at once; call after `drain` for a graceful stop."""
+        await self.shell.stop()
+        await self.stack_.aclose()
+
+    def status(self) -> dict:
+        """Return the body of `/status`."""
+        return status_of(self.configuration, self.membership, in_flight=self.in_flight)
+
+    def member(self, member_id: str | None) -> Member | None:
+        """Return a known member."""
+        return self.membership.members_by_id.get(member_id or "")
--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -12,15 +12,11 @@
 from ._log_tailer import LogTailer
 from ._platform_client import LogPage, PlatformClient
 from ._ports import (
-    ClaimDecided,
     ClaimPort,
     ConfiguredWeights,
     GatePort,
-    KnownClaim,
-    RefuseClaim,
     RetryPort,
     RouterPort,
-    RunClaim,
     WeightsPort,
 )
 from ._security import Security, check_keys
@@ -34,7 +30,6 @@
     "AgentServer",
     "AgentTimeouts",
     "AgentWeights",
-    "ClaimDecided",
     "ClaimPort",
     "ConfiguredWeights",
     "ControlLoop",
@@ -45,15 +40,12 @@
     "EntryServer",
     "EntryTimeouts",
     "GatePort",
-    "KnownClaim",
     "LinkPacer",
     "LogPage",
     "LogTailer",
     "PlatformClient",
-    "RefuseClaim",
     "RetryPort",
     "RouterPort",
-    "RunClaim",
     "Security",
     "Shell",
     "Telemetry",
--- a/shallotpath/runtime/_agent.py
+++ b/shallotpath/runtime/_agent.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from datetime import datetime, timedelta
 
+from ..claims import ClaimDecided
 from ..config import ConfigurationView
 from ..core import (
     Cancel,
@@ -23,7 +24,7 @@
 from ._agent_part import AgentPart
 from ._engine_client import EngineClient
 from ._inbound import UNKNOWN_STATE, InboundCall
-from ._ports import ClaimDecided, ConfiguredWeights, GatePort, WeightsPort
+from ._ports import ConfiguredWeights, GatePort, WeightsPort
 from ._shell import Shell
 
 BARRED_KEPT = 10_000
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..claims import ClaimDecided, ClaimDecision, KnownClaim, Phase, RefuseClaim
 from ..config import ConfigurationView
 from ..core import (
     Accepted,
@@ -25,22 +26,20 @@
 from ..limits import Admit, Call, Refuse
 from ..streams import AnswerWriter, SlowReaderBudget
 from ._admission import AdmissionChecks
-from ._agent_part import ClaimFinished, ClaimWanted
+from ._agent_part import ClaimFinished, ClaimReleased, ClaimWanted
 from ._engine_client import EngineClient
 from ._engine_run import EngineRun
 from ._engine_watch import EngineWatch
 from ._inbound import CallState, Failure, InboundCall, make_call
 from ._ports import (
-    ClaimDecided,
-    ClaimDecision,
     GatePort,
-    KnownClaim,
-    RefuseClaim,
     WeightsPort,
 )
 from ._shell import Shell
 
 RETRY_AFTER = timedelta(seconds=1)
+STATUS_OK = 200
+STATUS_UNKNOWN = 0
 # Bounds what one stream may hold, whatever window its entry asks for.
 MAX_WINDOW_BYTES = 1024 * 1024
 # Refusals that end by themselves soon.
@@ -271,12 +270,12 @@
         return await call.decided
 
     def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
-        if decision.state == "running":
+        if decision.state.phase is Phase.RUNNING:
             return Failure(Code.CLAIM_IN_PROGRESS, RunState.YES)
-        if decision.state == "unknown":
+        if decision.state.phase is not Phase.FINISHED:
             return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
         call.writer.begin(200, "application/json", "")
-        state = {"idempotency_key": call.submit.key, "state": decision.state}
+        state = {"idempotency_key": call.submit.key, "state": decision.state.phase}
         call.writer.write(msgspec.json.encode(state))
         return None
 
@@ -305,9 +304,12 @@
         if call.handed_over:
             self.shell.dispatch(CallEnded(submit.request_id, run, code))
         if call.claimed:
-            status = "completed" if failure is None else "unknown"
-            status = "not_run" if run is RunState.NO else status
-            self.shell.dispatch(ClaimFinished(submit.key, submit.request_id, status))
+            ids = (submit.key, submit.request_id)
+            status = STATUS_OK if failure is None else STATUS_UNKNOWN
+            released = run is RunState.NO
+            self.shell.dispatch(
+                ClaimReleased(*ids) if released else ClaimFinished(*ids, status)
+            )
 
     def _fail(self, call: InboundCall, failure: Failure) -> None:
         submit = call.submit
--- a/shallotpath/runtime/_agent_part.py
+++ b/shallotpath/runtime/_agent_part.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import Protocol
 
+from ..claims import ClaimDecided
 from ..core import (
     ConfigurationChanged,
     DrainRequested,
@@ -15,7 +16,7 @@
     Gauge,
     Tick,
 )
-from ._ports import ClaimDecided, ClaimPort
+from ._ports import ClaimPort
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,11 +30,19 @@
 
 @dataclass(slots=True, frozen=True)
 class ClaimFinished(Event):
-    """Report the end of a claimed run."""
+    """Report the end of a claimed run; a status of 0 means an unknown outcome."""
+
+    key: str
+    request_id: str
+    status: int
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimReleased(Event):
+    """Report that a claimed call was never handed to the upstream."""
 
     key: str
     request_id: str
-    status: str
 
 
 class AgentListener(Protocol):
@@ -88,6 +97,12 @@
             return []
         return self.claims.finished(event.key, event.request_id, event.status, now)
 
+    @reduce.register
+    def _(self, event: ClaimReleased, now: datetime) -> list[Effect]:
+        if self.claims is None:
+            return []
+        return self.claims.released(event.key, event.request_id, now)
+
     @reduce.register
     def _(self, event: ClaimDecided, now: datetime) -> list[Effect]:
         if self.listener_ is not None:
--- a/shallotpath/runtime/_ports.py
+++ b/shallotpath/runtime/_ports.py
@@ -3,48 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Protocol
 
 from ..config import ConfigurationView, ServiceKind
-from ..core import Code, Effect, Event, Load, RunState
+from ..core import Code, Effect, Load, RunState
 from ..limits import Call, Decision, Expired
 from ..membership import Member
 
 
-@dataclass(slots=True, frozen=True)
-class RunClaim:
-    """Let the call run; its key has not run before."""
-
-
-@dataclass(slots=True, frozen=True)
-class KnownClaim:
-    """Report the state of the run that the key already has."""
-
-    state: str
-
-
-@dataclass(slots=True, frozen=True)
-class RefuseClaim:
-    """Refuse the call with what is known about a run."""
-
-    code: Code
-    run: RunState
-
-
-ClaimDecision = RunClaim | KnownClaim | RefuseClaim
-
-
-@dataclass(slots=True, frozen=True)
-class ClaimDecided(Event):
-    """Report the decision on the idempotency key of a request."""
-
-    request_id: str
-    key: str
-    decision: ClaimDecision
-
-
 class GatePort(Protocol):
     """Admit calls to one upstream."""
 
@@ -82,9 +49,13 @@
         ...
 
     def finished(
-        self, key: str, request_id: str, status: str, now: datetime
+        self, key: str, request_id: str, status: int, now: datetime
     ) -> list[Effect]:
-        """Record the end of a run."""
+        """Record the end of a run; a status of 0 means an unknown outcome."""
+        ...
+
+    def released(self, key: str, request_id: str, now: datetime) -> list[Effect]:
+        """Record that a claimed call was never handed to the upstream."""
         ...
 
 
--- a/shallotpath/settings/_programs.py
+++ b/shallotpath/settings/_programs.py
@@ -65,10 +65,7 @@
 
     engine_url: str = setting("engine", "url", check_url)
     service: str = setting("engine", "service", check_name)
-    checks_fencing: bool = setting("engine", "checks_fencing", check_bool, False)
-    poll_interval: timedelta = setting(
-        "engine", "poll_interval", parse_duration, timedelta(milliseconds=500)
-    )
+    vm_incarnation: str = setting("node", "vm_incarnation", str, "")
     cold_limit: int = setting("limits", "cold_limit", check_count, 2)
     max_limit: int = setting("limits", "max_limit", check_count, 64)
     queue: int = setting("limits", "queue", check_whole, 32)
--- a/shallotpath/standins/__init__.py
+++ b/shallotpath/standins/__init__.py
@@ -1,9 +1,9 @@
 """Stand-ins for the platform and for engines, with switchable faults."""
 
+from ..webserver import serve
 from ._engine import EngineApp, EngineFaults, make_token
 from ._link import RateLimiter
 from ._platform import PlatformApp, PlatformFaults
-from ._server import serve
 from ._weights import Manifest, make_chunk, make_manifest
 
 __all__ = [
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -177,7 +177,6 @@
         sections["engine"] = {
             "url": f"http://{listen}",
             "service": service.service,
-            "checks_fencing": "yes",
         }
         self._add(
             ProcessSpec(
