--- /dev/null
+++ b/shallotpath/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- a/shallotpath/config/__init__.py
+++ b/shallotpath/config/__init__.py
@@ -2,7 +2,16 @@
 
 from ._checks import check_base, check_change, check_conflict, object_written
 from ._configuration import Configuration
-from ._fold import Accepted, Rejected, Repeated, Verdict, fold, judge, summarise
+from ._fold import (
+    Accepted,
+    Rejected,
+    Repeated,
+    Verdict,
+    fold,
+    judge,
+    make_outcome,
+    summarise,
+)
 from ._model import (
     DEFAULT_PRESET,
     ConfigurationView,
@@ -85,6 +94,7 @@
     "encode_record",
     "fold",
     "judge",
+    "make_outcome",
     "object_written",
     "summarise",
 ]
--- a/shallotpath/config/_fold.py
+++ b/shallotpath/config/_fold.py
@@ -85,8 +85,10 @@
     return Accepted() if fault is None else Rejected(*fault)
 
 
-def make_outcome(offset: int, record: Record, verdict: Accepted | Rejected) -> Outcome:
+def make_outcome(offset: int, record: Record, verdict: Verdict) -> Outcome:
     """Describe a verdict for the history."""
+    if isinstance(verdict, Repeated):
+        return verdict.first
     header = record.header
     rejected = isinstance(verdict, Rejected)
     return Outcome(
