--- a/shallotpath/settings/_programs.py
+++ b/shallotpath/settings/_programs.py
@@ -34,6 +34,7 @@
     vm_list_interval: timedelta = setting(
         "platform", "vm_list_interval", parse_duration, timedelta(seconds=5)
     )
+    vm_incarnation: str = setting("node", "vm_incarnation", str, "")
     seeds: list[str] = setting("peers", "seeds", check_endpoints, ())
     public_key: str = setting("security", "public_key", str, "")
     secret_key: str = setting("security", "secret_key", str, "")
@@ -65,7 +66,6 @@
 
     engine_url: str = setting("engine", "url", check_url)
     service: str = setting("engine", "service", check_name)
-    vm_incarnation: str = setting("node", "vm_incarnation", str, "")
     cold_limit: int = setting("limits", "cold_limit", check_count, 2)
     max_limit: int = setting("limits", "max_limit", check_count, 64)
     queue: int = setting("limits", "queue", check_whole, 32)
--- a/shallotpath/telemetry/_hlc.py
+++ b/shallotpath/telemetry/_hlc.py
@@ -4,13 +4,14 @@
 
 from ..core import Clock
 
-LOGICAL_BITS = 16
+# With 10 bits a stamp fits a signed 64-bit frame field until the year 2255.
+LOGICAL_BITS = 10
 
 
 class HybridClock:
     """Issue time stamps that grow with the clock and with what was heard.
 
-    A stamp holds microseconds in the upper bits and a counter in the lower 16,
+    A stamp holds microseconds in the upper bits and a counter in the lower 10,
     so stamps compare as integers.
     """
 
--- a/shallotpath/telemetry/tests/test_telemetry.py
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -1,11 +1,11 @@
 import json
 import logging
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 from aiohttp import ClientSession
 from pythonjsonlogger.json import JsonFormatter
 
-from shallotpath.core import ManualClock
+from shallotpath.core import ManualClock, Ping, decode_stamped, encode
 from shallotpath.standins import serve
 from shallotpath.telemetry import (
     HybridClock,
@@ -34,6 +34,14 @@
     assert [event.kind for event in merged] == ["sent", "received"]
 
 
+def test_stamps_fit_a_frame_until_the_year_2200():
+    # Guards against stamps that the codec cannot encode, which dropped all frames.
+    clock = ManualClock(datetime(2200, 1, 1, tzinfo=UTC))
+    message = Ping(1)
+    stamp = HybridClock(clock).tick()
+    assert decode_stamped(encode(message, stamp)) == (stamp, message)
+
+
 def test_the_clock_never_goes_back():
     clock = ManualClock()
     hlc = HybridClock(clock)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import socket
 import subprocess
 import sys
 import time
+import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -104,6 +106,33 @@
             if process is None or process.poll() is not None:
                 self._start(self.specs_by_id[spec_id])
 
+    def register(self, *ids: str) -> None:
+        """Enter VMs into the platform's list, as the platform itself would."""
+        for spec_id in ids or list(self.specs_by_id):
+            node = self.specs_by_id[spec_id].sections.get("node")
+            if node is None:
+                continue
+            body = {
+                "incarnation": node["vm_incarnation"],
+                "address": f"tcp://{node['peer']}",
+                "http": f"http://{node['http']}",
+                "domain": node["domain"],
+                "state": "live",
+            }
+            url = f"{self.platform_url}/vms/{spec_id}"
+            request_json("PUT", url, body)
+
+    def wait_until_healthy(self, timeout_s: float = 30.0) -> None:
+        """Wait until every process that serves `/healthz` answers."""
+        deadline = time.monotonic() + timeout_s
+        urls = [spec.http for spec in self.specs_by_id.values() if spec.http]
+        urls += [spec.engine_url for spec in self.specs_by_id.values()]
+        for url in filter(None, [self.platform_url, *urls]):
+            while not answers(f"{url}/healthz"):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{url} does not answer; read the *.log files")
+                time.sleep(0.05)
+
     def terminate(self, *ids: str) -> dict[str, int]:
         """Stop the named processes gracefully and return their exit codes."""
         chosen = list(ids or reversed(self.processes_by_id))
@@ -196,6 +225,7 @@
         return {
             "node": {
                 "id": name,
+                "vm_incarnation": f"{name}-vm-1",
                 "domain": domain,
                 "region": region,
                 "peer": ports.address(),
@@ -228,3 +258,21 @@
             if port not in self.used_:
                 self.used_.add(port)
                 return f"127.0.0.1:{port}"
+
+
+def request_json(method: str, url: str, body: dict | None = None) -> dict:
+    """Send a JSON request on loopback and return the JSON answer."""
+    data = json.dumps(body).encode() if body is not None else None
+    request = urllib.request.Request(url, data, method=method)
+    request.add_header("Content-Type", "application/json")
+    with urllib.request.urlopen(request, timeout=10) as response:
+        return json.loads(response.read())
+
+
+def answers(url: str) -> bool:
+    """Tell whether a URL answers with success."""
+    try:
+        with urllib.request.urlopen(url, timeout=1):
+            return True
+    except OSError:
+        return False
