Separate heartbeats of the request path from membership probes

Cause: both used Ping and Pong; the handlers of the request path took the answers that membership waited for. Change: Heartbeat and HeartbeatReply between entry and agent; responses also carry the digest of the weights, which the load generator checks.

--- a/shallotpath/bench/_naive.py
+++ b/shallotpath/bench/_naive.py
@@ -11,7 +11,6 @@
 
 MAX_ATTEMPTS = 3
 ATTEMPT_TIMEOUT_S = 10.0
-FORWARDED = ("X-Weights-Digest", "Content-Type")
 
 
 class NaiveEntry:
@@ -69,7 +68,10 @@
             if answer.status != 200:
                 raise ClientError(f"status {answer.status}")
             response = web.StreamResponse(
-                headers={k: answer.headers[k] for k in FORWARDED if k in answer.headers}
+                headers={
+                    "Content-Type": answer.headers["Content-Type"],
+                    "X-Weights-Digest": answer.headers.get("X-Weights-Digest", ""),
+                }
             )
             await response.prepare(request)
             await self._relay(answer.content, response)
--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -154,9 +154,24 @@
     total_bytes: int
 
 
+@dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Ask an agent that runs requests of the sender for a sign of life."""
+
+    nonce: int
+
+
+@dataclass(slots=True, frozen=True)
+class HeartbeatReply:
+    """Answer a heartbeat with the load."""
+
+    nonce: int
+    load: Load
+
+
 @dataclass(slots=True, frozen=True)
 class Ping:
-    """Probe a peer."""
+    """Probe a member."""
 
     nonce: int
 
@@ -366,6 +381,8 @@
     | StatusQuery
     | StatusReply
     | Resume
+    | Heartbeat
+    | HeartbeatReply
     | Ping
     | Pong
     | PingRequest
--- a/shallotpath/runtime/_agent.py
+++ b/shallotpath/runtime/_agent.py
@@ -12,8 +12,8 @@
     Cancel,
     Code,
     Credit,
-    Ping,
-    Pong,
+    Heartbeat,
+    HeartbeatReply,
     Resume,
     StatusQuery,
     StatusReply,
@@ -89,7 +89,7 @@
                 Resume: self._on_resume,
                 StatusQuery: self._on_status_query,
                 Cancel: self._on_cancel,
-                Ping: self._on_ping,
+                Heartbeat: self._on_heartbeat,
             }
         )
         self.watch_task_ = self.shell.spawn(self.calls.watch.run())
@@ -190,9 +190,9 @@
         elif call.active:
             self.calls.detach(call)
 
-    def _on_ping(self, peer: str, ping: Ping) -> None:
+    def _on_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         self._heard(peer)
-        self.shell.peer.send(peer, Pong(ping.nonce, self.calls.load()))
+        self.shell.peer.send(peer, HeartbeatReply(heartbeat.nonce, self.calls.load()))
 
     def _find(
         self, message: Credit | Resume | StatusQuery | Cancel
--- a/shallotpath/runtime/_caller.py
+++ b/shallotpath/runtime/_caller.py
@@ -50,11 +50,14 @@
         self.drained_ = drained
         return progressed
 
-    async def start(self, status: int, content_type: str, version: str) -> None:
+    async def start(
+        self, status: int, content_type: str, version: str, digest: str
+    ) -> None:
         """Send the status and the headers."""
         headers = {"Content-Type": content_type}
         if version:
             headers["X-Weights-Version"] = version
+            headers["X-Weights-Digest"] = digest
         if self.sse:
             headers["Cache-Control"] = "no-cache"
         response = web.StreamResponse(status=status, headers=headers)
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -14,9 +14,9 @@
     End,
     Failed,
     Head,
+    Heartbeat,
+    HeartbeatReply,
     Message,
-    Ping,
-    Pong,
     Refused,
     RunState,
     StatusReply,
@@ -72,7 +72,7 @@
         """Take the agents' messages."""
         for kind in (Accepted, Refused, Head, Data, End, Failed, StatusReply):
             self.shell.handlers_by_type[kind] = self._on_message
-        self.shell.handlers_by_type[Pong] = self._on_pong
+        self.shell.handlers_by_type[HeartbeatReply] = self._on_heartbeat_reply
 
     def open(self, exchange: Exchange) -> bool:
         """Send an attempt; tell whether the connection took it."""
@@ -128,11 +128,11 @@
             if self.budget.held_bytes > self.budget.budget_bytes:
                 self._stop_slow_readers(now)
 
-    def _on_pong(self, peer: str, pong: Pong) -> None:
+    def _on_heartbeat_reply(self, peer: str, reply: HeartbeatReply) -> None:
         now = self.shell.clock.now()
         self.heartbeats.heard(peer, now)
         for exchange in self._at(peer):
-            self.router.observe_load(exchange.member.id, pong.load, now)
+            self.router.observe_load(exchange.member.id, reply.load, now)
             return
 
     @singledispatchmethod
@@ -141,7 +141,7 @@
 
     @_act.register
     def _(self, action: Probe) -> None:
-        self.shell.peer.send(action.peer, Ping(0))
+        self.shell.peer.send(action.peer, Heartbeat(0))
 
     @_act.register
     def _(self, action: Replace) -> None:
--- a/shallotpath/runtime/_relay.py
+++ b/shallotpath/runtime/_relay.py
@@ -81,7 +81,9 @@
     async def _start(self, head: Head) -> None:
         if not self.caller.started:
             version = self.version_of(head.digest)
-            await self.caller.start(head.status, head.content_type, version)
+            await self.caller.start(
+                head.status, head.content_type, version, head.digest
+            )
 
 
 class PlainRelay:
@@ -115,4 +117,6 @@
     async def _start(self, head: Head) -> None:
         if not self.caller.started:
             version = self.version_of(head.digest)
-            await self.caller.start(head.status, head.content_type, version)
+            await self.caller.start(
+                head.status, head.content_type, version, head.digest
+            )
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -17,8 +17,8 @@
     EngineLost,
     Failed,
     Head,
-    Ping,
-    Pong,
+    Heartbeat,
+    HeartbeatReply,
     Refused,
     Resume,
     RunState,
@@ -43,7 +43,16 @@
         self.seen_ = []
 
     async def __aenter__(self):
-        for kind in (Accepted, Refused, Head, Data, End, Failed, StatusReply, Pong):
+        for kind in (
+            Accepted,
+            Refused,
+            Head,
+            Data,
+            End,
+            Failed,
+            StatusReply,
+            HeartbeatReply,
+        ):
             self.shell.handlers_by_type[kind] = lambda _, m: self.replies.put_nowait(m)
         await self.shell.start()
         return self
@@ -193,8 +202,8 @@
         entry.submit()
         await entry.next(End)
         entry.submit()
-        entry.send(Ping(1))
-        await entry.next(Pong)
+        entry.send(Heartbeat(1))
+        await entry.next(HeartbeatReply)
         assert upstream.engine.counters_["runs"] == 1
 
 
