Read ZeroMQ sockets without a future per frame

A routed send went through the asynchronous socket, so a frame that the queue refused was reported as sent and left an unretrieved exception. A synchronous send on the same socket may also consume the signal for frames that arrived.

Transport now uses plain sockets with SocketReader, which reads in batches on the event loop and looks again after each send.

--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from itertools import count
 
 import zmq
-import zmq.asyncio
 
 from ..core import FrameError, Message, decode, encode
+from ._socket_reader import SocketReader
 
 SEND_QUEUE_FRAMES = 1000
 ROUTED_PREFIX = "@"
@@ -41,7 +40,6 @@
         "retired_by_address_",
         "router_",
         "sent_bytes_",
-        "tasks_by_address_",
     )
 
     def __init__(self, identity: str, address: str, receive: Receiver) -> None:
@@ -49,13 +47,10 @@
         self.address = address
         self.receive = receive
         self.address_ = address
-        self.context_ = zmq.asyncio.Context.instance()
-        self.router_: zmq.asyncio.Socket | None = None
-        self.dealers_by_address_: dict[str, zmq.asyncio.Socket] = {}
-        self.tasks_by_address_: dict[str, asyncio.Task] = {}
-        self.retired_by_address_: dict[
-            str, tuple[zmq.asyncio.Socket, asyncio.Task]
-        ] = {}
+        self.context_ = zmq.Context.instance()
+        self.router_: SocketReader | None = None
+        self.dealers_by_address_: dict[str, SocketReader] = {}
+        self.retired_by_address_: dict[str, SocketReader] = {}
         self.identity_counter_ = count()
         self.heard_at_by_peer_: dict[str, float] = {}
         self.bad_frames_ = 0
@@ -73,34 +68,33 @@
             self.address.replace(":0", ":*") if self._any_port() else self.address
         )
         self.address_ = router.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
-        self.router_ = router
-        self.tasks_by_address_[""] = asyncio.create_task(self._read_router(router))
+        self.router_ = SocketReader(router, self._deliver_routed)
+        self.router_.start()
 
     async def stop(self) -> None:
         """Close all sockets."""
-        for task in self.tasks_by_address_.values():
-            task.cancel()
-        await asyncio.gather(*self.tasks_by_address_.values(), return_exceptions=True)
-        self.tasks_by_address_.clear()
         for address in list(self.retired_by_address_):
             self._close_retired(address)
         for address in list(self.dealers_by_address_):
-            self.dealers_by_address_.pop(address).close(0)
+            self.dealers_by_address_.pop(address).stop()
         if self.router_ is not None:
-            self.router_.close(0)
+            self.router_.stop()
+            self.router_ = None
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; tell whether the queue took it."""
         frame = encode(message)
+        if peer.startswith(ROUTED_PREFIX):
+            reader, parts = self.router_, [bytes.fromhex(peer[1:]), frame]
+        else:
+            reader, parts = self._dealer(peer), [frame]
         try:
-            if peer.startswith(ROUTED_PREFIX):
-                parts = [bytes.fromhex(peer[1:]), frame]
-                zmq.Socket.send_multipart(self.router_, parts, zmq.DONTWAIT)
-            else:
-                zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
+            reader.socket.send_multipart(parts, zmq.DONTWAIT)
         except zmq.ZMQError:
             self.dropped_frames_ += 1
             return False
+        finally:
+            reader.check()
         self.sent_bytes_ += len(frame)
         return True
 
@@ -114,8 +108,7 @@
         self._close_retired(address)
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
-            task = self.tasks_by_address_.pop(address)
-            self.retired_by_address_[address] = (dealer, task)
+            self.retired_by_address_[address] = dealer
         self._dealer(address)
 
     def disconnect(self, address: str) -> None:
@@ -123,23 +116,20 @@
         self._close_retired(address)
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
-            self.tasks_by_address_.pop(address).cancel()
-            dealer.close(0)
+            dealer.stop()
         self.heard_at_by_peer_.pop(address, None)
 
     def _close_retired(self, address: str) -> None:
         retired = self.retired_by_address_.pop(address, None)
         if retired is not None:
-            dealer, task = retired
-            task.cancel()
-            dealer.close(0)
+            retired.stop()
 
     def _any_port(self) -> bool:
         return self.address.endswith(":0")
 
-    def _dealer(self, address: str) -> zmq.asyncio.Socket:
-        dealer = self.dealers_by_address_.get(address)
-        if dealer is None:
+    def _dealer(self, address: str) -> SocketReader:
+        reader = self.dealers_by_address_.get(address)
+        if reader is None:
             dealer = self.context_.socket(zmq.DEALER)
             dealer.setsockopt(zmq.LINGER, 0)
             dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
@@ -148,27 +138,27 @@
             identity = f"{self.identity}/{next(self.identity_counter_)}"
             dealer.setsockopt(zmq.IDENTITY, identity.encode())
             dealer.connect(address)
-            self.dealers_by_address_[address] = dealer
-            self.tasks_by_address_[address] = asyncio.create_task(
-                self._read_dealer(address, dealer)
-            )
-        return dealer
-
-    async def _read_router(self, router: zmq.asyncio.Socket) -> None:
-        while True:
-            parts = await router.recv_multipart()
-            if len(parts) == 2:
-                self._deliver(f"{ROUTED_PREFIX}{parts[0].hex()}", parts[1])
-            else:
-                self.bad_frames_ += 1
-
-    async def _read_dealer(self, address: str, dealer: zmq.asyncio.Socket) -> None:
-        with contextlib.suppress(zmq.ZMQError):
-            while True:
-                frame = await dealer.recv()
-                if self.dealers_by_address_.get(address) is dealer:
-                    self._close_retired(address)
-                self._deliver(address, frame)
+            reader = SocketReader(dealer, self._deliver_from(address, dealer))
+            self.dealers_by_address_[address] = reader
+            reader.start()
+        return reader
+
+    def _deliver_from(
+        self, address: str, dealer: zmq.Socket
+    ) -> Callable[[list[bytes]], None]:
+        def deliver(parts: list[bytes]) -> None:
+            current = self.dealers_by_address_.get(address)
+            if current is not None and current.socket is dealer:
+                self._close_retired(address)
+            self._deliver(address, parts[-1])
+
+        return deliver
+
+    def _deliver_routed(self, parts: list[bytes]) -> None:
+        if len(parts) == 2:
+            self._deliver(f"{ROUTED_PREFIX}{parts[0].hex()}", parts[1])
+        else:
+            self.bad_frames_ += 1
 
     def _deliver(self, peer: str, frame: bytes) -> None:
         self.received_bytes_ += len(frame)
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -290,7 +290,7 @@
 
 async def test_a_bad_frame_changes_nothing():
     async with agent() as (upstream, entry, _):
-        await entry.shell.peer._dealer(entry.address).send(b"\x93\x01\xa6Submit\x80")
+        entry.shell.peer._dealer(entry.address).socket.send(b"\x93\x01\xa6Submit\x80")
         entry.submit()
         await entry.next(End)
         assert upstream.shell.peer.bad_frames_ == 1
--- a/shallotpath/runtime/tests/test_shell.py
+++ b/shallotpath/runtime/tests/test_shell.py
@@ -98,9 +98,9 @@
     await a.start()
     await b.start()
     try:
-        dealer = a.peer._dealer(b.peer.address_)
-        await dealer.send(b"garbage")
-        await dealer.send(encode(Ping(1)))
+        dealer = a.peer._dealer(b.peer.address_).socket
+        dealer.send(b"garbage")
+        dealer.send(encode(Ping(1)))
         assert (await seen_b.next()).message == Ping(1)
         assert b.peer.bad_frames_ == 1
     finally:
