Bound request bodies at the entry and report its own faults truthfully

Bodies are kept until their requests are answered, so many large requests could fill memory, and a fault of the entry in the middle of an attempt was answered by a bare 500 without a run state.

The entry now reserves each body from a budget of the process and refuses beyond it as not run. A fault in an attempt is reported as unknown. The agent drops the body at the end of a call and answers a repeated key by the state of its run, with unknown for every state that it does not know. The test of a bad link now also loses and repeats Submit.

--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -26,6 +26,7 @@
 from ..streams import AnswerWriter, SlowReaderBudget
 from ._admission import AdmissionChecks
 from ._agent_part import ClaimFinished, ClaimWanted
+from ._claim_states import claim_status, known_failure
 from ._engine_client import EngineClient
 from ._engine_run import EngineRun
 from ._engine_watch import EngineWatch
@@ -271,10 +272,9 @@
         return await call.decided
 
     def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
-        if decision.state == "running":
-            return Failure(Code.CLAIM_IN_PROGRESS, RunState.YES)
-        if decision.state == "unknown":
-            return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+        failure = known_failure(decision.state)
+        if failure is not None:
+            return failure
         call.writer.begin(200, "application/json", "")
         state = {"idempotency_key": call.submit.key, "state": decision.state}
         call.writer.write(msgspec.json.encode(state))
@@ -285,6 +285,8 @@
             return
         now = self.shell.clock.now()
         call.done_at = now
+        # The record stays for status queries; the body is not needed any more.
+        call.submit = replace(call.submit, body=b"")
         self._report_end(call, failure)
         if failure is None and call.discarded:
             failure = Failure(Code.SLOW_READER, RunState.YES)
@@ -305,8 +307,7 @@
         if call.handed_over:
             self.shell.dispatch(CallEnded(submit.request_id, run, code))
         if call.claimed:
-            status = "completed" if failure is None else "unknown"
-            status = "not_run" if run is RunState.NO else status
+            status = claim_status(failure)
             self.shell.dispatch(ClaimFinished(submit.key, submit.request_id, status))
 
     def _fail(self, call: InboundCall, failure: Failure) -> None:
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -23,6 +23,8 @@
 DRAIN_POLL_S = 0.02
 # Answers that were written but not yet taken by the callers' connections.
 CLOSE_TIMEOUT_S = 5.0
+# Longer than the idle time of common load balancers, which then close first.
+IDLE_TIMEOUT_S = 75.0
 DEFAULT_BUDGET_BYTES = 8 * 1024**2
 
 
@@ -75,6 +77,7 @@
         self.runner_: web.AppRunner | None = None
         self.draining_ = False
         self.in_flight_ = 0
+        self.bodies_bytes_ = 0
         self.in_flight_by_team_: Counter[str] = Counter()
 
     @property
@@ -106,6 +109,7 @@
             app,
             access_log=None,
             handler_cancellation=True,
+            keepalive_timeout=IDLE_TIMEOUT_S,
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
             shutdown_timeout=CLOSE_TIMEOUT_S,
@@ -146,7 +150,11 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if self.draining_:
             raise ProblemError(Code.DRAINING)
+        reserved = self._body_reservation(request)
+        if self.bodies_bytes_ + reserved > self.limits.bodies_bytes:
+            raise ProblemError(Code.OVERLOADED)
         self.in_flight_ += 1
+        self.bodies_bytes_ += reserved
         try:
             parsed = await parse_request(
                 request,
@@ -158,6 +166,13 @@
             return await self._serve(parsed, request)
         finally:
             self.in_flight_ -= 1
+            self.bodies_bytes_ -= reserved
+
+    def _body_reservation(self, request: web.Request) -> int:
+        # The length of a chunked body is not known before it has arrived.
+        length = request.content_length
+        limit = self.limits.body_bytes
+        return limit if length is None else min(length, limit)
 
     async def _serve(
         self, parsed: EntryRequest, request: web.Request
--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -61,7 +61,7 @@
         """Answer a request completely or with a typed error."""
         session = self._session(parsed, request)
         self.retries.started(parsed.call)
-        failure = await self._attempts(session)
+        failure = await self._attempts_or_fault(session)
         if failure is None:
             session.call.complete()
             return await session.caller.finish()
@@ -81,6 +81,19 @@
         relay = TokenRelay if parsed.generation else PlainRelay
         return Session(parsed, call, caller, relay(call, caller, self._version))
 
+    async def _attempts_or_fault(self, session: Session) -> AttemptFailure | None:
+        try:
+            return await self._attempts(session)
+        except ConnectionError:
+            # The caller is gone.
+            raise
+        except Exception as error:
+            # A fault of the entry must not pass for a refusal.
+            text = f"{type(error).__name__}: {error}"
+            self.shell.telemetry.log("request_fault", {"error": text})
+            session.call.fault()
+            return AttemptFailure(Code.UPSTREAM_FAILED, session.call.run)
+
     async def _attempts(self, session: Session) -> AttemptFailure | None:
         call = session.call
         tries = 0
--- a/shallotpath/runtime/_entry_request.py
+++ b/shallotpath/runtime/_entry_request.py
@@ -32,6 +32,8 @@
     """Hold the limits on callers' requests."""
 
     body_bytes: int = 1024 * 1024
+    # All bodies of one process; each is kept until its request is answered.
+    bodies_bytes: int = 16 * 1024 * 1024
     header_bytes: int = 8 * 1024
     body_time: timedelta = timedelta(seconds=10)
     window_bytes: int = 64 * 1024
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -29,7 +29,6 @@
     Load,
     MonotonicClock,
     Node,
-    Submit,
     sha256_hex,
 )
 from shallotpath.limits import Admit, Queue, Refuse
@@ -405,7 +404,7 @@
 
     def send(self, peer, message):
         draw = self.random.random()
-        if isinstance(message, Submit) or draw > self.rate:
+        if draw > self.rate:
             self.transport.send(peer, message)
         elif draw < self.rate / 3:
             pass
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -94,6 +94,7 @@
     upstream = Upstream("a", "fold-model", token_interval_s=0.002)
     async with system([upstream]) as entry:
         random = Random(seed)
+        entry.retries.attempts = 20
         upstream.shell.peer = FaultyTransport(upstream.shell.peer, random, 0.15)
         entry.shell.peer = FaultyTransport(entry.shell.peer, random, 0.15)
         prompts = [f"prompt {n}" for n in range(8)]
@@ -402,6 +403,26 @@
             assert (await answer.json())["code"] == "no_configuration"
 
 
+async def test_a_fault_of_the_entry_is_not_reported_as_not_run():
+    upstream = Upstream("a", "kit-desk", call_s=0.2)
+    async with system([upstream]) as entry:
+        order = asyncio.create_task(_order(entry))
+        await until(lambda: upstream.engine.counters_["runs"] == 1)
+        entry.server.calls.configuration = None
+        status, problem = await order
+        assert (status, problem["run"]) == (502, "unknown")
+
+
+async def test_bodies_above_the_limit_of_the_process_are_refused():
+    # Guards against memory that fills up with request bodies.
+    limits = EntryLimits(bodies_bytes=1000)
+    async with system([Upstream("a", "kit-desk")], limits=limits) as entry:
+        async with entry.post("/kit-desk/stock", data=b"x" * 2000) as answer:
+            assert (await answer.json())["code"] == "overloaded"
+        async with entry.post("/kit-desk/stock", data=b"x" * 500) as answer:
+            assert answer.status == 200
+
+
 async def test_the_health_check_fails_while_the_domain_is_out():
     configuration = make_configuration()
     async with system([], configuration=configuration) as entry:
--- a/shallotpath/streams/_call.py
+++ b/shallotpath/streams/_call.py
@@ -97,6 +97,11 @@
         # A later refusal does not undo what an earlier attempt may have run.
         self.run_ = max(self.run_, run, key=_RUN_ORDER.index)
 
+    def fault(self) -> None:
+        """Record that the entry itself failed in the middle of an attempt."""
+        if self.state in ("submitted", "delivering"):
+            self.ended(RunState.UNKNOWN)
+
     def may_retry(self, code: Code, run: RunState) -> bool:
         """Tell whether the last attempt permits another one."""
         if code in FINAL_CODES:
