--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -1,13 +1,11 @@
 """The asyncio shell that performs the effects of a node, and the servers."""
 
 from ._agent import AgentServer
-from ._agent_calls import AgentTimeouts
 from ._agent_part import AgentPart
 from ._engine_client import EngineClient
 from ._entry import EntryServer
 from ._entry_part import EntryPart
 from ._entry_request import EntryLimits
-from ._exchanges import EntryTimeouts
 from ._log_tailer import LogTailer
 from ._platform_client import LogPage, PlatformClient
 from ._ports import (
@@ -23,6 +21,7 @@
     WeightsPort,
 )
 from ._shell import Shell, Telemetry
+from ._timeouts import AgentTimeouts, EntryTimeouts
 from ._transport import Transport, peer_identity
 
 __all__ = [
--- a/shallotpath/runtime/_agent.py
+++ b/shallotpath/runtime/_agent.py
@@ -19,12 +19,13 @@
     Submit,
 )
 from ..streams import SlowReaderBudget
-from ._agent_calls import RETRY_AFTER, AgentCalls, AgentTimeouts
+from ._agent_calls import RETRY_AFTER, AgentCalls
 from ._agent_part import AgentPart
 from ._engine_client import EngineClient
 from ._inbound import UNKNOWN_STATE, InboundCall
 from ._ports import ClaimDecided, ConfiguredWeights, GatePort, WeightsPort
 from ._shell import Shell
+from ._timeouts import AgentTimeouts
 
 BARRED_KEPT = 10_000
 DRAIN_POLL_S = 0.02
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 import msgspec
@@ -40,6 +40,7 @@
     WeightsPort,
 )
 from ._shell import Shell
+from ._timeouts import AgentTimeouts
 
 RETRY_AFTER = timedelta(seconds=1)
 # Bounds what one stream may hold, whatever window its entry asks for.
@@ -48,16 +49,6 @@
 BRIEF_REFUSALS = frozenset({Code.WEIGHTS_NOT_READY, Code.UPSTREAM_LOST})
 
 
-@dataclass(slots=True, frozen=True)
-class AgentTimeouts:
-    """Hold the time-outs of the agent's request path."""
-
-    # An entry needs 2 s to notice silence and some more for a new connection.
-    entry_silence: timedelta = timedelta(seconds=8)
-    # How long an answer waits for its reader to confirm or resume it.
-    answer_kept: timedelta = timedelta(seconds=30)
-
-
 class AgentCalls:
     """Admit calls, run them on the engine and keep what entries may ask for."""
 
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -15,10 +15,11 @@
 from ._entry_calls import EntryCalls
 from ._entry_part import EntryPart
 from ._entry_request import EntryLimits, EntryRequest, malformed, parse_request
-from ._exchanges import EntryTimeouts, Exchanges
+from ._exchanges import Exchanges
 from ._ports import RetryPort, RouterPort
 from ._problem import ProblemError
 from ._shell import Shell
+from ._timeouts import EntryTimeouts
 
 DRAIN_POLL_S = 0.02
 # Answers that were written but not yet taken by the callers' connections.
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import datetime
 from functools import singledispatchmethod
 
 from ..core import (
@@ -33,17 +32,7 @@
 from ._exchange import Exchange
 from ._ports import RouterPort
 from ._shell import Shell
-
-
-@dataclass(slots=True, frozen=True)
-class EntryTimeouts:
-    """Hold the time-outs of the entry's request path."""
-
-    ping_interval: timedelta = timedelta(milliseconds=500)
-    silence: timedelta = timedelta(seconds=2)
-    lost_after: timedelta = timedelta(seconds=5)
-    # How long a caller may take nothing while bytes are held for it.
-    write: timedelta = timedelta(seconds=20)
+from ._timeouts import EntryTimeouts
 
 
 class Exchanges:
--- /dev/null
+++ b/shallotpath/runtime/_timeouts.py
@@ -0,0 +1,27 @@
+"""Time-outs of the request path."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class AgentTimeouts:
+    """Hold the time-outs of the agent's request path."""
+
+    # An entry needs 2 s to notice silence and some more for a new connection.
+    entry_silence: timedelta = timedelta(seconds=8)
+    # How long an answer waits for its reader to confirm or resume it.
+    answer_kept: timedelta = timedelta(seconds=30)
+
+
+@dataclass(slots=True, frozen=True)
+class EntryTimeouts:
+    """Hold the time-outs of the entry's request path."""
+
+    ping_interval: timedelta = timedelta(milliseconds=500)
+    silence: timedelta = timedelta(seconds=2)
+    lost_after: timedelta = timedelta(seconds=5)
+    # How long a caller may take nothing while bytes are held for it.
+    write: timedelta = timedelta(seconds=20)
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -27,7 +27,7 @@
     Submit,
     Tick,
 )
-from shallotpath.runtime._agent_calls import AgentTimeouts
+from shallotpath.runtime import AgentTimeouts
 from shallotpath.standins import make_token
 
 from .parts import PATIENCE_S, Upstream, make_configuration, make_shell, until
