--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -1,14 +1,12 @@
 """The asyncio shell that performs the effects of a node, and the servers."""
 
 from ._agent import AgentServer
-from ._agent_calls import AgentTimeouts
 from ._agent_part import AgentPart
 from ._control import ControlLoop, status_of
 from ._engine_client import EngineClient
 from ._entry import EntryServer
 from ._entry_part import EntryPart
 from ._entry_request import EntryLimits
-from ._exchanges import EntryTimeouts
 from ._log_tailer import LogTailer
 from ._platform_client import LogPage, PlatformClient
 from ._ports import (
@@ -21,6 +19,7 @@
 )
 from ._security import Security, check_keys
 from ._shell import Shell, Telemetry
+from ._timeouts import AgentTimeouts, EntryTimeouts
 from ._transport import Transport, peer_identity
 from ._weights import AgentWeights, LinkPacer
 from ._weights_engine import EngineWeightsClient
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import datetime, timedelta
 
 import msgspec
 
-from ..claims import ClaimDecided, ClaimDecision, KnownClaim, Phase, RefuseClaim
+from ..claims import ClaimDecided, ClaimDecision, KnownClaim, RefuseClaim
 from ..config import ConfigurationView
 from ..core import (
     Accepted,
@@ -26,7 +26,8 @@
 from ..limits import Admit, Call, Refuse
 from ..streams import AnswerWriter, SlowReaderBudget
 from ._admission import AdmissionChecks
-from ._agent_part import ClaimFinished, ClaimReleased, ClaimWanted
+from ._agent_part import ClaimWanted
+from ._claim_states import claim_end, known_failure
 from ._engine_client import EngineClient
 from ._engine_run import EngineRun
 from ._engine_watch import EngineWatch
@@ -36,26 +37,15 @@
     WeightsPort,
 )
 from ._shell import Shell
+from ._timeouts import AgentTimeouts
 
 RETRY_AFTER = timedelta(seconds=1)
-STATUS_OK = 200
-STATUS_UNKNOWN = 0
 # Bounds what one stream may hold, whatever window its entry asks for.
 MAX_WINDOW_BYTES = 1024 * 1024
 # Refusals that end by themselves soon.
 BRIEF_REFUSALS = frozenset({Code.WEIGHTS_NOT_READY, Code.UPSTREAM_LOST})
 
 
-@dataclass(slots=True, frozen=True)
-class AgentTimeouts:
-    """Hold the time-outs of the agent's request path."""
-
-    # An entry needs 2 s to notice silence and some more for a new connection.
-    entry_silence: timedelta = timedelta(seconds=8)
-    # How long an answer waits for its reader to confirm or resume it.
-    answer_kept: timedelta = timedelta(seconds=30)
-
-
 class AgentCalls:
     """Admit calls, run them on the engine and keep what entries may ask for."""
 
@@ -270,10 +260,9 @@
         return await call.decided
 
     def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
-        if decision.state.phase is Phase.RUNNING:
-            return Failure(Code.CLAIM_IN_PROGRESS, RunState.YES)
-        if decision.state.phase is not Phase.FINISHED:
-            return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+        failure = known_failure(decision.state.phase)
+        if failure is not None:
+            return failure
         call.writer.begin(200, "application/json", "")
         state = {"idempotency_key": call.submit.key, "state": decision.state.phase}
         call.writer.write(msgspec.json.encode(state))
@@ -284,6 +273,8 @@
             return
         now = self.shell.clock.now()
         call.done_at = now
+        # The record stays for status queries; the body is not needed any more.
+        call.submit = replace(call.submit, body=b"")
         self._report_end(call, failure)
         if failure is None and call.discarded:
             failure = Failure(Code.SLOW_READER, RunState.YES)
@@ -304,12 +295,7 @@
         if call.handed_over:
             self.shell.dispatch(CallEnded(submit.request_id, run, code))
         if call.claimed:
-            ids = (submit.key, submit.request_id)
-            status = STATUS_OK if failure is None else STATUS_UNKNOWN
-            released = run is RunState.NO
-            self.shell.dispatch(
-                ClaimReleased(*ids) if released else ClaimFinished(*ids, status)
-            )
+            self.shell.dispatch(claim_end(submit, failure))
 
     def _fail(self, call: InboundCall, failure: Failure) -> None:
         submit = call.submit
--- a/shallotpath/runtime/_security.py
+++ b/shallotpath/runtime/_security.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from uuid import uuid4
 
 import zmq
 import zmq.asyncio
@@ -56,7 +57,7 @@
         """Tell whether a peer may use another key than this process."""
         return len(self.accepted_keys) > 1
 
-    def start(self) -> zmq.asyncio.Context:
+    def start(self) -> zmq.Context:
         """Return the context of the sockets; start to check keys in it."""
         check_keys(self.public_key, self.secret_key, self.accepted_keys)
         self.users_ += 1
@@ -65,7 +66,8 @@
             self.authenticator_ = AsyncioAuthenticator(self.context_)
             self.authenticator_.start()
             self.authenticator_.configure_curve_callback(_ANY_ZAP_DOMAIN, self)
-        return self.context_
+        # Plain sockets in the context that the authenticator serves.
+        return zmq.Context.shadow(self.context_.underlying)
 
     def stop(self) -> None:
         """Stop to check keys once the last user of the context has stopped."""
@@ -96,8 +98,11 @@
     ) -> None:
         """Wait for the handshake; on failure choose the next key for the address."""
         events = zmq.EVENT_HANDSHAKE_SUCCEEDED | _HANDSHAKE_FAILED
-        monitor = socket.get_monitor_socket(events)
-        message = await recv_monitor_message(monitor)
+        endpoint = f"inproc://handshake-{uuid4().hex}"
+        socket.monitor(endpoint, events)
+        with self.context_.socket(zmq.PAIR) as monitor:
+            monitor.connect(endpoint)
+            message = await recv_monitor_message(monitor)
         succeeded = message["event"] == zmq.EVENT_HANDSHAKE_SUCCEEDED
         if not succeeded:
             index = self.key_index_by_address_.get(address, 0)
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -15,10 +15,10 @@
 from typing import Protocol
 
 import zmq
-import zmq.asyncio
 
 from ..core import FrameError, Message, decode_stamped, encode
 from ._security import Security
+from ._socket_reader import SocketReader
 
 SEND_QUEUE_FRAMES = 1000
 # Frames that are sent again if the peer turns out to use another accepted key.
@@ -76,8 +76,8 @@
         "security",
         "sent_bytes_",
         "stamper",
-        "tasks_by_address_",
         "unconfirmed_by_address_",
+        "watchers_by_address_",
     )
 
     def __init__(
@@ -94,14 +94,12 @@
         self.stamper = stamper or NullStamper()
         self.security = security
         self.address_ = address
-        self.context_: zmq.asyncio.Context | None = None
+        self.context_: zmq.Context | None = None
         self.unconfirmed_by_address_: dict[str, deque[bytes]] = {}
-        self.router_: zmq.asyncio.Socket | None = None
-        self.dealers_by_address_: dict[str, zmq.asyncio.Socket] = {}
-        self.tasks_by_address_: dict[str, asyncio.Task] = {}
-        self.retired_by_address_: dict[
-            str, tuple[zmq.asyncio.Socket, asyncio.Task]
-        ] = {}
+        self.watchers_by_address_: dict[str, asyncio.Task] = {}
+        self.router_: SocketReader | None = None
+        self.dealers_by_address_: dict[str, SocketReader] = {}
+        self.retired_by_address_: dict[str, SocketReader] = {}
         self.identity_counter_ = count()
         self.heard_at_by_peer_: dict[str, float] = {}
         self.bad_frames_ = 0
@@ -112,7 +110,7 @@
     async def start(self) -> None:
         """Bind the router; a port of 0 binds any free port."""
         if self.security is None:
-            self.context_ = zmq.asyncio.Context.instance()
+            self.context_ = zmq.Context.instance()
         else:
             self.context_ = self.security.start()
         router = self.context_.socket(zmq.ROUTER)
@@ -125,38 +123,42 @@
             self.address.replace(":0", ":*") if self._any_port() else self.address
         )
         self.address_ = router.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
-        self.router_ = router
-        self.tasks_by_address_[""] = asyncio.create_task(self._read_router(router))
+        self.router_ = SocketReader(router, self._deliver_routed)
+        self.router_.start()
 
     async def stop(self) -> None:
         """Close all sockets."""
-        for task in self.tasks_by_address_.values():
-            task.cancel()
-        await asyncio.gather(*self.tasks_by_address_.values(), return_exceptions=True)
-        self.tasks_by_address_.clear()
+        watchers = list(self.watchers_by_address_.values())
+        for watcher in watchers:
+            watcher.cancel()
+        await asyncio.gather(*watchers, return_exceptions=True)
+        self.watchers_by_address_.clear()
         for address in list(self.retired_by_address_):
             self._close_retired(address)
         for address in list(self.dealers_by_address_):
-            self.dealers_by_address_.pop(address).close(0)
+            self.dealers_by_address_.pop(address).stop()
         if self.router_ is not None:
-            self.router_.close(0)
+            self.router_.stop()
+            self.router_ = None
             if self.security is not None:
                 self.security.stop()
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; tell whether the queue took it."""
         frame = encode(message, self.stamper.tick())
+        if peer.startswith(ROUTED_PREFIX):
+            reader, parts = self.router_, [bytes.fromhex(peer[1:]), frame]
+        else:
+            reader, parts = self._dealer(peer), [frame]
         try:
-            if peer.startswith(ROUTED_PREFIX):
-                parts = [bytes.fromhex(peer[1:]), frame]
-                zmq.Socket.send_multipart(self.router_, parts, zmq.DONTWAIT)
-            else:
-                zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
-                if peer in self.unconfirmed_by_address_:
-                    self.unconfirmed_by_address_[peer].append(frame)
+            reader.socket.send_multipart(parts, zmq.DONTWAIT)
         except zmq.ZMQError:
             self.dropped_frames_ += 1
             return False
+        finally:
+            reader.check()
+        if peer in self.unconfirmed_by_address_:
+            self.unconfirmed_by_address_[peer].append(frame)
         self.sent_bytes_ += len(frame)
         return True
 
@@ -168,10 +170,10 @@
     def connect_beside(self, address: str) -> None:
         """Open a new connection and read the old one until the new one is heard."""
         self._close_retired(address)
+        self._forget_handshake(address)
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
-            task = self.tasks_by_address_.pop(address)
-            self.retired_by_address_[address] = (dealer, task)
+            self.retired_by_address_[address] = dealer
         self._dealer(address)
 
     def disconnect(self, address: str) -> None:
@@ -179,38 +181,39 @@
         self._close_retired(address)
         dealer = self.dealers_by_address_.pop(address, None)
         if dealer is not None:
-            self.tasks_by_address_.pop(address).cancel()
-            watcher = self.tasks_by_address_.pop(f"watch {address}", None)
-            if watcher is not None:
-                watcher.cancel()
-            dealer.close(0)
+            dealer.stop()
+        self._forget_handshake(address)
         self.heard_at_by_peer_.pop(address, None)
-        self.unconfirmed_by_address_.pop(address, None)
 
     def _handshake_done(self, address: str, succeeded: bool) -> None:
-        self.tasks_by_address_.pop(f"watch {address}", None)
+        self.watchers_by_address_.pop(address, None)
         frames = self.unconfirmed_by_address_.pop(address, deque())
         if succeeded:
             return
-        self.reconnect(address)
+        self.disconnect(address)
+        reader = self._dealer(address)
         for frame in frames:
             with contextlib.suppress(zmq.ZMQError):
-                zmq.Socket.send(self.dealers_by_address_[address], frame, zmq.DONTWAIT)
+                reader.socket.send(frame, zmq.DONTWAIT)
             self.unconfirmed_by_address_[address].append(frame)
 
+    def _forget_handshake(self, address: str) -> None:
+        watcher = self.watchers_by_address_.pop(address, None)
+        if watcher is not None:
+            watcher.cancel()
+        self.unconfirmed_by_address_.pop(address, None)
+
     def _close_retired(self, address: str) -> None:
         retired = self.retired_by_address_.pop(address, None)
         if retired is not None:
-            dealer, task = retired
-            task.cancel()
-            dealer.close(0)
+            retired.stop()
 
     def _any_port(self) -> bool:
         return self.address.endswith(":0")
 
-    def _dealer(self, address: str) -> zmq.asyncio.Socket:
-        dealer = self.dealers_by_address_.get(address)
-        if dealer is None:
+    def _dealer(self, address: str) -> SocketReader:
+        reader = self.dealers_by_address_.get(address)
+        if reader is None:
             dealer = self.context_.socket(zmq.DEALER)
             dealer.setsockopt(zmq.LINGER, 0)
             dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
@@ -223,35 +226,35 @@
             if self.security is not None:
                 self._secure(address, dealer)
             dealer.connect(address)
-            self.dealers_by_address_[address] = dealer
-            self.tasks_by_address_[address] = asyncio.create_task(
-                self._read_dealer(address, dealer)
-            )
-        return dealer
+            reader = SocketReader(dealer, self._deliver_from(address, dealer))
+            self.dealers_by_address_[address] = reader
+            reader.start()
+        return reader
 
-    def _secure(self, address: str, dealer: zmq.asyncio.Socket) -> None:
+    def _secure(self, address: str, dealer: zmq.Socket) -> None:
         self.security.secure_client(dealer, address)
         if self.security.rotates:
             self.unconfirmed_by_address_[address] = deque(maxlen=MAX_UNCONFIRMED_FRAMES)
-            self.tasks_by_address_[f"watch {address}"] = asyncio.create_task(
+            self.watchers_by_address_[address] = asyncio.create_task(
                 self.security.watch(dealer, address, self._handshake_done)
             )
 
-    async def _read_router(self, router: zmq.asyncio.Socket) -> None:
-        while True:
-            parts = await router.recv_multipart()
-            if len(parts) == 2:
-                self._deliver(f"{ROUTED_PREFIX}{parts[0].hex()}", parts[1])
-            else:
-                self.bad_frames_ += 1
-
-    async def _read_dealer(self, address: str, dealer: zmq.asyncio.Socket) -> None:
-        with contextlib.suppress(zmq.ZMQError):
-            while True:
-                frame = await dealer.recv()
-                if self.dealers_by_address_.get(address) is dealer:
-                    self._close_retired(address)
-                self._deliver(address, frame)
+    def _deliver_from(
+        self, address: str, dealer: zmq.Socket
+    ) -> Callable[[list[bytes]], None]:
+        def deliver(parts: list[bytes]) -> None:
+            current = self.dealers_by_address_.get(address)
+            if current is not None and current.socket is dealer:
+                self._close_retired(address)
+            self._deliver(address, parts[-1])
+
+        return deliver
+
+    def _deliver_routed(self, parts: list[bytes]) -> None:
+        if len(parts) == 2:
+            self._deliver(f"{ROUTED_PREFIX}{parts[0].hex()}", parts[1])
+        else:
+            self.bad_frames_ += 1
 
     def _deliver(self, peer: str, frame: bytes) -> None:
         self.received_bytes_ += len(frame)
