--- a/shallotpath/claims/tests/world.py
+++ b/shallotpath/claims/tests/world.py
@@ -36,6 +36,7 @@
     RunState,
     Send,
     Tick,
+    rendezvous_choice,
 )
 from shallotpath.membership import Member, MemberState, Role, StaticMembership
 
@@ -85,10 +86,10 @@
         self.membership = StaticMembership()
         self.log = []
         self.log_up = True
-        self.lose_answers = False
-        self.apply_late = False
         self.late = []
+        # A cut domain reaches neither the log nor the other domains.
         self.cut = set()
+        self.log_cut = set()
         self.agents = {}
         self.witnesses = {}
         self.flights = []
@@ -136,10 +137,10 @@
     def domain_of(self, member):
         return self.membership.members_by_id[member].domain
 
-    def kill(self, member):
-        """Stop a process; its appends may still take effect."""
+    def kill(self, member, lands=True):
+        """Stop a process; its open appends take effect later or never."""
         agent = self.agents.pop(member, None)
-        if agent is not None:
+        if agent is not None and lands:
             self.late.extend(a.records for a in agent.appends)
         self.witnesses.pop(member, None)
         known = self.membership.members_by_id[member]
@@ -155,10 +156,10 @@
         if self.vms.pop(member, None) is not None:
             self.list_version += 1
 
-    def restart(self, member):
+    def restart(self, member, lands=True):
         domain = self.domain_of(member)
         was_agent = member in self.agents
-        self.kill(member)
+        self.kill(member, lands)
         if was_agent:
             self.add_agent(member, domain)
         else:
@@ -189,7 +190,8 @@
         )
 
     def reaches_log(self, member):
-        return self.log_up and self.domain_of(member) not in self.cut
+        domain = self.domain_of(member)
+        return self.log_up and domain not in self.cut | self.log_cut
 
     def dispatch(self, member, event):
         agent = self.agents.get(member)
@@ -324,11 +326,22 @@
     def heal(self):
         self.log_up = True
         self.cut.clear()
+        self.log_cut.clear()
         while self.late:
             self.land_late()
         for agent in self.agents.values():
             agent.paused = False
 
+    def moving_key(self, member, joiner):
+        """Return a key that moves from a member to one that joins."""
+        homes = self.entry_homes.service(SERVICE).active_by_id
+        return next(
+            key
+            for key in (f"m{n}" for n in range(10_000))
+            if self.home(key) == member
+            and rendezvous_choice(key, {*homes, joiner}) == joiner
+        )
+
     def home(self, key):
         return self.entry_homes.home_of(SERVICE, key)
 
