--- a/shallotpath/claims/__init__.py
+++ b/shallotpath/claims/__init__.py
@@ -1,6 +1,7 @@
 """At-most-once execution of non-repeatable calls."""
 
-from ._homes import CLAIM_WINDOW, Debt, Home, HomeSet, ServiceHomes
+from ._home_model import Debt, Home, ServiceHomes
+from ._homes import CLAIM_WINDOW, HomeSet
 from ._model import (
     ClaimDecided,
     ClaimDecision,
@@ -21,6 +22,7 @@
     Record,
     Retire,
     Settled,
+    Snapshot,
     Witness,
     decode_record,
     encode_record,
@@ -53,6 +55,7 @@
     "RunClaim",
     "ServiceHomes",
     "Settled",
+    "Snapshot",
     "Witness",
     "WitnessStore",
     "decode_record",
--- /dev/null
+++ b/shallotpath/claims/_health.py
@@ -0,0 +1,38 @@
+"""How long the log has not answered."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+
+
+class LogHealth:
+    """Note when the log answered last and whether it failed since."""
+
+    __slots__ = ("answered_at_", "failing_")
+
+    def __init__(self) -> None:
+        self.answered_at_: datetime | None = None
+        self.failing_ = False
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether the log ever answered this incarnation."""
+        return self.answered_at_ is not None
+
+    def succeed(self, now: datetime) -> None:
+        """Note a successful append or read."""
+        self.answered_at_ = now
+        self.failing_ = False
+
+    def fail(self) -> None:
+        """Note a failed append or read."""
+        self.failing_ = True
+
+    def out(self, now: datetime, period: timedelta) -> bool:
+        """Tell whether the log failed and did not answer for a period.
+
+        Silence alone is not an outage: a read of a quiet log takes seconds.
+        """
+        if self.answered_at_ is None or not self.failing_:
+            return False
+        return now - self.answered_at_ >= period
--- /dev/null
+++ b/shallotpath/claims/_home_model.py
@@ -0,0 +1,111 @@
+"""Home agents, retired home agents and the home set of a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import datetime
+
+from ..core import rendezvous_choice
+from ._records import DebtImage, HomeImage, ServiceImage, Witness
+
+
+@dataclass(slots=True)
+class Home:
+    """Describe a home agent, joined or waiting for its activation."""
+
+    member: str
+    incarnation: str
+    domain: str
+    joined_at: int
+    read: int
+    vm_incarnation: str = ""
+    seq: int = -1
+    witnesses: list[Witness] = field(default_factory=list)
+
+
+@dataclass(slots=True, frozen=True)
+class Debt:
+    """Describe a retired home agent whose claims without the log are unread."""
+
+    member: str
+    incarnation: str
+    witnesses: list[Witness]
+    members: tuple[str, ...]
+    read_at: datetime
+
+    def affects(self, key: str) -> bool:
+        """Tell whether the retired agent was the home of a key."""
+        return rendezvous_choice(key, self.members) == self.member
+
+
+@dataclass(slots=True)
+class ServiceHomes:
+    """Hold the home set of one service."""
+
+    active_by_id: dict[str, Home] = field(default_factory=dict)
+    pending_by_id: dict[str, Home] = field(default_factory=dict)
+    debts_by_incarnation: dict[str, Debt] = field(default_factory=dict)
+    version: int = 0
+
+    def find(self, member: str, incarnation: str) -> Home | None:
+        """Return a home agent at an incarnation, active or pending."""
+        for homes in (self.active_by_id, self.pending_by_id):
+            home = homes.get(member)
+            if home is not None and home.incarnation == incarnation:
+                return home
+        return None
+
+    def image(self, service: str) -> ServiceImage:
+        """Return the record form of this home set."""
+        return ServiceImage(
+            service,
+            [_home_image(home) for home in self.active_by_id.values()],
+            [_home_image(home) for home in self.pending_by_id.values()],
+            [
+                DebtImage(d.member, d.incarnation, d.witnesses, list(d.members))
+                for d in self.debts_by_incarnation.values()
+            ],
+        )
+
+
+def restore_homes(image: ServiceImage, now: datetime) -> ServiceHomes:
+    """Return the home set that a snapshot carries.
+
+    A restored debt expires a claim window after it is restored, which is later
+    than needed and therefore safe.
+    """
+    debts = (
+        Debt(d.member, d.incarnation, d.witnesses, tuple(d.members), now)
+        for d in image.debts
+    )
+    return ServiceHomes(
+        {home.member: _home(home) for home in image.active},
+        {home.member: _home(home) for home in image.pending},
+        {debt.incarnation: debt for debt in debts},
+    )
+
+
+def _home_image(home: Home) -> HomeImage:
+    return HomeImage(
+        home.member,
+        home.incarnation,
+        home.domain,
+        home.joined_at,
+        home.read,
+        home.vm_incarnation,
+        home.seq,
+        home.witnesses,
+    )
+
+
+def _home(image: HomeImage) -> Home:
+    return Home(
+        image.member,
+        image.incarnation,
+        image.domain,
+        image.joined_at,
+        image.read,
+        image.vm_incarnation,
+        image.seq,
+        image.witnesses,
+    )
--- a/shallotpath/claims/_homes.py
+++ b/shallotpath/claims/_homes.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
 from functools import singledispatchmethod
 from random import Random
 
+from msgspec.structs import replace
+
 from ..core import (
     Count,
     Effect,
@@ -17,6 +18,7 @@
     RecordsRead,
     rendezvous_choice,
 )
+from ._home_model import Debt, Home, ServiceHomes, restore_homes
 from ._records import (
     STREAM,
     Claims,
@@ -26,7 +28,7 @@
     Record,
     Retire,
     Settled,
-    Witness,
+    Snapshot,
     decode_record,
 )
 
@@ -37,69 +39,34 @@
 KEY_DRAWS = 200
 
 
-@dataclass(slots=True)
-class Home:
-    """Describe a home agent, joined or waiting for its activation."""
-
-    member: str
-    incarnation: str
-    domain: str
-    joined_at: int
-    read: int
-    vm_incarnation: str = ""
-    seq: int = -1
-    witnesses: list[Witness] = field(default_factory=list)
-
-
-@dataclass(slots=True, frozen=True)
-class Debt:
-    """Describe a retired home agent whose claims without the log are unread."""
-
-    member: str
-    incarnation: str
-    witnesses: list[Witness]
-    members: tuple[str, ...]
-    read_at: datetime
-
-    def affects(self, key: str) -> bool:
-        """Tell whether the retired agent was the home of a key."""
-        return rendezvous_choice(key, self.members) == self.member
-
-
-@dataclass(slots=True)
-class ServiceHomes:
-    """Hold the home set of one service."""
-
-    active_by_id: dict[str, Home] = field(default_factory=dict)
-    pending_by_id: dict[str, Home] = field(default_factory=dict)
-    debts_by_incarnation: dict[str, Debt] = field(default_factory=dict)
-
-    def find(self, member: str, incarnation: str) -> Home | None:
-        """Return a home agent at an incarnation, active or pending."""
-        for homes in (self.active_by_id, self.pending_by_id):
-            home = homes.get(member)
-            if home is not None and home.incarnation == incarnation:
-                return home
-        return None
-
-
 class HomeSet:
-    """Fold the claims stream into the home set of each service."""
+    """Fold the claims stream into the home set of each service.
+
+    A reader that starts after expired records, or misses records, has no home
+    sets until it reads a snapshot; records read before that are kept and folded
+    on top of it.
+    """
 
     __slots__ = (
+        "based_",
+        "buffer_",
+        "gaps_",
         "garbled_",
         "gone_",
         "gone_order_",
         "offset_",
         "services_",
-        "version_",
+        "snapshot_at_",
         "window",
     )
 
     def __init__(self, *, window: timedelta = CLAIM_WINDOW) -> None:
         self.window = window
         self.offset_ = -1
-        self.version_ = 0
+        self.based_ = False
+        self.buffer_: deque[LogRecord] = deque()
+        self.gaps_ = 0
+        self.snapshot_at_: datetime | None = None
         self.garbled_ = 0
         self.services_: dict[str, ServiceHomes] = {}
         self.gone_: set[str] = set()
@@ -111,9 +78,19 @@
         return self.offset_
 
     @property
-    def version(self) -> int:
-        """Return a number that grows with every change of a home set."""
-        return self.version_
+    def gaps(self) -> int:
+        """Return how often records expired before they were read."""
+        return self.gaps_
+
+    @property
+    def based(self) -> bool:
+        """Tell whether the home sets are known."""
+        return self.based_
+
+    @property
+    def snapshot_at(self) -> datetime | None:
+        """Return when the last snapshot was read."""
+        return self.snapshot_at_
 
     def service(self, service: str) -> ServiceHomes:
         """Return the home set of a service."""
@@ -172,22 +149,61 @@
             return []
         garbled = self.garbled_
         for record in event.records:
-            self.apply(record, now)
+            for _ in self.apply(record, now):
+                pass
         if self.garbled_ == garbled:
             return []
         return [Count("claims_garbled_records", amount=self.garbled_ - garbled)]
 
-    def apply(self, entry: LogRecord, now: datetime) -> Record | None:
-        """Fold one log record; return it unless it is old or garbled."""
+    def apply(self, entry: LogRecord, now: datetime) -> Iterator[Record]:
+        """Fold one log record; yield each record that was folded, in order.
+
+        Old and garbled records yield nothing. The caller must exhaust the
+        iterator and may read the home sets at the offset of each record.
+        """
         if entry.offset <= self.offset_:
-            return None
+            return
+        if self.based_ and entry.offset > self.offset_ + 1:
+            self.gaps_ += 1
+            self.based_ = False
+            self.services_.clear()
+        if entry.offset == 0:
+            self.based_ = True
         self.offset_ = entry.offset
         record = decode_record(entry.data)
         if record is None:
             self.garbled_ += 1
-            return None
-        self._fold(record, entry.offset, now)
-        return record
+        elif self.based_:
+            self._fold(record, entry.offset, now)
+            yield record
+        else:
+            self.buffer_.append(entry)
+            if isinstance(record, Snapshot):
+                yield from self._restore(record, now)
+
+    def snapshot(self) -> Snapshot:
+        """Return a record of all home sets at the current offset."""
+        images = [homes.image(name) for name, homes in self.services_.items()]
+        return Snapshot(self.offset_, images, list(self.gone_order_))
+
+    def _restore(self, record: Snapshot, now: datetime) -> Iterator[Record]:
+        # A snapshot taken before the first record read leaves records out.
+        if record.through < self.buffer_[0].offset - 1:
+            return
+        self.services_ = {i.service: restore_homes(i, now) for i in record.services}
+        self.gone_order_ = deque(record.gone)
+        self.gone_ = set(record.gone)
+        self.based_ = True
+        self.snapshot_at_ = now
+        while self.buffer_:
+            entry = self.buffer_.popleft()
+            folded = decode_record(entry.data)
+            if folded is not None and entry.offset > record.through:
+                self._fold(folded, entry.offset, now)
+                yield folded
+            elif isinstance(folded, Claims):
+                # Whether its author was the home then is not known any more.
+                yield replace(folded, offline=True)
 
     @singledispatchmethod
     def _fold(self, record: Record, offset: int, now: datetime) -> None:
@@ -260,6 +276,10 @@
     def _(self, record: Claims, offset: int, now: datetime) -> None:
         pass
 
+    @_fold.register
+    def _(self, record: Snapshot, offset: int, now: datetime) -> None:
+        self.snapshot_at_ = now
+
     @_fold.register
     def _(self, record: Settled, offset: int, now: datetime) -> None:
         self.service(record.service).debts_by_incarnation.pop(record.incarnation, None)
@@ -286,7 +306,7 @@
             self.gone_.discard(self.gone_order_.popleft())
 
     def _changed(self, homes: ServiceHomes) -> None:
-        self.version_ += 1
+        homes.version += 1
         self._activate(homes)
 
     def _activate(self, homes: ServiceHomes) -> None:
@@ -294,7 +314,7 @@
             if self._confirmed(home, homes.active_by_id.values()):
                 del homes.pending_by_id[home.member]
                 homes.active_by_id[home.member] = home
-                self.version_ += 1
+                homes.version += 1
 
     def _confirmed(self, home: Home, active: Iterable[Home]) -> bool:
         return all(a.read >= home.joined_at for a in active)
--- /dev/null
+++ b/shallotpath/claims/_keys.py
@@ -0,0 +1,121 @@
+"""The state of the keys at a home agent and the decisions on requests."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+
+from ..core import Effect, Emit
+from ._model import (
+    ClaimDecided,
+    ClaimDecision,
+    ClaimState,
+    KeyEntry,
+    KnownClaim,
+    Phase,
+    RunClaim,
+    Waiting,
+)
+
+
+class KeyBook:
+    """Hold the state of each key; give the run of a key to one request."""
+
+    __slots__ = ("entries_by_key_", "pending_")
+
+    def __init__(self) -> None:
+        self.entries_by_key_: dict[str, KeyEntry] = {}
+        self.pending_: dict[str, KeyEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self.entries_by_key_)
+
+    @property
+    def pending(self) -> dict[str, KeyEntry]:
+        """Return the keys that are not decided."""
+        return self.pending_
+
+    def holds(self, key: str) -> bool:
+        """Tell whether the state of a key is known."""
+        return key in self.entries_by_key_
+
+    def request(self, key: str, item: Waiting, now: datetime) -> list[Effect]:
+        """Answer a request, or let it wait for the decision on its key."""
+        entry = self.entries_by_key_.get(key)
+        if entry is None:
+            entry = KeyEntry(Phase.PENDING, now)
+            self.entries_by_key_[key] = entry
+        if entry.phase is not Phase.PENDING:
+            return [decided(key, item, self._take(entry))]
+        entry.waiting = [*(entry.waiting or ()), item]
+        self.pending_[key] = entry
+        return []
+
+    def claim(self, key: str, now: datetime) -> list[Effect]:
+        """Note that this agent owns the claim on a key."""
+        entry = self.entries_by_key_.get(key)
+        if entry is None:
+            self.entries_by_key_[key] = KeyEntry(Phase.CLAIMED, now)
+            return []
+        return self._settle(key, entry, Phase.CLAIMED)
+
+    def learn(self, key: str, now: datetime) -> list[Effect]:
+        """Note that another incarnation claimed a key."""
+        entry = self.entries_by_key_.get(key)
+        if entry is None:
+            self.entries_by_key_[key] = KeyEntry(Phase.UNKNOWN, now)
+            return []
+        return self._settle(key, entry, Phase.UNKNOWN)
+
+    def finish(self, key: str, status: int) -> None:
+        """Keep the outcome of a run."""
+        entry = self.entries_by_key_.get(key)
+        if entry is not None and entry.phase is Phase.RUNNING:
+            entry.phase = Phase.FINISHED
+            entry.status = status
+
+    def take_late(self, now: datetime) -> list[tuple[str, Waiting]]:
+        """Remove and return the requests that have waited too long."""
+        late = []
+        for key, entry in self.pending_.items():
+            waiting = entry.waiting or []
+            if any(item.deadline <= now for item in waiting):
+                late += [(key, item) for item in waiting if item.deadline <= now]
+                entry.waiting = [item for item in waiting if item.deadline > now]
+        return late
+
+    def drop(self, key: str) -> list[Waiting]:
+        """Forget a key that is not decided; return the requests that wait."""
+        entry = self.pending_.pop(key)
+        del self.entries_by_key_[key]
+        return entry.waiting or []
+
+    def expire(self, now: datetime, window: timedelta) -> list[str]:
+        """Forget the keys that are older than the claim window."""
+        expired = []
+        for key, entry in self.entries_by_key_.items():
+            if entry.at > now - window:
+                break
+            expired.append(key)
+        for key in expired:
+            del self.entries_by_key_[key]
+            self.pending_.pop(key, None)
+        return expired
+
+    def _settle(self, key: str, entry: KeyEntry, phase: Phase) -> list[Effect]:
+        if entry.phase is not Phase.PENDING:
+            return []
+        self.pending_.pop(key, None)
+        entry.phase = phase
+        waiting, entry.waiting = entry.waiting or [], None
+        return [decided(key, item, self._take(entry)) for item in waiting]
+
+    def _take(self, entry: KeyEntry) -> ClaimDecision:
+        if entry.phase is Phase.CLAIMED:
+            entry.phase = Phase.RUNNING
+            return RunClaim()
+        return KnownClaim(ClaimState(entry.phase, entry.status))
+
+
+def decided(key: str, item: Waiting, decision: ClaimDecision) -> Effect:
+    """Return the effect that reports a decision."""
+    return Emit(ClaimDecided(item.request_id, key, decision))
--- a/shallotpath/claims/_model.py
+++ b/shallotpath/claims/_model.py
@@ -73,6 +73,8 @@
     retry_interval: timedelta = timedelta(milliseconds=500)
     # The share of the log's several hundred appends a second for all claims.
     appends_per_second: float = 200.0
+    # Far below the log's retention, so that several may fail in between.
+    snapshot_interval: timedelta = timedelta(minutes=10)
     max_keys: int = 50_000
     witness_count: int = 3
 
--- a/shallotpath/claims/_records.py
+++ b/shallotpath/claims/_records.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import get_args
-
 import msgspec
 
 STREAM = "claims"
@@ -81,7 +79,47 @@
     evidence: str
 
 
-Record = Join | Leave | Retire | Contact | Claims | Settled
+class HomeImage(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one home agent in a snapshot."""
+
+    member: str
+    incarnation: str
+    domain: str
+    joined_at: int
+    read: int
+    vm_incarnation: str
+    seq: int
+    witnesses: list[Witness]
+
+
+class DebtImage(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one unsettled retired home agent in a snapshot."""
+
+    member: str
+    incarnation: str
+    witnesses: list[Witness]
+    members: list[str]
+
+
+class ServiceImage(msgspec.Struct, frozen=True, array_like=True):
+    """Carry the home set of one service in a snapshot."""
+
+    service: str
+    active: list[HomeImage]
+    pending: list[HomeImage]
+    debts: list[DebtImage]
+
+
+class Snapshot(msgspec.Struct, frozen=True, tag=True):
+    """Carry all home sets at an offset, for readers that start after it."""
+
+    through: int
+    services: list[ServiceImage]
+    gone: list[str]
+    service: str = ""
+
+
+Record = Join | Leave | Retire | Contact | Claims | Settled | Snapshot
 
 _decoder = msgspec.msgpack.Decoder(Record)
 _encoder = msgspec.msgpack.Encoder()
@@ -98,6 +136,3 @@
         return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, OverflowError):
         return None
-
-
-RECORD_TYPES = get_args(Record)
--- a/shallotpath/claims/_seat.py
+++ b/shallotpath/claims/_seat.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from ..core import ListUpdated, rendezvous_order
 from ..membership import MembershipView, MemberState
-from ._homes import Home, HomeSet
+from ._home_model import Home
+from ._homes import HomeSet
 from ._model import ClaimSettings, Identity
 from ._outbox import Outbox
 from ._records import Contact, Join, Leave, Retire, Witness
 
 MIN_WITNESSES = 2
-JOIN, CONTACT, LEAVE, RETIRE = "join", "contact", "leave", "retire/"
+JOIN, CONTACT, LEAVE, SNAPSHOT = "join", "contact", "leave", "snapshot"
+RETIRE = "retire/"
+SNAPSHOT_STAGGER = timedelta(seconds=30)
 
 
 class Seat:
@@ -37,6 +40,7 @@
         "seen_version_by_vm_",
         "seq_",
         "settings",
+        "started_at_",
     )
 
     def __init__(
@@ -56,6 +60,7 @@
         self.contact_: Contact | None = None
         self.contact_at_: datetime | None = None
         self.raised_version_ = -1
+        self.started_at_: datetime | None = None
         self.seq_ = 0
         self.leaving_ = False
         self.leave_sent_ = False
@@ -115,6 +120,7 @@
             self.outbox.drop(JOIN)
             self._update_contact(home, now)
         self._update_leave(home)
+        self._update_snapshot(now)
         self._drop_retired()
 
     def observe_list(self, event: ListUpdated) -> None:
@@ -143,13 +149,33 @@
         record = Retire(me.service, home.member, home.incarnation, evidence)
         self.outbox.put(RETIRE + home.incarnation, record)
 
+    def _version(self) -> int:
+        return self.homes.service(self.identity.service).version
+
+    def _update_snapshot(self, now: datetime) -> None:
+        """Append a snapshot long before the log drops the last one."""
+        self.started_at_ = self.started_at_ or now
+        last = max(self.homes.snapshot_at or self.started_at_, self.started_at_)
+        homes = self.homes.services_.values()
+        active = {member for service in homes for member in service.active_by_id}
+        order = rendezvous_order("snapshot", active)
+        if self.identity.member not in order:
+            return
+        # The next agent in the order takes over if the first does not write.
+        rank = order.index(self.identity.member)
+        if now - last < self.settings.snapshot_interval + rank * SNAPSHOT_STAGGER:
+            self.outbox.drop(SNAPSHOT)
+        elif not self.outbox.holds(SNAPSHOT):
+            self.outbox.put(SNAPSHOT, self.homes.snapshot())
+
     def _drop_retired(self) -> None:
         for name in self.outbox.names(RETIRE):
             if self.homes.departed(name.removeprefix(RETIRE)):
                 self.outbox.drop(name)
 
     def _update_join(self) -> None:
-        if self.leaving_ or self.departed:
+        known = self.homes.based or self.homes.offset < 0
+        if self.leaving_ or self.departed or not known:
             self.outbox.drop(JOIN)
             return
         me = self.identity
@@ -185,7 +211,7 @@
         bound = bool(self.outbox.unlogged)
         witnesses = home.witnesses if bound else self._choose_witnesses(home)
         changed = not bound and (
-            self.homes.version != self.raised_version_ or witnesses != home.witnesses
+            self._version() != self.raised_version_ or witnesses != home.witnesses
         )
         interval = self.settings.contact_interval
         elapsed = self.contact_at_ is None or now - self.contact_at_ >= interval
@@ -193,7 +219,7 @@
             return
         if not bound:
             self.confirmed_ = max(self.confirmed_, self.homes.offset)
-            self.raised_version_ = self.homes.version
+            self.raised_version_ = self._version()
         self._put_contact(witnesses, now)
 
     def _put_contact(self, witnesses: list[Witness], now: datetime) -> None:
--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -11,7 +11,6 @@
     Code,
     Count,
     Effect,
-    Emit,
     Event,
     Gauge,
     ListUpdated,
@@ -27,23 +26,14 @@
     rendezvous_choice,
 )
 from ..membership import MembershipView
-from ._homes import Debt, HomeSet
-from ._model import (
-    ClaimDecided,
-    ClaimDecision,
-    ClaimSettings,
-    ClaimState,
-    Identity,
-    KeyEntry,
-    KnownClaim,
-    Phase,
-    RefuseClaim,
-    RunClaim,
-    Waiting,
-)
+from ._health import LogHealth
+from ._home_model import Debt
+from ._homes import HomeSet
+from ._keys import KeyBook, decided
+from ._model import ClaimSettings, Identity, RefuseClaim, Waiting
 from ._outbox import FLUSH_TIMER, Outbox
-from ._records import STREAM, Claims, Record, Settled
-from ._seat import Seat
+from ._records import STREAM, Claims, Record, Settled, Snapshot
+from ._seat import SNAPSHOT, Seat
 from ._witnessing import DebtReader, WitnessWriter
 
 SETTLED = "settled/"
@@ -58,15 +48,11 @@
     """
 
     __slots__ = (
-        "entries_by_key_",
-        "expected_offset_",
-        "failing_",
-        "gap_",
+        "health_",
         "homes",
         "identity",
-        "last_contact_at_",
+        "keys_",
         "outbox_",
-        "pending_",
         "reader_",
         "seat_",
         "settings",
@@ -89,13 +75,9 @@
         self.seat_ = Seat(identity, self.homes, membership, self.outbox_, self.settings)
         self.writer_ = WitnessWriter(identity)
         self.reader_ = DebtReader(self.settings.retry_interval)
-        self.entries_by_key_: dict[str, KeyEntry] = {}
-        self.pending_: dict[str, KeyEntry] = {}
-        self.last_contact_at_: datetime | None = None
-        self.failing_ = False
+        self.keys_ = KeyBook()
+        self.health_ = LogHealth()
         self.witness_at_: datetime | None = None
-        self.expected_offset_: int | None = None
-        self.gap_ = False
 
     @property
     def joined(self) -> bool:
@@ -112,40 +94,31 @@
     @property
     def key_count(self) -> int:
         """Return the number of keys whose state is kept."""
-        return len(self.entries_by_key_)
+        return len(self.keys_)
 
     def offline(self, now: datetime) -> bool:
         """Tell whether the log has been out for the hand-over period."""
-        if self.last_contact_at_ is None or not self.failing_:
-            return False
-        return now - self.last_contact_at_ >= self.settings.hand_over
+        return self.health_.out(now, self.settings.hand_over)
 
     def request(
         self, key: str, request_id: str, fresh: bool, now: datetime
     ) -> list[Effect]:
         """Ask to run a key; emit `ClaimDecided` now or later."""
-        waiting = Waiting(request_id, fresh, now + self.settings.decide_within)
-        entry = self.entries_by_key_.get(key)
-        if entry is None:
-            refusal = self._refusal(key, fresh)
-            if refusal is not None:
-                return [self._decided(key, waiting, refusal)]
-            entry = KeyEntry(Phase.PENDING, now)
-            self.entries_by_key_[key] = entry
-        if entry.phase is Phase.PENDING:
-            entry.waiting = [*(entry.waiting or ()), waiting]
-            self.pending_[key] = entry
-            return [*self._pursue([key], now), *self._flush(now)]
-        return [self._decided(key, waiting, self._take_claim(entry))]
+        item = Waiting(request_id, fresh, now + self.settings.decide_within)
+        refusal = None if self.keys_.holds(key) else self._refusal(key, fresh)
+        if refusal is not None:
+            return [decided(key, item, refusal)]
+        effects = self.keys_.request(key, item, now)
+        if key in self.keys_.pending:
+            effects += self._pursue([key], now)
+            effects += self._flush(now)
+        return effects
 
     def finished(
         self, key: str, request_id: str, status: int, now: datetime
     ) -> list[Effect]:
         """Keep the outcome of a run for requests that repeat its key."""
-        entry = self.entries_by_key_.get(key)
-        if entry is not None and entry.phase is Phase.RUNNING:
-            entry.phase = Phase.FINISHED
-            entry.status = status
+        self.keys_.finish(key, status)
         return []
 
     def leave(self, now: datetime) -> list[Effect]:
@@ -162,18 +135,21 @@
     def _(self, event: RecordsRead, now: datetime) -> list[Effect]:
         if event.stream != STREAM:
             return []
-        effects = self._check_gap(event)
-        garbled = self.homes.garbled_
+        effects: list[Effect] = []
+        garbled, gaps = self.homes.garbled_, self.homes.gaps
         released: list[str] = []
         for entry in event.records:
-            record = self.homes.apply(entry, now)
-            if record is not None and record.service == self.identity.service:
+            for record in self.homes.apply(entry, now):
                 effects += self._read(record, now, released)
+        if self.homes.gaps > gaps:
+            # The missed records may hold claims, so this incarnation decides
+            # nothing any more.
+            effects.append(Log("claims_gap", {"offset": str(self.homes.offset)}))
         if self.homes.garbled_ > garbled:
             amount = self.homes.garbled_ - garbled
             effects.append(Count("claims_garbled_records", amount=amount))
         effects += self.writer_.release(released, self.seat_.witness_sets())
-        self._contacted(now)
+        self.health_.succeed(now)
         return [*effects, *self._maintain(now)]
 
     @reduce.register
@@ -181,7 +157,7 @@
         if event.stream != STREAM:
             return []
         self.outbox_.done(event.token)
-        self._contacted(now)
+        self.health_.succeed(now)
         return self._flush(now)
 
     @reduce.register
@@ -189,7 +165,7 @@
         if event.stream != STREAM:
             return []
         self.outbox_.failed(event.token, now)
-        self.failing_ = True
+        self.health_.fail()
         return self._flush(now)
 
     @reduce.register
@@ -197,9 +173,9 @@
         if event.stream != STREAM:
             return []
         if not event.reachable:
-            self.failing_ = True
+            self.health_.fail()
             return []
-        self._contacted(now)
+        self.health_.succeed(now)
         return self._maintain(now)
 
     @reduce.register
@@ -218,9 +194,11 @@
     @reduce.register
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         effects = self._maintain(now)
-        effects += self._expire_requests(now)
-        self._expire_keys(now)
-        return [*effects, Gauge("claims_keys", len(self.entries_by_key_))]
+        for key, item in self.keys_.take_late(now):
+            effects.append(self._refuse(key, item, Code.CLAIM_UNAVAILABLE))
+        for key in self.keys_.expire(now, self.settings.window):
+            self._forget(key)
+        return [*effects, Gauge("claims_keys", len(self.keys_))]
 
     @singledispatchmethod
     def _receive(self, message: object, now: datetime) -> list[Effect]:
@@ -230,7 +208,7 @@
     def _(self, message: WitnessAck, now: datetime) -> list[Effect]:
         effects: list[Effect] = []
         for key in self.writer_.acknowledge(message):
-            effects += self._try_offline(key)
+            effects += self._try_offline(key, now)
         return [*effects, *self._flush(now)] if effects else []
 
     @_receive.register
@@ -245,7 +223,11 @@
             self.identity.service, message.home, message.incarnation, keys, "witnesses"
         )
         self.outbox_.put(SETTLED + message.incarnation, record)
-        return [*effects, *self._pursue(list(self.pending_), now), *self._flush(now)]
+        return [
+            *effects,
+            *self._pursue(list(self.keys_.pending), now),
+            *self._flush(now),
+        ]
 
     @singledispatchmethod
     def _read(self, record: Record, now: datetime, released: list[str]) -> list[Effect]:
@@ -254,26 +236,31 @@
     @_read.register
     def _(self, record: Claims, now: datetime, released: list[str]) -> list[Effect]:
         effects: list[Effect] = []
+        if record.service != self.identity.service:
+            return effects
         for key in record.keys:
             if not record.offline and not self._author_is_home(record, key):
                 continue
             if record.incarnation != self.identity.incarnation:
                 effects += self._learn(key, now)
-                continue
-            self.outbox_.drop_key(key)
-            if self.writer_.forget(key):
-                released.append(key)
-            effects += self._logged(key, now)
+            elif not self.homes.gaps:
+                effects += self._logged(key, now, released)
         return effects
 
     @_read.register
     def _(self, record: Settled, now: datetime, released: list[str]) -> list[Effect]:
         self.outbox_.drop(SETTLED + record.incarnation)
         effects: list[Effect] = []
-        for key in record.keys:
-            effects += self._learn(key, now)
+        if record.service == self.identity.service:
+            for key in record.keys:
+                effects += self._learn(key, now)
         return effects
 
+    @_read.register
+    def _(self, record: Snapshot, now: datetime, released: list[str]) -> list[Effect]:
+        self.outbox_.drop(SNAPSHOT)
+        return []
+
     def _author_is_home(self, record: Claims, key: str) -> bool:
         homes = self.homes.service(record.service)
         home = homes.active_by_id.get(record.member)
@@ -282,55 +269,28 @@
         return self.homes.home_of(record.service, key) == record.member
 
     def _learn(self, key: str, now: datetime) -> list[Effect]:
-        """Note that another incarnation claimed a key."""
-        entry = self.entries_by_key_.get(key)
-        if entry is None:
-            self.entries_by_key_[key] = KeyEntry(Phase.UNKNOWN, now)
-            return []
-        if entry.phase is not Phase.PENDING:
-            return []
-        self._drop_pending(key)
-        entry.phase = Phase.UNKNOWN
-        return self._answer(key, entry)
+        if key in self.keys_.pending:
+            self.outbox_.drop_key(key)
+        return self.keys_.learn(key, now)
 
-    def _logged(self, key: str, now: datetime) -> list[Effect]:
+    def _logged(self, key: str, now: datetime, released: list[str]) -> list[Effect]:
         """Note that this agent's claim on a key is the first in the log."""
-        entry = self.entries_by_key_.get(key)
-        if entry is None:
-            self.entries_by_key_[key] = KeyEntry(Phase.CLAIMED, now)
-            return []
-        if entry.phase is not Phase.PENDING:
-            return []
-        self._drop_pending(key)
-        entry.phase = Phase.CLAIMED
-        return [*self._answer(key, entry), Count("claims_decided", {"by": "log"})]
+        self.outbox_.drop_key(key)
+        if self.writer_.forget(key):
+            released.append(key)
+        effects = self.keys_.claim(key, now)
+        return [*effects, Count("claims_decided", {"by": "log"})] if effects else []
 
-    def _try_offline(self, key: str) -> list[Effect]:
+    def _try_offline(self, key: str, now: datetime) -> list[Effect]:
         """Decide a key if enough witnesses hold it and no other home can exist."""
-        entry = self.pending_.get(key)
         sets = self.seat_.witness_sets()
-        if entry is None or not self.writer_.stored(key, sets):
+        if key not in self.keys_.pending or not self.writer_.stored(key, sets):
             return []
-        if not self.seat_.is_sole_home(key):
+        if self.homes.gaps or not self.seat_.is_sole_home(key):
             return []
-        self.pending_.pop(key)
         self.outbox_.put_key(key, offline=True)
-        entry.phase = Phase.CLAIMED
-        return [*self._answer(key, entry), Count("claims_decided", {"by": "witnesses"})]
-
-    def _answer(self, key: str, entry: KeyEntry) -> list[Effect]:
-        waiting, entry.waiting = entry.waiting or [], None
-        return [self._decided(key, item, self._take_claim(entry)) for item in waiting]
-
-    def _take_claim(self, entry: KeyEntry) -> ClaimDecision:
-        """Give the run of a claimed key to one request."""
-        if entry.phase is Phase.CLAIMED:
-            entry.phase = Phase.RUNNING
-            return RunClaim()
-        return KnownClaim(ClaimState(entry.phase, entry.status))
-
-    def _decided(self, key: str, item: Waiting, decision: ClaimDecision) -> Effect:
-        return Emit(ClaimDecided(item.request_id, key, decision))
+        effects = self.keys_.claim(key, now)
+        return [*effects, Count("claims_decided", {"by": "witnesses"})]
 
     def _refusal(self, key: str, fresh: bool) -> RefuseClaim | None:
         """Return why a key that this table does not hold is not claimed."""
@@ -340,18 +300,20 @@
             elsewhere = known is not None and known != self.identity.member
             code = Code.CLAIM_ELSEWHERE if elsewhere else Code.CLAIM_UNAVAILABLE
             return RefuseClaim(code, unknown)
-        if self.gap_:
+        if self.homes.gaps:
             return RefuseClaim(Code.CLAIM_UNAVAILABLE, unknown)
         if self.seat_.leaving_:
             return RefuseClaim(Code.DRAINING, self._run_state(key, fresh))
-        if len(self.entries_by_key_) >= self.settings.max_keys:
+        if len(self.keys_) >= self.settings.max_keys:
             return RefuseClaim(Code.CLAIM_UNAVAILABLE, self._run_state(key, fresh))
         return None
 
     def _run_state(self, key: str, fresh: bool) -> RunState:
         """Tell whether a key that this table holds no claim on can have run."""
-        known = self.seat_.is_sole_home(key) and not self._unsettled(key)
-        return RunState.NO if fresh or (known and not self.gap_) else RunState.UNKNOWN
+        if fresh:
+            return RunState.NO
+        known = self.seat_.is_sole_home(key) and not self.homes.gaps
+        return RunState.NO if known and not self._unsettled(key) else RunState.UNKNOWN
 
     def _unsettled(self, key: str) -> list[Debt]:
         service = self.homes.service(self.identity.service)
@@ -372,7 +334,7 @@
             if debts or not self.seat_.is_home(key) or self.seat_.leave_sent_:
                 continue
             self.outbox_.put_key(key, offline=False)
-            waited = now - self.pending_[key].at >= self.settings.hand_over
+            waited = now - self.keys_.pending[key].at >= self.settings.hand_over
             if waited or self.offline(now):
                 to_witnesses.append(key)
         return effects + self._write(to_witnesses, now)
@@ -383,7 +345,7 @@
 
     def _maintain(self, now: datetime) -> list[Effect]:
         """Bring the seat, the pending keys and the outbox up to date."""
-        if self.last_contact_at_ is not None and not self.gap_:
+        if self.health_.answered and not self.homes.gaps:
             self.seat_.update(now)
         effects = self._refuse_moved()
         effects += self._settle(now)
@@ -391,28 +353,23 @@
             now - self.witness_at_ >= self.settings.retry_interval
         ):
             self.witness_at_ = now
-            effects += self._pursue(list(self.pending_), now)
+            effects += self._pursue(list(self.keys_.pending), now)
         return [*effects, *self._flush(now)]
 
     def _refuse_moved(self) -> list[Effect]:
         effects: list[Effect] = []
-        for key, entry in list(self.pending_.items()):
-            if self.seat_.is_home(key) and not self.seat_.leave_sent_:
-                continue
-            code = Code.DRAINING if self.seat_.leave_sent_ else Code.CLAIM_ELSEWHERE
-            effects += self._refuse(key, entry.waiting or [], code)
-            self._drop_pending(key)
-            self.writer_.forget(key)
-            del self.entries_by_key_[key]
+        leaving = self.seat_.leave_sent_
+        code = Code.DRAINING if leaving else Code.CLAIM_ELSEWHERE
+        for key in list(self.keys_.pending):
+            if leaving or self.homes.gaps or not self.seat_.is_home(key):
+                self._forget(key)
+                waiting = self.keys_.drop(key)
+                effects += [self._refuse(key, item, code) for item in waiting]
         return effects
 
-    def _refuse(self, key: str, waiting: list[Waiting], code: Code) -> list[Effect]:
-        return [
-            self._decided(
-                key, item, RefuseClaim(code, self._run_state(key, item.fresh))
-            )
-            for item in waiting
-        ]
+    def _refuse(self, key: str, item: Waiting, code: Code) -> Effect:
+        run = self._run_state(key, item.fresh)
+        return decided(key, item, RefuseClaim(code, run))
 
     def _settle(self, now: datetime) -> list[Effect]:
         """Read the witnesses of retired agents, if this agent is to do it."""
@@ -436,41 +393,6 @@
         seconds = max(agents, 1) / self.settings.appends_per_second
         return self.outbox_.flush(now, timedelta(seconds=seconds))
 
-    def _contacted(self, now: datetime) -> None:
-        self.last_contact_at_ = now
-        self.failing_ = False
-
-    def _drop_pending(self, key: str) -> None:
-        self.pending_.pop(key, None)
+    def _forget(self, key: str) -> None:
         self.outbox_.drop_key(key)
-
-    def _expire_requests(self, now: datetime) -> list[Effect]:
-        effects: list[Effect] = []
-        for key, entry in list(self.pending_.items()):
-            late = [item for item in entry.waiting or () if item.deadline <= now]
-            if late:
-                entry.waiting = [i for i in entry.waiting or () if i.deadline > now]
-                effects += self._refuse(key, late, Code.CLAIM_UNAVAILABLE)
-        return effects
-
-    def _expire_keys(self, now: datetime) -> None:
-        oldest = now - self.settings.window
-        while self.entries_by_key_:
-            key, entry = next(iter(self.entries_by_key_.items()))
-            if entry.at > oldest or entry.phase is Phase.RUNNING:
-                return
-            self._drop_pending(key)
-            self.writer_.forget(key)
-            del self.entries_by_key_[key]
-
-    def _check_gap(self, event: RecordsRead) -> list[Effect]:
-        if not event.records:
-            return []
-        first = event.records[0].offset
-        expected, self.expected_offset_ = self.expected_offset_, event.next_offset
-        if expected is None or first <= expected or self.gap_:
-            return []
-        # The missed records may hold claims, so nothing can be decided any more.
-        self.gap_ = True
-        fields = {"expected": str(expected), "found": str(first)}
-        return [Log("claims_gap", fields)]
+        self.writer_.forget(key)
--- a/shallotpath/claims/_witnessing.py
+++ b/shallotpath/claims/_witnessing.py
@@ -7,7 +7,7 @@
 from datetime import datetime, timedelta
 
 from ..core import Effect, Send, WitnessAck, WitnessRead, WitnessTable, WitnessWrite
-from ._homes import Debt
+from ._home_model import Debt
 from ._model import Identity
 from ._records import Witness
 
--- a/shallotpath/claims/tests/mutants.py
+++ b/shallotpath/claims/tests/mutants.py
@@ -1,19 +1,16 @@
 """Claim tables and home sets with one mechanism switched off."""
 
-from shallotpath.claims import ClaimDecided, ClaimTable, HomeSet
+from shallotpath.claims import ClaimTable, HomeSet
+from shallotpath.claims._model import Waiting
 from shallotpath.claims._seat import Seat
-from shallotpath.core import Emit
 
 
 class NaiveTable(ClaimTable):
     """Run every key that this agent has not seen."""
 
     def request(self, key, request_id, fresh, now):
-        if key in self.entries_by_key_:
-            return super().request(key, request_id, fresh, now)
-        self._logged(key, now)
-        entry = self.entries_by_key_[key]
-        return [Emit(ClaimDecided(request_id, key, self._take_claim(entry)))]
+        self.keys_.claim(key, now)
+        return self.keys_.request(key, Waiting(request_id, fresh, now), now)
 
 
 class UnconfirmedJoins(HomeSet):
