Pass update states on in packed form, and stage before fetching

Cause: update states of 96 agents used up the rate for chunk maps, and a designated receiver without memory for two versions held up the others. Change: states take 12 bytes and have a rate of their own; receivers that cannot store chunks yet are replaced. A frame to a connection that is gone is now reported as dropped.

--- a/shallotpath/bench/_weights.py
+++ b/shallotpath/bench/_weights.py
@@ -19,7 +19,7 @@
 # The live messages have the size of a few tokens with their frame.
 LIVE_BYTES = 1024
 LIVE_LOAD = 0.9
-PROBE_INTERVAL_S = 0.02
+PROBE_INTERVAL_S = 0.05
 NAIVE_S = 8.0
 SHARED = 0.9
 LATE = 4.0
@@ -140,7 +140,8 @@
     seconds = loop.time() - started
     vms = world.vms_by_id.values()
     control = sum(
-        vm.weights.plan.control_bytes_ + vm.weights.rollout.control_bytes_ for vm in vms
+        vm.weights.plan.announcer_.sent_bytes_ + vm.weights.rollout.table_.sent_bytes_
+        for vm in vms
     )
     return {
         "replicas": _serving(world, digest),
--- a/shallotpath/bench/_weights_world.py
+++ b/shallotpath/bench/_weights_world.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import zmq.asyncio
 from aiohttp import ClientSession, TCPConnector
 
 from ..config import ModelVersion, Preset, Service, ServiceKind, StaticConfiguration
@@ -26,6 +27,10 @@
 SERVICE = "fold-model"
 MODEL = "fold"
 REGIONS = ("bne", "tsv")
+# Two routers, and a dealer for maps and one for chunks to each neighbour.
+SOCKETS_PER_VM = 64
+# All engines and agents share one processor here, so they are polled less often.
+OBSERVE_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,6 +165,8 @@
 
 async def build_world(shape: Shape, stack: AsyncExitStack) -> World:
     """Start the platform and all VMs; the stack stops them."""
+    # All VMs share one ZeroMQ context here, whose default limit is 1,023 sockets.
+    zmq.asyncio.Context.instance().set(zmq.MAX_SOCKETS, SOCKETS_PER_VM * shape.vms)
     platform = PlatformApp(
         shape.seed,
         PlatformFaults(
@@ -258,6 +265,7 @@
         rollout=rollout,
         send_pace=send_pace,
         receive_pace=receive_pace,
+        observe_interval_s=OBSERVE_INTERVAL_S,
     )
     return weights, shell
 
--- a/shallotpath/core/_messages.py
+++ b/shallotpath/core/_messages.py
@@ -241,23 +241,12 @@
     payload: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class WeightsEntry:
-    """Carry how far one agent is with the update of its service."""
-
-    id: str
-    incarnation: str
-    version: int
-    serving: str
-    staged: str
-    ready: bool
-
-
 @dataclass(slots=True, frozen=True)
 class WeightsStatus:
-    """Carry changes of update states to a neighbour."""
+    """Carry packed update states of agents, relative to a target digest."""
 
-    entries: list[WeightsEntry]
+    digest: str
+    entries: bytes
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -88,8 +88,10 @@
         frame = encode(message)
         try:
             if peer.startswith(ROUTED_PREFIX):
-                parts = [bytes.fromhex(peer[1:]), frame]
-                zmq.Socket.send_multipart(self.router_, parts, zmq.DONTWAIT)
+                # `send_multipart` of an asyncio socket would return before an error.
+                route = bytes.fromhex(peer[1:])
+                zmq.Socket.send(self.router_, route, zmq.DONTWAIT | zmq.SNDMORE)
+                zmq.Socket.send(self.router_, frame, zmq.DONTWAIT)
             else:
                 zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
         except zmq.ZMQError:
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -41,7 +41,7 @@
 from ._transport import ROUTED_PREFIX, peer_identity
 from ._weights_engine import EngineWeightsClient
 
-PUMP_INTERVAL_S = 0.1
+PUMP_INTERVAL_S = 0.2
 OBSERVE_INTERVAL_S = 0.5
 
 Pace = Callable[[str, int], Awaitable[None]]
@@ -139,17 +139,21 @@
 
     def _dispatch(self, event: Event) -> None:
         self.shell.dispatch(event)
-        self.pump_wake_.set()
+        if self.plan.wants_requests:
+            self.pump_wake_.set()
 
     # Messages from other agents.
 
     def _hear_map(self, peer: str, message: ChunkMap) -> None:
         member = self._member(peer)
         bitmap = int.from_bytes(message.bitmap, "little")
-        self._dispatch(MapHeard(member, message.digest, bitmap, message.count))
+        staged = bool(message.bitmap)
+        self._dispatch(MapHeard(member, message.digest, bitmap, message.count, staged))
 
     def _hear_status(self, peer: str, message: WeightsStatus) -> None:
-        self.shell.dispatch(StatusHeard(self._member(peer), message.entries))
+        self.shell.dispatch(
+            StatusHeard(self._member(peer), message.digest, message.entries)
+        )
 
     def _serve(self, peer: str, message: ChunkRequest) -> None:
         now = self.shell.clock.now()
--- a/shallotpath/runtime/tests/test_shell.py
+++ b/shallotpath/runtime/tests/test_shell.py
@@ -137,3 +137,14 @@
                 await client.read("config", 0, wait_ms=0)
         finally:
             await a.stop()
+
+
+async def test_a_frame_to_a_connection_that_is_gone_is_reported():
+    # Guards against a sender that takes a lost frame for a sent one.
+    a, _ = make_shell("a")
+    await a.start()
+    try:
+        assert not a.peer.send(f"@{b'gone/0'.hex()}", Ping(1))
+        assert a.peer.dropped_frames_ == 1
+    finally:
+        await a.stop()
--- /dev/null
+++ b/shallotpath/weights/_announcer.py
@@ -0,0 +1,78 @@
+"""Chunk maps for the neighbours, within the rate for control traffic."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from datetime import datetime
+
+from ..core import EPOCH, ChunkMap, Effect, Send
+from ._bucket import TokenBucket
+from ._layout import Layout
+from ._limits import TransferLimits
+from ._sources import Source, later
+
+# Envelope, kind, digest and TCP/IP headers of one chunk map.
+MAP_OVERHEAD_BYTES = 160
+
+
+class Announcer:
+    """Send the newest chunk map to each neighbour that has not seen it."""
+
+    __slots__ = ("control", "limits", "sent_bytes_", "untold_")
+
+    def __init__(self, limits: TransferLimits) -> None:
+        self.limits = limits
+        self.control = TokenBucket(limits.control_rate, limits.control_burst)
+        self.sent_bytes_ = 0
+        self.untold_: set[str] = set()
+
+    def queue(self, peers: Iterable[str]) -> None:
+        """Note peers that need a new map."""
+        self.untold_.update(peers)
+
+    def queue_refreshes(
+        self,
+        neighbours: Iterable[str],
+        digest: str,
+        source: Callable[[str], Source],
+        now: datetime,
+    ) -> None:
+        """Repeat the map for neighbours that are not known to be complete."""
+        for peer in neighbours:
+            known = source(peer)
+            due = later(now, self.limits.refresh, known.told_at)
+            if due and not known.finished(digest):
+                self.untold_.add(peer)
+
+    def send(
+        self,
+        message: ChunkMap,
+        layout: Layout,
+        source: Callable[[str], Source],
+        now: datetime,
+        first: str,
+    ) -> list[Effect]:
+        """Return messages within the rate; `first` gets its map at any rate.
+
+        The sender of a chunk holds an upload slot until it sees this map.
+        """
+        size = len(message.bitmap) + MAP_OVERHEAD_BYTES
+        members = layout.topology_.members_by_id if layout.topology_ else {}
+        effects: list[Effect] = []
+        if first in members:
+            self.untold_.add(first)
+        for peer in sorted(
+            self.untold_,
+            key=lambda peer: (peer != first, source(peer).told_at or EPOCH, peer),
+        ):
+            member = members.get(peer)
+            if member is None:
+                self.untold_.discard(peer)
+                continue
+            if not self.control.take(size, now) and peer != first:
+                break
+            self.untold_.discard(peer)
+            source(peer).told_at = now
+            self.sent_bytes_ += size
+            effects.append(Send(member.address, message))
+        return effects
--- a/shallotpath/weights/_events.py
+++ b/shallotpath/weights/_events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..core import Event, WeightsEntry
+from ..core import Event
 from ._manifest import Manifest
 
 ORIGIN = "origin"
@@ -65,12 +65,13 @@
 
 @dataclass(slots=True, frozen=True)
 class MapHeard(Event):
-    """Report the chunk map of an agent."""
+    """Report the chunk map of an agent; it stores chunks only once it is staged."""
 
     member: str
     digest: str
     bitmap: int
     count: int
+    staged: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,7 +79,8 @@
     """Report what an agent knows about the update of its service."""
 
     member: str
-    entries: list[WeightsEntry]
+    digest: str
+    entries: bytes
 
 
 class OrderKind(StrEnum):
--- a/shallotpath/weights/_layout.py
+++ b/shallotpath/weights/_layout.py
@@ -89,12 +89,7 @@
         """Tell whether a neighbour is in another region."""
         return peer in self.far_
 
-    def in_origin_region(self, origin_region: str) -> bool:
-        """Tell whether the receivers of this region fetch from the origin.
-
-        Without agents in the origin's region another region takes its place.
-        """
+    def origin_region(self, region: str) -> str:
+        """Return the origin's region, or another one if it has no agents."""
         regions = self.topology_.receivers_by_region
-        if origin_region in regions:
-            return self.region_ == origin_region
-        return self.region_ == min(regions, default="")
+        return region if region in regions else min(regions, default="")
--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -14,8 +14,8 @@
 
     `link_rate` limits each direction of the VM's link. `region_rate` is the rate
     of the link between two regions; weights use the preset's share of it.
-    `control_rate` limits chunk maps and update states together with their burst;
-    it is a third of the control budget of 14 KB/s per node.
+    `control_rate` limits chunk maps; it is about a quarter of the control budget
+    of 14 KB/s per node. Update states have a limit of their own.
     """
 
     chunk_buffer: int = 16 * MIB
@@ -24,7 +24,7 @@
     slots_per_peer: int = 2
     link_rate: float = 0.0
     region_rate: float = 0.0
-    control_rate: float = 4_500.0
+    control_rate: float = 3_600.0
     control_burst: float = 16_000.0
     receivers: int = 4
     standbys: int = 2
--- /dev/null
+++ b/shallotpath/weights/_rates.py
@@ -0,0 +1,32 @@
+"""Rates of the VM's link and of this agent's part of the region link."""
+
+from __future__ import annotations
+
+from ._bucket import TokenBucket
+from ._layout import Layout
+from ._limits import TransferLimits
+from ._manifest import Manifest
+
+
+class Rates:
+    """Limit what one agent asks for over its own link and across regions."""
+
+    __slots__ = ("limits", "link_", "region_")
+
+    def __init__(self, limits: TransferLimits) -> None:
+        self.limits = limits
+        self.link_ = TokenBucket(0, 0)
+        self.region_ = TokenBucket(0, 0)
+
+    def update(self, manifest: Manifest, layout: Layout, share: float) -> None:
+        """Follow a new manifest, other receivers or another preset."""
+        burst = 2 * manifest.chunk_bytes
+        if (self.link_.rate, self.link_.burst) != (self.limits.link_rate, burst):
+            self.link_ = TokenBucket(self.limits.link_rate, burst)
+        # Each receiver gets the part of the cap that its designated chunks make up,
+        # so the sum never exceeds the cap and all receivers finish together.
+        count = len(manifest.chunks)
+        own = sum(layout.designated(index) for index in range(count))
+        rate = self.limits.region_rate * share * max(own, 1) / count
+        if self.region_.rate != rate:
+            self.region_ = TokenBucket(rate, manifest.chunk_bytes)
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import datetime
 from functools import singledispatchmethod
 from random import Random
 
@@ -13,28 +13,15 @@
     Event,
     Send,
     Tick,
-    WeightsEntry,
-    WeightsStatus,
     rendezvous_order,
 )
 from ..membership import Member, MembershipView, MemberState, Role
 from ._events import StatusHeard
 from ._orders import EngineOrders
 from ._plan import TransferPlan
-from ._sources import later
+from ._status import StatusTable, member_key, short_hash
 
 MAINTENANCE_PRESET = "maintenance"
-# Digests in update states are shortened; equal prefixes of 64 bits do not occur
-# among the few versions of one service.
-DIGEST_CHARS = 16
-ENTRIES_PER_MESSAGE = 40
-ENTRY_BYTES = 110
-MESSAGE_OVERHEAD_BYTES = 90
-# Each change is passed on to this many neighbours; 4 reach all of 2,500 agents
-# with a margin, and the periodic exchange repairs what was lost.
-FANOUT = 4
-EXCHANGE_INTERVAL = timedelta(seconds=2)
-EXCHANGE_ENTRIES = 20
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,11 +66,8 @@
         self.plan = plan
         self.orders = orders
         self.random = random
-        self.entries_by_id_: dict[str, WeightsEntry] = {}
-        self.queued_by_neighbour_: dict[str, set[str]] = {}
-        self.exchanged_at_: datetime | None = None
+        self.table_ = StatusTable(member_id, incarnation, random)
         self.draining_ = False
-        self.control_bytes_ = 0
 
     @property
     def admitting(self) -> bool:
@@ -104,15 +88,19 @@
     @reduce.register
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         self._update_own()
-        self._queue_exchange(now)
-        return self._send(now)
+        members = self.membership.members_by_id
+        return [
+            Send(members[neighbour].address, message)
+            for neighbour, message in self.table_.messages(
+                self.plan.digest, self.plan.neighbours, now
+            )
+            if neighbour in members
+        ]
 
     @reduce.register
     def _(self, event: StatusHeard, now: datetime) -> list[Effect]:
-        for entry in event.entries:
-            if entry.id != self.member_id and self._newer(entry):
-                self.entries_by_id_[entry.id] = entry
-                self._pass_on(entry.id, event.member)
+        others = self.plan.neighbours - {event.member}
+        self.table_.hear(event.digest, event.entries, self._incarnation, others)
         return []
 
     def permission(self, now: datetime) -> Permission:
@@ -149,23 +137,38 @@
 
     def _before_own(self, members: list[str]) -> int:
         """Count agents that are unready, or unfinished and before this one."""
-        order = rendezvous_order(f"update/{self.plan.digest}", members)
+        order = rendezvous_order(self.plan.digest, members)
+        # Engines that must be drained first cannot store chunks before, so those
+        # that bring the chunks in from the origin come first.
+        order.sort(key=lambda member: not self._near_origin(member))
         count = 0
         before = True
         for member in order:
             if member == self.member_id:
                 before = False
                 continue
-            entry = self.entries_by_id_.get(member)
-            unready = entry is not None and not entry.ready
+            status = self.table_.status_by_key_.get(member_key(member))
+            unready = status is not None and not status.ready
             if unready or (before and not self._finished(member)):
                 count += 1
         return count
 
+    def _near_origin(self, member: str) -> bool:
+        region = self.membership.members_by_id[member].region
+        return region == self.plan.origin_region
+
     def _finished(self, member: str) -> bool:
-        entry = self.entries_by_id_.get(member)
-        target = self.plan.digest[:DIGEST_CHARS]
-        return entry is not None and entry.ready and entry.serving == target
+        status = self.table_.status_by_key_.get(member_key(member))
+        return (
+            status is not None and status.ready and status.finished == self.plan.digest
+        )
+
+    def _incarnation(self, key: bytes) -> bytes | None:
+        """Return the incarnation that membership knows, in short form."""
+        for member in self.membership.members_by_id.values():
+            if member_key(member.id) == key:
+                return short_hash(member.incarnation, 3)
+        return None
 
     def _members(self) -> list[str]:
         return [
@@ -189,66 +192,6 @@
         return self.plan.target_.size <= free
 
     def _update_own(self) -> None:
-        staged = self.plan.digest if self.plan.complete else ""
-        values = (
-            self.orders.confirmed_digest[:DIGEST_CHARS],
-            staged[:DIGEST_CHARS],
-            self.admitting,
-        )
-        old = self.entries_by_id_.get(self.member_id)
-        if old is not None and (old.serving, old.staged, old.ready) == values:
-            return
-        version = old.version + 1 if old else 1
-        self.entries_by_id_[self.member_id] = WeightsEntry(
-            self.member_id, self.incarnation, version, *values
-        )
-        self._pass_on(self.member_id, "")
-
-    def _newer(self, entry: WeightsEntry) -> bool:
-        old = self.entries_by_id_.get(entry.id)
-        if old is None:
-            return True
-        if old.incarnation == entry.incarnation:
-            return entry.version > old.version
-        member = self.membership.members_by_id.get(entry.id)
-        return member is not None and member.incarnation == entry.incarnation
-
-    def _pass_on(self, entry_id: str, sender: str) -> None:
-        others = sorted(self.plan.neighbours - {sender})
-        for neighbour in self.random.sample(others, min(FANOUT, len(others))):
-            self.queued_by_neighbour_.setdefault(neighbour, set()).add(entry_id)
-
-    def _queue_exchange(self, now: datetime) -> None:
-        neighbours = sorted(self.plan.neighbours)
-        due = later(now, EXCHANGE_INTERVAL, self.exchanged_at_)
-        if not neighbours or not due:
-            return
-        self.exchanged_at_ = now
-        ids = sorted(self.entries_by_id_)
-        chosen = self.random.sample(ids, min(EXCHANGE_ENTRIES, len(ids)))
-        neighbour = self.random.choice(neighbours)
-        queued = self.queued_by_neighbour_.setdefault(neighbour, set())
-        queued.update(chosen, [self.member_id])
-
-    def _send(self, now: datetime) -> list[Effect]:
-        effects: list[Effect] = []
-        for neighbour, queued in list(self.queued_by_neighbour_.items()):
-            member = self.membership.members_by_id.get(neighbour)
-            if member is None:
-                del self.queued_by_neighbour_[neighbour]
-                continue
-            chosen = sorted(queued)[:ENTRIES_PER_MESSAGE]
-            size = MESSAGE_OVERHEAD_BYTES + ENTRY_BYTES * len(chosen)
-            if not self.plan.control.take(size, now):
-                break
-            self.control_bytes_ += size
-            queued.difference_update(chosen)
-            if not queued:
-                del self.queued_by_neighbour_[neighbour]
-            entries = [
-                self.entries_by_id_[entry_id]
-                for entry_id in chosen
-                if entry_id in self.entries_by_id_
-            ]
-            effects.append(Send(member.address, WeightsStatus(entries)))
-        return effects
+        target = self.plan.digest
+        finished = target if self.orders.confirmed_digest == target else ""
+        self.table_.update_own(finished, self.admitting, self.plan.neighbours)
--- a/shallotpath/weights/_selector.py
+++ b/shallotpath/weights/_selector.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from ._events import ORIGIN
+from ._events import MANIFEST_INDEX, ORIGIN
 from ._sources import Source
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
         near_bits = far_bits = 0
         for _, source in near:
             near_bits |= source.bitmap
-        if plan.region_.has(plan.manifest_.chunk_bytes, now):
+        if plan.rates_.region_.has(plan.manifest_.chunk_bytes, now):
             for _, source in far:
                 far_bits |= source.bitmap
         origin = plan.origin_usable(now)
@@ -80,6 +80,18 @@
             return None
         return best[1], self._source(best[1], near, far, origin)
 
+    def choose_for_manifest(self, plan: TransferPlan, now: datetime) -> str | None:
+        """Return the source to ask for the manifest, as if it were a chunk."""
+        designated = plan.layout_.designated(MANIFEST_INDEX)
+        holders = [
+            peer
+            for peer, source in plan.usable(now)
+            if source.count and (designated or not plan.layout_.crosses(peer))
+        ]
+        if holders:
+            return self.random.choice(holders)
+        return ORIGIN if designated and plan.origin_usable(now) else None
+
     def _source(
         self,
         index: int,
--- a/shallotpath/weights/_sources.py
+++ b/shallotpath/weights/_sources.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from ._events import MapHeard
 from ._limits import TransferLimits
 
 
@@ -15,6 +16,7 @@
     digest: str = ""
     bitmap: int = 0
     count: int = 0
+    staged: bool = False
     heard_at: datetime | None = None
     progressed_at: datetime | None = None
     told_at: datetime | None = None
@@ -33,20 +35,26 @@
         """Tell whether the source has announced all chunks."""
         return self.count > 0 and self.bitmap == (1 << self.count) - 1
 
+    def finished(self, digest: str) -> bool:
+        """Tell whether the source holds all chunks of a version."""
+        return self.digest == digest and self.complete
+
     def usable(self, limits: TransferLimits, now: datetime) -> bool:
         """Tell whether a chunk may be asked from the source now."""
         if self.banned or self.outstanding >= limits.slots_per_peer:
             return False
         return self.avoid_until is None or now >= self.avoid_until
 
-    def hear(self, digest: str, bitmap: int, count: int, now: datetime) -> None:
+    def hear(self, event: MapHeard, now: datetime) -> None:
         """Replace the chunk map."""
+        digest, bitmap = event.digest, event.bitmap
         if digest != self.digest or bitmap & ~self.bitmap:
             self.progressed_at = now
         if digest != self.digest:
             self.corrupt = 0
             self.banned = False
-        self.digest, self.bitmap, self.count = digest, bitmap, count
+        self.digest, self.bitmap, self.count = digest, bitmap, event.count
+        self.staged = event.staged
         self.heard_at = now
 
     def delivered(self) -> None:
@@ -70,9 +78,15 @@
         self.banned = self.corrupt >= limits.max_corrupt
 
     def silent(self, since: datetime, limits: TransferLimits, now: datetime) -> bool:
-        """Tell whether the source stopped reporting, or reports no progress."""
+        """Tell whether the source stopped reporting, or reports no progress.
+
+        An engine without memory for two versions takes no chunks until it is
+        drained, so its agent cannot bring any into the region.
+        """
         if now - (self.heard_at or since) > limits.silence:
             return True
+        if not self.staged and now - since > limits.silence:
+            return True
         progressed_at = max(self.progressed_at or since, since)
         return not self.complete and now - progressed_at > limits.stall
 
--- /dev/null
+++ b/shallotpath/weights/_status.py
@@ -0,0 +1,169 @@
+"""Update states of the agents of a service, passed on between neighbours."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from hashlib import blake2b
+from random import Random
+from struct import Struct
+
+from ..core import WeightsStatus
+from ._bucket import TokenBucket
+from ._sources import later
+
+# Member id (48 bits of a hash), incarnation (24 bits), version, flags.
+ENTRY = Struct("<6s3sHB")
+FINISHED = 1
+READY = 2
+VERSIONS = 1 << 16
+ENTRIES_PER_MESSAGE = 100
+# Envelope, kind, digest and TCP/IP headers.
+MESSAGE_OVERHEAD_BYTES = 160
+# A tenth of the control budget of 14 KB/s per node.
+STATUS_RATE = 1_400.0
+STATUS_BURST = 6_000.0
+# Each change is passed on to this many neighbours; the periodic exchange repairs
+# what was lost.
+FANOUT = 3
+EXCHANGE_INTERVAL = timedelta(seconds=2)
+EXCHANGE_ENTRIES = 20
+
+
+@dataclass(slots=True, frozen=True)
+class Status:
+    """Hold what one agent reported: the digest it finished with, and readiness."""
+
+    incarnation: bytes
+    version: int
+    finished: str
+    ready: bool
+
+
+def short_hash(text: str, size: int) -> bytes:
+    """Return a short stable hash of an id."""
+    return blake2b(text.encode(), digest_size=size).digest()
+
+
+def member_key(member_id: str) -> bytes:
+    """Return the key of a member in update states."""
+    return short_hash(member_id, 6)
+
+
+class StatusTable:
+    """Keep the newest state of each agent and pass changes on."""
+
+    __slots__ = (
+        "bucket_",
+        "exchanged_at_",
+        "incarnation",
+        "own_key",
+        "queued_by_neighbour_",
+        "random",
+        "sent_bytes_",
+        "status_by_key_",
+    )
+
+    def __init__(self, member_id: str, incarnation: str, random: Random) -> None:
+        self.own_key = member_key(member_id)
+        self.incarnation = short_hash(incarnation, 3)
+        self.random = random
+        self.bucket_ = TokenBucket(STATUS_RATE, STATUS_BURST)
+        self.status_by_key_: dict[bytes, Status] = {}
+        self.queued_by_neighbour_: dict[str, set[bytes]] = {}
+        self.exchanged_at_: datetime | None = None
+        self.sent_bytes_ = 0
+
+    def update_own(
+        self, finished: str, ready: bool, neighbours: Collection[str]
+    ) -> None:
+        """Note the state of this agent and pass it on if it changed."""
+        old = self.status_by_key_.get(self.own_key)
+        if old is not None and (old.finished, old.ready) == (finished, ready):
+            return
+        version = (old.version + 1) % VERSIONS if old else 1
+        self.status_by_key_[self.own_key] = Status(
+            self.incarnation, version, finished, ready
+        )
+        self._pass_on(self.own_key, neighbours)
+
+    def hear(
+        self,
+        digest: str,
+        entries: bytes,
+        incarnation_of: Callable[[bytes], bytes | None],
+        others: Collection[str],
+    ) -> None:
+        """Take newer states from a neighbour and pass them on to the others."""
+        whole = len(entries) - len(entries) % ENTRY.size
+        for key, incarnation, version, flags in ENTRY.iter_unpack(entries[:whole]):
+            status = Status(
+                incarnation,
+                version,
+                digest if flags & FINISHED else "",
+                bool(flags & READY),
+            )
+            if key != self.own_key and self._newer(key, status, incarnation_of):
+                self.status_by_key_[key] = status
+                self._pass_on(key, others)
+
+    def messages(
+        self, digest: str, neighbours: Collection[str], now: datetime
+    ) -> list[tuple[str, WeightsStatus]]:
+        """Return the messages to send within the rate."""
+        self._queue_exchange(neighbours, now)
+        messages = []
+        for neighbour in list(self.queued_by_neighbour_):
+            queued = self.queued_by_neighbour_[neighbour]
+            chosen = sorted(queued)[:ENTRIES_PER_MESSAGE]
+            size = MESSAGE_OVERHEAD_BYTES + ENTRY.size * len(chosen)
+            if neighbour in neighbours:
+                if not self.bucket_.take(size, now):
+                    break
+                self.sent_bytes_ += size
+                messages.append((neighbour, self._pack(digest, chosen)))
+                queued.difference_update(chosen)
+            else:
+                queued.clear()
+            if not queued:
+                del self.queued_by_neighbour_[neighbour]
+        return messages
+
+    def _pack(self, digest: str, keys: list[bytes]) -> WeightsStatus:
+        entries = bytearray()
+        for key in keys:
+            status = self.status_by_key_[key]
+            finished = FINISHED if status.finished == digest else 0
+            ready = READY if status.ready else 0
+            entries += ENTRY.pack(
+                key, status.incarnation, status.version, finished | ready
+            )
+        return WeightsStatus(digest, bytes(entries))
+
+    def _newer(
+        self,
+        key: bytes,
+        status: Status,
+        incarnation_of: Callable[[bytes], bytes | None],
+    ) -> bool:
+        old = self.status_by_key_.get(key)
+        if old is None:
+            return True
+        if old.incarnation == status.incarnation:
+            return 0 < (status.version - old.version) % VERSIONS < VERSIONS // 2
+        return incarnation_of(key) == status.incarnation
+
+    def _pass_on(self, key: bytes, neighbours: Collection[str]) -> None:
+        others = sorted(neighbours)
+        for neighbour in self.random.sample(others, min(FANOUT, len(others))):
+            self.queued_by_neighbour_.setdefault(neighbour, set()).add(key)
+
+    def _queue_exchange(self, neighbours: Collection[str], now: datetime) -> None:
+        if not neighbours or not later(now, EXCHANGE_INTERVAL, self.exchanged_at_):
+            return
+        self.exchanged_at_ = now
+        keys = sorted(self.status_by_key_)
+        chosen = self.random.sample(keys, min(EXCHANGE_ENTRIES, len(keys)))
+        neighbour = self.random.choice(sorted(neighbours))
+        self.queued_by_neighbour_.setdefault(neighbour, set()).update(chosen)
--- a/shallotpath/weights/_topology.py
+++ b/shallotpath/weights/_topology.py
@@ -30,7 +30,8 @@
     def slots(self, region: str, silent: set[str]) -> list[str]:
         """Return the receivers, with standbys in place of silent ones.
 
-        Only the chunks of a silent receiver move to another agent.
+        Only the chunks of a silent receiver move to another agent. If all are
+        silent, nothing is gained by a change.
         """
         receivers = list(self.receivers_by_region.get(region, ()))
         standbys = [
@@ -41,7 +42,7 @@
         for index, member in enumerate(receivers):
             if member in silent and standbys:
                 receivers[index] = standbys.pop(0)
-        return receivers
+        return [member for member in receivers if member not in silent] or receivers
 
 
 def build_topology(
--- a/shallotpath/weights/tests/swarm.py
+++ b/shallotpath/weights/tests/swarm.py
@@ -266,9 +266,12 @@
         match effect.message:
             case ChunkMap() as message:
                 bitmap = int.from_bytes(message.bitmap, "little")
-                agent.dispatch(MapHeard(sender, message.digest, bitmap, message.count))
+                staged = bool(message.bitmap)
+                agent.dispatch(
+                    MapHeard(sender, message.digest, bitmap, message.count, staged)
+                )
             case WeightsStatus() as message:
-                agent.dispatch(StatusHeard(sender, message.entries))
+                agent.dispatch(StatusHeard(sender, message.digest, message.entries))
 
     def step(self, transfer=True):
         now = self.clock.advance(STEP)
--- a/shallotpath/weights/tests/test_plan.py
+++ b/shallotpath/weights/tests/test_plan.py
@@ -180,7 +180,7 @@
     assert len(plan.neighbours) <= 8 + 11
     for _ in range(300):
         plan.reduce(_tick(), swarm.clock.advance(timedelta(milliseconds=200)))
-    assert plan.control_bytes_ <= 60 * 4_500 + 16_000
+    assert plan.announcer_.sent_bytes_ <= 60 * 3_600 + 16_000
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/shallotpath/weights/tests/test_rollout.py
@@ -0,0 +1,188 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from shallotpath.config import Preset
+from shallotpath.weights import TransferPlan
+
+from .swarm import Swarm
+
+SEEDS = [1] * 12
+# One chunk set fits, two do not.
+SMALL_MEMORY = 50
+
+
+def ready(swarm):
+    return sum(
+        agent.rollout.admitting and agent.orders.confirmed_digest != ""
+        for agent in swarm.agents.values()
+    )
+
+
+def prepared(count, memory=10_000, **options):
+    swarm = Swarm(count, memory=memory, **options)
+    swarm.step()
+    assert ready(swarm) == count
+    digest = swarm.publish("1", SEEDS)
+    swarm.deploy("1")
+    return swarm, digest
+
+
+@pytest.mark.parametrize("memory", [10_000, SMALL_MEMORY])
+@pytest.mark.parametrize("min_ready", [1, 4, 5])
+def test_an_update_keeps_the_minimum_ready(memory, min_ready):
+    swarm, digest = prepared(6, memory, min_ready=min_ready)
+    lowest = 6
+    for _ in range(900):
+        swarm.step()
+        lowest = min(lowest, ready(swarm))
+        if swarm.serving(digest) == 6:
+            break
+    assert swarm.serving(digest) == 6
+    assert lowest >= min_ready
+
+
+def test_without_the_order_of_agents_too_few_stay_ready(monkeypatch):
+    # Shows that the minimum depends on the order that all agents agree on.
+    from shallotpath.weights import Rollout
+
+    monkeypatch.setattr(Rollout, "_before_own", lambda self, members: 0)
+    swarm, _ = prepared(6, SMALL_MEMORY, min_ready=4)
+    lowest = 6
+    for _ in range(50):
+        swarm.step()
+        lowest = min(lowest, ready(swarm))
+    assert lowest < 4
+
+
+def test_a_single_worker_with_memory_switches_without_a_pause():
+    swarm, digest = prepared(1)
+    assert swarm.run(lambda: swarm.serving(digest) == 1 or not ready(swarm))
+    assert swarm.serving(digest) == 1
+
+
+def test_a_single_worker_without_memory_waits_for_the_maintenance_preset():
+    swarm, digest = prepared(1, SMALL_MEMORY)
+    assert not swarm.run(swarm.all_serve(digest), seconds=30)
+    assert ready(swarm) == 1
+    swarm.configuration.preset = Preset("maintenance")
+    assert swarm.run(swarm.all_serve(digest))
+    assert swarm.run(lambda: ready(swarm) == 1, seconds=2)
+
+
+def test_a_drain_waits_for_running_requests():
+    swarm, digest = prepared(2, SMALL_MEMORY)
+    for agent in swarm.agents.values():
+        agent.engine.running = 1
+    assert not swarm.run(lambda: swarm.serving(digest) > 0, seconds=20)
+    assert ready(swarm) == 1
+    for agent in swarm.agents.values():
+        agent.engine.running = 0
+    assert swarm.run(swarm.all_serve(digest))
+
+
+def test_pause_resume_and_roll_back_go_through_the_configuration():
+    swarm, first = prepared(4)
+    assert swarm.run(swarm.all_serve(first))
+    second = swarm.publish("2", [2] * 12)
+    swarm.deploy("2", update_paused=True)
+    assert not swarm.run(lambda: swarm.serving(second) > 0, seconds=20)
+    swarm.deploy("2")
+    assert swarm.run(lambda: swarm.serving(second) >= 1)
+    swarm.moved.clear()
+    swarm.deploy("1")
+    assert swarm.run(swarm.all_serve(first))
+    # The engines kept the chunks of the version that is restored.
+    assert sum(swarm.moved.values()) == 0
+
+
+def test_a_cold_restart_with_the_old_version_is_brought_up_to_date():
+    swarm, digest = prepared(4)
+    assert swarm.run(swarm.all_serve(digest))
+    swarm.agents["vm-2"].engine.restart()
+    swarm.step()
+    assert swarm.agents["vm-2"].orders.confirmed_digest == "old"
+    assert swarm.run(swarm.all_serve(digest))
+    assert swarm.moved[True] == len(SEEDS)
+
+
+def test_a_domain_that_is_out_does_not_count():
+    from shallotpath.config import DomainState
+
+    swarm, digest = prepared(4, SMALL_MEMORY, regions=("a", "b"), min_ready=2)
+    swarm.configuration.domains_by_id["b"] = DomainState("b", "b", out=True)
+    swarm.step()
+    agent = swarm.agents["vm-0"]
+    assert sorted(agent.rollout._members()) == ["vm-0", "vm-2"]
+
+
+def check_engines(swarm):
+    for agent in swarm.agents.values():
+        engine = agent.engine
+        assert engine.mixed == 0
+        assert engine.digest == "old" or engine.verified(engine.digest)
+
+
+faults = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["corrupt", "restart", "lose", "pause", "wake", "deploy", "kill"]
+        ),
+        st.integers(0, 4),
+        st.integers(1, 12),
+    ),
+    max_size=12,
+)
+
+
+def apply(swarm, fault, vm):
+    agent = swarm.agents.get(f"vm-{vm}")
+    if fault == "corrupt":
+        swarm.corrupt = lambda source, receiver, index: (index + vm) % 3 == 0
+    elif fault == "deploy":
+        swarm.corrupt = lambda source, receiver, index: False
+        swarm.deploy(str(vm % 2 + 1))
+    elif agent is None:
+        return
+    elif fault == "restart":
+        agent.engine.restart()
+    elif fault == "lose":
+        agent.engine.lose_answers = 1
+    elif fault in {"pause", "wake"}:
+        agent.paused = fault == "pause"
+    elif fault == "kill" and len(swarm.agents) > 2:
+        swarm.kill(agent.id)
+
+
+@settings(max_examples=40)
+@given(faults, st.booleans())
+def test_no_engine_is_ever_switched_to_an_incomplete_or_mixed_set(script, checks):
+    swarm = Swarm(5, checks=checks)
+    swarm.publish("1", [1] * 8)
+    swarm.publish("2", [1] * 4 + [2] * 4)
+    swarm.deploy("1")
+    for fault, vm, steps in script:
+        apply(swarm, fault, vm)
+        for _ in range(steps):
+            swarm.step()
+            check_engines(swarm)
+    swarm.corrupt = lambda source, receiver, index: False
+    for agent in swarm.agents.values():
+        agent.paused = False
+    version = swarm.configuration.services_by_id["s"].version
+    target = swarm.configuration.versions_by_id[f"m/{version}"].digest
+    # Whatever happened, the target is reached once the faults end.
+    assert swarm.run(swarm.all_serve(target), seconds=240)
+    check_engines(swarm)
+
+
+def test_the_invariant_fails_when_completeness_is_not_checked(monkeypatch):
+    # Shows that the property above depends on the check of the set.
+    monkeypatch.setattr(
+        TransferPlan, "complete", property(lambda self: self.manifest_ is not None)
+    )
+    swarm, _ = prepared(3)
+    for _ in range(20):
+        swarm.step()
+    with pytest.raises(AssertionError):
+        check_engines(swarm)
