--- a/shallotpath/bench/_weights_world.py
+++ b/shallotpath/bench/_weights_world.py
@@ -193,6 +193,8 @@
         world.region_links[pair] = RateLimiter(rate)
     for index in range(shape.vms):
         await _add_vm(world, index, stack)
+    # Idle client connections would hold up each server for its shutdown time-out.
+    stack.push_async_callback(session.close)
     return world
 
 
