Measure membership over an in-memory link and repeat a direct probe

The cost per node and the rate of wrong suspicions were unknown. A second direct probe now goes out with the indirect ones.

--- a/shallotpath/membership/tests/link.py
+++ b/shallotpath/bench/_memory_link.py
@@ -1,11 +1,16 @@
 """In-memory link that carries messages between parts under a manual clock."""
 
+from __future__ import annotations
+
 from collections import Counter
+from collections.abc import Sequence
 from datetime import timedelta
 from random import Random
 
-from shallotpath.core import (
+from ..core import (
     Append,
+    Effect,
+    Event,
     LogRecord,
     ManualClock,
     Node,
@@ -15,7 +20,7 @@
     Tick,
     encode,
 )
-from shallotpath.membership import Member, Membership, MemberState, Role
+from ..membership import Member, Membership, MemberState, Role
 
 TICK = timedelta(milliseconds=200)
 
@@ -23,34 +28,40 @@
 class Link:
     """Deliver messages on the next step, with loss, cuts and paused nodes."""
 
-    def __init__(self, seed=1, loss=0.0, measure_bytes=False):
+    def __init__(
+        self, seed: int = 1, loss: float = 0.0, measure_bytes: bool = False
+    ) -> None:
         self.clock = ManualClock()
         self.random = Random(seed)
         self.loss = loss
         self.measure_bytes = measure_bytes
-        self.nodes_by_address = {}
-        self.effects_by_kind = Counter()
-        self.sent_bytes = Counter()
-        self.sent_messages = Counter()
-        self.paused = set()
+        self.nodes_by_address: dict[str, Node] = {}
+        self.effects_by_kind: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent_messages: Counter[str] = Counter()
+        self.paused: set[str] = set()
         self.cut = lambda a, b: False
-        self.queue = []
-        self.log = []
+        self.queue: list[tuple] = []
+        self.log: list[LogRecord] = []
         self.log_up = True
-        self.readers = {}
+        self.readers: dict[str, tuple] = {}
 
-    def add(self, address, parts):
+    def add(self, address: str, parts: Sequence) -> None:
+        """Add a process."""
         self.nodes_by_address[address] = Node(address, parts)
 
-    def remove(self, address):
+    def remove(self, address: str) -> None:
+        """Remove a process without notice."""
         del self.nodes_by_address[address]
 
-    def dispatch(self, address, event):
+    def dispatch(self, address: str, event: Event) -> None:
+        """Reduce an event at one process."""
         node = self.nodes_by_address[address]
         for effect in node.reduce(event, self.clock.now()):
             self.perform(address, effect)
 
-    def perform(self, address, effect):
+    def perform(self, address: str, effect: Effect) -> None:
+        """Queue what a process sends and count the rest."""
         if isinstance(effect, Send):
             self.sent_messages[address] += 1
             if self.measure_bytes:
@@ -64,11 +75,13 @@
             kind = getattr(effect, "name", type(effect).__name__)
             self.effects_by_kind[kind] += 1
 
-    def append(self, data):
+    def append(self, data: bytes) -> int:
+        """Append a record to the log."""
         self.log.append(LogRecord(len(self.log), data))
         return len(self.log) - 1
 
-    def step(self, ticks=1, tick=TICK):
+    def step(self, ticks: int = 1, tick: timedelta = TICK) -> None:
+        """Let time pass."""
         for _ in range(ticks):
             self.clock.advance(tick)
             for address in list(self.nodes_by_address):
@@ -77,7 +90,8 @@
             self.read_log()
             self.deliver()
 
-    def read_log(self, limit=1000):
+    def read_log(self, limit: int = 1000) -> None:
+        """Give the readers what they have not read."""
         for address, (part, offset) in list(self.readers.items()):
             if not self.log_up or address in self.paused or not part.is_reader:
                 continue
@@ -87,7 +101,8 @@
                 event = RecordsRead("config", records, records[-1].offset + 1)
                 self.dispatch(address, event)
 
-    def deliver(self, rounds=3):
+    def deliver(self, rounds: int = 3) -> None:
+        """Deliver what was sent, for a few hops."""
         # Several hops fit into one tick on a network with 2 ms latency.
         for _ in range(rounds):
             queue, self.queue = self.queue, []
@@ -98,31 +113,41 @@
                     continue
                 self.dispatch(target, Received(source, message))
 
-    def seconds(self, count):
+    def seconds(self, count: float) -> None:
+        """Let a number of seconds pass."""
         self.step(round(count / TICK.total_seconds()))
 
 
-def make_member(number, domain="d0", incarnation="a", role=Role.AGENT, prefix="vm"):
+def make_member(
+    number: int, domain: str = "d0", incarnation: str = "a", prefix: str = "vm"
+) -> Member:
+    """Return a member with a unique id."""
     id = f"{prefix}-{domain}-{number}"
     return Member(
-        id, role, domain, "r", f"tcp://{id}", f"{id}/{incarnation}", service="s"
+        id, Role.AGENT, domain, "r", f"tcp://{id}", f"{id}/{incarnation}", service="s"
     )
 
 
-def make_cluster(link, count, domains=("d0",)):
-    """Start `count` members; every one knows the first of each domain."""
+def make_cluster(
+    link: Link, count: int, domains: Sequence[str] = ("d0",), *, joined: bool = False
+) -> dict[str, Membership]:
+    """Start members that know one of each domain or, if joined, all others."""
     members = [make_member(n, domains[n % len(domains)]) for n in range(count)]
     seeds = [member.address for member in members[: len(domains)]]
     made = {}
     for member in members:
-        made[member.address] = Membership(
-            me=member, random=Random(member.id), seeds=seeds
-        )
-        link.add(member.address, [made[member.address]])
+        membership = Membership(me=member, random=Random(member.id), seeds=seeds)
+        made[member.address] = membership
+        link.add(member.address, [membership])
+    for membership in made.values() if joined else ():
+        membership.joined_ = True
+        for other in made.values():
+            membership.roster_.put(other.me)
     return made
 
 
-def alive_ids(membership):
+def alive_ids(membership: Membership) -> set[str]:
+    """Return the members that take work."""
     return {
         id
         for id, member in membership.members_by_id.items()
--- a/shallotpath/config/tests/helpers.py
+++ b/shallotpath/config/tests/helpers.py
@@ -4,6 +4,7 @@
 from itertools import count
 from random import Random
 
+from shallotpath.bench._memory_link import make_member
 from shallotpath.config import (
     ApplyPreset,
     BringDomainIn,
@@ -22,7 +23,6 @@
 )
 from shallotpath.core import EPOCH, LogRecord
 from shallotpath.membership import Membership
-from shallotpath.membership.tests.link import make_member
 
 _ids = count()
 
--- a/shallotpath/config/tests/test_configuration.py
+++ b/shallotpath/config/tests/test_configuration.py
@@ -1,8 +1,8 @@
 from datetime import timedelta
 
+from shallotpath.bench._memory_link import Link, make_member
 from shallotpath.config import PutTeam, Team, decode_record, encode_record
 from shallotpath.core import ConfigPush, LogRecord, Received
-from shallotpath.membership.tests.link import Link, make_member
 
 from .helpers import Group, apply_preset, domains, make_record, peak
 
--- a/shallotpath/membership/_probe.py
+++ b/shallotpath/membership/_probe.py
@@ -99,6 +99,8 @@
             probe.deadline = now + INDIRECT_TIMEOUT
             misses = self.misses_by_address_.get(probe.address, 0)
             self.misses_by_address_[probe.address] = misses + 1
+            # A second direct probe covers the loss of a single message.
+            sends.append(Send(probe.address, Ping(nonce)))
             request = PingRequest(probe.address, nonce)
             sends += [
                 Send(helper, request) for helper in helpers if helper != probe.address
--- a/shallotpath/membership/tests/test_membership.py
+++ b/shallotpath/membership/tests/test_membership.py
@@ -2,6 +2,7 @@
 from datetime import timedelta
 from random import Random
 
+from shallotpath.bench._memory_link import Link, alive_ids, make_cluster, make_member
 from shallotpath.core import (
     DrainRequested,
     QuarantineAnnounced,
@@ -10,8 +11,6 @@
 )
 from shallotpath.membership import Membership, MemberState
 
-from .link import Link, alive_ids, make_cluster, make_member
-
 
 class Recorder:
     def __init__(self):
