Detect cold engines by token gaps and add the burst model

Cause: a window over token counts took the bursts of a batching engine for a cold one and reset the limit many times a second. Change: the gate follows the gap between tokens and starts calls above the cold limit only right after a token at the usual pace; a silence of twice the gap resets the limit.

--- /dev/null
+++ b/shallotpath/bench/_burst_agents.py
@@ -0,0 +1,176 @@
+"""Agents of the burst experiment: a real gate in front of a fake engine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..config import StaticConfiguration
+from ..core import (
+    Code,
+    Effect,
+    EngineLost,
+    Event,
+    Load,
+    Node,
+    Received,
+    RunState,
+    Send,
+    Tick,
+)
+from ..limits import (
+    Admit,
+    Call,
+    Gate,
+    GateSettings,
+    LimitRule,
+    Refuse,
+    Suspects,
+)
+from ..membership import StaticMembership
+from ._burst_load import DIGEST, SERVICE, BurstSettings
+from ._fake_engine import FakeEngine, Run
+from ._simulation import Simulation
+
+TICK_S = 0.1
+REPORT_S = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Carry an agent's answer to an attempt; no code means a complete response."""
+
+    load: Load
+    code: Code | None = None
+    run: RunState = RunState.YES
+    retry_after: timedelta | None = None
+
+
+Answer = Callable[[Reply], None]
+
+
+class SimulatedAgent:
+    """Connect one gate and one fake engine."""
+
+    def __init__(
+        self,
+        *,
+        agent_id: str,
+        domain: str,
+        simulation: Simulation,
+        settings: BurstSettings,
+        configuration: StaticConfiguration,
+        membership: StaticMembership,
+        rule: LimitRule,
+        connected: Callable[[], list[str]],
+        send: Callable[[str, Send], None],
+        warm: bool,
+    ) -> None:
+        self.agent_id = agent_id
+        self.simulation = simulation
+        self.settings = settings
+        self.send = send
+        self.engine = FakeEngine(simulation, settings.engine, self, warm=warm)
+        self.suspects = Suspects(
+            node_id=agent_id, incarnation="i1", connected=connected
+        )
+        self.gate = Gate(
+            node_id=agent_id,
+            domain=domain,
+            service=SERVICE,
+            configuration=configuration,
+            membership=membership,
+            suspects=self.suspects,
+            settings=GateSettings(max_limit=settings.engine.max_running),
+            rule=rule,
+        )
+        self.node = Node(agent_id, [self.suspects, self.gate])
+        self.answers_by_id_: dict[str, tuple[Run, Answer]] = {}
+        self._reduce(self.engine.observe(DIGEST))
+        simulation.call_in(0.0, self._tick)
+        simulation.call_in(0.0, self._report)
+
+    def submit(self, run: Run, answer: Answer) -> None:
+        """Take an attempt."""
+        call = run.call
+        decision = self.gate.request(call, self.simulation.now)
+        if isinstance(decision, Refuse):
+            load = self.gate.load()
+            answer(Reply(load, decision.code, RunState.NO, decision.retry_after))
+            return
+        self.answers_by_id_[call.request_id] = (run, answer)
+        if isinstance(decision, Admit):
+            self._start([call])
+
+    def cancel(self, request_id: str) -> None:
+        """Stop an attempt whose caller left."""
+        if self.answers_by_id_.pop(request_id, None) is not None:
+            self.engine.cancel(request_id)
+            self._start(self.gate.release(request_id, False, self.simulation.now))
+
+    def receive(self, message: Received) -> None:
+        """Take a message of an entry."""
+        self._reduce(message)
+
+    def progressed(self, run: Run) -> None:
+        """Take a token of a run."""
+        now = self.simulation.now
+        self._start(self.gate.held(run.call.request_id, run.held, now))
+
+    def finished(self, run: Run) -> None:
+        """Take the end of a run."""
+        request_id = run.call.request_id
+        started = self.gate.release(request_id, True, self.simulation.now)
+        answer = self.answers_by_id_.pop(request_id)[1]
+        answer(Reply(self.gate.load()))
+        self._start(started)
+
+    def crashed(self, runs: list[Run]) -> None:
+        """Take a crash of the engine."""
+        self._reduce(EngineLost([run.call.fingerprint for run in runs]))
+        for run in runs:
+            self._fail(run.call, Code.UPSTREAM_FAILED, RunState.UNKNOWN)
+        self._expire()
+
+    def _start(self, calls: list[Call]) -> None:
+        for call in calls:
+            held = self.answers_by_id_.get(call.request_id)
+            # A crash during this loop has already answered the other calls.
+            if held is not None and not self.engine.start(held[0]):
+                self.gate.release(call.request_id, False, self.simulation.now)
+                self._fail(call, Code.UPSTREAM_FAILED, RunState.NO)
+
+    def _fail(self, call: Call, code: Code, run: RunState) -> None:
+        held = self.answers_by_id_.pop(call.request_id, None)
+        if held is not None:
+            held[1](Reply(self.gate.load(), code, run))
+
+    def _expire(self) -> None:
+        for expired in self.gate.expire(self.simulation.now):
+            self._fail(expired.call, expired.code, RunState.NO)
+
+    def _tick(self) -> None:
+        self._reduce(Tick())
+        self._expire()
+        self._start(self.gate.ready(self.simulation.now))
+        self.simulation.call_in(TICK_S, self._tick)
+
+    def _report(self) -> None:
+        if self.engine.up_:
+            observed = self.engine.observe(DIGEST)
+            self.simulation.call_in(
+                self.settings.report_lag_s, self._observed, observed
+            )
+        self.simulation.call_in(REPORT_S, self._report)
+
+    def _observed(self, observed: Event) -> None:
+        # The incarnation comes with the connection, so a report of a lost one is old.
+        if observed.incarnation == str(self.engine.generation_):
+            self._reduce(observed)
+
+    def _reduce(self, event: Event) -> None:
+        effects: list[Effect] = self.node.reduce(event, self.simulation.now)
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.send(self.agent_id, effect)
--- /dev/null
+++ b/shallotpath/bench/_fake_engine.py
@@ -0,0 +1,185 @@
+"""A fake engine that batches continuously and falls over like the stand-in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..core import EngineObserved
+from ..limits import Call
+from ._simulation import Simulation
+
+
+@dataclass(slots=True, frozen=True)
+class EngineModel:
+    """Describe what a fake engine bears and how fast it is."""
+
+    step_s: float = 0.008
+    step_per_run_s: float = 0.0004
+    cold_factor: float = 3.0
+    cold_running: int = 2
+    max_running: int = 16
+    warm_up_runs: int = 12
+    bytes_per_token: int = 1024
+    memory_bytes: int = 720 * 1024
+    restart_s: float = 1.0
+    # A loss of the caches shows with the next step; if `cold_at_once`, it already
+    # counts for calls that start during the current step, as in the stand-in.
+    cold_at_once: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold one run of a call; `tokens` is known to the engine alone."""
+
+    call: Call
+    tokens: int
+    poison: bool = False
+    done: int = 0
+    # A run that starts during a step gets its first token with the next one.
+    in_step: bool = False
+    held: int = 0
+
+
+class EngineListener(Protocol):
+    """Take what an engine reports."""
+
+    def progressed(self, run: Run) -> None:
+        """Take a token of a run."""
+        ...
+
+    def finished(self, run: Run) -> None:
+        """Take the end of a run."""
+        ...
+
+    def crashed(self, runs: list[Run]) -> None:
+        """Take a crash that lost these runs."""
+        ...
+
+
+class FakeEngine:
+    """Run calls in steps of one token for each call."""
+
+    def __init__(
+        self,
+        simulation: Simulation,
+        model: EngineModel,
+        listener: EngineListener,
+        *,
+        warm: bool = False,
+    ) -> None:
+        self.simulation = simulation
+        self.model = model
+        self.listener = listener
+        self.runs_by_id_: dict[str, Run] = {}
+        self.generation_ = 0
+        self.cold_runs_left_ = 0 if warm else model.warm_up_runs
+        self.cold_next_ = False
+        self.up_ = True
+        self.stepping_ = False
+        self.load_crashes_ = 0
+        self.poison_crashes_ = 0
+
+    @property
+    def cold(self) -> bool:
+        """Tell whether the engine bears only a small load."""
+        return self.cold_runs_left_ > 0
+
+    @property
+    def bears(self) -> int:
+        """Return the number of runs that the engine bears."""
+        return self.model.cold_running if self.cold else self.model.max_running
+
+    def turn_cold(self) -> None:
+        """Lose the caches without notice."""
+        if self.stepping_ and not self.model.cold_at_once:
+            self.cold_next_ = True
+        else:
+            self.cold_runs_left_ = self.model.warm_up_runs
+
+    def start(self, run: Run) -> bool:
+        """Start a run; return whether the engine was up."""
+        if not self.up_:
+            return False
+        run.held = run.call.prompt_bytes
+        self.runs_by_id_[run.call.request_id] = run
+        if run.poison:
+            self.poison_crashes_ += 1
+            self._crash()
+        elif len(self.runs_by_id_) > self.bears:
+            self.load_crashes_ += 1
+            self._crash()
+        elif not self.stepping_:
+            self._schedule()
+        return True
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a run."""
+        self.runs_by_id_.pop(request_id, None)
+
+    def observe(self, digest: str) -> EngineObserved:
+        """Return the current state; the drive delivers it late."""
+        return EngineObserved(
+            incarnation=str(self.generation_),
+            digest=digest,
+            cold=self.cold,
+            running=len(self.runs_by_id_),
+            held_bytes=sum(run.held for run in self.runs_by_id_.values()),
+            memory_bytes=self.model.memory_bytes,
+        )
+
+    def _schedule(self) -> None:
+        model = self.model
+        if self.cold_next_:
+            self.cold_next_ = False
+            self.cold_runs_left_ = model.warm_up_runs
+        duration = model.step_s + model.step_per_run_s * len(self.runs_by_id_)
+        if self.cold:
+            duration *= model.cold_factor
+        for run in self.runs_by_id_.values():
+            run.in_step = True
+        self.stepping_ = True
+        self.simulation.call_in(duration, self._step, self.generation_)
+
+    def _step(self, generation: int) -> None:
+        if generation != self.generation_:
+            return
+        self.stepping_ = False
+        finished = self._advance()
+        if generation != self.generation_:
+            return
+        held = sum(run.held for run in self.runs_by_id_.values())
+        if held > self.model.memory_bytes:
+            self.load_crashes_ += 1
+            self._crash()
+            return
+        for run in finished:
+            self.runs_by_id_.pop(run.call.request_id, None)
+        self.cold_runs_left_ = max(0, self.cold_runs_left_ - len(finished))
+        for run in finished:
+            self.listener.finished(run)
+        if self.up_ and self.runs_by_id_ and not self.stepping_:
+            self._schedule()
+
+    def _advance(self) -> list[Run]:
+        stepped = [run for run in self.runs_by_id_.values() if run.in_step]
+        for run in stepped:
+            run.done += 1
+            run.held += self.model.bytes_per_token
+        for run in stepped:
+            self.listener.progressed(run)
+        return [run for run in stepped if run.done >= run.tokens]
+
+    def _crash(self) -> None:
+        lost = list(self.runs_by_id_.values())
+        self.runs_by_id_.clear()
+        self.generation_ += 1
+        self.stepping_ = False
+        self.up_ = False
+        self.cold_next_ = False
+        self.cold_runs_left_ = self.model.warm_up_runs
+        self.simulation.call_in(self.model.restart_s, self._restarted)
+        self.listener.crashed(lost)
+
+    def _restarted(self) -> None:
+        self.up_ = True
--- a/shallotpath/limits/_adaptive_limit.py
+++ b/shallotpath/limits/_adaptive_limit.py
@@ -72,10 +72,9 @@
             return True
         return False
 
-    def look(self, running: int, now: datetime) -> bool:
-        """Compare progress with expectation and tell whether the limit was reset."""
-        self.pace.advance(running, now)
-        if not self.pace.stalled() or not self.warm_:
+    def look(self, streaming: int, now: datetime) -> bool:
+        """Check the progress of the streams and tell whether the limit was reset."""
+        if not self.warm_ or not streaming or not self.pace.silent(now):
             return False
         self.reset()
         return True
--- a/shallotpath/limits/_gate.py
+++ b/shallotpath/limits/_gate.py
@@ -34,6 +34,8 @@
 
 # Calls queued per running call while no run time is known to predict the wait.
 UNMEASURED_QUEUE = 2
+# Shorter than a run: room appears with each run that ends.
+MIN_RETRY_AFTER = timedelta(milliseconds=20)
 
 
 @dataclass(slots=True)
@@ -41,7 +43,7 @@
     call: Call
     started: datetime
     held: int
-    streaming: bool = False
+    token_at: datetime | None = None
 
 
 class Gate:
@@ -174,19 +176,26 @@
             started.append(call)
         return started
 
-    def held(self, request_id: str, size: int, now: datetime | None = None) -> None:
-        """Take the bytes that a running call holds on the engine."""
+    def held(
+        self, request_id: str, size: int, now: datetime | None = None
+    ) -> list[Call]:
+        """Take the bytes that a running call holds on the engine.
+
+        With the time, the growth also shows the engine's pace; the result is then
+        the queued calls that may run now.
+        """
         running = self.running_by_id_.get(request_id)
         if running is None:
-            return
-        if now is not None:
-            self._look(now)
-        grown = max(0, size - running.held)
-        if grown and not running.streaming:
-            self._set_streaming(running, True)
+            return []
+        grown = size - running.held
         running.held = max(size, running.held)
         self.memory.grow(request_id, size)
-        self.limit.pace.progressed(grown / self._bytes_per_unit())
+        if now is None:
+            return []
+        if grown > 0 and self._bytes_per_token():
+            self._progressed(running, grown / self._bytes_per_token(), now)
+        self._look(now)
+        return self.ready(now) if self.queue else []
 
     def expire(self, now: datetime) -> list[Expired]:
         """Return the queued calls that have to leave."""
@@ -269,8 +278,9 @@
     def _enqueue(self, call: Call, now: datetime) -> Decision:
         wait = self._wait(call)
         time_left = call.deadline - now - self._run_time(call)
-        if wait > time_left * self.readiness.configuration.preset.queue_share:
-            return Refuse(Code.OVERLOADED, max(wait, self.settings.refuse_retry_after))
+        allowed = time_left * self.readiness.configuration.preset.queue_share
+        if wait > allowed:
+            return Refuse(Code.OVERLOADED, max(wait - allowed, MIN_RETRY_AFTER))
         capacity = self.settings.queue_capacity
         if self.limit.pace_ is None:
             capacity = min(capacity, UNMEASURED_QUEUE * self.limit.limit)
@@ -293,7 +303,7 @@
     def _fits(self, call: Call, now: datetime) -> bool:
         if len(self.running_by_id_) >= self.limit.limit or self.readiness.closed():
             return False
-        if not self.memory.fits(self.estimate(call)):
+        if not self.memory.fits(self.estimate(call)) or not self._proven(now):
             return False
         if self.running_by_id_ and self._suspect(call, now):
             return False
@@ -301,6 +311,16 @@
             self._suspect(running.call, now) for running in self.running_by_id_.values()
         )
 
+    def _proven(self, now: datetime) -> bool:
+        """Tell whether one more call is safe on an engine that may just turn cold.
+
+        Above the cold limit a call starts only right after a token that came at the
+        usual pace, because one start on a cold engine can crash it.
+        """
+        if len(self.running_by_id_) < self.settings.cold_limit or not self.streaming_:
+            return True
+        return self.limit.pace.proven(now)
+
     def _suspect(self, call: Call, now: datetime) -> bool:
         return self.suspects.state(call.fingerprint, now) is not Suspicion.CLEAR
 
@@ -312,7 +332,7 @@
 
     def _ended(self, running: _Running, completed: bool, now: datetime) -> None:
         call = running.call
-        self._set_streaming(running, False)
+        self.streaming_ -= running.token_at is not None
         self.memory.free(call.request_id, now)
         self.in_flight_by_team_[call.team] -= 1
         if self.in_flight_by_team_[call.team] <= 0:
@@ -326,20 +346,23 @@
 
     def _units_done(self, running: _Running) -> float:
         if not self._bytes_per_token():
-            self.limit.pace.progressed(1)
             return 1.0
         grown = running.held - running.call.prompt_bytes
         return max(1.0, grown / self._bytes_per_token() or self._units(running.call))
 
-    def _set_streaming(self, running: _Running, streaming: bool) -> None:
-        self.streaming_ += int(streaming) - int(running.streaming)
-        running.streaming = streaming
+    def _progressed(self, running: _Running, units: float, now: datetime) -> None:
+        if running.token_at is not None:
+            gap = (now - running.token_at).total_seconds()
+            self.limit.pace.progressed(gap / units, now)
+        else:
+            # A call that still reads its prompt yields no tokens and says nothing.
+            if not self.streaming_:
+                self.limit.pace.began(now)
+            self.streaming_ += 1
+        running.token_at = now
 
     def _look(self, now: datetime) -> bool:
-        # A call that still reads its prompt yields no tokens and says nothing.
-        model = self._bytes_per_token()
-        active = self.streaming_ if model else len(self.running_by_id_)
-        return self.limit.look(active, now)
+        return self.limit.look(self.streaming_, now)
 
     def _close_queue(self) -> None:
         """Move all queued calls out if no new work may start."""
@@ -366,9 +389,6 @@
             return 0
         return service.bytes_per_token
 
-    def _bytes_per_unit(self) -> int:
-        return max(1, self._bytes_per_token())
-
     def _log_reset(self, reason: str, reset: bool) -> list[Effect]:
         if not reset:
             return []
--- a/shallotpath/limits/_pace.py
+++ b/shallotpath/limits/_pace.py
@@ -1,39 +1,34 @@
-"""Speed of an engine and the detection that it turned cold."""
+"""Speed of an engine and the signs that it turned cold."""
 
 from __future__ import annotations
 
 from datetime import datetime
 
-# Enough units that a chance gap does not look like a slower engine.
-MIN_EXPECTED_UNITS = 12.0
 RECENT_WEIGHT = 0.2
+GAP_WEIGHT = 0.1
+# The slow rise follows a lasting change, such as a version that runs slower.
 BASELINE_RISE = 1.01
+# One slow call of a plain service proves nothing; several in a row do.
+JUMPS_IN_A_ROW = 3
+# Shorter silences also come from the event loop of the agent.
+MIN_SILENCE_S = 0.010
+# Part of a token gap for which a token shows that the engine is still warm.
+FRESH_SHARE = 0.3
+MIN_FRESH_S = 0.001
 
 
 class Pace:
-    """Track seconds per unit of work (a token, or a call of a plain service).
+    """Track seconds per unit (a token, or a call of a plain service) and token gaps."""
 
-    Units counted between two looks show a cold engine before any call ends.
-    """
-
-    __slots__ = (
-        "baseline_",
-        "busy_",
-        "interval_",
-        "jump",
-        "recent_",
-        "seen_",
-        "units_",
-    )
+    __slots__ = ("baseline_", "fresh_at_", "gap_", "jump", "jumps_", "recent_")
 
     def __init__(self, jump: float) -> None:
         self.jump = jump
         self.recent_: float | None = None
         self.baseline_: float | None = None
-        self.interval_: float | None = None
-        self.seen_: datetime | None = None
-        self.busy_ = 0.0
-        self.units_ = 0.0
+        self.gap_: float | None = None
+        self.fresh_at_: datetime | None = None
+        self.jumps_ = 0
 
     def completed(self, pace: float) -> bool:
         """Take the pace of a completed call; tell whether it jumped as if cold."""
@@ -41,50 +36,46 @@
             self.baseline_ = pace
         if self.recent_ is None:
             self.recent_ = pace
-        jumped = pace > self.recent_ * self.jump
-        self.recent_ += RECENT_WEIGHT * (pace - self.recent_)
-        # The slow rise follows a lasting change, such as a version that runs slower.
+        slow = pace > self.recent_ * self.jump
+        self.jumps_ = self.jumps_ + 1 if slow else 0
+        if not slow:
+            self.recent_ += RECENT_WEIGHT * (pace - self.recent_)
         self.baseline_ = min(pace, self.baseline_ * BASELINE_RISE)
-        return jumped
+        return self.jumps_ >= JUMPS_IN_A_ROW
 
     def warm(self, pace: float) -> bool:
         """Tell whether a pace is near that of the warm engine."""
         return self.baseline_ is None or pace <= self.baseline_ * self.jump
 
-    def progressed(self, units: float) -> None:
-        """Count units that running calls produced."""
-        self.units_ += units
+    def began(self, now: datetime) -> None:
+        """Note the first token after a time without any stream."""
+        self.fresh_at_ = now
 
-    def advance(self, running: int, now: datetime) -> None:
-        """Add the time that calls ran; to be called before their number changes."""
-        learning = self.interval_ is None and not self.units_
-        if self.seen_ is not None and not learning:
-            self.busy_ += running * (now - self.seen_).total_seconds()
-        self.seen_ = now
+    def progressed(self, gap: float, now: datetime) -> None:
+        """Take the seconds between two tokens of a stream."""
+        if self.gap_ is None:
+            self.gap_ = gap
+        if gap <= self.gap_ * self.jump:
+            self.gap_ += GAP_WEIGHT * (gap - self.gap_)
+            self.fresh_at_ = now
 
-    def stalled(self) -> bool:
-        """Tell whether calls progress much more slowly than before."""
-        if self.interval_ is None:
-            if self.units_ >= MIN_EXPECTED_UNITS:
-                self.interval_ = self.busy_ / self.units_
-                self._restart()
-            return False
-        expected = self.busy_ / max(self.interval_, 1e-9)
-        if expected < MIN_EXPECTED_UNITS:
+    def silent(self, now: datetime) -> bool:
+        """Tell whether no stream progressed at its usual pace for too long."""
+        if self.gap_ is None or self.fresh_at_ is None:
             return False
-        slow = self.units_ * self.jump < expected
-        if self.units_:
-            measured = self.busy_ / self.units_
-            self.interval_ += RECENT_WEIGHT * (measured - self.interval_)
-        self._restart()
-        return slow
+        silence = (now - self.fresh_at_).total_seconds()
+        return silence > max(self.gap_ * self.jump, MIN_SILENCE_S)
+
+    def proven(self, now: datetime) -> bool:
+        """Tell whether a token came just now at the usual pace."""
+        if self.gap_ is None or self.fresh_at_ is None:
+            return True
+        age = (now - self.fresh_at_).total_seconds()
+        return age <= max(self.gap_ * FRESH_SHARE, MIN_FRESH_S)
 
     def forget(self) -> None:
         """Learn the recent pace anew; the warm baseline stays."""
         self.recent_ = None
-        self.interval_ = None
-        self._restart()
-
-    def _restart(self) -> None:
-        self.busy_ = 0.0
-        self.units_ = 0.0
+        self.gap_ = None
+        self.fresh_at_ = None
+        self.jumps_ = 0
