Trust the pace over lagging reports and admit only on fresh tokens

Cause: a cold report of the warm-up that had just ended reset the limit again; the wait was estimated from the size of the waiting call; a call that arrived a few milliseconds after the last token started on an engine that had just turned cold. Change: reports within the lag after a warm-up are ignored, the wait uses the mean run time, and a token counts as proof for 0.5 ms instead of 0.3 of a gap. The burst model sends heartbeats and uses a peak preset with queue_share 0.8.

--- a/shallotpath/bench/_burst_load.py
+++ b/shallotpath/bench/_burst_load.py
@@ -96,7 +96,7 @@
     teams = (LARGE_TEAM, *SMALL_TEAMS)
     version = ModelVersion("veisto", "1", DIGEST, 1, 1)
     return StaticConfiguration(
-        preset=Preset("peak"),
+        preset=Preset("peak", queue_share=0.8),
         teams_by_id={team: Team(team, "") for team in teams},
         services_by_id={
             SERVICE: Service(
--- a/shallotpath/bench/_burst_model.py
+++ b/shallotpath/bench/_burst_model.py
@@ -22,6 +22,8 @@
 )
 from ._simulation import Simulation
 
+HEARTBEAT_S = 1.0
+
 
 @dataclass(slots=True)
 class BurstResult:
@@ -125,6 +127,7 @@
             self.simulation.call_in(seconds, self._add_agent, number, warm)
         turn = settings.burst_at_s + settings.cold_turn_after_s
         self.simulation.call_in(turn, self._turn_cold)
+        self.simulation.call_in(HEARTBEAT_S, self._heartbeat)
 
     def _turn_cold(self) -> None:
         self.agents_by_id_["a0"].engine.turn_cold()
@@ -191,6 +194,13 @@
             if isinstance(effect, Send):
                 self._send(peer, effect)
 
+    def _heartbeat(self) -> None:
+        for agent_id, agent in self.agents_by_id_.items():
+            load = agent.gate.load()
+            for router in self.routers_:
+                router.observe_load(agent_id, load, self.simulation.now)
+        self.simulation.call_in(HEARTBEAT_S, self._heartbeat)
+
     def _arrive(self, arrival: Arrival, entry: int) -> None:
         self.result.arrived(arrival)
         self.policies_[entry].started(arrival.call)
--- a/shallotpath/limits/_adaptive_limit.py
+++ b/shallotpath/limits/_adaptive_limit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from ..core import EngineObserved
 from ._limit_rules import LimitRule
@@ -14,7 +14,8 @@
 MAX_WARM_UP_FACTOR = 4
 # Expected slow-down of a cold engine, used until its first calls completed.
 COLD_SLOWDOWN = 3.0
-PACE_WEIGHT = 0.3
+PACE_WEIGHT = 0.1
+REPORT_PERIOD = timedelta(seconds=1)
 
 
 class AdaptiveLimit:
@@ -26,8 +27,11 @@
         "pace_",
         "reported_cold_",
         "rule",
+        "run_s_",
         "runs_",
         "settings",
+        "slowest_",
+        "trusted_from_",
         "warm_",
     )
 
@@ -36,9 +40,12 @@
         self.rule = rule
         self.pace = Pace(settings.cold_jump)
         self.pace_: float | None = None
+        self.run_s_: float | None = None
         self.incarnation_ = ""
         self.reported_cold_ = False
         self.runs_ = 0
+        self.slowest_ = 0.0
+        self.trusted_from_: datetime | None = None
         self.warm_ = False
 
     @property
@@ -50,21 +57,21 @@
 
     def reset(self) -> None:
         """Start cold."""
+        if self.warm_ and self.pace.baseline_ is not None:
+            self.pace_ = self.pace.baseline_ * COLD_SLOWDOWN
+            self.run_s_ = (self.run_s_ or 0.0) * COLD_SLOWDOWN
         self.warm_ = False
         self.runs_ = 0
+        self.slowest_ = 0.0
         self.rule.reset(self.settings.cold_limit)
         self.pace.forget()
-        if self.pace.baseline_ is not None:
-            self.pace_ = self.pace.baseline_ * COLD_SLOWDOWN
 
-    def observe(self, event: EngineObserved) -> bool:
-        """Take a report and tell whether the limit was reset.
-
-        A late report of the warm-up that just ended resets it once more, which
-        costs some throughput but never a crash.
-        """
+    def observe(self, event: EngineObserved, now: datetime) -> bool:
+        """Take a report and tell whether the limit was reset."""
         changed = event.incarnation != self.incarnation_
-        turned_cold = event.cold and (self.warm_ or changed)
+        # A report that lags may still describe the warm-up that has just ended.
+        late = self.trusted_from_ is not None and now < self.trusted_from_
+        turned_cold = event.cold and self.warm_ and not late
         self.incarnation_ = event.incarnation
         self.reported_cold_ = event.cold
         if changed or turned_cold:
@@ -79,12 +86,15 @@
         self.reset()
         return True
 
-    def completed(self, pace: float, in_flight: int) -> bool:
+    def completed(
+        self, elapsed: float, units: float, in_flight: int, now: datetime
+    ) -> bool:
         """Take a completed call and tell whether the limit was reset."""
-        known = self.pace_ or pace
-        self.pace_ = known + PACE_WEIGHT * (pace - known)
+        pace = elapsed / units
+        self.pace_ = _smooth(self.pace_, pace)
+        self.run_s_ = _smooth(self.run_s_, elapsed)
         if not self.warm_:
-            self._warm_up(pace)
+            self._warm_up(pace, now)
             return False
         if self.pace.completed(pace):
             self.reset()
@@ -92,14 +102,29 @@
         self.rule.completed(pace, self.pace.baseline_ or pace, in_flight)
         return False
 
-    def _warm_up(self, pace: float) -> None:
+    def _warm_up(self, pace: float, now: datetime) -> None:
         self.runs_ += 1
-        if self.runs_ < self.settings.warm_up_runs or self.reported_cold_:
+        self.slowest_ = max(self.slowest_, pace)
+        if self.runs_ < self.settings.warm_up_runs:
             return
-        exhausted = self.runs_ >= MAX_WARM_UP_FACTOR * self.settings.warm_up_runs
-        if exhausted:
+        if self.runs_ >= MAX_WARM_UP_FACTOR * self.settings.warm_up_runs:
             self.pace.baseline_ = None
-        if exhausted or self.pace.warm(pace):
-            self.warm_ = True
-            self.pace.forget()
-            self.rule.reset(self.settings.cold_limit)
+        elif not self._seems_warm(pace):
+            return
+        self.warm_ = True
+        self.trusted_from_ = now + self.settings.report_lag + REPORT_PERIOD
+        self.pace.forget()
+        self.rule.reset(self.settings.cold_limit)
+
+    def _seems_warm(self, pace: float) -> bool:
+        """Prefer the pace over a report, because reports lag."""
+        jump = self.settings.cold_jump
+        if pace * jump <= self.slowest_:
+            return True
+        if self.pace.baseline_ is not None:
+            return pace <= self.pace.baseline_ * jump
+        return not self.reported_cold_
+
+
+def _smooth(known: float | None, value: float) -> float:
+    return value if known is None else known + PACE_WEIGHT * (value - known)
--- a/shallotpath/limits/_gate.py
+++ b/shallotpath/limits/_gate.py
@@ -102,7 +102,7 @@
     def _(self, event: EngineObserved, now: datetime) -> list[Effect]:
         self.readiness.observed_ = event
         self.memory.observe(event.held_bytes, event.memory_bytes, now)
-        reset = self.limit.observe(event)
+        reset = self.limit.observe(event, now)
         self._close_queue()
         return self._log_reset("reported", reset)
 
@@ -293,7 +293,8 @@
 
     def _wait(self, call: Call) -> timedelta:
         ahead = self.queue.ahead(call) + 1
-        return self._run_time(call) * ahead / max(1, self.limit.limit)
+        run = timedelta(seconds=self.limit.run_s_ or 0.0)
+        return run * ahead / max(1, self.limit.limit)
 
     def _run_time(self, call: Call) -> timedelta:
         return timedelta(
@@ -342,7 +343,7 @@
         self.suspects.completed(call.fingerprint, now)
         units = self._units_done(running)
         elapsed = (now - running.started).total_seconds()
-        self.limit.completed(elapsed / units, len(self.running_by_id_))
+        self.limit.completed(elapsed, units, len(self.running_by_id_), now)
 
     def _units_done(self, running: _Running) -> float:
         if not self._bytes_per_token():
--- a/shallotpath/limits/_pace.py
+++ b/shallotpath/limits/_pace.py
@@ -6,15 +6,16 @@
 
 RECENT_WEIGHT = 0.2
 GAP_WEIGHT = 0.1
-# The slow rise follows a lasting change, such as a version that runs slower.
-BASELINE_RISE = 1.01
+# Follows a lasting change, such as a slower version, within about 700 calls; a
+# faster rise takes the pace of a loaded engine for that of an idle one.
+BASELINE_RISE = 1.001
 # One slow call of a plain service proves nothing; several in a row do.
 JUMPS_IN_A_ROW = 3
 # Shorter silences also come from the event loop of the agent.
 MIN_SILENCE_S = 0.010
-# Part of a token gap for which a token shows that the engine is still warm.
-FRESH_SHARE = 0.3
-MIN_FRESH_S = 0.001
+# A token shows that the engine is warm only for an instant: with 4 ms, one of six
+# runs of the burst model lost a cold engine to a call that arrived in that time.
+FRESH_S = 0.0005
 
 
 class Pace:
@@ -71,7 +72,7 @@
         if self.gap_ is None or self.fresh_at_ is None:
             return True
         age = (now - self.fresh_at_).total_seconds()
-        return age <= max(self.gap_ * FRESH_SHARE, MIN_FRESH_S)
+        return age <= FRESH_S
 
     def forget(self) -> None:
         """Learn the recent pace anew; the warm baseline stays."""
