--- /dev/null
+++ b/shallotpath/bench/_burst.py
@@ -0,0 +1,81 @@
+"""The burst experiment as `shallot-bench burst` reports it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from ._burst_baselines import NaiveModel, OracleModel
+from ._burst_load import LARGE_TEAM, SMALL_TEAMS, BurstSettings
+from ._burst_model import BurstModel, BurstResult, Rules
+
+# A refusal within this time is early: the caller can still try something else.
+EARLY_S = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class BurstReport:
+    """Hold the sums over all seeds; `capacity` is the clairvoyant count."""
+
+    sent: int
+    answered_in_time: int
+    answered_late: int
+    refused: int
+    refused_early: int
+    attempts_per_request: float
+    upstream_crashes: int
+    capacity: int
+    share_of_capacity: float
+    lowest_share_of_capacity: float
+    large_team_answered: float
+    small_teams_answered: float
+    naive_answered_in_time: int
+    naive_upstream_crashes: int
+
+
+def run_burst(
+    settings: BurstSettings, seeds: Iterable[int], rules: Rules | None = None
+) -> BurstReport:
+    """Run the experiment and both baselines on the same load for each seed."""
+    fields = [replace(settings, seed=seed) for seed in seeds]
+    real = [BurstModel(field, rules).run() for field in fields]
+    capacity = [OracleModel(field).run().answered_in_time for field in fields]
+    naive = [NaiveModel(field).run() for field in fields]
+    return make_report(real, capacity, naive)
+
+
+def make_report(
+    real: list[BurstResult], capacity: list[int], naive: list[BurstResult]
+) -> BurstReport:
+    """Add up the results of all seeds."""
+    sent = sum(result.sent for result in real)
+    in_time = sum(result.answered_in_time for result in real)
+    shares = [
+        result.answered_in_time / bound
+        for result, bound in zip(real, capacity, strict=True)
+    ]
+    waits = [wait for result in real for wait in result.refusal_seconds]
+    return BurstReport(
+        sent=sent,
+        answered_in_time=in_time,
+        answered_late=sum(result.answered_late for result in real),
+        refused=sum(result.refused for result in real),
+        refused_early=sum(wait <= EARLY_S for wait in waits),
+        attempts_per_request=round(sum(r.attempts for r in real) / sent, 3),
+        upstream_crashes=sum(result.load_crashes for result in real),
+        capacity=sum(capacity),
+        share_of_capacity=round(in_time / sum(capacity), 3),
+        lowest_share_of_capacity=round(min(shares), 3),
+        large_team_answered=_answered_share(real, (LARGE_TEAM,)),
+        small_teams_answered=_answered_share(real, SMALL_TEAMS),
+        naive_answered_in_time=sum(result.answered_in_time for result in naive),
+        naive_upstream_crashes=sum(result.load_crashes for result in naive),
+    )
+
+
+def _answered_share(results: list[BurstResult], teams: tuple[str, ...]) -> float:
+    sent = sum(result.sent_by_team[team] for result in results for team in teams)
+    answered = sum(
+        result.answered_by_team[team] for result in results for team in teams
+    )
+    return round(answered / max(1, sent), 3)
--- a/shallotpath/limits/__init__.py
+++ b/shallotpath/limits/__init__.py
@@ -1,6 +1,7 @@
 """Admission and limits."""
 
 from ._adaptive_limit import AdaptiveLimit
+from ._designation import affinity_slot, affinity_slots, designated_agent
 from ._fair_queue import FairQueue
 from ._gate import Gate
 from ._limit_rules import AimdRule, FixedRule, GradientRule, LimitRule
@@ -27,4 +28,7 @@
     "Refuse",
     "Suspects",
     "Suspicion",
+    "affinity_slot",
+    "affinity_slots",
+    "designated_agent",
 ]
--- /dev/null
+++ b/shallotpath/limits/_designation.py
@@ -0,0 +1,61 @@
+"""The two upstreams that a request prefers, and the one that runs a suspect."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from ..core import rendezvous_choice, rendezvous_score
+from ._model import Call
+
+# Keys share slots, so that an entry computes the order of a slot once. With 4096
+# slots and 900 agents, each agent comes first for four to five slots on average.
+SLOTS = 4096
+
+
+def affinity_slot(key: str) -> str:
+    """Return the slot that stands for a prefix or a fingerprint."""
+    return str(rendezvous_score(key, "slot") % SLOTS)
+
+
+def affinity_slots(call: Call) -> tuple[str, str]:
+    """Return the slots that determine the first and the second upstream."""
+    return (
+        affinity_slot(call.prefix or call.fingerprint),
+        affinity_slot(call.fingerprint or call.prefix),
+    )
+
+
+def designated_agent(
+    call: Call, domains_by_agent: Mapping[str, str], crash_sites: Collection[str]
+) -> str | None:
+    """Return the agent that runs a suspect request.
+
+    It is the other one of the pair, in the failure domain of the first crash, that
+    the request may already be running on. Thus a request that is sent again before
+    all have heard of the crash still reaches no third upstream. A service without
+    another agent runs the request where it crashed.
+    """
+    first_domain = next(
+        (domains_by_agent[id_] for id_ in crash_sites if id_ in domains_by_agent), None
+    )
+    near = [id_ for id_, domain in domains_by_agent.items() if domain == first_domain]
+    for agents in (near, list(domains_by_agent)):
+        choice = _other_of_pair(call, agents, crash_sites)
+        if choice is not None:
+            return choice
+    return rendezvous_choice(call.fingerprint, domains_by_agent)
+
+
+def _other_of_pair(
+    call: Call, agents: Collection[str], crash_sites: Collection[str]
+) -> str | None:
+    if not agents:
+        return None
+    by_prefix, by_call = affinity_slots(call)
+    first = rendezvous_choice(by_prefix, agents)
+    second = rendezvous_choice(by_call, [id_ for id_ in agents if id_ != first])
+    rest = [id_ for id_ in agents if id_ not in crash_sites]
+    for id_ in (first, second, rendezvous_choice(by_call, rest)):
+        if id_ is not None and id_ not in crash_sites:
+            return id_
+    return None
--- a/shallotpath/limits/_fair_queue.py
+++ b/shallotpath/limits/_fair_queue.py
@@ -18,32 +18,35 @@
     cost / weight with each call of the team that is released.
     """
 
-    __slots__ = ("calls_by_class_", "capacity", "start_by_team_", "virtual_", "weight")
+    __slots__ = (
+        "calls_by_class_",
+        "calls_by_id_",
+        "capacity",
+        "start_by_team_",
+        "virtual_",
+        "weight",
+    )
 
     def __init__(self, capacity: int, weight: Callable[[str], int]) -> None:
         self.capacity = capacity
         self.weight = weight
         self.calls_by_class_: dict[int, dict[str, deque[Call]]] = {}
+        self.calls_by_id_: dict[str, Call] = {}
         self.start_by_team_: dict[str, float] = {}
         self.virtual_ = 0.0
 
     def __len__(self) -> int:
-        return sum(
-            len(calls)
-            for calls_by_team in self.calls_by_class_.values()
-            for calls in calls_by_team.values()
-        )
+        return len(self.calls_by_id_)
 
     def __iter__(self) -> Iterator[Call]:
-        for calls_by_team in self.calls_by_class_.values():
-            for calls in calls_by_team.values():
-                yield from calls
+        return iter(self.calls_by_id_.values())
 
     def push(self, call: Call, capacity: int | None = None) -> Call | None:
         """Add a call and return the call that has to leave, if the queue is full."""
         capacity = self.capacity if capacity is None else capacity
         calls_by_team = self.calls_by_class_.setdefault(call.priority, {})
         calls_by_team.setdefault(call.team, deque()).append(call)
+        self.calls_by_id_[call.request_id] = call
         if len(self) <= capacity:
             return None
         return self._displace()
@@ -78,6 +81,7 @@
         """Remove a call."""
         calls_by_team = self.calls_by_class_[call.priority]
         calls_by_team[call.team].remove(call)
+        del self.calls_by_id_[call.request_id]
         if not calls_by_team[call.team]:
             del calls_by_team[call.team]
         if not calls_by_team:
@@ -85,7 +89,7 @@
 
     def find(self, request_id: str) -> Call | None:
         """Return a queued call."""
-        return next((call for call in self if call.request_id == request_id), None)
+        return self.calls_by_id_.get(request_id)
 
     def ahead(self, call: Call) -> int:
         """Estimate how many queued calls run before a call that would join now."""
--- a/shallotpath/limits/_gate.py
+++ b/shallotpath/limits/_gate.py
@@ -20,10 +20,10 @@
     Load,
     Log,
     Tick,
-    rendezvous_choice,
 )
 from ..membership import MembershipView, MemberState, Role
 from ._adaptive_limit import AdaptiveLimit
+from ._designation import designated_agent
 from ._fair_queue import FairQueue
 from ._limit_rules import AimdRule, LimitRule
 from ._memory import MemoryLedger
@@ -195,7 +195,9 @@
         if grown > 0 and self._bytes_per_token():
             self._progressed(running, grown / self._bytes_per_token(), now)
         self._look(now)
-        return self.ready(now) if self.queue else []
+        if not self.queue or len(self.running_by_id_) >= self.limit.limit:
+            return []
+        return self.ready(now)
 
     def expire(self, now: datetime) -> list[Expired]:
         """Return the queued calls that have to leave."""
@@ -261,15 +263,17 @@
         return None
 
     def _designated(self, call: Call) -> bool:
-        agents = [
-            member.id
+        domains_by_agent = {
+            member.id: member.domain
             for member in self.membership.members_by_id.values()
             if member.role is Role.AGENT
             and member.service == call.service
             and member.state is MemberState.ALIVE
             and not self._domain_out(member.domain)
-        ]
-        return rendezvous_choice(call.fingerprint, agents) in (None, self.node_id)
+        }
+        domains_by_agent[self.node_id] = self.readiness.domain
+        sites = self.suspects.crash_sites(call.fingerprint)
+        return designated_agent(call, domains_by_agent, sites) == self.node_id
 
     def _domain_out(self, domain_id: str) -> bool:
         domain = self.readiness.configuration.domains_by_id.get(domain_id)
--- a/shallotpath/limits/_suspects.py
+++ b/shallotpath/limits/_suspects.py
@@ -129,6 +129,14 @@
         record = self.records_by_fingerprint_.get(fingerprint)
         return timedelta() if record is None else max(timedelta(), record.expires - now)
 
+    def crash_sites(self, fingerprint: str) -> list[str]:
+        """Return the agents whose engines crashed with a fingerprint."""
+        record = self.records_by_fingerprint_.get(fingerprint)
+        if record is None:
+            return []
+        active = sorted(record.crash_ids - record.cleared_ids)
+        return [crash_id.rsplit("/", 2)[0] for crash_id in active]
+
     def completed(self, fingerprint: str, now: datetime) -> None:
         """Clear a fingerprint whose run completed; the next tick tells the peers."""
         record = self.records_by_fingerprint_.get(fingerprint)
--- a/shallotpath/routing/__init__.py
+++ b/shallotpath/routing/__init__.py
@@ -1,5 +1,6 @@
 """Upstream selection and retries."""
 
+from ._breaker import Circuit, SharedBreaker
 from ._health import HealthRule, SkipRule
 from ._loads import Loads
 from ._pool import Pool
@@ -17,6 +18,7 @@
 
 __all__ = [
     "AffinityRule",
+    "Circuit",
     "HealthRule",
     "LeastLoadedRule",
     "Loads",
@@ -26,6 +28,7 @@
     "Router",
     "RouterSettings",
     "SelectionRule",
+    "SharedBreaker",
     "SkipRule",
     "TwoChoicesRule",
     "affinity_pair",
--- a/shallotpath/routing/_pool.py
+++ b/shallotpath/routing/_pool.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
+from heapq import nlargest
 
 from ..core import rendezvous_score
 
-# Keys share slots so that the order of a slot is computed once; 4096 slots keep
-# the number of slots per agent within about a third of its mean at 900 agents.
-SLOTS = 4096
 ORDER_LENGTH = 3
 # Above this many joins, a slot is ordered anew instead of being caught up.
 MAX_JOINS = 64
@@ -29,7 +27,7 @@
         self.ranked_: list[tuple[int, str]] = []
         self.joins_: list[str] = []
         self.seq_ = 0
-        self.orders_by_slot_: dict[int, tuple[int, list[tuple[int, str]]]] = {}
+        self.orders_by_slot_: dict[str, tuple[int, list[tuple[int, str]]]] = {}
 
     def __len__(self) -> int:
         return len(self.ids_)
@@ -57,9 +55,8 @@
         """Return an agent of this entry's subset by its rank."""
         return self.ranked_[index][1]
 
-    def order(self, key: str) -> list[str]:
-        """Return the first agents in the rendezvous order of a key."""
-        slot = rendezvous_score(key, "slot") % SLOTS
+    def order(self, slot: str) -> list[str]:
+        """Return the first agents in the rendezvous order of a slot."""
         seen, ranked = self.orders_by_slot_.get(slot, (-1, []))
         missed = self.seq_ - seen
         gone = any(member_id not in self.ids_ for _, member_id in ranked)
@@ -73,9 +70,6 @@
             self.orders_by_slot_[slot] = (self.seq_, ranked)
         return [member_id for _, member_id in ranked]
 
-    def _rank(self, slot: int, ids: set[str]) -> list[tuple[int, str]]:
-        key = str(slot)
-        ranked = sorted(
-            ((rendezvous_score(key, id_), id_) for id_ in ids), reverse=True
-        )
-        return ranked[:ORDER_LENGTH]
+    def _rank(self, slot: str, ids: set[str]) -> list[tuple[int, str]]:
+        scored = ((rendezvous_score(slot, id_), id_) for id_ in ids)
+        return nlargest(ORDER_LENGTH, scored)
--- a/shallotpath/routing/_router.py
+++ b/shallotpath/routing/_router.py
@@ -15,9 +15,8 @@
     Event,
     Load,
     MemberChanged,
-    rendezvous_choice,
 )
-from ..limits import Call, Suspects, Suspicion
+from ..limits import Call, Suspects, Suspicion, designated_agent
 from ..membership import Member, MembershipView
 from ._directory import Directory
 from ._health import CALL_CODES, HealthRule, SkipRule
@@ -194,14 +193,15 @@
 
     def _designated(self, call: Call, exclude: Collection[str]) -> Member | None:
         """Return the one agent that runs a suspect request."""
-        agents = [
-            member_id
+        domains_by_agent = {
+            member_id: domain_id
             for domain_id, pool in self.directory.pools(call.service).items()
             if domain_id not in self.ramp.out_
             for member_id in pool.ids_
             if self.directory.member(member_id) is not None
-        ]
-        choice = rendezvous_choice(call.fingerprint, agents)
+        }
+        sites = self.suspects.crash_sites(call.fingerprint)
+        choice = designated_agent(call, domains_by_agent, sites)
         if choice is None or choice in exclude:
             return None
         return self.directory.member(choice)
--- a/shallotpath/routing/_rules.py
+++ b/shallotpath/routing/_rules.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Protocol
 
-from ..limits import Call
+from ..limits import Call, affinity_slots
 from ._loads import Loads
 from ._pool import Pool
 
@@ -109,8 +109,7 @@
 
 def affinity_pair(call: Call, pool: Pool) -> list[str]:
     """Return the at most two upstreams that a repeatable call prefers."""
-    by_prefix = pool.order(call.prefix or call.fingerprint)
-    by_call = pool.order(call.fingerprint or call.prefix)
+    by_prefix, by_call = map(pool.order, affinity_slots(call))
     others = [id_ for id_ in by_call if id_ not in by_prefix[:1]]
     return by_prefix[:1] + others[:1]
 
