Add the domain, slow and overhead experiments and bound kernel buffers

Cause: the promises on slow readers and on failure domains had no measurement; the first slow run held 264,086 bytes against a budget of 262,144, because frames arrive between two checks, and the kernel's send buffers took megabytes that no budget counted. Change: an in-process cluster on real sockets with links that can be cut; the budget keeps a sixteenth in reserve; listeners limit the send buffer to 64 KiB; an entry refuses a call whose home agent it cannot reach as not run.

--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -1,7 +1,10 @@
 """Load generator and experiments."""
 
+from ._domain import run_domain
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
 from ._naive import NaiveEntry
+from ._overhead import run_overhead
+from ._slow import run_slow
 from ._weights import run_weights
 
 __all__ = [
@@ -11,5 +14,8 @@
     "Outcome",
     "Request",
     "StreamChecker",
+    "run_domain",
+    "run_overhead",
+    "run_slow",
     "run_weights",
 ]
--- a/shallotpath/bench/_load.py
+++ b/shallotpath/bench/_load.py
@@ -47,6 +47,7 @@
     seconds: float = 0.0
     first_token_seconds: float = 0.0
     digest: str = ""
+    broken: bool = False
 
 
 @dataclass(slots=True)
@@ -84,7 +85,8 @@
 
     Entries are chosen at random as the platform's balancer would; one that
     refuses connections is replaced by the next, since a balancer's health
-    checks take it out.
+    checks take it out. A caller whose connection breaks sends the request again
+    with the same key, once.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.random_ = Random(seed)
         self.result_ = LoadResult()
         self.tasks_: set[asyncio.Task] = set()
+        self.resent_by_id_: Counter[str] = Counter()
         self.session_: ClientSession | None = None
 
     async def __aenter__(self) -> LoadGenerator:
@@ -159,9 +162,15 @@
             except ClientError as error:
                 if _never_connected(error):
                     continue
-                return Outcome(request, "lost", code=type(error).__name__)
-            async with response:
-                return await self._read(request, response, started)
+                outcome = Outcome(request, "lost", code=type(error).__name__)
+                outcome.broken = True
+            else:
+                async with response:
+                    outcome = await self._read(request, response, started)
+            if not outcome.broken or self.resent_by_id_[request.id]:
+                return outcome
+            self.resent_by_id_[request.id] += 1
+            return await self._attempt(request)
         return Outcome(request, "lost", code="no_entry")
 
     async def _read(self, request, response, started) -> Outcome:
@@ -173,7 +182,9 @@
                 return Outcome(request, "answered", digest=_version(response))
             return await self._read_stream(request, response, started)
         except ClientError as error:
-            return Outcome(request, "truncated", code=type(error).__name__)
+            broken = Outcome(request, "truncated", code=type(error).__name__)
+            broken.broken = True
+            return broken
 
     async def _read_stream(self, request, response, started) -> Outcome:
         checker = StreamChecker(request, _version(response))
--- a/shallotpath/bench/_naive.py
+++ b/shallotpath/bench/_naive.py
@@ -53,7 +53,7 @@
             engine = next(self.cycle_by_service_[request.match_info["service"]])
             try:
                 return await self._attempt(request, engine, body)
-            except (TimeoutError, ClientError):
+            except (TimeoutError, ClientError, RuntimeError):
                 continue
         raise web.HTTPBadGateway
 
--- /dev/null
+++ b/shallotpath/cli/bench.py
@@ -0,0 +1,71 @@
+"""Run loads and experiments, each beside a naive baseline."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Awaitable
+from typing import Annotated
+
+from cyclopts import App, Parameter
+from rich.console import Console
+from rich.table import Table
+
+from .. import __version__
+from ..bench import run_domain, run_overhead, run_slow, run_weights
+from ._program import run_app
+
+app = App(
+    name="shallot-bench",
+    help="Run loads and experiments. The last line of the output is one JSON object.",
+    version=f"shallot-bench {__version__}",
+)
+
+Seed = Annotated[int, Parameter(help="Seed of all random choices.")]
+
+
+@app.command
+def weights(*, vms: Annotated[int, Parameter(help="Number of VMs.")] = 24) -> None:
+    """Time from publication until all VMs run a version, and what it draws."""
+    show("weights", asyncio.run(run_weights(vms)))
+
+
+@app.command
+def domain(*, rate: float = 25.0, seed: Seed = 1) -> None:
+    """Service while a failure domain is out, returns, is cut off and dies."""
+    show("domain", run_quietly(run_domain(rate, seed)))
+
+
+@app.command
+def slow(*, rate: float = 20.0, slow_callers: int = 16, seed: Seed = 1) -> None:
+    """Memory held for callers that do not read, and the others' latency."""
+    show("slow", run_quietly(run_slow(rate, slow_callers=slow_callers, seed=seed)))
+
+
+@app.command
+def overhead(*, seconds: float = 12.0, seed: Seed = 1) -> None:
+    """Time that entry and agent add to a direct connection."""
+    show("overhead", run_quietly(run_overhead(seconds, seed)))
+
+
+def run_quietly(experiment: Awaitable[dict]) -> dict:
+    """Run an experiment without the processes' log lines."""
+    logging.getLogger("shallotpath").setLevel(logging.WARNING)
+    return asyncio.run(experiment)
+
+
+def show(name: str, result: dict) -> None:
+    """Print a result as a table and as one JSON object on the last line."""
+    table = Table(title=f"shallot-bench {name}")
+    table.add_column("key")
+    table.add_column("value")
+    for key, value in result.items():
+        table.add_row(key, json.dumps(value))
+    Console().print(table)
+    print(json.dumps(result))
+
+
+def main() -> None:
+    """Run the program."""
+    run_app(app)
--- a/shallotpath/nodes/_entry.py
+++ b/shallotpath/nodes/_entry.py
@@ -6,7 +6,7 @@
 
 from ..claims import HomeSet
 from ..core import Part
-from ..membership import Member, Role
+from ..membership import Member, MemberState, Role
 from ..routing import RetryPolicy, Router
 from ..runtime import EntryLimits, EntryPart, EntryServer, EntryTimeouts
 from ..settings import EntrySettings
@@ -80,8 +80,14 @@
         await super().stop()
 
     def home_of(self, service: str, key: str) -> Member | None:
-        """Return the agent that decides on a key."""
-        return self.member(self.homes.home_of(service, key))
+        """Return the agent that decides on a key, unless it cannot be reached.
+
+        A call that was never sent can be refused as not run.
+        """
+        home = self.member(self.homes.home_of(service, key))
+        if home is None or home.state in (MemberState.SUSPECT, MemberState.DEAD):
+            return None
+        return home
 
     def new_key(self, service: str) -> str:
         """Return a key whose home agent is in this failure domain."""
--- a/shallotpath/nodes/_process.py
+++ b/shallotpath/nodes/_process.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from random import Random
 from uuid import uuid4
@@ -19,7 +19,9 @@
     ControlLoop,
     LogTailer,
     PlatformClient,
+    Security,
     Shell,
+    Transport,
     status_of,
 )
 from ..settings import NodeSettings
@@ -40,8 +42,10 @@
         *,
         clock: Clock | None = None,
         seed: int | None = None,
+        make_transport: Callable[..., Transport] = Transport,
     ) -> None:
         self.settings = settings
+        self.make_transport = make_transport
         self.clock = clock or MonotonicClock()
         self.random = Random(seed)
         self.incarnation = uuid4().hex[:12]
@@ -126,6 +130,8 @@
             bulk_address=self.settings.bulk,
             platform=PlatformClient(session, self.settings.platform_url),
             stamper=self.telemetry.hlc,
+            security=make_security(self.settings),
+            make_transport=self.make_transport,
         )
         node.parts = [*common, *self.make_parts()]
         await self.shell.start()
@@ -160,3 +166,14 @@
     def member(self, member_id: str | None) -> Member | None:
         """Return a known member."""
         return self.membership.members_by_id.get(member_id or "")
+
+
+def make_security(settings: NodeSettings) -> Security | None:
+    """Return the CURVE keys of the settings, or `None` if there are none."""
+    if not settings.public_key:
+        return None
+    return Security(
+        public_key=settings.public_key,
+        secret_key=settings.secret_key,
+        accepted_keys=settings.accepted_keys.replace(",", " ").split(),
+    )
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -12,6 +12,7 @@
 from ..core import Code, RunState
 from ..membership import Member, MembershipView
 from ..streams import SlowReaderBudget
+from ..webserver import bind_listener
 from ._entry_calls import EntryCalls
 from ._entry_part import EntryPart
 from ._entry_request import EntryLimits, EntryRequest, malformed, parse_request
@@ -116,7 +117,8 @@
             shutdown_timeout=CLOSE_TIMEOUT_S,
         )
         await self.runner_.setup()
-        await web.TCPSite(self.runner_, self.host, self.port).start()
+        listener = bind_listener(self.host, self.port)
+        await web.SockSite(self.runner_, listener).start()
 
     async def drain(self) -> None:
         """Refuse new work and wait until all requests are answered."""
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -114,7 +114,7 @@
             self._send(exchange, reply)
         if isinstance(message, Data):
             self._account(exchange)
-            if self.budget.held_bytes > self.budget.budget_bytes:
+            if self.budget.excess > 0:
                 self._stop_slow_readers(now)
 
     def _on_heartbeat_reply(self, peer: str, reply: HeartbeatReply) -> None:
--- a/shallotpath/runtime/_shell.py
+++ b/shallotpath/runtime/_shell.py
@@ -89,13 +89,18 @@
         platform: PlatformClient | None = None,
         stamper: Stamper | None = None,
         security: Security | None = None,
+        make_transport: Callable[..., Transport] = Transport,
     ) -> None:
         self.node = node
         self.clock = clock
         self.telemetry = telemetry
         self.platform = platform
-        self.peer = Transport(identity, peer_address, self.receive, stamper, security)
-        self.bulk = Transport(identity, bulk_address, self.receive, stamper, security)
+        self.peer = make_transport(
+            identity, peer_address, self.receive, stamper, security
+        )
+        self.bulk = make_transport(
+            identity, bulk_address, self.receive, stamper, security
+        )
         self.handlers_by_type: dict[type, Handler] = {}
         self.timers_by_name_: dict[str, asyncio.TimerHandle] = {}
         self.tasks_: set[asyncio.Task] = set()
--- a/shallotpath/standins/_engine.py
+++ b/shallotpath/standins/_engine.py
@@ -64,6 +64,7 @@
         memory_bytes: int = 8 * 1024**2,
         bytes_per_token: int = 1024,
         token_interval_s: float = 0.01,
+        token_padding: int = 0,
         call_s: float = 0.02,
         max_running: int = 16,
         cold_running: int = 2,
@@ -78,6 +79,7 @@
         self.memory_bytes = memory_bytes
         self.bytes_per_token = bytes_per_token
         self.token_interval_s = token_interval_s
+        self.token_padding = token_padding
         self.call_s = call_s
         self.max_running = max_running
         self.cold_running = cold_running
@@ -191,6 +193,9 @@
             if request.transport is not None:
                 request.transport.abort()
             raise
+        except ConnectionResetError as error:
+            self.counters_["disconnected"] += 1
+            raise asyncio.CancelledError from error
         finally:
             if self.tasks_by_id_.get(request_id) is asyncio.current_task():
                 del self.tasks_by_id_[request_id]
@@ -236,7 +241,10 @@
                 self.crash()
                 raise asyncio.CancelledError
             token = make_token(digest, prompt, index)
-            event = json.dumps({"i": index, "t": token})
+            fields = {"i": index, "t": token}
+            if self.token_padding:
+                fields["padding"] = "x" * self.token_padding
+            event = json.dumps(fields)
             await response.write(f"data: {event}\n\n".encode())
             self.counters_["tokens"] += 1
         end = json.dumps({"n": count})
--- a/shallotpath/streams/_budget.py
+++ b/shallotpath/streams/_budget.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from datetime import datetime
 
+# Frames arrive between two checks; they must fit the budget as well.
+RESERVED_SHARE = 1 / 16
+
 
 @dataclass(slots=True)
 class HeldStream:
@@ -29,6 +32,12 @@
         """Return the bytes held for all readers."""
         return self.held_bytes_
 
+    @property
+    def excess(self) -> int:
+        """Return the bytes above the budget less its reserve; negative if none."""
+        reserved = int(self.budget_bytes * RESERVED_SHARE)
+        return self.held_bytes_ - (self.budget_bytes - reserved)
+
     def update(
         self, stream_id: str, held_bytes: int, now: datetime, *, progress: bool = False
     ) -> None:
@@ -49,7 +58,7 @@
 
     def victims(self, now: datetime) -> list[str]:
         """Return the streams to cancel, the worst first, until the rest fits."""
-        excess = self.held_bytes_ - self.budget_bytes
+        excess = self.excess
         if excess <= 0:
             return []
         chosen = []
