Strengthen the tests of the request path

Tests now give another home to an order at a frozen agent, look at the moment a drain ends, switch off the poll of silent streams and the silence time-out where another rule has to act, use a window smaller than the answer, and check the relay and the incarnation rule directly.

--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -36,6 +36,7 @@
 from shallotpath.runtime import (
     AgentPart,
     AgentServer,
+    AgentTimeouts,
     ClaimDecided,
     EngineClient,
     EntryPart,
@@ -225,7 +226,9 @@
         self.telemetry = MemoryTelemetry()
 
     @asynccontextmanager
-    async def run(self, configuration, **options):
+    async def run(self, configuration, timeouts=None, **options):
+        # Silence must not end what another rule has to end.
+        timeouts = timeouts or AgentTimeouts(entry_silence=timedelta(hours=1))
         part = AgentPart(self.claims)
         self.shell = make_shell(self.name, [part, self.events], self.telemetry)
         async with serve(self.engine.build()) as url, ClientSession() as session:
@@ -239,6 +242,7 @@
                 service=self.service,
                 domain="bne-a",
                 incarnation=f"{self.name}-1",
+                timeouts=timeouts,
                 **options,
             )
             await self.agent.start()
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -115,6 +115,7 @@
             await asyncio.sleep(0.5)
         assert 0 < tokens < 400_000
         assert upstream.agent.held_bytes <= 1000
+        assert upstream.agent.in_flight == 1
         entry.send(Credit("r", 1, 2000))
         await until(lambda: upstream.agent.calls.calls_by_id_["r"].writer.next_seq > 1)
 
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -8,9 +8,10 @@
 from aiohttp import ClientError, web
 
 from shallotpath.config import DomainState, Team
-from shallotpath.core import Code, DrainRequested, RunState
+from shallotpath.core import Code, DrainRequested
 from shallotpath.runtime import EntryLimits, EntryTimeouts
 from shallotpath.standins import serve
+from shallotpath.streams import _reader
 
 from .parts import (
     PATIENCE_S,
@@ -47,6 +48,13 @@
         assert entry.server.held_bytes == 0
 
 
+async def test_an_answer_larger_than_the_window_arrives_whole():
+    limits = EntryLimits(window_bytes=100)
+    upstream = Upstream("a", "fold-model", token_interval_s=0.0)
+    async with system([upstream], limits=limits) as entry:
+        assert await entry.generate(max_tokens=50) == expected_stream("crane", 50)
+
+
 async def test_a_plain_answer_arrives_with_its_status_and_type():
     async with system([Upstream("a", "kit-desk")]) as entry:
         async with entry.post("/kit-desk/stock", data=b"{}") as answer:
@@ -102,8 +110,10 @@
         assert texts == [expected_stream(p, 60) for p in prompts]
 
 
-async def test_a_silent_connection_is_replaced_and_the_stream_resumed():
-    # Guards against waiting minutes for TCP, and against a second run.
+async def test_a_silent_connection_is_replaced_and_the_stream_resumed(monkeypatch):
+    # Guards against waiting minutes for TCP, and against a second run. Without the
+    # poll of a silent stream, only the replacement can resume it.
+    monkeypatch.setattr(_reader, "RESUME_AFTER", timedelta(hours=1))
     upstream = Upstream("a", "fold-model", token_interval_s=0.02)
     async with (
         system([upstream], timeouts=FAST) as entry,
@@ -140,6 +150,7 @@
         SilentLink(upstreams[0].shell.peer.address_) as link,
     ):
         entry.router.members[0] = _at(upstreams[0].member, link.address)
+        entry.homes_ = iter(entry.router.members)
         order = asyncio.create_task(_order(entry))
         await until(lambda: upstreams[0].engine.counters_["runs"] == 1)
         link.silence_for_good()
@@ -205,7 +216,11 @@
         answer = asyncio.create_task(entry.generate(max_tokens=30))
         await until(lambda: upstream.engine.counters_["tokens"] >= 2)
         entry.shell.dispatch(DrainRequested())
-        drains = asyncio.gather(entry.server.drain(), upstream.agent.drain())
+        completed = upstream.engine.counters_
+        drains = [
+            asyncio.create_task(_then(drain(), lambda: completed["completed"]))
+            for drain in (entry.server.drain, upstream.agent.drain)
+        ]
         async with entry.post("/fold-model/generate", data=b"{}") as refused:
             problem = await refused.json()
         assert (problem["code"], problem["run"]) == ("draining", "no")
@@ -213,7 +228,7 @@
         async with entry.session.get(entry.server.url + "/healthz") as health:
             assert health.status == 503
         assert await answer == expected_stream("crane", 30)
-        await asyncio.wait_for(drains, PATIENCE_S)
+        assert await asyncio.wait_for(asyncio.gather(*drains), PATIENCE_S) == [1, 1]
 
 
 async def test_a_slow_reader_is_cancelled_and_others_are_served():
@@ -323,7 +338,7 @@
             member.id, member.role, "", "", member.address, "a-2"
         )
         _, problem = await order
-        assert problem["run"] == RunState.UNKNOWN
+        assert (problem["code"], problem["run"]) == ("upstream_lost", "unknown")
 
 
 REQUESTS = {
@@ -434,6 +449,11 @@
             assert health.status == 503
 
 
+async def _then(awaitable, look):
+    await awaitable
+    return look()
+
+
 async def _order(entry, key=""):
     headers = {"Idempotency-Key": key} if key else {}
     async with entry.post("/kit-desk/orders", data=b"{}", headers=headers) as answer:
