--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -37,6 +37,7 @@
 from shallotpath.runtime import (
     AgentPart,
     AgentServer,
+    AgentTimeouts,
     EngineClient,
     EntryPart,
     EntryServer,
@@ -228,7 +229,9 @@
         self.telemetry = MemoryTelemetry()
 
     @asynccontextmanager
-    async def run(self, configuration, **options):
+    async def run(self, configuration, timeouts=None, **options):
+        # Silence must not end what another rule has to end.
+        timeouts = timeouts or AgentTimeouts(entry_silence=timedelta(hours=1))
         part = AgentPart(self.claims)
         self.shell = make_shell(self.name, [part, self.events], self.telemetry)
         async with serve(self.engine.build()) as url, ClientSession() as session:
@@ -242,6 +245,7 @@
                 service=self.service,
                 domain="bne-a",
                 incarnation=f"{self.name}-1",
+                timeouts=timeouts,
                 **options,
             )
             await self.agent.start()
