Predict waits per team and refuse queued calls early

Cause: a third of the refusals came after more than half a second in the queue, because later calls of small teams run before those of a team above its share. The fake engine started its next step too early, which counted crashes that the gate did not cause. Change: the gate learns how far waits of a team exceed the prediction and moves out calls that would wait past their deadline. The burst report also compares the rate of responses while calls arrive, beside all responses in time.

--- a/shallotpath/bench/_burst.py
+++ b/shallotpath/bench/_burst.py
@@ -15,7 +15,12 @@
 
 @dataclass(slots=True, frozen=True)
 class BurstReport:
-    """Hold the sums over all seeds; `capacity` is the clairvoyant count."""
+    """Hold the sums over all seeds.
+
+    `capacity` is the clairvoyant count of responses in time while calls arrive, and
+    `share_of_capacity` compares the same count. `share_of_answerable` compares all
+    responses in time; there a deeper queue at the end of the run counts as well.
+    """
 
     sent: int
     answered_in_time: int
@@ -27,6 +32,7 @@
     capacity: int
     share_of_capacity: float
     lowest_share_of_capacity: float
+    share_of_answerable: float
     large_team_answered: float
     small_teams_answered: float
     naive_answered_in_time: int
@@ -39,21 +45,24 @@
     """Run the experiment and both baselines on the same load for each seed."""
     fields = [replace(settings, seed=seed) for seed in seeds]
     real = [BurstModel(field, rules).run() for field in fields]
-    capacity = [OracleModel(field).run().answered_in_time for field in fields]
+    oracle = [OracleModel(field).run() for field in fields]
     naive = [NaiveModel(field).run() for field in fields]
-    return make_report(real, capacity, naive)
+    return make_report(real, oracle, naive)
 
 
 def make_report(
-    real: list[BurstResult], capacity: list[int], naive: list[BurstResult]
+    real: list[BurstResult], oracle: list[BurstResult], naive: list[BurstResult]
 ) -> BurstReport:
     """Add up the results of all seeds."""
     sent = sum(result.sent for result in real)
     in_time = sum(result.answered_in_time for result in real)
     shares = [
-        result.answered_in_time / bound
-        for result, bound in zip(real, capacity, strict=True)
+        result.answered_in_window / bound.answered_in_window
+        for result, bound in zip(real, oracle, strict=True)
     ]
+    capacity = sum(result.answered_in_window for result in oracle)
+    answerable = sum(result.answered_in_time for result in oracle)
+    in_window = sum(result.answered_in_window for result in real)
     waits = [wait for result in real for wait in result.refusal_seconds]
     return BurstReport(
         sent=sent,
@@ -63,9 +72,10 @@
         refused_early=sum(wait <= EARLY_S for wait in waits),
         attempts_per_request=round(sum(r.attempts for r in real) / sent, 3),
         upstream_crashes=sum(result.load_crashes for result in real),
-        capacity=sum(capacity),
-        share_of_capacity=round(in_time / sum(capacity), 3),
+        capacity=capacity,
+        share_of_capacity=round(in_window / capacity, 3),
         lowest_share_of_capacity=round(min(shares), 3),
+        share_of_answerable=round(in_time / answerable, 3),
         large_team_answered=_answered_share(real, (LARGE_TEAM,)),
         small_teams_answered=_answered_share(real, SMALL_TEAMS),
         naive_answered_in_time=sum(result.answered_in_time for result in naive),
--- a/shallotpath/bench/_burst_baselines.py
+++ b/shallotpath/bench/_burst_baselines.py
@@ -45,7 +45,8 @@
     def finished(self, run: Run) -> None:
         """Take the end of a run."""
         arrival = self.arrivals_by_id_[run.call.request_id]
-        self.result.completed(arrival, self.simulation.now)
+        end = self.settings.window_end
+        self.result.completed(arrival, self.simulation.now, end)
 
     def crashed(self, runs: list[Run]) -> None:
         """Take a crash that lost these runs."""
--- a/shallotpath/bench/_burst_load.py
+++ b/shallotpath/bench/_burst_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
 
 from ..config import (
@@ -57,6 +57,11 @@
         """Return how many upstreams start just before the burst."""
         return self.upstreams // 3
 
+    @property
+    def window_end(self) -> datetime:
+        """Return when the arrivals end."""
+        return EPOCH + timedelta(seconds=self.duration_s)
+
     def starts(self) -> list[tuple[float, bool]]:
         """Return when each upstream starts and whether it is warm then."""
         late = self.burst_at_s - self.cold_start_before_s
--- a/shallotpath/bench/_burst_model.py
+++ b/shallotpath/bench/_burst_model.py
@@ -33,6 +33,8 @@
     attempts: int = 0
     answered_in_time: int = 0
     answered_late: int = 0
+    # In time, and before the arrivals end: the rate at which the fleet answers.
+    answered_in_window: int = 0
     refused: int = 0
     refusal_seconds: list[float] = field(default_factory=list)
     codes: Counter[str] = field(default_factory=Counter)
@@ -52,12 +54,13 @@
         """Count an attempt that was sent to an upstream."""
         self.attempts += arrival.measured
 
-    def completed(self, arrival: Arrival, now: datetime) -> None:
+    def completed(self, arrival: Arrival, now: datetime, window_end: datetime) -> None:
         """Count a complete response."""
         if not arrival.measured:
             return
         if now <= arrival.call.deadline:
             self.answered_in_time += 1
+            self.answered_in_window += now <= window_end
             self.answered_by_team[arrival.call.team] += 1
         else:
             self.answered_late += 1
@@ -234,7 +237,8 @@
         router.observe_load(member_id, reply.load, now)
         if reply.code is None:
             router.completed(call, member_id)
-            self.result.completed(attempt.arrival, now)
+            end = self.settings.window_end
+            self.result.completed(attempt.arrival, now, end)
             return
         router.observe_failure(member_id, reply.code, now, reply.retry_after)
         attempt.exclude.append(member_id)
--- a/shallotpath/bench/_fake_engine.py
+++ b/shallotpath/bench/_fake_engine.py
@@ -144,7 +144,7 @@
     def _step(self, generation: int) -> None:
         if generation != self.generation_:
             return
-        self.stepping_ = False
+        # The next step starts only after all that this one made possible.
         finished = self._advance()
         if generation != self.generation_:
             return
@@ -158,7 +158,10 @@
         self.cold_runs_left_ = max(0, self.cold_runs_left_ - len(finished))
         for run in finished:
             self.listener.finished(run)
-        if self.up_ and self.runs_by_id_ and not self.stepping_:
+        if generation != self.generation_:
+            return
+        self.stepping_ = False
+        if self.runs_by_id_:
             self._schedule()
 
     def _advance(self) -> list[Run]:
--- a/shallotpath/limits/_fair_queue.py
+++ b/shallotpath/limits/_fair_queue.py
@@ -91,19 +91,32 @@
         """Return a queued call."""
         return self.calls_by_id_.get(request_id)
 
-    def ahead(self, call: Call) -> int:
-        """Estimate how many queued calls run before a call that would join now."""
+    def ahead(self, call: Call, *, joined: bool = False) -> int:
+        """Estimate how many calls run before one that joins, or that joined last."""
         higher = sum(
             len(calls)
             for priority, calls_by_team in self.calls_by_class_.items()
             if priority > call.priority
             for calls in calls_by_team.values()
         )
-        return higher + self._ahead_in_class(call)
+        return higher + self._ahead_in_class(call, joined)
+
+    def last(self, priority: int, team: str) -> Call | None:
+        """Return the last call of a team."""
+        calls = self.calls_by_class_.get(priority, {}).get(team)
+        return calls[-1] if calls else None
+
+    def tails(self) -> list[Call]:
+        """Return the last call of each team."""
+        return [
+            calls[-1]
+            for calls_by_team in self.calls_by_class_.values()
+            for calls in calls_by_team.values()
+        ]
 
-    def _ahead_in_class(self, call: Call) -> int:
+    def _ahead_in_class(self, call: Call, joined: bool) -> int:
         calls_by_team = self.calls_by_class_.get(call.priority, {})
-        own = len(calls_by_team.get(call.team, ()))
+        own = len(calls_by_team.get(call.team, ())) - int(joined)
         rounds = (own + 1) / max(MIN_WEIGHT, self.weight(call.team))
         return own + sum(
             min(len(calls), ceil(rounds * max(MIN_WEIGHT, self.weight(team))))
--- a/shallotpath/limits/_gate.py
+++ b/shallotpath/limits/_gate.py
@@ -8,7 +8,7 @@
 from datetime import datetime, timedelta
 from functools import singledispatchmethod
 
-from ..config import ConfigurationView, ServiceKind
+from ..config import ConfigurationView
 from ..core import (
     Code,
     ConfigurationChanged,
@@ -24,6 +24,7 @@
 from ..membership import MembershipView, MemberState, Role
 from ._adaptive_limit import AdaptiveLimit
 from ._designation import designated_agent
+from ._estimates import CallEstimates
 from ._fair_queue import FairQueue
 from ._limit_rules import AimdRule, LimitRule
 from ._memory import MemoryLedger
@@ -31,6 +32,7 @@
 from ._readiness import Readiness
 from ._settings import GateSettings
 from ._suspects import Suspects, Suspicion
+from ._wait_estimate import WaitEstimate
 
 # Calls queued per running call while no run time is known to predict the wait.
 UNMEASURED_QUEUE = 2
@@ -50,6 +52,7 @@
     """Admit calls to one upstream within its count and memory limits."""
 
     __slots__ = (
+        "estimates",
         "expired_",
         "in_flight_by_team_",
         "limit",
@@ -62,6 +65,7 @@
         "settings",
         "streaming_",
         "suspects",
+        "waits",
     )
 
     def __init__(
@@ -83,6 +87,8 @@
         self.suspects = suspects
         self.settings = settings
         self.readiness = Readiness(domain, service, configuration, allowed_digests)
+        self.estimates = CallEstimates(self.readiness)
+        self.waits = WaitEstimate()
         self.limit = AdaptiveLimit(settings, rule or AimdRule(settings.max_limit))
         self.memory = MemoryLedger(
             settings.memory_bytes, settings.memory_share, settings.report_lag
@@ -158,6 +164,7 @@
             queued = self.queue.find(request_id)
             if queued is not None:
                 self.queue.remove(queued)
+                self.waits.dropped(queued)
         return self.ready(now)
 
     def ready(self, now: datetime) -> list[Call]:
@@ -166,12 +173,13 @@
         while (call := self.queue.peek()) is not None:
             code = self._unrunnable(call, now)
             if code is not None:
-                self.queue.remove(call)
-                self.expired_.append(Expired(call, code))
+                self.waits.left(call, now)
+                self._leave(call, code)
                 continue
             if not self._fits(call, now):
                 break
             self.queue.pop()
+            self.waits.left(call, now)
             self._start(call, now)
             started.append(call)
         return started
@@ -192,8 +200,8 @@
         self.memory.grow(request_id, size)
         if now is None:
             return []
-        if grown > 0 and self._bytes_per_token():
-            self._progressed(running, grown / self._bytes_per_token(), now)
+        if grown > 0 and self.estimates.bytes_per_token:
+            self._progressed(running, grown / self.estimates.bytes_per_token, now)
         self._look(now)
         if not self.queue or len(self.running_by_id_) >= self.limit.limit:
             return []
@@ -204,8 +212,9 @@
         for call in list(self.queue):
             code = self._unrunnable(call, now)
             if code is not None:
-                self.queue.remove(call)
-                self.expired_.append(Expired(call, code))
+                self.waits.left(call, now)
+                self._leave(call, code)
+        self._shed(now)
         expired = self.expired_
         self.expired_ = []
         return expired
@@ -222,10 +231,6 @@
             digest=observed.digest if observed else "",
         )
 
-    def estimate(self, call: Call) -> int:
-        """Return the bytes that a call may come to hold."""
-        return call.prompt_bytes + int(self._units(call) * self._bytes_per_token())
-
     def _refusal(self, call: Call, now: datetime) -> Refuse | None:
         code = self.readiness.closed()
         if code is None and call.service != self.readiness.service_id:
@@ -237,7 +242,7 @@
             return Refuse(code, self.suspects.time_left(call.fingerprint, now))
         if code is not None:
             return Refuse(code, self.settings.refuse_retry_after)
-        if self.memory.capacity_ and self.estimate(call) > self.memory.usable:
+        if self.memory.capacity_ and self.estimates.size(call) > self.memory.usable:
             return Refuse(Code.BODY_TOO_LARGE)
         return self._over_share(call)
 
@@ -253,7 +258,7 @@
 
     def _unrunnable(self, call: Call, now: datetime) -> Code | None:
         """Return why a call that is not running cannot run here any more."""
-        if now + self._run_time(call) > call.deadline:
+        if now + self.estimates.run_time(call, self.limit.pace_) > call.deadline:
             return Code.DEADLINE_UNREACHABLE
         suspicion = self.suspects.state(call.fingerprint, now)
         if suspicion is Suspicion.QUARANTINED:
@@ -280,9 +285,11 @@
         return domain is not None and domain.out
 
     def _enqueue(self, call: Call, now: datetime) -> Decision:
-        wait = self._wait(call)
-        time_left = call.deadline - now - self._run_time(call)
-        allowed = time_left * self.readiness.configuration.preset.queue_share
+        run_time = self.estimates.run_time(call, self.limit.pace_)
+        ahead = self.queue.ahead(call)
+        wait = self._wait(call, ahead)
+        share = self.readiness.configuration.preset.queue_share
+        allowed = (call.deadline - now - run_time) * share
         if wait > allowed:
             return Refuse(Code.OVERLOADED, max(wait - allowed, MIN_RETRY_AFTER))
         capacity = self.settings.queue_capacity
@@ -291,24 +298,42 @@
         displaced = self.queue.push(call, capacity)
         if displaced is call:
             return Refuse(Code.OVERLOADED, self.settings.refuse_retry_after)
+        self.waits.queued(call, ahead, self.limit.run_s_ or 0.0, self.limit.limit, now)
         if displaced is not None:
+            self.waits.dropped(displaced)
             self.expired_.append(Expired(displaced, Code.OVERLOADED))
         return Queue()
 
-    def _wait(self, call: Call) -> timedelta:
-        ahead = self.queue.ahead(call) + 1
-        run = timedelta(seconds=self.limit.run_s_ or 0.0)
-        return run * ahead / max(1, self.limit.limit)
+    def _wait(self, call: Call, ahead: int) -> timedelta:
+        run_s = self.limit.run_s_ or 0.0
+        return self.waits.predict(call.team, ahead, run_s, self.limit.limit)
 
-    def _run_time(self, call: Call) -> timedelta:
-        return timedelta(
-            seconds=(self.limit.pace_ or 0.0) * max(1.0, self._units(call))
-        )
+    def _leave(self, call: Call, code: Code) -> None:
+        """Move a queued call out."""
+        self.queue.remove(call)
+        self.waits.dropped(call)
+        self.expired_.append(Expired(call, code))
+
+    def _shed(self, now: datetime) -> None:
+        """Move calls out early that would wait past their deadline.
+
+        The wait grows when the limit was reset or the upstream slowed down.
+        """
+        for tail in self.queue.tails():
+            call: Call | None = tail
+            while call is not None and self._too_late(call, now):
+                self._leave(call, Code.OVERLOADED)
+                call = self.queue.last(call.priority, call.team)
+
+    def _too_late(self, call: Call, now: datetime) -> bool:
+        wait = self._wait(call, self.queue.ahead(call, joined=True))
+        run_time = self.estimates.run_time(call, self.limit.pace_)
+        return now + wait + run_time > call.deadline
 
     def _fits(self, call: Call, now: datetime) -> bool:
         if len(self.running_by_id_) >= self.limit.limit or self.readiness.closed():
             return False
-        if not self.memory.fits(self.estimate(call)) or not self._proven(now):
+        if not self.memory.fits(self.estimates.size(call)) or not self._proven(now):
             return False
         if self.running_by_id_ and self._suspect(call, now):
             return False
@@ -332,8 +357,8 @@
     def _start(self, call: Call, now: datetime) -> None:
         self.running_by_id_[call.request_id] = _Running(call, now, call.prompt_bytes)
         self.in_flight_by_team_[call.team] += 1
-        self.memory.reserve(call.request_id, self.estimate(call), now)
-        self.queue.charge(call, max(1.0, self._units(call)))
+        self.memory.reserve(call.request_id, self.estimates.size(call), now)
+        self.queue.charge(call, max(1.0, self.estimates.units(call)))
 
     def _ended(self, running: _Running, completed: bool, now: datetime) -> None:
         call = running.call
@@ -345,16 +370,10 @@
         if not completed:
             return
         self.suspects.completed(call.fingerprint, now)
-        units = self._units_done(running)
+        units = self.estimates.units_done(call, running.held)
         elapsed = (now - running.started).total_seconds()
         self.limit.completed(elapsed, units, len(self.running_by_id_), now)
 
-    def _units_done(self, running: _Running) -> float:
-        if not self._bytes_per_token():
-            return 1.0
-        grown = running.held - running.call.prompt_bytes
-        return max(1.0, grown / self._bytes_per_token() or self._units(running.call))
-
     def _progressed(self, running: _Running, units: float, now: datetime) -> None:
         if running.token_at is not None:
             gap = (now - running.token_at).total_seconds()
@@ -375,25 +394,12 @@
         if code is None:
             return
         for call in list(self.queue):
-            self.queue.remove(call)
-            self.expired_.append(Expired(call, code))
+            self._leave(call, code)
 
     def _weight(self, team_id: str) -> int:
         team = self.readiness.configuration.teams_by_id.get(team_id)
         return 1 if team is None else team.weight
 
-    def _units(self, call: Call) -> float:
-        service = self.readiness.service
-        if service is None or service.kind is not ServiceKind.MODEL:
-            return 0.0
-        return float(call.max_tokens or service.default_max_tokens)
-
-    def _bytes_per_token(self) -> int:
-        service = self.readiness.service
-        if service is None or service.kind is not ServiceKind.MODEL:
-            return 0
-        return service.bytes_per_token
-
     def _log_reset(self, reason: str, reset: bool) -> list[Effect]:
         if not reset:
             return []
--- a/shallotpath/limits/_pace.py
+++ b/shallotpath/limits/_pace.py
@@ -13,8 +13,9 @@
 JUMPS_IN_A_ROW = 3
 # Shorter silences also come from the event loop of the agent.
 MIN_SILENCE_S = 0.010
-# A token shows that the engine is warm only for an instant: with 4 ms, one of six
-# runs of the burst model lost a cold engine to a call that arrived in that time.
+# A token shows that the engine is warm only for an instant. In 8 runs of the burst
+# model below saturation, proof of any age lost 3 engines that had just turned cold,
+# proof of up to 0.3 of a gap lost 1, and proof of up to 0.5 ms none.
 FRESH_S = 0.0005
 
 
@@ -71,8 +72,7 @@
         """Tell whether a token came just now at the usual pace."""
         if self.gap_ is None or self.fresh_at_ is None:
             return True
-        age = (now - self.fresh_at_).total_seconds()
-        return age <= FRESH_S
+        return (now - self.fresh_at_).total_seconds() <= FRESH_S
 
     def forget(self) -> None:
         """Learn the recent pace anew; the warm baseline stays."""
