--- a/shallotpath/bench/_burst_load.py
+++ b/shallotpath/bench/_burst_load.py
@@ -50,6 +50,8 @@
     report_lag_s: float = 2.0
     latency_s: float = 0.001
     poison_requests: int = 0
+    # How often the caller of a poison request sends it again after a failure.
+    poison_resends: int = 5
     engine: EngineModel = EngineModel()
 
     @property
@@ -79,6 +81,13 @@
     poison: bool = False
     measured: bool = True
 
+    def again(self, number: int, delay: float) -> Arrival:
+        """Return the same request as its caller sends it again."""
+        deadline = self.call.deadline + timedelta(seconds=delay)
+        request_id = f"{self.call.request_id}-{number}"
+        call = replace(self.call, request_id=request_id, deadline=deadline)
+        return replace(self, call=call, seconds=self.seconds + delay, measured=False)
+
     def run(self) -> Run:
         """Return a fresh run of the call."""
         return Run(self.call, self.tokens, self.poison)
--- a/shallotpath/bench/_burst_model.py
+++ b/shallotpath/bench/_burst_model.py
@@ -23,6 +23,7 @@
 from ._simulation import Simulation
 
 HEARTBEAT_S = 1.0
+RESEND_S = 0.2
 
 
 @dataclass(slots=True)
@@ -89,6 +90,7 @@
 class _Attempt:
     arrival: Arrival
     entry: int
+    resends: int = 0
     count: int = 1
     exclude: list[str] = field(default_factory=list)
 
@@ -204,10 +206,10 @@
                 router.observe_load(agent_id, load, self.simulation.now)
         self.simulation.call_in(HEARTBEAT_S, self._heartbeat)
 
-    def _arrive(self, arrival: Arrival, entry: int) -> None:
+    def _arrive(self, arrival: Arrival, entry: int, resends: int = 0) -> None:
         self.result.arrived(arrival)
         self.policies_[entry].started(arrival.call)
-        self._try(_Attempt(arrival, entry))
+        self._try(_Attempt(arrival, entry, resends))
 
     def _try(self, attempt: _Attempt) -> None:
         call = attempt.arrival.call
@@ -257,3 +259,8 @@
     def _gave_up(self, attempt: _Attempt, code: Code) -> None:
         waited = self.simulation.seconds_ - attempt.arrival.seconds
         self.result.gave_up(attempt.arrival, code, waited)
+        if attempt.arrival.poison and attempt.resends < self.settings.poison_resends:
+            resends = attempt.resends + 1
+            entry = (attempt.entry + 1) % self.settings.entries
+            again = attempt.arrival.again(resends, waited + RESEND_S)
+            self.simulation.call_in(RESEND_S, self._arrive, again, entry, resends)
--- a/shallotpath/limits/_designation.py
+++ b/shallotpath/limits/_designation.py
@@ -7,9 +7,9 @@
 from ..core import rendezvous_choice, rendezvous_score
 from ._model import Call
 
-# Keys share slots, so that an entry computes the order of a slot once. With 4096
-# slots and 900 agents, each agent comes first for four to five slots on average.
-SLOTS = 4096
+# Keys share slots, so that an entry orders the agents of a slot once and not for
+# each call. More slots spread calls more evenly and take longer to fill.
+SLOTS = 1024
 
 
 def affinity_slot(key: str) -> str:
--- a/shallotpath/limits/_gate.py
+++ b/shallotpath/limits/_gate.py
@@ -21,17 +21,17 @@
     Log,
     Tick,
 )
-from ..membership import MembershipView, MemberState, Role
+from ..membership import MembershipView
 from ._adaptive_limit import AdaptiveLimit
-from ._designation import designated_agent
 from ._estimates import CallEstimates
 from ._fair_queue import FairQueue
+from ._isolation import Isolation
 from ._limit_rules import AimdRule, LimitRule
 from ._memory import MemoryLedger
 from ._model import Admit, Call, Decision, Expired, Queue, Refuse
 from ._readiness import Readiness
 from ._settings import GateSettings
-from ._suspects import Suspects, Suspicion
+from ._suspects import Suspects
 from ._wait_estimate import WaitEstimate
 
 # Calls queued per running call while no run time is known to predict the wait.
@@ -55,10 +55,9 @@
         "estimates",
         "expired_",
         "in_flight_by_team_",
+        "isolation",
         "limit",
-        "membership",
         "memory",
-        "node_id",
         "queue",
         "readiness",
         "running_by_id_",
@@ -82,11 +81,16 @@
         allowed_digests: Callable[[], Collection[str]] | None = None,
     ) -> None:
         settings = settings or GateSettings()
-        self.node_id = node_id
-        self.membership = membership
         self.suspects = suspects
         self.settings = settings
         self.readiness = Readiness(domain, service, configuration, allowed_digests)
+        self.isolation = Isolation(
+            node_id=node_id,
+            domain=domain,
+            configuration=configuration,
+            membership=membership,
+            suspects=suspects,
+        )
         self.estimates = CallEstimates(self.readiness)
         self.waits = WaitEstimate()
         self.limit = AdaptiveLimit(settings, rule or AimdRule(settings.max_limit))
@@ -116,6 +120,7 @@
     def _(self, event: EngineLost, now: datetime) -> list[Effect]:
         self.readiness.observed_ = None
         self.limit.reset()
+        self.isolation.refresh()
         self.running_by_id_.clear()
         self.streaming_ = 0
         self.in_flight_by_team_.clear()
@@ -136,6 +141,7 @@
 
     @reduce.register
     def _(self, event: Tick, now: datetime) -> list[Effect]:
+        self.isolation.refresh()
         return self._log_reset("stalled", self._look(now))
 
     def request(self, call: Call, now: datetime) -> Decision:
@@ -260,29 +266,7 @@
         """Return why a call that is not running cannot run here any more."""
         if now + self.estimates.run_time(call, self.limit.pace_) > call.deadline:
             return Code.DEADLINE_UNREACHABLE
-        suspicion = self.suspects.state(call.fingerprint, now)
-        if suspicion is Suspicion.QUARANTINED:
-            return Code.QUARANTINED
-        if suspicion is Suspicion.SUSPECT and not self._designated(call):
-            return Code.ISOLATED
-        return None
-
-    def _designated(self, call: Call) -> bool:
-        domains_by_agent = {
-            member.id: member.domain
-            for member in self.membership.members_by_id.values()
-            if member.role is Role.AGENT
-            and member.service == call.service
-            and member.state is MemberState.ALIVE
-            and not self._domain_out(member.domain)
-        }
-        domains_by_agent[self.node_id] = self.readiness.domain
-        sites = self.suspects.crash_sites(call.fingerprint)
-        return designated_agent(call, domains_by_agent, sites) == self.node_id
-
-    def _domain_out(self, domain_id: str) -> bool:
-        domain = self.readiness.configuration.domains_by_id.get(domain_id)
-        return domain is not None and domain.out
+        return self.isolation.refusal(call, now)
 
     def _enqueue(self, call: Call, now: datetime) -> Decision:
         run_time = self.estimates.run_time(call, self.limit.pace_)
@@ -335,10 +319,11 @@
             return False
         if not self.memory.fits(self.estimates.size(call)) or not self._proven(now):
             return False
-        if self.running_by_id_ and self._suspect(call, now):
+        if self.running_by_id_ and self.isolation.suspect(call, now):
             return False
         return not any(
-            self._suspect(running.call, now) for running in self.running_by_id_.values()
+            self.isolation.suspect(running.call, now)
+            for running in self.running_by_id_.values()
         )
 
     def _proven(self, now: datetime) -> bool:
@@ -351,9 +336,6 @@
             return True
         return self.limit.pace.proven(now)
 
-    def _suspect(self, call: Call, now: datetime) -> bool:
-        return self.suspects.state(call.fingerprint, now) is not Suspicion.CLEAR
-
     def _start(self, call: Call, now: datetime) -> None:
         self.running_by_id_[call.request_id] = _Running(call, now, call.prompt_bytes)
         self.in_flight_by_team_[call.team] += 1
