Test isolation, memory correction, retry budget and the breaker

Cause: these rules had no test of their own; a router that started after a domain was taken out sent to it until the next configuration change. Change: tests for suspects at the gate, the lagging memory report, the retry budget in any order of attempts, and the shared breaker. The domain ramp reads the configuration at each choice.

--- a/shallotpath/limits/tests/test_gate.py
+++ b/shallotpath/limits/tests/test_gate.py
@@ -18,8 +18,17 @@
     EngineLost,
     EngineObserved,
 )
-from shallotpath.limits import Admit, Call, Gate, GateSettings, Queue, Refuse, Suspects
-from shallotpath.membership import StaticMembership
+from shallotpath.limits import (
+    Admit,
+    Call,
+    Gate,
+    GateSettings,
+    MemoryLedger,
+    Queue,
+    Refuse,
+    Suspects,
+)
+from shallotpath.membership import Member, Role, StaticMembership
 
 SECOND = timedelta(seconds=1)
 TOKEN = 1024
@@ -164,3 +173,46 @@
     gate.request(make_call("r1"), EPOCH)
     with pytest.raises(ValueError, match="already held"):
         gate.request(make_call("r1"), EPOCH)
+
+
+def test_a_suspect_runs_alone_and_a_completed_run_clears_it():
+    # Guards against punishing the calls that were beside a poison request.
+    gate = make_gate()
+    gate.suspects.reduce(EngineLost(["f1"]), EPOCH)
+    assert gate.request(make_call("r1"), EPOCH) == Admit()
+    assert gate.request(make_call("r2", fingerprint="f1"), EPOCH) == Queue()
+    assert gate.request(make_call("r3"), EPOCH) == Queue()
+    assert [call.request_id for call in gate.release("r1", True, EPOCH)] == ["r2"]
+    assert gate.ready(EPOCH) == []
+    assert [call.request_id for call in gate.release("r2", True, EPOCH)] == ["r3"]
+    assert gate.request(make_call("r4", fingerprint="f1"), EPOCH) == Admit()
+
+
+def test_a_second_crash_quarantines_for_ten_minutes():
+    gate = make_gate()
+    call = make_call("r1", seconds=1e6, fingerprint="f1")
+    for _ in range(2):
+        gate.suspects.reduce(EngineLost(["f1"]), EPOCH)
+    assert gate.request(call, EPOCH) == Refuse(Code.QUARANTINED, 600 * SECOND)
+    assert gate.request(call, EPOCH + 601 * SECOND) == Admit()
+
+
+def test_a_suspect_is_refused_where_it_crashed_if_another_agent_can_run_it():
+    gate = make_gate()
+    gate.isolation.membership.members_by_id["a2"] = Member(
+        "a2", Role.AGENT, "bne-a", "bne", "", "i1", service="fold-model"
+    )
+    gate.suspects.reduce(EngineLost(["f1"]), EPOCH)
+    decision = gate.request(make_call("r1", fingerprint="f1"), EPOCH)
+    assert decision.code is Code.ISOLATED
+
+
+def test_bytes_that_only_the_engine_reports_reduce_what_fits():
+    ledger = MemoryLedger(1000, 1.0, 2 * SECOND)
+    ledger.reserve("r1", 400, EPOCH)
+    ledger.free("r1", EPOCH + SECOND)
+    ledger.observe(400, 1000, EPOCH + 2 * SECOND)
+    assert ledger.fits(1000), "a late report of a call that ended is no excess"
+    ledger.observe(400, 1000, EPOCH + 6 * SECOND)
+    assert not ledger.fits(601)
+    assert ledger.fits(600)
--- a/shallotpath/routing/_ramp.py
+++ b/shallotpath/routing/_ramp.py
@@ -33,7 +33,8 @@
 
     def share(self, domain_id: str, now: datetime) -> float:
         """Return the share between 0 and 1 of calls that may go to a domain."""
-        if domain_id in self.out_:
+        domain = self.configuration.domains_by_id.get(domain_id)
+        if domain_id in self.out_ or (domain is not None and domain.out):
             return 0.0
         returned = self.returned_by_id_.get(domain_id)
         if returned is None:
--- a/shallotpath/routing/tests/test_router.py
+++ b/shallotpath/routing/tests/test_router.py
@@ -1,7 +1,10 @@
+from collections import Counter
 from datetime import timedelta
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from shallotpath.config import DomainState, Preset, StaticConfiguration
 from shallotpath.core import (
@@ -21,8 +24,10 @@
     RandomRule,
     RetryPolicy,
     Router,
+    SharedBreaker,
     TwoChoicesRule,
 )
+from shallotpath.routing._retry import FLOOR_RETRIES
 
 SECOND = timedelta(seconds=1)
 
@@ -167,3 +172,37 @@
         arguments = (make_call(), Code.OVERLOADED, RunState.NO, 1)
         granted += policy.next(*arguments, EPOCH) is not None
     assert 100 <= granted <= 103
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["first", "retry"]), st.sampled_from("ab")),
+        max_size=200,
+    ),
+    st.floats(0, 0.5),
+)
+def test_no_order_of_attempts_exceeds_the_retry_budget(script, share):
+    # Guards against a retry storm. The clock stands still: no refill of the floor.
+    policy = make_policy(share)
+    first, granted = Counter(), Counter()
+    for action, team in script:
+        call = make_call(team=team)
+        if action == "first":
+            policy.started(call)
+            first[team] += 1
+            continue
+        arguments = (call, Code.OVERLOADED, RunState.NO, 1, EPOCH)
+        granted[team] += policy.next(*arguments) is not None
+        assert granted[team] <= share * first[team] + FLOOR_RETRIES + 1e-6
+
+
+def test_the_shared_breaker_opens_for_all_entries_and_lets_one_trial_through():
+    circuits = {}
+    entries = [SharedBreaker(circuits, threshold=2) for _ in range(2)]
+    for _ in range(2):
+        entries[0].failed("m", Code.OVERLOADED, EPOCH, None)
+    assert not entries[1].available("m", EPOCH)
+    later = EPOCH + 3 * SECOND
+    assert [entry.available("m", later) for entry in entries] == [True, False]
+    entries[0].succeeded("m")
+    assert entries[1].available("m", later + SECOND)
