--- a/shallotpath/bench/_burst_load.py
+++ b/shallotpath/bench/_burst_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
 
 from ..config import (
@@ -50,6 +50,8 @@
     report_lag_s: float = 2.0
     latency_s: float = 0.001
     poison_requests: int = 0
+    # How often the caller of a poison request sends it again after a failure.
+    poison_resends: int = 5
     engine: EngineModel = EngineModel()
 
     @property
@@ -57,6 +59,11 @@
         """Return how many upstreams start just before the burst."""
         return self.upstreams // 3
 
+    @property
+    def window_end(self) -> datetime:
+        """Return when the arrivals end."""
+        return EPOCH + timedelta(seconds=self.duration_s)
+
     def starts(self) -> list[tuple[float, bool]]:
         """Return when each upstream starts and whether it is warm then."""
         late = self.burst_at_s - self.cold_start_before_s
@@ -74,6 +81,13 @@
     poison: bool = False
     measured: bool = True
 
+    def again(self, number: int, delay: float) -> Arrival:
+        """Return the same request as its caller sends it again."""
+        deadline = self.call.deadline + timedelta(seconds=delay)
+        request_id = f"{self.call.request_id}-{number}"
+        call = replace(self.call, request_id=request_id, deadline=deadline)
+        return replace(self, call=call, seconds=self.seconds + delay, measured=False)
+
     def run(self) -> Run:
         """Return a fresh run of the call."""
         return Run(self.call, self.tokens, self.poison)
--- a/shallotpath/bench/_burst_model.py
+++ b/shallotpath/bench/_burst_model.py
@@ -23,6 +23,7 @@
 from ._simulation import Simulation
 
 HEARTBEAT_S = 1.0
+RESEND_S = 0.2
 
 
 @dataclass(slots=True)
@@ -33,6 +34,8 @@
     attempts: int = 0
     answered_in_time: int = 0
     answered_late: int = 0
+    # In time, and before the arrivals end: the rate at which the fleet answers.
+    answered_in_window: int = 0
     refused: int = 0
     refusal_seconds: list[float] = field(default_factory=list)
     codes: Counter[str] = field(default_factory=Counter)
@@ -52,12 +55,13 @@
         """Count an attempt that was sent to an upstream."""
         self.attempts += arrival.measured
 
-    def completed(self, arrival: Arrival, now: datetime) -> None:
+    def completed(self, arrival: Arrival, now: datetime, window_end: datetime) -> None:
         """Count a complete response."""
         if not arrival.measured:
             return
         if now <= arrival.call.deadline:
             self.answered_in_time += 1
+            self.answered_in_window += now <= window_end
             self.answered_by_team[arrival.call.team] += 1
         else:
             self.answered_late += 1
@@ -86,6 +90,7 @@
 class _Attempt:
     arrival: Arrival
     entry: int
+    resends: int = 0
     count: int = 1
     exclude: list[str] = field(default_factory=list)
 
@@ -201,10 +206,10 @@
                 router.observe_load(agent_id, load, self.simulation.now)
         self.simulation.call_in(HEARTBEAT_S, self._heartbeat)
 
-    def _arrive(self, arrival: Arrival, entry: int) -> None:
+    def _arrive(self, arrival: Arrival, entry: int, resends: int = 0) -> None:
         self.result.arrived(arrival)
         self.policies_[entry].started(arrival.call)
-        self._try(_Attempt(arrival, entry))
+        self._try(_Attempt(arrival, entry, resends))
 
     def _try(self, attempt: _Attempt) -> None:
         call = attempt.arrival.call
@@ -234,7 +239,8 @@
         router.observe_load(member_id, reply.load, now)
         if reply.code is None:
             router.completed(call, member_id)
-            self.result.completed(attempt.arrival, now)
+            end = self.settings.window_end
+            self.result.completed(attempt.arrival, now, end)
             return
         router.observe_failure(member_id, reply.code, now, reply.retry_after)
         attempt.exclude.append(member_id)
@@ -253,3 +259,8 @@
     def _gave_up(self, attempt: _Attempt, code: Code) -> None:
         waited = self.simulation.seconds_ - attempt.arrival.seconds
         self.result.gave_up(attempt.arrival, code, waited)
+        if attempt.arrival.poison and attempt.resends < self.settings.poison_resends:
+            resends = attempt.resends + 1
+            entry = (attempt.entry + 1) % self.settings.entries
+            again = attempt.arrival.again(resends, waited + RESEND_S)
+            self.simulation.call_in(RESEND_S, self._arrive, again, entry, resends)
