--- a/shallotpath/config/_configuration.py
+++ b/shallotpath/config/_configuration.py
@@ -40,9 +40,10 @@
 # repairs what the push misses.
 PUSH_FANOUT = 4
 PULL_TIMEOUT = timedelta(seconds=1)
+MAX_FORWARD_BYTES = 8 * 1024
 # Well below the number and the time for which the log keeps records.
 SNAPSHOT_RECORDS = 200
-SNAPSHOT_INTERVAL = timedelta(hours=1)
+SNAPSHOT_INTERVAL = timedelta(hours=4)
 SNAPSHOT_STEP = timedelta(seconds=10)
 
 
@@ -210,9 +211,12 @@
     @_receive.register
     def _(self, message: Gossip, peer: str, now: datetime) -> list[Effect]:
         self.heard_offset_ = max(self.heard_offset_, message.config_offset)
-        if message.config_offset <= self.offset or not self._may_pull(now):
+        if message.config_offset > self.offset:
+            return self._pull(peer, now) if self._may_pull(now) else []
+        push = self.replica_.push_after(message.config_offset)
+        if push is None or push.snapshot:
             return []
-        return self._pull(peer, now)
+        return [Send(peer, push)]
 
     def _absorb(self, push: ConfigPush, source: str, now: datetime) -> list[Effect]:
         before = self.offset
@@ -223,6 +227,7 @@
         effects = self._count(counted)
         if self.offset == before:
             return effects
+        self.next_pull_at_ = None
         if source and self.offset < self.heard_offset_:
             effects += self._pull(source, now)
         effects += self._forward(before, push.records)
@@ -239,9 +244,14 @@
 
     def _forward(self, before: int, records: list[LogRecord]) -> list[Effect]:
         fresh = [record for record in records if record.offset > before]
-        if not fresh or len(fresh) > MAX_PUSH_RECORDS:
+        if not fresh:
             return []
-        push = ConfigPush(fresh)
+        size = sum(len(record.data) for record in fresh)
+        push: Message = ConfigPush(fresh)
+        if size > MAX_FORWARD_BYTES or len(fresh) > MAX_PUSH_RECORDS:
+            # Large records, such as snapshots, are announced and pulled once
+            # instead of arriving from several peers.
+            push = Gossip(self.id, config_offset=self.offset)
         return [Send(peer, push) for peer in self._some_peers(PUSH_FANOUT)]
 
     def _some_peers(self, count: int) -> list[str]:
--- a/shallotpath/membership/_membership.py
+++ b/shallotpath/membership/_membership.py
@@ -41,6 +41,9 @@
 # sent once the deltas have had time to arrive.
 SYNC_INTERVAL = timedelta(seconds=5)
 SETTLE_TIME = timedelta(seconds=2)
+# Processes that start together would need many sync intervals to know each other.
+FILL_INTERVAL = timedelta(seconds=1)
+FILL_RATIO = 1.1
 SEED_INTERVAL = timedelta(seconds=30)
 # A longer gap between ticks means that this process was paused; the silence of
 # others then proves nothing.
@@ -63,6 +66,7 @@
         "last_tick_",
         "listed_",
         "load",
+        "next_fill_at_",
         "next_probe_at_",
         "next_seed_at_",
         "next_summary_at_",
@@ -97,6 +101,7 @@
         self.next_probe_at_: datetime | None = None
         self.next_summary_at_: datetime | None = None
         self.next_sync_at_: datetime | None = None
+        self.next_fill_at_: datetime | None = None
         self.next_seed_at_: datetime | None = None
         self.joined_ = False
         self.turn_ = random.getrandbits(16)
@@ -240,7 +245,8 @@
         self.roster_.restart_suspicions(now)
         self.links_.contacts_.reset(now)
         self.next_probe_at_ = None
-        self.next_summary_at_ = self.next_sync_at_ = self.next_seed_at_ = None
+        self.next_summary_at_ = self.next_seed_at_ = None
+        self.next_sync_at_ = self.next_fill_at_ = None
 
     def _is_bound(self) -> bool:
         return bool(self.me.address) and not self.me.address.endswith(":0")
@@ -330,15 +336,24 @@
         theirs = {summary.domain: summary for summary in summaries}
         own = self.roster_.table_.summaries()
         different = [s for s in own if s != theirs.get(s.domain)]
-        total = sum(summary.members for summary in summaries)
-        joining = 2 * total < sum(summary.members for summary in own)
-        if not joining:
-            different = [s for s in different if self._is_settled(s.domain, now)]
-            if not different or not _is_due(self.next_sync_at_, now):
-                return []
-            self.next_sync_at_ = now + SYNC_INTERVAL
-            different = [self.random.choice(different)]
-        return [e for s in different for e in self._send_list(s, peer)]
+        lacking = [s for s in different if self._lacks(theirs.get(s.domain), s, now)]
+        if lacking and _is_due(self.next_fill_at_, now):
+            self.next_fill_at_ = now + FILL_INTERVAL
+            return [e for s in lacking for e in self._send_list(s, peer)]
+        different = [s for s in different if self._is_settled(s.domain, now)]
+        if not different or not _is_due(self.next_sync_at_, now):
+            return []
+        self.next_sync_at_ = now + SYNC_INTERVAL
+        return self._send_list(self.random.choice(different), peer)
+
+    def _lacks(
+        self, theirs: DomainSummary | None, own: DomainSummary, now: datetime
+    ) -> bool:
+        """Tell whether a peer misses members and not just the latest changes."""
+        known = 0 if theirs is None else theirs.members
+        if known * FILL_RATIO < own.members:
+            return True
+        return known < own.members and self._is_settled(own.domain, now)
 
     def _is_settled(self, domain: str, now: datetime) -> bool:
         changed_at = self.roster_.changed_at_by_domain_.get(domain)
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -20,6 +20,7 @@
 from ._security import Security
 
 SEND_QUEUE_FRAMES = 1000
+MAX_SOCKETS = 16_384
 # Frames that are sent again if the peer turns out to use another accepted key.
 MAX_UNCONFIRMED_FRAMES = 100
 # Without a delay that grows, 900 dead peers cost 9,000 attempts a second.
@@ -82,6 +83,8 @@
             self.context_ = zmq.asyncio.Context.instance()
         else:
             self.context_ = self.security.start()
+        # The default of 1023 is too low for an entry with 900 upstreams.
+        self.context_.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         router = self.context_.socket(zmq.ROUTER)
         if self.security is not None:
             self.security.secure_server(router)
