--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -1,7 +1,10 @@
 """Load generator and experiments."""
 
+from ._config import run_config
+from ._config_nodes import run_member
 from ._domain import run_domain
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
+from ._membership import measure_memory, run_membership
 from ._naive import NaiveEntry
 from ._overhead import run_overhead
 from ._slow import run_slow
@@ -14,7 +17,11 @@
     "Outcome",
     "Request",
     "StreamChecker",
+    "measure_memory",
+    "run_config",
     "run_domain",
+    "run_member",
+    "run_membership",
     "run_overhead",
     "run_slow",
     "run_weights",
