Read frames that arrive during a send

Cause: Transport.send called the plain zmq send on an asyncio socket. That consumes the edge of the socket's file descriptor, so a frame that arrived during the call was not read until the next one.

Change: uses the asyncio socket's own send, which schedules the reader. The log tailer's first read does not wait, so that an empty log is reported at once instead of after 5 s.

Measurement: the new test fails with the old send and passes with the new one.

--- a/shallotpath/runtime/_log_tailer.py
+++ b/shallotpath/runtime/_log_tailer.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ..core import LogContact, PlatformError, RecordsRead
+from ._platform_client import LONG_POLL_MS
 from ._shell import Shell
 
 RETRY_DELAY_S = 0.5
@@ -23,13 +24,18 @@
 
     async def run(self) -> None:
         """Read until cancelled; report when the log answers or stops answering."""
+        # The first read does not wait, so that an empty log is reported at once.
+        wait_ms = 0
         while True:
             try:
-                page = await self.shell.platform.read(self.stream, self.next_offset_)
+                page = await self.shell.platform.read(
+                    self.stream, self.next_offset_, wait_ms=wait_ms
+                )
             except PlatformError:
                 self._report(False)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            wait_ms = LONG_POLL_MS
             self.next_offset_ = max(page.next_offset, page.first_offset)
             if page.records:
                 self.shell.dispatch(
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -86,12 +86,16 @@
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; tell whether the queue took it."""
         frame = encode(message)
+        # The asyncio socket's own send notices frames that arrive during the
+        # call. A plain send consumes the edge of the socket's file descriptor,
+        # and the reader then sleeps on frames that are already there.
         try:
             if peer.startswith(ROUTED_PREFIX):
                 parts = [bytes.fromhex(peer[1:]), frame]
-                zmq.Socket.send_multipart(self.router_, parts, zmq.DONTWAIT)
+                sent = self.router_.send_multipart(parts, zmq.DONTWAIT)
             else:
-                zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
+                sent = self._dealer(peer).send(frame, zmq.DONTWAIT)
+            sent.result()
         except zmq.ZMQError:
             self.dropped_frames_ += 1
             return False
--- a/shallotpath/runtime/tests/test_shell.py
+++ b/shallotpath/runtime/tests/test_shell.py
@@ -3,6 +3,7 @@
 from functools import singledispatchmethod
 
 import pytest
+import zmq
 from aiohttp import ClientSession
 
 from shallotpath.core import (
@@ -92,6 +93,29 @@
         await b.stop()
 
 
+async def test_a_reply_that_comes_in_during_a_send_is_read():
+    # Guards against a reader that sleeps although a frame is waiting for it.
+    a, _ = make_shell("a")
+    await a.start()
+    replies = asyncio.Queue()
+    a.handlers_by_type[Ping] = lambda peer, message: replies.put_nowait(message)
+    router = zmq.Context.instance().socket(zmq.ROUTER)
+    port = router.bind_to_random_port("tcp://127.0.0.1")
+    try:
+        for nonce in range(50):
+            a.peer.send(f"tcp://127.0.0.1:{port}", Ping(nonce))
+            await asyncio.sleep(0.001)
+            router.send_multipart(router.recv_multipart())
+            # The reply arrives while the loop does not run.
+            router.poll(2)
+            a.peer.send(f"tcp://127.0.0.1:{port}", Ping(-1))
+            assert await asyncio.wait_for(replies.get(), 2) == Ping(nonce)
+            router.recv_multipart()
+    finally:
+        router.close(0)
+        await a.stop()
+
+
 async def test_a_bad_frame_is_counted_and_the_next_one_arrives():
     a, _ = make_shell("a")
     b, seen_b = make_shell("b")
