--- /dev/null
+++ b/shallotpath/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and experiments."""
