Keep requests and uploads in their own modules

Change: requests close only for their own digest; permissions are looked at again when an update state arrives; the order of agents is cached.

--- a/shallotpath/bench/_weights_world.py
+++ b/shallotpath/bench/_weights_world.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from datetime import timedelta
 from random import Random
 
 import zmq.asyncio
@@ -29,6 +30,8 @@
 REGIONS = ("bne", "tsv")
 # Two routers, and a dealer for maps and one for chunks to each neighbour.
 SOCKETS_PER_VM = 64
+# Receive and upload slots of two agents, with a margin.
+QUEUED_CHUNKS = 20
 # All engines and agents share one processor here, so they are polled less often.
 OBSERVE_INTERVAL_S = 1.0
 
@@ -57,6 +60,11 @@
         """Return the rate that carries a number of copies in the target time."""
         return copies * self.size / self.target_s
 
+    @property
+    def chunk_s(self) -> float:
+        """Return the time of one chunk over a VM's link."""
+        return self.chunk_bytes / self.rate(self.vm_copies)
+
     @property
     def bound_s(self) -> float:
         """Return the lower bound: the first chunk from the origin, then one copy."""
@@ -240,7 +248,10 @@
         "membership": world.membership,
         "random": Random(f"{shape.seed}/{vm_id}"),
     }
-    limits = TransferLimits(region_rate=shape.rate(shape.region_copies))
+    limits = TransferLimits(
+        region_rate=shape.rate(shape.region_copies),
+        chunk_timeout=timedelta(seconds=max(10.0, QUEUED_CHUNKS * shape.chunk_s)),
+    )
     plan = TransferPlan(limits=limits, **common)
     orders = EngineOrders(random=common["random"])
     rollout = Rollout(incarnation="1", plan=plan, orders=orders, **common)
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -154,6 +154,8 @@
         self.shell.dispatch(
             StatusHeard(self._member(peer), message.digest, message.entries)
         )
+        if self.rollout.may_switch_now(self.shell.clock.now()):
+            self.engine_wake_.set()
 
     def _serve(self, peer: str, message: ChunkRequest) -> None:
         now = self.shell.clock.now()
@@ -189,8 +191,8 @@
 
     def _take(self, peer: str, message: ChunkData) -> None:
         member = self._member(peer)
-        pending = self.plan.pending_by_index_.get(message.index)
-        if message.digest != self.plan.digest or pending is None:
+        expected = message.index in self.plan.requests_
+        if message.digest != self.plan.digest or not expected:
             self.shell.telemetry.count("weights_late_chunks", {}, 1)
         elif not message.payload:
             self._dispatch(ChunkRefused(message.digest, message.index, member))
--- a/shallotpath/weights/__init__.py
+++ b/shallotpath/weights/__init__.py
@@ -28,7 +28,8 @@
     encode_manifest,
 )
 from ._orders import EngineOrders
-from ._plan import Request, TransferPlan
+from ._plan import TransferPlan
+from ._requests import Request
 from ._rollout import Permission, Rollout
 
 __all__ = [
--- a/shallotpath/weights/_announcer.py
+++ b/shallotpath/weights/_announcer.py
@@ -30,6 +30,12 @@
         """Note peers that need a new map."""
         self.untold_.update(peers)
 
+    def queue_new_chunk(
+        self, neighbours: Iterable[str], digest: str, source: Callable[[str], Source]
+    ) -> None:
+        """Note that neighbours with missing chunks need the new map."""
+        self.queue(peer for peer in neighbours if not source(peer).finished(digest))
+
     def queue_refreshes(
         self,
         neighbours: Iterable[str],
--- a/shallotpath/weights/_events.py
+++ b/shallotpath/weights/_events.py
@@ -12,6 +12,11 @@
 MANIFEST_INDEX = -1
 
 
+def source_kind(peer: str) -> str:
+    """Return the label of a source for counters."""
+    return ORIGIN if peer == ORIGIN else "peer"
+
+
 @dataclass(slots=True, frozen=True)
 class ManifestLearnt(Event):
     """Report a checked manifest."""
--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -16,6 +16,8 @@
     of the link between two regions; weights use the preset's share of it.
     `control_rate` limits chunk maps; it is about a quarter of the control budget
     of 14 KB/s per node. Update states have a limit of their own.
+    `chunk_timeout` must exceed the time that the receive and upload slots of two
+    agents need at the link's rate, or chunks that only queue are asked twice.
     """
 
     chunk_buffer: int = 16 * MIB
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import datetime
 from functools import singledispatchmethod
 from random import Random
@@ -32,23 +31,17 @@
     ChunkStored,
     ManifestLearnt,
     MapHeard,
+    source_kind,
 )
 from ._layout import Layout
 from ._limits import TransferLimits
 from ._manifest import Manifest
 from ._peers import agents_by_id
 from ._rates import Rates
+from ._requests import Request, Requests
 from ._selector import Selector
-from ._sources import Pending, Source, Uploads, later
-
-
-@dataclass(slots=True, frozen=True)
-class Request:
-    """Name a chunk (or the manifest) and the source to ask."""
-
-    peer: str
-    index: int
-    digest: str
+from ._sources import Source, later
+from ._uploads import Uploads
 
 
 class TransferPlan:
@@ -76,7 +69,7 @@
         self.bitmap_ = 0
         self.missing_: set[int] = set()
         self.selector_ = Selector(random)
-        self.pending_by_index_: dict[int, Pending] = {}
+        self.requests_ = Requests(self.limits)
         self.sources_by_id_: dict[str, Source] = {}
         self.uploads_ = Uploads(self.limits)
         self.layout_ = Layout(member_id, "", self.limits)
@@ -102,9 +95,9 @@
     def wants_requests(self) -> bool:
         """Tell whether a further request may be possible."""
         if self.manifest_ is None:
-            return not self.pending_by_index_
-        open_slots = len(self.pending_by_index_) < self.receive_slots_
-        return open_slots and len(self.missing_) > len(self.pending_by_index_)
+            return self.requests_.open == 0
+        free = self.requests_.open < self.receive_slots_
+        return free and len(self.missing_) > self.requests_.open
 
     @property
     def progress(self) -> float:
@@ -159,8 +152,7 @@
         if event.manifest.digest != self.digest or self.manifest_ is not None:
             return []
         manifest = self.manifest_ = event.manifest
-        self.pending_by_index_.clear()
-        self._release_outstanding()
+        self._clear_requests()
         self.missing_ = set(range(len(manifest.chunks)))
         self.selector_.restart(self.missing_, len(manifest.chunks))
         self._recount()
@@ -201,23 +193,23 @@
 
     @reduce.register
     def _(self, event: ChunkStored, now: datetime) -> list[Effect]:
-        self._end_request(event.index, event.peer)
+        self._end_request(event.digest, event.index, event.peer)
         if event.digest != self.digest or event.index not in self.missing_:
             return []
         self.missing_.discard(event.index)
         self.bitmap_ |= 1 << event.index
         self.progressed_at_ = now
-        self.source(event.peer).delivered()
-        self.source(event.peer).corrupt *= event.peer != ORIGIN
-        self.announcer_.queue(self._hearers())
+        self.source(event.peer).delivered(forgive=event.peer == ORIGIN)
+        self.announcer_.queue_new_chunk(self.neighbours, self.digest, self.source)
         effects: list[Effect] = [Count("weights_chunks_stored", {})]
         if not self.missing_:
+            self.announcer_.queue(self.neighbours)
             effects.append(Log("weights_complete", {"digest": self.digest}))
         return effects + self._announce(now, always=event.peer)
 
     @reduce.register
     def _(self, event: ChunkCorrupt, now: datetime) -> list[Effect]:
-        self._end_request(event.index, event.peer)
+        self._end_request(event.digest, event.index, event.peer)
         source = self.source(event.peer)
         if event.peer == ORIGIN:
             source.corrupt += 1
@@ -230,29 +222,31 @@
             source.corrupted(self.limits)
             if not self.layout_.crosses(event.peer):
                 self.selector_.changed(counted, self._counted(event.peer, source))
-        return [Count("weights_chunks_corrupt", {"source": kind_of(event.peer)})]
+        return [Count("weights_chunks_corrupt", {"source": source_kind(event.peer)})]
 
     @reduce.register
     def _(self, event: ChunkRefused, now: datetime) -> list[Effect]:
-        self._end_request(event.index, event.peer)
+        self._end_request(event.digest, event.index, event.peer)
         self.source(event.peer).refused(self.limits, now)
         return []
 
     @reduce.register
     def _(self, event: ChunkFailed, now: datetime) -> list[Effect]:
-        self._end_request(event.index, event.peer)
+        self._end_request(event.digest, event.index, event.peer)
         self.source(event.peer).failed(self.limits, now)
-        return [Count("weights_chunks_failed", {"source": kind_of(event.peer)})]
+        return [Count("weights_chunks_failed", {"source": source_kind(event.peer)})]
 
     def next_requests(self, now: datetime) -> list[Request]:
         """Return the requests to send now; each counts as pending until answered."""
         if self.target_ is None or self.layout_.topology_ is None:
             return []
-        self._expire(now)
+        for peer, index in self.requests_.expired(now):
+            self._end_request(self.digest, index, peer)
+            self.source(peer).failed(self.limits, now)
         if self.manifest_ is None:
             return self._manifest_request(now)
         requests: list[Request] = []
-        while self.staged_ and len(self.pending_by_index_) < self.receive_slots_:
+        while self.staged_ and self.requests_.open < self.receive_slots_:
             request = self._next_request(now)
             if request is None:
                 break
@@ -303,16 +297,6 @@
         waited = source.avoid_until is None or now >= source.avoid_until
         return free and waited and self.layout_.region_ == self.origin_region
 
-    def _hearers(self) -> set[str]:
-        """Return the neighbours that still need to know about new chunks."""
-        if not self.missing_:
-            return set(self.neighbours)
-        return {
-            peer
-            for peer in self.neighbours
-            if not self.source(peer).finished(self.digest)
-        }
-
     def _retarget(self, now: datetime) -> list[Effect]:
         service = self.configuration.services_by_id.get(self.service)
         key = f"{service.model}/{service.version}" if service else ""
@@ -324,8 +308,7 @@
         self.bitmap_ = 0
         self.missing_ = set()
         self.staged_ = False
-        self.pending_by_index_.clear()
-        self._release_outstanding()
+        self._clear_requests()
         self.uploads_.clear()
         self.started_at_ = self.progressed_at_ = now
         self.layout_ = Layout(self.member_id, self.digest, self.limits)
@@ -371,7 +354,7 @@
             self.rates_.update(self.manifest_, self.layout_, share)
 
     def _manifest_request(self, now: datetime) -> list[Request]:
-        if self.pending_by_index_:
+        if self.requests_.open:
             return []
         peer = self.selector_.choose_for_manifest(self, now)
         return [self._request(peer, MANIFEST_INDEX, now)] if peer else []
@@ -390,25 +373,17 @@
         return self._request(peer, index, now)
 
     def _request(self, peer: str, index: int, now: datetime) -> Request:
-        deadline = now + self.limits.chunk_timeout
-        self.pending_by_index_[index] = Pending(peer, index, deadline)
+        self.requests_.start(peer, index, now)
         self.source(peer).outstanding += 1
         return Request(peer, index, self.digest)
 
-    def _expire(self, now: datetime) -> None:
-        for pending in list(self.pending_by_index_.values()):
-            if pending.deadline <= now:
-                self._end_request(pending.index, pending.peer)
-                self.source(pending.peer).failed(self.limits, now)
-
-    def _end_request(self, index: int, peer: str) -> None:
-        pending = self.pending_by_index_.get(index)
-        if pending is not None and pending.peer == peer:
-            del self.pending_by_index_[index]
+    def _end_request(self, digest: str, index: int, peer: str) -> None:
+        if digest == self.digest and self.requests_.end(peer, index):
             source = self.source(peer)
             source.outstanding = max(0, source.outstanding - 1)
 
-    def _release_outstanding(self) -> None:
+    def _clear_requests(self) -> None:
+        self.requests_.clear()
         for source in self.sources_by_id_.values():
             source.outstanding = 0
 
@@ -422,8 +397,3 @@
         bitmap = self.bitmap_.to_bytes(length, "little")
         message = ChunkMap(self.digest, bitmap, count)
         return self.announcer_.send(message, self.layout_, self.source, now, always)
-
-
-def kind_of(peer: str) -> str:
-    """Return the label of a source for counters."""
-    return ORIGIN if peer == ORIGIN else "peer"
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -68,6 +68,8 @@
         self.random = random
         self.table_ = StatusTable(member_id, incarnation, random)
         self.draining_ = False
+        self.order_: list[str] = []
+        self.order_key_: tuple[str, str, frozenset[str]] | None = None
 
     @property
     def admitting(self) -> bool:
@@ -125,6 +127,13 @@
         self._update_own()
         return Permission(drain=True, transfer=True, switch=True)
 
+    def may_switch_now(self, now: datetime) -> bool:
+        """Tell whether a complete version may be switched to now."""
+        if not self.plan.complete or self.orders.engine_ is None:
+            return False
+        waiting = self.orders.serving_digest != self.plan.digest
+        return waiting and self.permission(now).switch
+
     def _may_act(self, beside: bool, min_ready: int) -> bool:
         if self.orders.serving_digest == "":
             return True
@@ -137,13 +146,9 @@
 
     def _before_own(self, members: list[str]) -> int:
         """Count agents that are unready, or unfinished and before this one."""
-        order = rendezvous_order(self.plan.digest, members)
-        # Engines that must be drained first cannot store chunks before, so those
-        # that bring the chunks in from the origin come first.
-        order.sort(key=lambda member: not self._near_origin(member))
         count = 0
         before = True
-        for member in order:
+        for member in self._order(members):
             if member == self.member_id:
                 before = False
                 continue
@@ -153,6 +158,16 @@
                 count += 1
         return count
 
+    def _order(self, members: list[str]) -> list[str]:
+        key = (self.plan.digest, self.plan.origin_region, frozenset(members))
+        if key != self.order_key_:
+            order = rendezvous_order(self.plan.digest, members)
+            # Engines that must be drained first cannot store chunks before, so
+            # those that bring the chunks in from the origin come first.
+            order.sort(key=lambda member: not self._near_origin(member))
+            self.order_, self.order_key_ = order, key
+        return self.order_
+
     def _near_origin(self, member: str) -> bool:
         region = self.membership.members_by_id[member].region
         return region == self.plan.origin_region
--- a/shallotpath/weights/_selector.py
+++ b/shallotpath/weights/_selector.py
@@ -109,7 +109,7 @@
         )[2]
 
     def _candidates(self, plan: TransferPlan) -> Iterable[int]:
-        missing, pending = plan.missing_, plan.pending_by_index_
+        missing, pending = plan.missing_, plan.requests_
         if len(self.queue_) > 2 * len(missing):
             self.queue_ = [index for index in self.queue_ if index in missing]
         length = len(self.queue_)
--- a/shallotpath/weights/_status.py
+++ b/shallotpath/weights/_status.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from functools import lru_cache
 from hashlib import blake2b
 from random import Random
 from struct import Struct
@@ -46,6 +47,7 @@
     return blake2b(text.encode(), digest_size=size).digest()
 
 
+@lru_cache(maxsize=1 << 14)
 def member_key(member_id: str) -> bytes:
     """Return the key of a member in update states."""
     return short_hash(member_id, 6)
