Send through the asyncio socket, and unload versions that are not needed

Cause: chunks were occasionally lost for a whole time-out. A plain send on an asyncio socket can consume the event that wakes its reader, so a message that had arrived was not read. Orders whose answer was lost were repeated without a pause (890 in 6 s). Change: the transport sends through the asyncio call. An order is repeated only after the observation interval. Versions before the previous one are unloaded.

--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -88,12 +88,11 @@
         frame = encode(message)
         try:
             if peer.startswith(ROUTED_PREFIX):
-                # `send_multipart` of an asyncio socket would return before an error.
                 route = bytes.fromhex(peer[1:])
-                zmq.Socket.send(self.router_, route, zmq.DONTWAIT | zmq.SNDMORE)
-                zmq.Socket.send(self.router_, frame, zmq.DONTWAIT)
+                send_now(self.router_, route, zmq.SNDMORE)
+                send_now(self.router_, frame)
             else:
-                zmq.Socket.send(self._dealer(peer), frame, zmq.DONTWAIT)
+                send_now(self._dealer(peer), frame)
         except zmq.ZMQError:
             self.dropped_frames_ += 1
             return False
@@ -157,6 +156,17 @@
         self.receive(peer, message)
 
 
+def send_now(socket: zmq.asyncio.Socket, frame: bytes, flags: int = 0) -> None:
+    """Send without waiting, or raise `zmq.ZMQError`.
+
+    The call of the asyncio socket is used, since a plain `zmq.Socket.send` can
+    consume the event that wakes the reader of the same socket.
+    """
+    future = socket.send(frame, flags | zmq.DONTWAIT)
+    if future.done():
+        future.result()
+
+
 def peer_identity(peer: str) -> str:
     """Return the routing id behind a peer name of an incoming connection."""
     return bytes.fromhex(peer.removeprefix(ROUTED_PREFIX)).decode(errors="replace")
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -29,6 +29,7 @@
     ManifestError,
     ManifestLearnt,
     MapHeard,
+    OrderDone,
     Request,
     Rollout,
     StatusHeard,
@@ -43,6 +44,8 @@
 
 PUMP_INTERVAL_S = 0.2
 OBSERVE_INTERVAL_S = 0.5
+# The version in force and the one before it.
+KEPT_VERSIONS = 2
 
 Pace = Callable[[str, int], Awaitable[None]]
 
@@ -122,6 +125,11 @@
         """Tell whether the gate may hand requests to the engine."""
         return self.rollout.admitting
 
+    @property
+    def sole_chunks(self) -> int:
+        """Return how many chunks would be lost to the region if this VM stopped now."""
+        return self.plan.selector_.sole(self.plan.bitmap_)
+
     @property
     def progress(self) -> float:
         """Return the share of the target's chunks that the engine holds."""
@@ -318,9 +326,21 @@
             now=now,
         )
         if order is None:
+            await self._retire()
             return False
-        self._dispatch(await self.engine.order(order))
-        return True
+        outcome = await self.engine.order(order)
+        self._dispatch(outcome)
+        return isinstance(outcome, OrderDone)
+
+    async def _retire(self) -> None:
+        """Free versions older than the previous one, which a roll back may need."""
+        staged = self.staged_digests_
+        if len(staged) <= KEPT_VERSIONS or not self.rollout.finished:
+            return
+        order = self.orders.unload(staged[0], self.shell.clock.now())
+        if order is not None:
+            self._dispatch(await self.engine.order(order))
+            del staged[0]
 
     async def _drained(self) -> bool:
         """Free the old version once no request runs; tell whether this is done."""
@@ -341,6 +361,9 @@
         present = await self.engine.stage(digest, manifest)
         if present is None:
             return False
+        if digest in self.staged_digests_:
+            self.staged_digests_.remove(digest)
+        self.staged_digests_.append(digest)
         self._dispatch(ChunksPresent(digest, present))
         return True
 
--- a/shallotpath/runtime/tests/test_weights.py
+++ b/shallotpath/runtime/tests/test_weights.py
@@ -91,3 +91,17 @@
     counters = world.telemetry.counters_
     assert await wait_until(lambda: counters["weights_late_chunks"] == 1, 5)
     assert b.weights.buffered_bytes_ == 0
+
+
+async def test_versions_before_the_previous_one_are_unloaded(world):
+    # Guards against an engine whose memory fills with old versions.
+    await start(world)
+    for version in ("1", "2", "3"):
+        record = await world.publish(version, seed=int(version))
+        deploy(world, version)
+        assert await wait_until(all_serve(world, record.digest), 15)
+    engines = [vm.engine for vm in world.vms_by_id.values()]
+    assert await wait_until(
+        lambda: all(len(e.staged_by_digest_) == 2 for e in engines), 10
+    )
+    assert all(vm.weights.sole_chunks == 0 for vm in world.vms_by_id.values())
--- a/shallotpath/weights/_selector.py
+++ b/shallotpath/weights/_selector.py
@@ -51,6 +51,14 @@
             if index < count:
                 self.near_counts_[index] += 1 if new >> index & 1 else -1
 
+    def sole(self, bitmap: int) -> int:
+        """Return how many held chunks no neighbour in the region has announced."""
+        return sum(
+            1
+            for index, held in enumerate(self.near_counts_)
+            if not held and bitmap >> index & 1
+        )
+
     def choose(self, plan: TransferPlan, now: datetime) -> tuple[int, str] | None:
         """Return the rarest chunk that a source can deliver now, and the source."""
         near: list[tuple[str, Source]] = []
