Add the remaining commands of shallot-bench

Cause: burst, claims, config and core existed only as functions. Change: one command each; the leftovers of a superseded send are removed.

--- a/shallotpath/cli/bench.py
+++ b/shallotpath/cli/bench.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Awaitable
+from dataclasses import asdict
 from typing import Annotated
 
 from cyclopts import App, Parameter
@@ -13,7 +14,18 @@
 from rich.table import Table
 
 from .. import __version__
-from ..bench import run_domain, run_overhead, run_slow, run_weights
+from ..bench import (
+    BurstSettings,
+    bytes_per_upstream,
+    measure_core,
+    run_burst,
+    run_claims,
+    run_config,
+    run_domain,
+    run_overhead,
+    run_slow,
+    run_weights,
+)
 from ._program import run_app
 
 app = App(
@@ -49,6 +61,39 @@
     show("overhead", run_quietly(run_overhead(seconds, seed)))
 
 
+@app.command
+def burst(
+    *, seeds: Annotated[int, Parameter(help="Number of seeds, from 1.")] = 3
+) -> None:
+    """Demand doubles while a third of the upstreams are cold."""
+    show("burst", asdict(run_burst(BurstSettings(), range(1, seeds + 1))))
+
+
+@app.command
+def claims(*, seed: Seed = 7) -> None:
+    """Non-repeatable calls with resends, log outages, restarts and cut domains."""
+    show("claims", run_quietly(run_claims(seed=seed)))
+
+
+@app.command
+def config(*, processes: int = 100, seed: Seed = 1) -> None:
+    """Time until a change is in force on all processes, through an outage."""
+    show("config", run_quietly(run_config(processes=processes, seed=seed)))
+
+
+@app.command
+def core() -> None:
+    """Cost of one event in the reducers with 9, 90 and 900 upstreams."""
+    costs = measure_core()
+    result = {
+        "events_per_second_by_nodes": {
+            str(cost.upstreams): round(1 / cost.seconds_per_event) for cost in costs
+        },
+        "bytes_per_node": round(bytes_per_upstream(costs)),
+    }
+    show("core", result)
+
+
 def run_quietly(experiment: Awaitable[dict]) -> dict:
     """Run an experiment without the processes' log lines."""
     logging.getLogger("shallotpath").setLevel(logging.WARNING)
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -271,17 +271,6 @@
         self.receive(peer, message)
 
 
-def send_now(socket: zmq.asyncio.Socket, frame: bytes, flags: int = 0) -> None:
-    """Send without waiting, or raise `zmq.ZMQError`.
-
-    The call of the asyncio socket is used, since a plain `zmq.Socket.send` can
-    consume the event that wakes the reader of the same socket.
-    """
-    future = socket.send(frame, flags | zmq.DONTWAIT)
-    if future.done():
-        future.result()
-
-
 def peer_identity(peer: str) -> str:
     """Return the routing id behind a peer name of an incoming connection."""
     return bytes.fromhex(peer.removeprefix(ROUTED_PREFIX)).decode(errors="replace")
--- a/shallotpath/runtime/tests/test_relay.py
+++ b/shallotpath/runtime/tests/test_relay.py
@@ -18,7 +18,7 @@
         self.started = False
         self.written_ = b""
 
-    async def start(self, status, content_type, version):
+    async def start(self, status, content_type, version, digest):
         self.started = True
 
     async def write(self, payload):
