Do not run an order whose claim is granted after its deadline

A non-repeatable call that waited for its claim kept its place without end, and a late grant ran it after its caller had been answered.

At the deadline such a call is refused as not run. A grant that arrives later is reported to the claim table as not_run, so that the key does not stay in the state running. Tests cover the late grant and each decision that must not reach the engine.

--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -26,7 +26,7 @@
 from ..streams import AnswerWriter, SlowReaderBudget
 from ._admission import AdmissionChecks
 from ._agent_part import ClaimFinished, ClaimWanted
-from ._claim_states import claim_status, known_failure
+from ._claim_states import NOT_RUN, answer_known, claim_status
 from ._engine_client import EngineClient
 from ._engine_run import EngineRun
 from ._engine_watch import EngineWatch
@@ -37,6 +37,7 @@
     GatePort,
     KnownClaim,
     RefuseClaim,
+    RunClaim,
     WeightsPort,
 )
 from ._shell import Shell
@@ -181,10 +182,16 @@
             self._send(call.peer, call.outcome)
 
     def claim_decided(self, event: ClaimDecided) -> None:
-        """Continue a call whose key is decided."""
+        """Continue a call whose key is decided, or report that it will not run."""
+        granted = isinstance(event.decision, RunClaim)
         call = self.calls_by_id_.get(event.request_id)
-        if call is not None and call.decided and not call.decided.done():
-            call.decided.set_result(event.decision)
+        if call is not None and call.active:
+            if not call.claimed:
+                call.claimed = granted
+                call.decide(event.decision)
+        elif granted and (call is None or not call.claimed):
+            finished = ClaimFinished(event.key, event.request_id, NOT_RUN)
+            asyncio.get_running_loop().call_soon(self.shell.dispatch, finished)
 
     def check(self, heard_at_by_peer: dict[str, datetime]) -> None:
         """Expire queued calls and stop those that must not go on."""
@@ -244,8 +251,7 @@
             if isinstance(decision, RefuseClaim):
                 return Failure(decision.code, decision.run)
             if isinstance(decision, KnownClaim):
-                return self._answer_known(call, decision)
-            call.claimed = True
+                return answer_known(call, decision.state)
             call.state = CallState.RUNNING
         digest = self.weights.digest(self.service)
         # The engine may have changed while the call was queued.
@@ -262,15 +268,6 @@
         self.shell.dispatch(wanted)
         return await call.decided
 
-    def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
-        failure = known_failure(decision.state)
-        if failure is not None:
-            return failure
-        call.writer.begin(200, "application/json", "")
-        state = {"idempotency_key": call.submit.key, "state": decision.state}
-        call.writer.write(msgspec.json.encode(state))
-        return None
-
     def _end(self, call: InboundCall, failure: Failure | None) -> None:
         if not call.active:
             return
@@ -331,7 +328,9 @@
             self.stop(call, Code.DOMAIN_OUT)
         elif now - heard_at > self.timeouts.entry_silence:
             self.detach(call)
-        elif now > call.call.deadline and call.submit.repeatable:
+        elif now > call.call.deadline and (
+            call.submit.repeatable or call.state is not CallState.RUNNING
+        ):
             self.stop(call, Code.DEADLINE_EXCEEDED)
 
     def _check_done(self, call: InboundCall, now: datetime) -> None:
--- a/shallotpath/runtime/_claim_states.py
+++ b/shallotpath/runtime/_claim_states.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..core import Code, RunState
-from ._inbound import UNKNOWN_STATE, Failure
+from ._inbound import UNKNOWN_STATE, Failure, InboundCall
 
 COMPLETED = "completed"
 NOT_RUN = "not_run"
@@ -22,8 +24,12 @@
     return NOT_RUN if failure.run is RunState.NO else UNKNOWN_STATE
 
 
-def known_failure(state: str) -> Failure | None:
-    """Return the answer to a repeated key, or `None` if its run completed."""
-    if state == COMPLETED:
-        return None
-    return _FAILURE_BY_STATE.get(state, Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN))
+def answer_known(call: InboundCall, state: str) -> Failure | None:
+    """Answer a repeated key with the state of its run, or return the failure."""
+    if state != COMPLETED:
+        unknown = Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+        return _FAILURE_BY_STATE.get(state, unknown)
+    call.writer.begin(200, "application/json", "")
+    answer = {"idempotency_key": call.submit.key, "state": state}
+    call.writer.write(msgspec.json.encode(answer))
+    return None
--- a/shallotpath/runtime/_inbound.py
+++ b/shallotpath/runtime/_inbound.py
@@ -82,6 +82,11 @@
             return RunState.YES
         return RunState.UNKNOWN if self.handed_over else RunState.NO
 
+    def decide(self, decision: object) -> None:
+        """Hand the decision on the key to the run that waits for it."""
+        if self.decided is not None and not self.decided.done():
+            self.decided.set_result(decision)
+
 
 class ModelBody(msgspec.Struct):
     """Decode the fields of a generation request that admission needs."""
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -13,6 +13,7 @@
     Code,
     Credit,
     Data,
+    Emit,
     End,
     EngineLost,
     Failed,
@@ -27,7 +28,13 @@
     Submit,
     Tick,
 )
-from shallotpath.runtime import AgentTimeouts
+from shallotpath.runtime import (
+    AgentTimeouts,
+    ClaimDecided,
+    KnownClaim,
+    RefuseClaim,
+    RunClaim,
+)
 from shallotpath.standins import make_token
 
 from .parts import PATIENCE_S, Upstream, make_configuration, make_shell, until
@@ -243,6 +250,47 @@
         assert upstream.engine.runs_by_key_["k"] == 1
 
 
+async def test_a_claim_that_is_granted_after_the_deadline_does_not_run():
+    # Guards against an order that runs after it was reported as not run, and
+    # against a key that stays in the state "running".
+    async with agent("kit-desk") as (upstream, entry, _):
+        upstream.claims.request = lambda key, request_id, fresh, now: []
+        order = {"service": "kit-desk", "path": "orders", "body": b"{}"}
+        soon = timedelta(milliseconds=50)
+        entry.submit(**order, key="k", repeatable=False, time_left=soon)
+        refused = await entry.next(Refused)
+        assert refused.code is Code.DEADLINE_EXCEEDED
+        upstream.shell.dispatch(ClaimDecided("r", "k", RunClaim()))
+        await until(lambda: upstream.claims.states_by_key_.get("k") == "not_run")
+        assert upstream.engine.counters_["runs"] == 0
+
+
+@pytest.mark.parametrize(
+    ("decision", "code", "run"),
+    [
+        (KnownClaim("running"), Code.CLAIM_IN_PROGRESS, RunState.YES),
+        (KnownClaim("lost in a log"), Code.CLAIM_UNKNOWN, RunState.UNKNOWN),
+        (
+            RefuseClaim(Code.CLAIM_UNKNOWN, RunState.UNKNOWN),
+            Code.CLAIM_UNKNOWN,
+            RunState.UNKNOWN,
+        ),
+    ],
+)
+async def test_a_key_that_may_have_run_is_never_handed_to_the_engine(
+    decision, code, run
+):
+    async with agent("kit-desk") as (upstream, entry, _):
+        upstream.claims.request = lambda key, request_id, fresh, now: [
+            Emit(ClaimDecided(request_id, key, decision))
+        ]
+        order = {"service": "kit-desk", "path": "orders", "body": b"{}"}
+        entry.submit(**order, key="k", repeatable=False)
+        failed = await entry.next(Failed)
+        assert (failed.code, failed.run) == (code, run)
+        assert upstream.engine.counters_["runs"] == 0
+
+
 async def test_a_repeatable_call_of_a_silent_entry_is_cancelled():
     timeouts = AgentTimeouts(entry_silence=timedelta(milliseconds=50))
     async with agent(token_interval_s=1.0, timeouts=timeouts) as parts:
