--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..claims import ClaimDecided, ClaimDecision, KnownClaim, RefuseClaim
+from ..claims import ClaimDecided, ClaimDecision, KnownClaim, RefuseClaim, RunClaim
 from ..config import ConfigurationView
 from ..core import (
     Accepted,
@@ -26,8 +26,8 @@
 from ..limits import Admit, Call, Refuse
 from ..streams import AnswerWriter, SlowReaderBudget
 from ._admission import AdmissionChecks
-from ._agent_part import ClaimWanted
-from ._claim_states import claim_end, known_failure
+from ._agent_part import ClaimReleased, ClaimWanted
+from ._claim_states import answer_known, claim_end
 from ._engine_client import EngineClient
 from ._engine_run import EngineRun
 from ._engine_watch import EngineWatch
@@ -178,10 +178,16 @@
             self._send(call.peer, call.outcome)
 
     def claim_decided(self, event: ClaimDecided) -> None:
-        """Continue a call whose key is decided."""
+        """Continue a call whose key is decided, or report that it will not run."""
+        granted = isinstance(event.decision, RunClaim)
         call = self.calls_by_id_.get(event.request_id)
-        if call is not None and call.decided and not call.decided.done():
-            call.decided.set_result(event.decision)
+        if call is not None and call.active:
+            if not call.claimed:
+                call.claimed = granted
+                call.decide(event.decision)
+        elif granted and (call is None or not call.claimed):
+            released = ClaimReleased(event.key, event.request_id)
+            asyncio.get_running_loop().call_soon(self.shell.dispatch, released)
 
     def check(self, heard_at_by_peer: dict[str, datetime]) -> None:
         """Expire queued calls and stop those that must not go on."""
@@ -241,8 +247,7 @@
             if isinstance(decision, RefuseClaim):
                 return Failure(decision.code, decision.run)
             if isinstance(decision, KnownClaim):
-                return self._answer_known(call, decision)
-            call.claimed = True
+                return answer_known(call, decision.state.phase)
             call.state = CallState.RUNNING
         digest = self.weights.digest(self.service)
         # The engine may have changed while the call was queued.
@@ -259,15 +264,6 @@
         self.shell.dispatch(wanted)
         return await call.decided
 
-    def _answer_known(self, call: InboundCall, decision: KnownClaim) -> Failure | None:
-        failure = known_failure(decision.state.phase)
-        if failure is not None:
-            return failure
-        call.writer.begin(200, "application/json", "")
-        state = {"idempotency_key": call.submit.key, "state": decision.state.phase}
-        call.writer.write(msgspec.json.encode(state))
-        return None
-
     def _end(self, call: InboundCall, failure: Failure | None) -> None:
         if not call.active:
             return
@@ -327,7 +323,9 @@
             self.stop(call, Code.DOMAIN_OUT)
         elif now - heard_at > self.timeouts.entry_silence:
             self.detach(call)
-        elif now > call.call.deadline and call.submit.repeatable:
+        elif now > call.call.deadline and (
+            call.submit.repeatable or call.state is not CallState.RUNNING
+        ):
             self.stop(call, Code.DEADLINE_EXCEEDED)
 
     def _check_done(self, call: InboundCall, now: datetime) -> None:
--- a/shallotpath/runtime/_claim_states.py
+++ b/shallotpath/runtime/_claim_states.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..claims import Phase
 from ..core import Code, RunState, Submit
 from ._agent_part import ClaimFinished, ClaimReleased
-from ._inbound import Failure
+from ._inbound import Failure, InboundCall
 
 STATUS_OK = 200
 STATUS_UNKNOWN = 0
@@ -19,10 +21,13 @@
     return ClaimFinished(submit.key, submit.request_id, status)
 
 
-def known_failure(phase: Phase) -> Failure | None:
-    """Return the answer to a repeated key, or `None` if its run completed."""
-    if phase is Phase.FINISHED:
-        return None
+def answer_known(call: InboundCall, phase: Phase) -> Failure | None:
+    """Answer a repeated key with the state of its run, or return the failure."""
     if phase is Phase.RUNNING:
         return Failure(Code.CLAIM_IN_PROGRESS, RunState.YES)
-    return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+    if phase is not Phase.FINISHED:
+        return Failure(Code.CLAIM_UNKNOWN, RunState.UNKNOWN)
+    call.writer.begin(200, "application/json", "")
+    answer = {"idempotency_key": call.submit.key, "state": phase}
+    call.writer.write(msgspec.json.encode(answer))
+    return None
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -102,6 +102,7 @@
         """Take messages and bind the HTTP port; the shell must have started."""
         self.part.listener_ = self
         self.exchanges.register()
+        self.shell.spawn(self._check_exchanges())
         app = web.Application(
             client_max_size=self.limits.body_bytes, middlewares=[answer_with_problems]
         )
@@ -141,6 +142,14 @@
         """Check heartbeats, deadlines and budgets after the current event."""
         asyncio.get_running_loop().call_soon(self.exchanges.check)
 
+    async def _check_exchanges(self) -> None:
+        # Ticks are too rare to fail over within the time to a first token.
+        interval = self.exchanges.timeouts.check_interval.total_seconds()
+        while True:
+            await asyncio.sleep(interval)
+            if self.exchanges.exchanges_by_id_:
+                self.exchanges.check()
+
     async def _health(self, request: web.Request) -> web.Response:
         # The load balancer takes an entry out whose domain is out; requests that
         # still arrive are served by upstreams of other domains.
--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -116,7 +116,12 @@
             return None
         now = self.shell.clock.now()
         delay = self.retries.next(
-            session.request.call, failure.code, failure.run, tries, now
+            session.request.call,
+            failure.code,
+            failure.run,
+            tries,
+            now,
+            retry_after=failure.retry_after,
         )
         if delay is None or now + delay >= session.call.deadline:
             return None
@@ -137,10 +142,14 @@
             failure = await self._relay(session, exchange)
         finally:
             self.exchanges.close(exchange)
-        if failure is not None:
-            session.call.ended(failure.run)
-            now = self.shell.clock.now()
-            self.router.observe_failure(member.id, failure.code, now)
+        if failure is None:
+            self.router.completed(session.request.call, member.id)
+            return None
+        session.call.ended(failure.run)
+        now = self.shell.clock.now()
+        self.router.observe_failure(
+            member.id, failure.code, now, retry_after=failure.retry_after
+        )
         return failure
 
     def _choose(self, session: Session) -> Member | None:
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -96,11 +96,17 @@
             member = self.membership.members_by_id.get(exchange.member.id)
             if member is not None:
                 exchange.member_now(member.incarnation)
+            self._fail_over(exchange, now)
             for message in exchange.poll(now):
                 self._send(exchange, message)
             self._account(exchange)
         self._stop_slow_readers(now)
 
+    def _fail_over(self, exchange: Exchange, now: datetime) -> None:
+        silence = self.heartbeats.silence_of(exchange.member.address, now)
+        if exchange.submit.repeatable and silence >= self.timeouts.fail_over:
+            exchange.fail(Code.UPSTREAM_LOST, exchange.run)
+
     def _on_message(self, peer: str, message: Message) -> None:
         now = self.shell.clock.now()
         self.heartbeats.heard(peer, now)
--- a/shallotpath/runtime/_ports.py
+++ b/shallotpath/runtime/_ports.py
@@ -80,7 +80,17 @@
         """Record a load report."""
         ...
 
-    def observe_failure(self, member_id: str, code: Code, now: datetime) -> None:
+    def completed(self, call: Call, member_id: str) -> None:
+        """Record a complete response."""
+        ...
+
+    def observe_failure(
+        self,
+        member_id: str,
+        code: Code,
+        now: datetime,
+        retry_after: timedelta | None = None,
+    ) -> None:
         """Record a refusal or failure."""
         ...
 
@@ -93,7 +103,14 @@
         ...
 
     def next(
-        self, call: Call, code: Code, run: RunState, attempts: int, now: datetime
+        self,
+        call: Call,
+        code: Code,
+        run: RunState,
+        attempts: int,
+        now: datetime,
+        *,
+        retry_after: timedelta | None = None,
     ) -> timedelta | None:
         """Return the delay before another attempt, or `None` to give up."""
         ...
--- a/shallotpath/streams/_heartbeats.py
+++ b/shallotpath/streams/_heartbeats.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-PING_INTERVAL = timedelta(milliseconds=500)
+PING_INTERVAL = timedelta(milliseconds=200)
 SILENCE = timedelta(seconds=2)
 # Leaves room for one more connection after the first replacement.
 LOST_AFTER = timedelta(seconds=5)
@@ -68,6 +68,11 @@
         if times is not None:
             times.heard_at = now
 
+    def silence_of(self, peer: str, now: datetime) -> timedelta:
+        """Return for how long a peer in use has not been heard."""
+        times = self.times_by_peer_.get(peer)
+        return now - times.heard_at if times is not None else timedelta(0)
+
     def poll(self, peers: Collection[str], now: datetime) -> list[HeartbeatAction]:
         """Return what to do about the peers in use."""
         self._forgive_pause(now)
@@ -91,7 +96,8 @@
             times.connected_at = now
             times.probed_at = now - self.interval
             actions.append(Replace(peer))
-        if now - times.probed_at >= self.interval:
+        # A peer that sends data needs no heartbeats beside it.
+        if now - max(times.probed_at, times.heard_at) >= self.interval:
             times.probed_at = now
             actions.append(Probe(peer))
         return actions
