Index the open attempts of an entry by peer

Each Pong looked through all attempts of the entry. With the index a Pong costs one look-up, whatever the number of requests in flight.

--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -56,6 +56,7 @@
             timeouts.ping_interval, timeouts.silence, timeouts.lost_after
         )
         self.exchanges_by_id_: dict[str, Exchange] = {}
+        self.ids_by_peer_: dict[str, set[str]] = {}
 
     def register(self) -> None:
         """Take the agents' messages."""
@@ -65,7 +66,9 @@
 
     def open(self, exchange: Exchange) -> bool:
         """Send an attempt; tell whether the connection took it."""
-        self.exchanges_by_id_[exchange.submit.request_id] = exchange
+        request_id = exchange.submit.request_id
+        self.exchanges_by_id_[request_id] = exchange
+        self.ids_by_peer_.setdefault(exchange.member.address, set()).add(request_id)
         self.router.started(exchange.member.id)
         return self.shell.peer.send(exchange.member.address, exchange.submit)
 
@@ -73,6 +76,7 @@
         """Forget an attempt; tell the agent unless it knows the end."""
         submit = exchange.submit
         del self.exchanges_by_id_[submit.request_id]
+        self._leave_peer(exchange.member.address, submit.request_id)
         self.budget.remove(submit.request_id)
         self.router.ended(exchange.member.id)
         known = exchange.failure is not None and exchange.failure.at_agent
@@ -89,8 +93,7 @@
     def check(self) -> None:
         """Check heartbeats, deadlines, incarnations and held bytes."""
         now = self.shell.clock.now()
-        addresses = {e.member.address for e in self.exchanges_by_id_.values()}
-        for action in self.heartbeats.poll(addresses, now):
+        for action in self.heartbeats.poll(list(self.ids_by_peer_), now):
             self._act(action)
         for exchange in list(self.exchanges_by_id_.values()):
             member = self.membership.members_by_id.get(exchange.member.id)
@@ -120,9 +123,10 @@
     def _on_pong(self, peer: str, pong: Pong) -> None:
         now = self.shell.clock.now()
         self.heartbeats.heard(peer, now)
-        for exchange in self._at(peer):
-            self.router.observe_load(exchange.member.id, pong.load, now)
-            return
+        request_id = next(iter(self.ids_by_peer_.get(peer, ())), None)
+        if request_id is not None:
+            member = self.exchanges_by_id_[request_id].member
+            self.router.observe_load(member.id, pong.load, now)
 
     @singledispatchmethod
     def _act(self, action: HeartbeatAction) -> None:
@@ -147,8 +151,14 @@
             exchange.fail(Code.UPSTREAM_LOST, exchange.run)
 
     def _at(self, peer: str) -> list[Exchange]:
-        exchanges = self.exchanges_by_id_.values()
-        return [e for e in exchanges if e.member.address == peer]
+        request_ids = self.ids_by_peer_.get(peer, ())
+        return [self.exchanges_by_id_[request_id] for request_id in request_ids]
+
+    def _leave_peer(self, peer: str, request_id: str) -> None:
+        request_ids = self.ids_by_peer_[peer]
+        request_ids.discard(request_id)
+        if not request_ids:
+            del self.ids_by_peer_[peer]
 
     def _account(self, exchange: Exchange) -> None:
         self.budget.update(
