Move keys away while a failure domain is out

Cause: in the domain experiment 11 of 125 requests were refused with domain_out: orders whose home agent was in the domain that operators took out. Change: HomeDuty leaves the home set when the domain goes out and rejoins under a new claim incarnation on its return; a draining agent leaves at once. Conclusion: order keys follow the operators' decision.

--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import datetime, timedelta
 from functools import singledispatchmethod
 
@@ -48,10 +49,12 @@
     """
 
     __slots__ = (
+        "generation_",
         "health_",
         "homes",
         "identity",
         "keys_",
+        "membership",
         "outbox_",
         "reader_",
         "seat_",
@@ -69,11 +72,11 @@
         homes: HomeSet | None = None,
     ) -> None:
         self.identity = identity
+        self.membership = membership
         self.settings = settings or ClaimSettings()
         self.homes = homes or HomeSet(window=self.settings.window)
-        self.outbox_ = Outbox(identity, self.settings.retry_interval)
-        self.seat_ = Seat(identity, self.homes, membership, self.outbox_, self.settings)
-        self.writer_ = WitnessWriter(identity)
+        self.generation_ = 0
+        self._take_seat(identity)
         self.reader_ = DebtReader(self.settings.retry_interval)
         self.keys_ = KeyBook()
         self.health_ = LogHealth()
@@ -131,6 +134,29 @@
         self.seat_.leaving_ = True
         return self._maintain(now)
 
+    def rejoin(self, now: datetime) -> list[Effect]:
+        """Join the home set again after a leave, under a new incarnation."""
+        if not self.left:
+            return []
+        self.generation_ += 1
+        incarnation = self.identity.incarnation.partition("/")[0]
+        token, nonce = self.outbox_.token_, self.writer_.nonce_
+        self._take_seat(
+            replace(self.identity, incarnation=f"{incarnation}/{self.generation_}")
+        )
+        # Answers to the earlier seat's messages must not match this one's.
+        self.outbox_.token_ = token
+        self.writer_.nonce_ = nonce
+        return self._maintain(now)
+
+    def _take_seat(self, identity: Identity) -> None:
+        self.identity = identity
+        self.outbox_ = Outbox(identity, self.settings.retry_interval)
+        self.seat_ = Seat(
+            identity, self.homes, self.membership, self.outbox_, self.settings
+        )
+        self.writer_ = WitnessWriter(identity)
+
     @singledispatchmethod
     def reduce(self, event: Event, now: datetime) -> list[Effect]:
         """Take an event and return effects."""
--- a/shallotpath/nodes/__init__.py
+++ b/shallotpath/nodes/__init__.py
@@ -2,7 +2,8 @@
 
 from ._agent import AgentProcess
 from ._entry import EntryProcess
+from ._home_duty import HomeDuty
 from ._process import Process
 from ._served import ServedVersion
 
-__all__ = ["AgentProcess", "EntryProcess", "Process", "ServedVersion"]
+__all__ = ["AgentProcess", "EntryProcess", "HomeDuty", "Process", "ServedVersion"]
--- a/shallotpath/nodes/_agent.py
+++ b/shallotpath/nodes/_agent.py
@@ -21,6 +21,7 @@
 )
 from ..settings import AgentSettings
 from ..weights import EngineOrders, Rollout, TransferLimits, TransferPlan
+from ._home_duty import HomeDuty
 from ._process import Process
 from ._served import ServedVersion
 
@@ -83,7 +84,19 @@
             incarnation=self.incarnation,
             weights=self.served,
         )
-        return [*self.weights.parts, self.served, self.gate, self.claims, self.part]
+        duty = HomeDuty(
+            domain=settings.domain,
+            configuration=self.configuration,
+            claims=self.claims,
+        )
+        return [
+            *self.weights.parts,
+            self.served,
+            self.gate,
+            self.claims,
+            duty,
+            self.part,
+        ]
 
     def _make_weights(self) -> None:
         settings = self.settings
@@ -137,9 +150,6 @@
     async def drain(self) -> None:
         """Refuse new calls, finish those that are held, leave the home set."""
         await super().drain()
-        # Left at once, so that keys move to other homes while calls finish here.
-        for effect in self.claims.leave(self.clock.now()):
-            self.shell.perform(effect)
         await self.server.drain()
         if self.claims.joined:
             await self._left()
--- /dev/null
+++ b/shallotpath/nodes/_home_duty.py
@@ -0,0 +1,54 @@
+"""Give the keys of an agent away while its failure domain is out."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from functools import singledispatchmethod
+
+from ..claims import ClaimTable
+from ..config import ConfigurationView
+from ..core import DrainRequested, Effect, Event, Tick
+
+
+class HomeDuty:
+    """Leave the home set when the failure domain goes out, rejoin on its return.
+
+    Otherwise keys whose home agent is in the domain would be refused for as long
+    as the domain is out.
+    """
+
+    __slots__ = ("claims", "configuration", "domain", "draining_", "leaving_")
+
+    def __init__(
+        self, *, domain: str, configuration: ConfigurationView, claims: ClaimTable
+    ) -> None:
+        self.domain = domain
+        self.configuration = configuration
+        self.claims = claims
+        self.draining_ = False
+        self.leaving_ = False
+
+    @singledispatchmethod
+    def reduce(self, event: Event, now: datetime) -> list[Effect]:
+        """Take an event and return effects."""
+        return []
+
+    @reduce.register
+    def _(self, event: DrainRequested, now: datetime) -> list[Effect]:
+        # Left at once, so that keys move to other homes while calls finish here.
+        self.draining_ = True
+        return self.claims.leave(now)
+
+    @reduce.register
+    def _(self, event: Tick, now: datetime) -> list[Effect]:
+        if self.draining_:
+            return []
+        state = self.configuration.domains_by_id.get(self.domain)
+        out = state is not None and state.out
+        if out and not self.leaving_:
+            self.leaving_ = True
+            return self.claims.leave(now)
+        if not out and self.leaving_ and self.claims.left:
+            self.leaving_ = False
+            return self.claims.rejoin(now)
+        return []
