--- a/shallotpath/bench/_fake_engine.py
+++ b/shallotpath/bench/_fake_engine.py
@@ -16,6 +16,10 @@
 
     step_s: float = 0.008
     step_per_run_s: float = 0.0004
+    # Above this many runs each further one slows the engine down by `knee_step_s`,
+    # as when the caches of the runs no longer fit.
+    knee: int = 16
+    knee_step_s: float = 0.0
     cold_factor: float = 3.0
     cold_running: int = 2
     max_running: int = 16
@@ -133,7 +137,9 @@
         if self.cold_next_:
             self.cold_next_ = False
             self.cold_runs_left_ = model.warm_up_runs
-        duration = model.step_s + model.step_per_run_s * len(self.runs_by_id_)
+        running = len(self.runs_by_id_)
+        duration = model.step_s + model.step_per_run_s * running
+        duration += model.knee_step_s * max(0, running - model.knee)
         if self.cold:
             duration *= model.cold_factor
         for run in self.runs_by_id_.values():
--- a/shallotpath/routing/__init__.py
+++ b/shallotpath/routing/__init__.py
@@ -1,6 +1,5 @@
 """Upstream selection and retries."""
 
-from ._breaker import Circuit, SharedBreaker
 from ._health import HealthRule, SkipRule
 from ._loads import Loads
 from ._pool import Pool
@@ -18,7 +17,6 @@
 
 __all__ = [
     "AffinityRule",
-    "Circuit",
     "HealthRule",
     "LeastLoadedRule",
     "Loads",
@@ -28,7 +26,6 @@
     "Router",
     "RouterSettings",
     "SelectionRule",
-    "SharedBreaker",
     "SkipRule",
     "TwoChoicesRule",
     "affinity_pair",
--- a/shallotpath/routing/tests/test_router.py
+++ b/shallotpath/routing/tests/test_router.py
@@ -24,7 +24,6 @@
     RandomRule,
     RetryPolicy,
     Router,
-    SharedBreaker,
     TwoChoicesRule,
 )
 from shallotpath.routing._retry import FLOOR_RETRIES
@@ -194,15 +193,3 @@
         arguments = (call, Code.OVERLOADED, RunState.NO, 1, EPOCH)
         granted[team] += policy.next(*arguments) is not None
         assert granted[team] <= share * first[team] + FLOOR_RETRIES + 1e-6
-
-
-def test_the_shared_breaker_opens_for_all_entries_and_lets_one_trial_through():
-    circuits = {}
-    entries = [SharedBreaker(circuits, threshold=2) for _ in range(2)]
-    for _ in range(2):
-        entries[0].failed("m", Code.OVERLOADED, EPOCH, None)
-    assert not entries[1].available("m", EPOCH)
-    later = EPOCH + 3 * SECOND
-    assert [entry.available("m", later) for entry in entries] == [True, False]
-    entries[0].succeeded("m")
-    assert entries[1].available("m", later + SECOND)
