Export the burst and core experiments

Cause: the benchmark commands need public names. Change: bench exports run_burst, measure_core and their data types.

--- a/shallotpath/bench/tests/test_burst.py
+++ b/shallotpath/bench/tests/test_burst.py
@@ -1,10 +1,13 @@
 from dataclasses import replace
 
-from shallotpath.bench._burst import run_burst
+from shallotpath.bench import (
+    BurstSettings,
+    bytes_per_upstream,
+    measure_core,
+    run_burst,
+)
 from shallotpath.bench._burst_baselines import NaiveModel, OracleModel
-from shallotpath.bench._burst_load import BurstSettings
 from shallotpath.bench._burst_model import BurstModel
-from shallotpath.bench._core_model import bytes_per_upstream, measure_core
 
 CALM = BurstSettings(
     rate=10.0, burst_factor=1.0, duration_s=14.0, measure_from_s=2.0, burst_at_s=12.0
