--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -1,11 +1,12 @@
 """Load generator and experiments."""
 
-from ._burst import run_burst
+from ._burst import BurstReport, run_burst
 from ._burst_load import BurstSettings
+from ._burst_model import Rules
 from ._claims import run_claims
 from ._config import run_config
 from ._config_nodes import run_member
-from ._core_model import bytes_per_upstream, measure_core
+from ._core_model import CoreCost, bytes_per_upstream, measure_core
 from ._domain import run_domain
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
 from ._membership import measure_memory, run_membership
@@ -15,18 +16,21 @@
 from ._weights import run_weights
 
 __all__ = [
+    "BurstReport",
     "BurstSettings",
-    "bytes_per_upstream",
-    "measure_core",
-    "run_burst",
-    "run_claims",
+    "CoreCost",
     "LoadGenerator",
     "LoadResult",
     "NaiveEntry",
     "Outcome",
     "Request",
+    "Rules",
     "StreamChecker",
+    "bytes_per_upstream",
+    "measure_core",
     "measure_memory",
+    "run_burst",
+    "run_claims",
     "run_config",
     "run_domain",
     "run_member",
