Refuse orders to silent homes as not run; model VM death in the experiment

Cause: orders to a home agent that had gone silent were sent and then failed as unknown; the experiment stopped a dying entry gracefully, which no VM death does.

--- a/shallotpath/bench/_cluster.py
+++ b/shallotpath/bench/_cluster.py
@@ -189,10 +189,13 @@
             if upstream.domain == domain:
                 del self.upstreams_by_id[name]
                 await upstream.agent.stop()
+                await self.session_.delete(f"{self.platform_url_}/vms/{name}")
         for name, entry in list(self.entries_by_id.items()):
             if entry.settings.domain == domain:
                 del self.entries_by_id[name]
+                abort_callers(entry)
                 await entry.stop()
+                await self.session_.delete(f"{self.platform_url_}/vms/{name}")
 
     def runs_in(self, domain: str) -> int:
         """Return the number of runs that the engines of a domain have started."""
@@ -224,6 +227,7 @@
     def _node(self, name: str, domain: str, region: str) -> dict:
         return {
             "id": name,
+            "vm_incarnation": f"{name}-vm-1",
             "domain": domain,
             "region": region,
             "peer": "tcp://127.0.0.1:0",
@@ -248,8 +252,20 @@
             settings, seed=seed, make_transport=self.links.transport_for(domain)
         )
         await entry.start()
+        await self._register(entry)
         self.entries_by_id[name] = entry
 
+    async def _register(self, process: Process) -> None:
+        """Enter a VM into the platform's list, as the platform itself would."""
+        settings = process.settings
+        body = {
+            "incarnation": settings.vm_incarnation,
+            "address": process.shell.peer.address_,
+            "domain": settings.domain,
+            "state": "live",
+        }
+        await self.session_.put(f"{self.platform_url_}/vms/{settings.id}", json=body)
+
     async def _start_upstream(
         self, name: str, engines: EngineSpec, domain: str, seed: int
     ) -> None:
@@ -267,6 +283,7 @@
             settings, seed=seed, make_transport=self.links.transport_for(domain)
         )
         await agent.start()
+        await self._register(agent)
         self.upstreams_by_id[name] = Upstream(agent, engine, url, domain)
 
     async def _configure(self) -> None:
@@ -317,6 +334,13 @@
         return upstream.agent.claims.joined
 
 
+def abort_callers(entry: EntryProcess) -> None:
+    """Break the callers' connections at once, as the death of a VM does."""
+    for connection in list(entry.server.runner_.server.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
 @asynccontextmanager
 async def run_cluster(spec: ClusterSpec):
     """Start a cluster and stop it at the end."""
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -196,6 +196,9 @@
             call = self.calls_by_id_.get(expired.call.request_id)
             if call is not None:
                 self._end(call, Failure(expired.code, RunState.NO))
+        # The limit grows and pauses end without a call that ends.
+        for described in self.gate.ready(now):
+            self._start_queued(described)
         for call in list(self.calls_by_id_.values()):
             if call.active:
                 self._check_active(call, now, heard_at_by_peer)
--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -154,9 +154,12 @@
 
     def _choose(self, session: Session) -> Member | None:
         submit = session.request.submit
-        if not submit.repeatable:
-            return self.home_of(submit.service, submit.key)
         now = self.shell.clock.now()
+        if not submit.repeatable:
+            home = self.home_of(submit.service, submit.key)
+            # A call that is never sent to a silent agent can be refused as not run.
+            silent = home is not None and self.exchanges.silent(home, now)
+            return None if silent else home
         tried = session.call.tried_ids_
         # An upstream that refused may be the only one of its service.
         return self.router.choose(session.request.call, tried, now) or (
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -20,7 +20,7 @@
     RunState,
     StatusReply,
 )
-from ..membership import MembershipView
+from ..membership import Member, MembershipView
 from ..streams import (
     HeartbeatAction,
     Heartbeats,
@@ -105,9 +105,13 @@
             self._account(exchange)
         self._stop_slow_readers(now)
 
+    def silent(self, member: Member, now: datetime) -> bool:
+        """Tell whether an agent in use has stopped to answer."""
+        silence = self.heartbeats.silence_of(member.address, now)
+        return silence >= self.timeouts.fail_over
+
     def _fail_over(self, exchange: Exchange, now: datetime) -> None:
-        silence = self.heartbeats.silence_of(exchange.member.address, now)
-        if exchange.submit.repeatable and silence >= self.timeouts.fail_over:
+        if exchange.submit.repeatable and self.silent(exchange.member, now):
             exchange.fail(Code.UPSTREAM_LOST, exchange.run)
 
     def _on_message(self, peer: str, message: Message) -> None:
--- a/shallotpath/runtime/_ports.py
+++ b/shallotpath/runtime/_ports.py
@@ -34,6 +34,10 @@
         """Return queued calls that can no longer run."""
         ...
 
+    def ready(self, now: datetime) -> list[Call]:
+        """Return queued calls that may run now."""
+        ...
+
     def load(self) -> Load:
         """Return what the upstream holds and may still take."""
         ...
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -101,6 +101,9 @@
     def expire(self, now):
         return []
 
+    def ready(self, now):
+        return []
+
     def load(self):
         return Load(self.limit, len(self.running_))
 
