--- a/shallotpath/claims/_seat.py
+++ b/shallotpath/claims/_seat.py
@@ -15,6 +15,9 @@
 MIN_WITNESSES = 2
 JOIN, CONTACT, LEAVE, SNAPSHOT = "join", "contact", "leave", "snapshot"
 RETIRE = "retire/"
+# The choice of witnesses hashes all processes of the domain, which is too much
+# work for every event.
+WITNESS_CHECK = timedelta(seconds=1)
 SNAPSHOT_STAGGER = timedelta(seconds=30)
 
 
@@ -27,6 +30,7 @@
     """
 
     __slots__ = (
+        "checked_at_",
         "confirmed_",
         "contact_",
         "contact_at_",
@@ -59,6 +63,7 @@
         self.confirmed_ = -1
         self.contact_: Contact | None = None
         self.contact_at_: datetime | None = None
+        self.checked_at_: datetime | None = None
         self.raised_version_ = -1
         self.started_at_: datetime | None = None
         self.seq_ = 0
@@ -149,6 +154,11 @@
         record = Retire(me.service, home.member, home.incarnation, evidence)
         self.outbox.put(RETIRE + home.incarnation, record)
 
+    def _elapsed(
+        self, since: datetime | None, period: timedelta, now: datetime
+    ) -> bool:
+        return since is None or now - since >= period
+
     def _version(self) -> int:
         return self.homes.service(self.identity.service).version
 
@@ -156,6 +166,10 @@
         """Append a snapshot long before the log drops the last one."""
         self.started_at_ = self.started_at_ or now
         last = max(self.homes.snapshot_at or self.started_at_, self.started_at_)
+        age = now - last
+        if age < self.settings.snapshot_interval:
+            self.outbox.drop(SNAPSHOT)
+            return
         homes = self.homes.services_.values()
         active = {member for service in homes for member in service.active_by_id}
         order = rendezvous_order("snapshot", active)
@@ -163,9 +177,9 @@
             return
         # The next agent in the order takes over if the first does not write.
         rank = order.index(self.identity.member)
-        if now - last < self.settings.snapshot_interval + rank * SNAPSHOT_STAGGER:
-            self.outbox.drop(SNAPSHOT)
-        elif not self.outbox.holds(SNAPSHOT):
+        if age < self.settings.snapshot_interval + rank * SNAPSHOT_STAGGER:
+            return
+        if not self.outbox.holds(SNAPSHOT):
             self.outbox.put(SNAPSHOT, self.homes.snapshot())
 
     def _drop_retired(self) -> None:
@@ -209,13 +223,15 @@
         # Claims that only witnesses hold must be in the log before the agent
         # names other witnesses or confirms a join that moves keys away.
         bound = bool(self.outbox.unlogged)
-        witnesses = home.witnesses if bound else self._choose_witnesses(home)
-        changed = not bound and (
-            self._version() != self.raised_version_ or witnesses != home.witnesses
+        changed = not bound and self._version() != self.raised_version_
+        due = changed or self._elapsed(
+            self.contact_at_, self.settings.contact_interval, now
         )
-        interval = self.settings.contact_interval
-        elapsed = self.contact_at_ is None or now - self.contact_at_ >= interval
-        if not changed and not elapsed:
+        if not due and not self._elapsed(self.checked_at_, WITNESS_CHECK, now):
+            return
+        self.checked_at_ = now
+        witnesses = home.witnesses if bound else self._choose_witnesses(home)
+        if not due and witnesses == home.witnesses:
             return
         if not bound:
             self.confirmed_ = max(self.confirmed_, self.homes.offset)
