Check open debts again when a claim is decided

Cause: a key can move to a joining agent, run there without the log, and come back when that agent is retired, while its first home still waits for a claim on it that takes effect or is acknowledged late. The first home checked for unread witnesses only when the request came in, so the key ran twice.

Change: a claim read back under an open debt counts as claimed and does not run; acknowledgements do not decide a key under an open debt.

Conclusion: facts that permit a run are checked when it is decided.

--- a/shallotpath/claims/_homes.py
+++ b/shallotpath/claims/_homes.py
@@ -104,6 +104,17 @@
         """Return the member that decides on a key, if there is any."""
         return rendezvous_choice(key, self.service(service).active_by_id)
 
+    def is_active(self, service: str, member: str, incarnation: str) -> bool:
+        """Tell whether an incarnation is an active home agent."""
+        home = self.service(service).active_by_id.get(member)
+        return home is not None and home.incarnation == incarnation
+
+    def is_home(self, service: str, member: str, incarnation: str, key: str) -> bool:
+        """Tell whether an incarnation decides on a key."""
+        if not self.is_active(service, member, incarnation):
+            return False
+        return self.home_of(service, key) == member
+
     def home_after(self, service: str, key: str, offset: int) -> str | None:
         """Return the home of a key once all joins up to an offset are active."""
         homes = self.service(service)
--- a/shallotpath/claims/_seat.py
+++ b/shallotpath/claims/_seat.py
@@ -85,10 +85,7 @@
     def is_home(self, key: str) -> bool:
         """Tell whether the log, as far as read, makes this agent the home."""
         me = self.identity
-        active = self.homes.service(me.service).active_by_id.get(me.member)
-        if active is None or active.incarnation != me.incarnation:
-            return False
-        return self.homes.home_of(me.service, key) == me.member
+        return self.homes.is_home(me.service, me.member, me.incarnation, key)
 
     def is_sole_home(self, key: str) -> bool:
         """Tell whether no other agent can have become the home of a key.
--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -83,8 +83,7 @@
     def joined(self) -> bool:
         """Tell whether this agent is an active home agent."""
         me = self.identity
-        active = self.homes.service(me.service).active_by_id.get(me.member)
-        return active is not None and active.incarnation == me.incarnation
+        return self.homes.is_active(me.service, me.member, me.incarnation)
 
     @property
     def left(self) -> bool:
@@ -239,7 +238,9 @@
         if record.service != self.identity.service:
             return effects
         for key in record.keys:
-            if not record.offline and not self._author_is_home(record, key):
+            if not record.offline and not self.homes.is_home(
+                record.service, record.member, record.incarnation, key
+            ):
                 continue
             if record.incarnation != self.identity.incarnation:
                 effects += self._learn(key, now)
@@ -261,13 +262,6 @@
         self.outbox_.drop(SNAPSHOT)
         return []
 
-    def _author_is_home(self, record: Claims, key: str) -> bool:
-        homes = self.homes.service(record.service)
-        home = homes.active_by_id.get(record.member)
-        if home is None or home.incarnation != record.incarnation:
-            return False
-        return self.homes.home_of(record.service, key) == record.member
-
     def _learn(self, key: str, now: datetime) -> list[Effect]:
         if key in self.keys_.pending:
             self.outbox_.drop_key(key)
@@ -278,9 +272,19 @@
         self.outbox_.drop_key(key)
         if self.writer_.forget(key):
             released.append(key)
+        if not self._may_run(key):
+            return self.keys_.learn(key, now)
         effects = self.keys_.claim(key, now)
         return [*effects, Count("claims_decided", {"by": "log"})] if effects else []
 
+    def _may_run(self, key: str) -> bool:
+        """Tell whether no retired home agent can have run a key.
+
+        Checked again when a claim is decided, because a key can have moved away
+        and come back since it was requested.
+        """
+        return not self._unsettled(key)
+
     def _try_offline(self, key: str, now: datetime) -> list[Effect]:
         """Decide a key if enough witnesses hold it and no other home can exist."""
         sets = self.seat_.witness_sets()
@@ -288,6 +292,8 @@
             return []
         if self.homes.gaps or not self.seat_.is_sole_home(key):
             return []
+        if not self._may_run(key):
+            return []
         self.outbox_.put_key(key, offline=True)
         effects = self.keys_.claim(key, now)
         return [*effects, Count("claims_decided", {"by": "witnesses"})]
--- a/shallotpath/claims/tests/mutants.py
+++ b/shallotpath/claims/tests/mutants.py
@@ -30,6 +30,13 @@
         return []
 
 
+class NoDebtCheckOnDecision(ClaimTable):
+    """Check debts when a request comes in, but not when its claim is decided."""
+
+    def _may_run(self, key):
+        return True
+
+
 class NoPromise(ClaimTable):
     """Ignore a confirmation until it is read back."""
 
