Seal witnesses that were read for a retired home agent

Cause: a claim written after the read was missed by the successor, so the retirement of a live agent by mistake could run a key twice.

Change: a witness acknowledges nothing more for an incarnation whose claims were read.

Conclusion: a second run no longer depends on the evidence of a stop alone.

--- a/shallotpath/claims/_witness.py
+++ b/shallotpath/claims/_witness.py
@@ -36,6 +36,7 @@
         "incarnation",
         "max_keys",
         "member_id",
+        "sealed_at_by_home_",
         "times_by_home_",
         "window",
     )
@@ -53,6 +54,7 @@
         self.window = window
         self.max_keys = max_keys
         self.times_by_home_: dict[HomeId, dict[str, datetime]] = {}
+        self.sealed_at_by_home_: dict[HomeId, datetime] = {}
         self.count_ = 0
         self.expired_at_: datetime | None = None
 
@@ -84,7 +86,10 @@
 
     @_receive.register
     def _(self, message: WitnessWrite, peer: str, now: datetime) -> list[Effect]:
-        times = self.times_by_home_.setdefault((message.home, message.incarnation), {})
+        home = (message.home, message.incarnation)
+        if home in self.sealed_at_by_home_:
+            return [Count("claims_witness_sealed")]
+        times = self.times_by_home_.setdefault(home, {})
         for key in message.logged:
             self.count_ -= times.pop(key, None) is not None
         added = [key for key in message.keys if key not in times]
@@ -105,7 +110,11 @@
 
     @_receive.register
     def _(self, message: WitnessRead, peer: str, now: datetime) -> list[Effect]:
-        times = self.times_by_home_.get((message.home, message.incarnation), {})
+        home = (message.home, message.incarnation)
+        # A write after the read would be missed by the reader, so the home agent
+        # gets no acknowledgement any more, even if it was retired by mistake.
+        self.sealed_at_by_home_[home] = now
+        times = self.times_by_home_.get(home, {})
         table = WitnessTable(
             message.home,
             self.member_id,
@@ -118,6 +127,9 @@
 
     def _expire(self, now: datetime) -> None:
         oldest = now - self.window
+        for home, at in list(self.sealed_at_by_home_.items()):
+            if at <= oldest:
+                del self.sealed_at_by_home_[home]
         for home, times in list(self.times_by_home_.items()):
             kept = {key: at for key, at in times.items() if at > oldest}
             self.count_ -= len(times) - len(kept)
--- a/shallotpath/claims/tests/mutants.py
+++ b/shallotpath/claims/tests/mutants.py
@@ -1,6 +1,6 @@
 """Claim tables and home sets with one mechanism switched off."""
 
-from shallotpath.claims import ClaimTable, HomeSet
+from shallotpath.claims import ClaimTable, HomeSet, WitnessStore
 from shallotpath.claims._model import Waiting
 from shallotpath.claims._seat import Seat
 
@@ -30,6 +30,15 @@
         return []
 
 
+class UnsealedStore(WitnessStore):
+    """Acknowledge writes of a home agent after its claims were read."""
+
+    def reduce(self, event, now):
+        effects = super().reduce(event, now)
+        self.sealed_at_by_home_.clear()
+        return effects
+
+
 class NoDebtCheckOnDecision(ClaimTable):
     """Check debts when a request comes in, but not when its claim is decided."""
 
