--- a/shallotpath/config/tests/test_convergence.py
+++ b/shallotpath/config/tests/test_convergence.py
@@ -10,6 +10,7 @@
     DefinePreset,
     Preset,
     Replica,
+    Snapshot,
     TakeDomainOut,
     decode_record,
     digest_state,
@@ -33,13 +34,19 @@
 @st.composite
 def logs(draw):
     records = []
+    replica = Replica()
     for n in range(draw(st.integers(1, 12))):
-        if records and draw(st.integers(0, 5)) == 0:
+        kind = draw(st.integers(0, 6))
+        if kind == 0 and records:
             records.append(draw(st.sampled_from(records)))
+        elif kind == 1 and records:
+            snapshot = Snapshot(replica.offset, replica.encode_snapshot())
+            records.append(make_record(snapshot, replica.offset))
         else:
             base = draw(st.integers(-1, n))
             operator = draw(st.sampled_from(["ann", "bo"]))
             records.append(make_record(draw(CHANGES), base, operator=operator))
+        replica.add(make_log(records))
     return make_log(records)
 
 
@@ -96,6 +103,8 @@
     for item in log:
         replica.add([item])
         record = decode_record(item.data)
+        if isinstance(record.change, Snapshot):
+            continue
         outcome = replica.state_.outcomes_by_command_id[record.header.command_id]
         if outcome.offset != item.offset or not outcome.accepted:
             continue
