Show whole values in tables and test late appends

Tables of shallotctl cut values off at 80 columns when the output was not a terminal; they are 160 wide there and fold. Stopping a transport twice no longer stops the key check of the process's other transport. Tests cover an append that takes effect after the look for it, and a slow log.

--- a/shallotpath/cli/_ctl_session.py
+++ b/shallotpath/cli/_ctl_session.py
@@ -37,6 +37,8 @@
 POLL_S = 0.2
 STATUS_TIMEOUT_S = 2.0
 READ_LIMIT = 1000
+# Width of tables when the output is not a terminal.
+PIPE_WIDTH = 160
 
 
 @dataclass(slots=True)
@@ -244,10 +246,13 @@
     if options.output == "json":
         print_json(rows)
         return
-    table = Table(*columns)
+    table = Table()
+    for column in columns:
+        table.add_column(column, overflow="fold")
     for row in rows:
         table.add_row(*(str(row.get(column, "")) for column in columns))
-    Console(soft_wrap=True).print(table)
+    width = None if sys.stdout.isatty() else PIPE_WIDTH
+    Console(width=width).print(table)
 
 
 def fail(options: Options, message: str) -> None:
--- a/shallotpath/cli/tests/test_ctl.py
+++ b/shallotpath/cli/tests/test_ctl.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 from contextlib import asynccontextmanager
 
@@ -7,7 +8,7 @@
 from shallotpath.cli._ctl_session import Session
 from shallotpath.cli.ctl import run
 from shallotpath.config import STREAM, Replica, decode_record
-from shallotpath.core import LogRecord
+from shallotpath.core import LogRecord, PlatformError
 from shallotpath.runtime import PlatformClient
 from shallotpath.standins import PlatformApp, serve
 
@@ -129,6 +130,32 @@
     assert replica.outcomes_["repeated"] == 1
 
 
+async def test_an_append_that_takes_effect_late_is_accepted_once(ctl, monkeypatch):
+    # The look after the lost answer finds nothing, so the record is appended again.
+    append = PlatformClient.append
+    late = []
+
+    async def append_late(client, stream, records):
+        async def later():
+            await asyncio.sleep(0.5)
+            await append(client, stream, records)
+
+        late.append(asyncio.create_task(later()))
+        raise PlatformError("the answer was lost")
+
+    monkeypatch.setattr(PlatformClient, "append", append_late)
+    result = await ctl.run("presets define peak --command-id x")
+    assert result["accepted"]
+    assert len(late) == 2
+    assert [row["command_id"] for row in await ctl.run("history")] == ["x"]
+
+
+async def test_a_slow_log_delays_a_change_and_loses_nothing(ctl):
+    ctl.platform.faults.log_delay_ms = 300
+    assert (await ctl.run("presets define peak"))["accepted"]
+    assert len(await ctl.log()) == 1
+
+
 async def test_repeating_a_command_id_finds_the_earlier_outcome(ctl):
     first = await ctl.run("presets define peak --command-id x")
     again = await ctl.run("presets define peak --command-id x")
--- a/shallotpath/runtime/_transport.py
+++ b/shallotpath/runtime/_transport.py
@@ -107,8 +107,9 @@
         for address in list(self.dealers_by_address_):
             self.dealers_by_address_.pop(address).close(0)
         if self.router_ is not None:
+            stopped = self.router_.closed
             self.router_.close(0)
-            if self.security is not None:
+            if self.security is not None and not stopped:
                 self.security.stop()
 
     def send(self, peer: str, message: Message) -> bool:
