Drain engines in turn, and scale the naive baseline without its fixed part

Cause: one slow state read counted as a lost engine, and a failed unload as done; the baseline from one chunk counted the VM's link once per chunk. Change: an engine counts as lost after 3 unanswered reads, an unload only when the engine confirmed it; the baseline subtracts the last chunk's way.

--- a/shallotpath/bench/_weights.py
+++ b/shallotpath/bench/_weights.py
@@ -176,8 +176,9 @@
 async def _naive(shape: Shape) -> dict:
     """Let every VM fetch chunks from the origin, over the same links.
 
-    Only as many chunks as fit the time budget are fetched; the time grows in
-    proportion to the chunks, so it is scaled to the whole model.
+    Only as many chunks as fit the time budget are fetched. The origin's link is
+    the limit, so the time is scaled to all chunks, but for the last chunk's way
+    over the VM's link.
     """
     per_chunk = shape.vms * shape.chunk_bytes / shape.rate(shape.origin_copies)
     chunks = max(1, min(shape.chunks, int(NAIVE_S / per_chunk)))
@@ -191,7 +192,9 @@
         )
         seconds = loop.time() - started
     return {
-        "naive_seconds": round(seconds * shape.chunks / chunks, 2),
+        "naive_seconds": round(
+            (seconds - shape.chunk_s) * shape.chunks / chunks + shape.chunk_s, 2
+        ),
         "naive_measured_chunks": chunks,
     }
 
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -38,37 +38,21 @@
     decode_manifest,
     encode_manifest,
 )
+from ._link_pacer import LinkPacer
 from ._shell import Shell
 from ._transport import ROUTED_PREFIX, peer_identity
 from ._weights_engine import EngineWeightsClient
 
 PUMP_INTERVAL_S = 0.2
 OBSERVE_INTERVAL_S = 0.5
+# One slow answer must not count as a crash of the engine.
+LOST_AFTER = 3
 # The version in force and the one before it.
 KEPT_VERSIONS = 2
 
 Pace = Callable[[str, int], Awaitable[None]]
 
 
-class LinkPacer:
-    """Send chunks no faster than the VM's link; a rate of 0 means no limit."""
-
-    __slots__ = ("free_at_", "rate")
-
-    def __init__(self, rate: float) -> None:
-        self.rate = rate
-        self.free_at_ = 0.0
-
-    async def __call__(self, peer: str, size: int) -> None:
-        """Wait until the link has room for a chunk."""
-        if self.rate <= 0:
-            return
-        now = asyncio.get_running_loop().time()
-        start = max(self.free_at_, now)
-        self.free_at_ = start + size / self.rate
-        await asyncio.sleep(start - now)
-
-
 class AgentWeights:
     """Move chunks between peers, origin and engine, and order the engine.
 
@@ -109,6 +93,7 @@
         self.received_bytes_by_source_: dict[str, int] = {}
         self.staged_digests_: list[str] = []
         self.unloaded_ = ""
+        self.unanswered_ = 0
 
     @property
     def parts(self) -> list[Part]:
@@ -287,23 +272,26 @@
 
     async def _control_engine(self) -> None:
         while True:
-            await self._observe()
-            if self.orders.engine_ is not None and not self.orders.superseded_:
-                again = await self._advance()
-                if again:
-                    continue
+            observed = await self._observe()
+            if observed and not self.orders.superseded_ and await self._advance():
+                continue
             with suppress(TimeoutError):
                 await asyncio.wait_for(
                     self.engine_wake_.wait(), self.observe_interval_s
                 )
             self.engine_wake_.clear()
 
-    async def _observe(self) -> None:
+    async def _observe(self) -> bool:
+        """Read the engine's state; tell whether it answered."""
         state = await self.engine.state()
-        if state is None:
-            self._dispatch(EngineLost())
-        else:
+        if state is not None:
+            self.unanswered_ = 0
             self._dispatch(state)
+            return self.orders.engine_ is not None
+        self.unanswered_ += 1
+        if self.unanswered_ == LOST_AFTER:
+            self._dispatch(EngineLost())
+        return False
 
     async def _advance(self) -> bool:
         """Take one step with the engine; tell whether another may follow at once."""
@@ -354,8 +342,8 @@
             return False
         outcome = await self.engine.order(order)
         self._dispatch(outcome)
-        self.unloaded_ = old
-        return True
+        self.unloaded_ = old if isinstance(outcome, OrderDone) else ""
+        return self.unloaded_ == old
 
     async def _stage(self, digest: str, manifest: Manifest) -> bool:
         present = await self.engine.stage(digest, manifest)
--- a/shallotpath/runtime/tests/test_weights.py
+++ b/shallotpath/runtime/tests/test_weights.py
@@ -105,3 +105,15 @@
         lambda: all(len(e.staged_by_digest_) == 2 for e in engines), 10
     )
     assert all(vm.weights.sole_chunks == 0 for vm in world.vms_by_id.values())
+
+
+async def test_engines_without_memory_for_two_versions_are_drained_in_turn(world):
+    # Guards against agents that wait for chunks which a full engine cannot store.
+    for vm in world.vms_by_id.values():
+        vm.engine.memory_bytes = SHAPE.size // 2
+    await start(world)
+    assert await wait_until(all_serve(world, "previous"), 5)
+    first = await world.publish("1", seed=1)
+    deploy(world, "1")
+    assert await wait_until(all_serve(world, first.digest), 40)
+    assert all(vm.weights.admitting for vm in world.vms_by_id.values())
