Repeat chunk maps every 2 s

Cause: repeated maps made up most messages at a low rate of chunks. Change: a map that did not change is repeated after 2 s in place of 1 s.

--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -35,7 +35,7 @@
     busy_backoff: timedelta = timedelta(milliseconds=150)
     failure_backoff: timedelta = timedelta(seconds=1)
     max_backoff: timedelta = timedelta(seconds=30)
-    refresh: timedelta = timedelta(seconds=1)
+    refresh: timedelta = timedelta(seconds=2)
     silence: timedelta = timedelta(seconds=5)
     stall: timedelta = timedelta(seconds=30)
     max_corrupt: int = 3
