Forget sources and update states of members that are gone

Cause: chunk maps from processes that are not agents, and states of replaced VMs, stayed in memory. Change: only present agents count as sources and get uploads; states of absent members are dropped.

--- a/shallotpath/weights/_layout.py
+++ b/shallotpath/weights/_layout.py
@@ -39,6 +39,10 @@
         """Return the agents that this agent exchanges chunk maps with."""
         return self.topology_.neighbours if self.topology_ else frozenset()
 
+    def knows(self, member: str) -> bool:
+        """Tell whether a member is one of the present agents."""
+        return self.topology_ is not None and member in self.topology_.members_by_id
+
     def update(self, members_by_id: Mapping[str, Member]) -> bool:
         """Take the present agents; tell whether they changed."""
         topology = self.topology_
--- a/shallotpath/weights/_manifest.py
+++ b/shallotpath/weights/_manifest.py
@@ -41,7 +41,8 @@
 
     def matches(self, index: int, payload: bytes) -> bool:
         """Tell whether a payload is the chunk of this version."""
-        return sha256_hex(payload) == self.chunks[index]
+        known = 0 <= index < len(self.chunks)
+        return known and sha256_hex(payload) == self.chunks[index]
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -94,17 +94,14 @@
     @property
     def wants_requests(self) -> bool:
         """Tell whether a further request may be possible."""
-        if self.manifest_ is None:
-            return self.requests_.open == 0
-        free = self.requests_.open < self.receive_slots_
-        return free and len(self.missing_) > self.requests_.open
+        limit = min(self.receive_slots_, len(self.missing_)) if self.manifest_ else 1
+        return self.requests_.open < limit
 
     @property
     def progress(self) -> float:
         """Return the share of the chunks that the engine holds."""
-        if self.manifest_ is None:
-            return 0.0
-        return 1 - len(self.missing_) / len(self.manifest_.chunks)
+        count = len(self.manifest_.chunks) if self.manifest_ else 0
+        return 1 - len(self.missing_) / count if count else 0.0
 
     @property
     def origin_region(self) -> str:
@@ -178,6 +175,8 @@
 
     @reduce.register
     def _(self, event: MapHeard, now: datetime) -> list[Effect]:
+        if not self.layout_.knows(event.member):
+            return []
         source = self.source(event.member)
         counted = self._counted(event.member, source)
         source.hear(event, now)
@@ -255,21 +254,19 @@
 
     def may_upload(self, peer: str, digest: str, index: int, now: datetime) -> bool:
         """Tell whether to serve a chunk, and take an upload slot for it."""
-        if digest != self.digest or not self.bitmap_ >> index & 1:
+        held = digest == self.digest and index >= 0 and self.bitmap_ >> index & 1
+        if not held or not self.layout_.knows(peer):
             return False
         # A chunk that crosses to another region serves all agents there, so it does
         # not wait behind the uploads inside the own region.
-        extra = 1 if self.layout_.crosses(peer) else 0
-        return self.uploads_.start(peer, index, now, extra=extra)
+        crosses = self.layout_.crosses(peer)
+        return self.uploads_.start(peer, index, now, extra=int(crosses))
 
     def accepts(self, digest: str, index: int, payload: bytes) -> bool:
         """Tell whether a payload is the pinned chunk."""
-        return (
-            self.manifest_ is not None
-            and digest == self.digest
-            and 0 <= index < len(self.manifest_.chunks)
-            and self.manifest_.matches(index, payload)
-        )
+        if self.manifest_ is None or digest != self.digest:
+            return False
+        return self.manifest_.matches(index, payload)
 
     def engine_lost(self) -> None:
         """Forget what the engine held; its new incarnation has no chunks."""
@@ -279,7 +276,6 @@
         self.uploads_.clear()
         if self.manifest_ is not None:
             self.missing_ = set(range(len(self.manifest_.chunks)))
-            self.selector_.restart(self.missing_, len(self.missing_))
 
     def usable(self, now: datetime) -> Iterable[tuple[str, Source]]:
         """Return the neighbours that may be asked now."""
@@ -326,6 +322,11 @@
             old = self.neighbours
             if self.layout_.update(members):
                 self.announcer_.queue(self.neighbours - old)
+                self.sources_by_id_ = {
+                    peer: source
+                    for peer, source in self.sources_by_id_.items()
+                    if peer == ORIGIN or self.layout_.knows(peer)
+                }
                 self._recount()
         if self.layout_.update_slots(lambda member: self._silent(member, now)):
             self._set_rates()
@@ -394,6 +395,5 @@
     def _announce(self, now: datetime, always: str = "") -> list[Effect]:
         count = len(self.manifest_.chunks) if self.manifest_ else 0
         length = -(-count // 8) if self.staged_ else 0
-        bitmap = self.bitmap_.to_bytes(length, "little")
-        message = ChunkMap(self.digest, bitmap, count)
+        message = ChunkMap(self.digest, self.bitmap_.to_bytes(length, "little"), count)
         return self.announcer_.send(message, self.layout_, self.source, now, always)
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -91,6 +91,7 @@
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         self._update_own()
         members = self.membership.members_by_id
+        self.table_.prune(members)
         return [
             Send(members[neighbour].address, message)
             for neighbour, message in self.table_.messages(
--- a/shallotpath/weights/_status.py
+++ b/shallotpath/weights/_status.py
@@ -30,6 +30,7 @@
 FANOUT = 3
 EXCHANGE_INTERVAL = timedelta(seconds=2)
 EXCHANGE_ENTRIES = 20
+PRUNE_MARGIN = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,6 +111,16 @@
                 self.status_by_key_[key] = status
                 self._pass_on(key, others)
 
+    def prune(self, members: Collection[str]) -> None:
+        """Forget members that are gone, once they are as many as the present ones."""
+        if len(self.status_by_key_) <= 2 * len(members) + PRUNE_MARGIN:
+            return
+        known = {self.own_key, *map(member_key, members)}
+        for key in self.status_by_key_.keys() - known:
+            del self.status_by_key_[key]
+        for queued in self.queued_by_neighbour_.values():
+            queued.intersection_update(known)
+
     def messages(
         self, digest: str, neighbours: Collection[str], now: datetime
     ) -> list[tuple[str, WeightsStatus]]:
--- a/shallotpath/weights/tests/test_rollout.py
+++ b/shallotpath/weights/tests/test_rollout.py
@@ -186,3 +186,20 @@
         swarm.step()
     with pytest.raises(AssertionError):
         check_engines(swarm)
+
+
+def test_state_about_members_that_are_gone_is_forgotten():
+    # Guards against memory that grows with every VM that was ever replaced.
+    swarm = Swarm(3)
+    digest = swarm.publish("1", SEEDS)
+    swarm.deploy("1")
+    assert swarm.run(swarm.all_serve(digest))
+    for index in range(3, 60):
+        swarm.add(f"vm-{index}", "a")
+        swarm.run(swarm.all_serve(digest))
+        swarm.kill(f"vm-{index}")
+        del swarm.membership.members_by_id[f"vm-{index}"]
+    agent = swarm.agents["vm-0"]
+    swarm.run(lambda: False, seconds=3)
+    assert len(agent.rollout.table_.status_by_key_) <= 2 * 3 + 16
+    assert len(agent.plan.sources_by_id_) <= 3
