Blame no source for chunks of a replaced version

Cause: an answer that arrived after the target had changed counted as corrupt, and a fetch from the origin went on after its request had timed out. Change: answers for another digest are ignored; a fetch ends with its request.

--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -214,25 +214,31 @@
             self._dispatch(ChunkFailed(request.digest, request.index, request.peer))
 
     async def _fetch(self, request: Request) -> None:
-        version = self.plan.target_
-        platform = self.shell.platform
+        limit_s = self.plan.limits.chunk_timeout.total_seconds()
         try:
-            if request.index == MANIFEST_INDEX:
-                answer = await platform.manifest(version.model, version.version)
-                answer.pop("digest", None)
-                manifest = Manifest(**answer)
-                self._learn_manifest(encode_manifest(manifest), request.digest, ORIGIN)
-                return
-            payload = await platform.chunk(
-                version.model, version.version, request.index
-            )
-            if self.receive_pace is not None:
-                await self.receive_pace(ORIGIN, len(payload))
-        except (PlatformError, TypeError):
+            # Without the limit a slow fetch would go on beside the next one.
+            async with asyncio.timeout(limit_s):
+                payload = await self._read_origin(request.index)
+        except (PlatformError, TypeError, TimeoutError):
             self._dispatch(ChunkFailed(request.digest, request.index, ORIGIN))
             return
-        data = ChunkData(request.digest, request.index, payload)
-        await self._store(ORIGIN, data)
+        if request.index == MANIFEST_INDEX:
+            self._learn_manifest(payload, request.digest, ORIGIN)
+        else:
+            data = ChunkData(request.digest, request.index, payload)
+            await self._store(ORIGIN, data)
+
+    async def _read_origin(self, index: int) -> bytes:
+        model, version = self.plan.target_.model, self.plan.target_.version
+        platform = self.shell.platform
+        if index == MANIFEST_INDEX:
+            answer = await platform.manifest(model, version)
+            answer.pop("digest", None)
+            return encode_manifest(Manifest(**answer))
+        payload = await platform.chunk(model, version, index)
+        if self.receive_pace is not None:
+            await self.receive_pace(ORIGIN, len(payload))
+        return payload
 
     def _learn_manifest(self, payload: bytes, digest: str, source: str) -> None:
         try:
--- a/shallotpath/weights/_events.py
+++ b/shallotpath/weights/_events.py
@@ -33,8 +33,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ChunkStored(Event):
-    """Report that the engine stored a verified chunk."""
+class ChunkEvent(Event):
+    """Report how the request of a chunk ended."""
 
     digest: str
     index: int
@@ -42,31 +42,24 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ChunkCorrupt(Event):
-    """Report a chunk that does not match its digest."""
+class ChunkStored(ChunkEvent):
+    """Report that the engine stored a verified chunk."""
 
-    digest: str
-    index: int
-    peer: str
+
+@dataclass(slots=True, frozen=True)
+class ChunkCorrupt(ChunkEvent):
+    """Report a chunk that does not match its digest."""
 
 
 @dataclass(slots=True, frozen=True)
-class ChunkRefused(Event):
+class ChunkRefused(ChunkEvent):
     """Report that a peer had no free upload slot or not that chunk."""
 
-    digest: str
-    index: int
-    peer: str
-
 
 @dataclass(slots=True, frozen=True)
-class ChunkFailed(Event):
+class ChunkFailed(ChunkEvent):
     """Report that a source did not deliver a chunk."""
 
-    digest: str
-    index: int
-    peer: str
-
 
 @dataclass(slots=True, frozen=True)
 class MapHeard(Event):
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from datetime import datetime
 from functools import singledispatchmethod
 from random import Random
@@ -25,6 +24,7 @@
     MANIFEST_INDEX,
     ORIGIN,
     ChunkCorrupt,
+    ChunkEvent,
     ChunkFailed,
     ChunkRefused,
     ChunksPresent,
@@ -192,8 +192,7 @@
 
     @reduce.register
     def _(self, event: ChunkStored, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
-        if event.digest != self.digest or event.index not in self.missing_:
+        if not self._end_request(event) or event.index not in self.missing_:
             return []
         self.missing_.discard(event.index)
         self.bitmap_ |= 1 << event.index
@@ -208,7 +207,8 @@
 
     @reduce.register
     def _(self, event: ChunkCorrupt, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         source = self.source(event.peer)
         if event.peer == ORIGIN:
             source.corrupt += 1
@@ -225,13 +225,15 @@
 
     @reduce.register
     def _(self, event: ChunkRefused, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         self.source(event.peer).refused(self.limits, now)
         return []
 
     @reduce.register
     def _(self, event: ChunkFailed, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         self.source(event.peer).failed(self.limits, now)
         return [Count("weights_chunks_failed", {"source": source_kind(event.peer)})]
 
@@ -240,7 +242,7 @@
         if self.target_ is None or self.layout_.topology_ is None:
             return []
         for peer, index in self.requests_.expired(now):
-            self._end_request(self.digest, index, peer)
+            self._close(peer, index)
             self.source(peer).failed(self.limits, now)
         if self.manifest_ is None:
             return self._manifest_request(now)
@@ -277,22 +279,6 @@
         if self.manifest_ is not None:
             self.missing_ = set(range(len(self.manifest_.chunks)))
 
-    def usable(self, now: datetime) -> Iterable[tuple[str, Source]]:
-        """Return the neighbours that may be asked now."""
-        for peer in self.neighbours:
-            source = self.sources_by_id_.get(peer)
-            if source is None or source.digest != self.digest:
-                continue
-            if source.usable(self.limits, now):
-                yield peer, source
-
-    def origin_usable(self, now: datetime) -> bool:
-        """Tell whether this agent may ask the origin for its chunks now."""
-        source = self.source(ORIGIN)
-        free = source.outstanding < self.receive_slots_
-        waited = source.avoid_until is None or now >= source.avoid_until
-        return free and waited and self.layout_.region_ == self.origin_region
-
     def _retarget(self, now: datetime) -> list[Effect]:
         service = self.configuration.services_by_id.get(self.service)
         key = f"{service.model}/{service.version}" if service else ""
@@ -378,8 +364,14 @@
         self.source(peer).outstanding += 1
         return Request(peer, index, self.digest)
 
-    def _end_request(self, digest: str, index: int, peer: str) -> None:
-        if digest == self.digest and self.requests_.end(peer, index):
+    def _end_request(self, event: ChunkEvent) -> bool:
+        """Close the request of an answer; tell whether it is for the target."""
+        if event.digest == self.digest:
+            self._close(event.peer, event.index)
+        return event.digest == self.digest
+
+    def _close(self, peer: str, index: int) -> None:
+        if self.requests_.end(peer, index):
             source = self.source(peer)
             source.outstanding = max(0, source.outstanding - 1)
 
--- a/shallotpath/weights/_selector.py
+++ b/shallotpath/weights/_selector.py
@@ -63,7 +63,7 @@
         """Return the rarest chunk that a source can deliver now, and the source."""
         near: list[tuple[str, Source]] = []
         far: list[tuple[str, Source]] = []
-        for peer, source in plan.usable(now):
+        for peer, source in usable_sources(plan, now):
             (far if plan.layout_.crosses(peer) else near).append((peer, source))
         near_bits = far_bits = 0
         for _, source in near:
@@ -71,7 +71,7 @@
         if plan.rates_.region_.has(plan.manifest_.chunk_bytes, now):
             for _, source in far:
                 far_bits |= source.bitmap
-        origin = plan.origin_usable(now)
+        origin = origin_usable(plan, now)
         best: tuple[float, int] | None = None
         for index in self._candidates(plan):
             held = self.near_counts_[index]
@@ -93,12 +93,12 @@
         designated = plan.layout_.designated(MANIFEST_INDEX)
         holders = [
             peer
-            for peer, source in plan.usable(now)
+            for peer, source in usable_sources(plan, now)
             if source.count and (designated or not plan.layout_.crosses(peer))
         ]
         if holders:
             return self.random.choice(holders)
-        return ORIGIN if designated and plan.origin_usable(now) else None
+        return ORIGIN if designated and origin_usable(plan, now) else None
 
     def _source(
         self,
@@ -130,3 +130,21 @@
                 yield index
             if seen >= CANDIDATES:
                 return
+
+
+def usable_sources(plan: TransferPlan, now: datetime) -> Iterable[tuple[str, Source]]:
+    """Return the neighbours that may be asked now."""
+    for peer in plan.neighbours:
+        source = plan.sources_by_id_.get(peer)
+        if source is None or source.digest != plan.digest:
+            continue
+        if source.usable(plan.limits, now):
+            yield peer, source
+
+
+def origin_usable(plan: TransferPlan, now: datetime) -> bool:
+    """Tell whether this agent may ask the origin for its chunks now."""
+    source = plan.source(ORIGIN)
+    free = source.outstanding < plan.receive_slots_
+    waited = source.avoid_until is None or now >= source.avoid_until
+    return free and waited and plan.layout_.region_ == plan.origin_region
--- a/shallotpath/weights/tests/test_plan.py
+++ b/shallotpath/weights/tests/test_plan.py
@@ -4,6 +4,7 @@
 
 from shallotpath.core import Tick
 from shallotpath.weights import (
+    ChunkCorrupt,
     Manifest,
     ManifestError,
     TransferLimits,
@@ -151,6 +152,21 @@
     assert swarm.moved[True] < 80
 
 
+def test_an_answer_for_the_previous_version_blames_no_source():
+    # Guards against a source that is avoided for chunks of a replaced version.
+    swarm = Swarm(2)
+    first = swarm.publish("1", SEEDS)
+    swarm.deploy("1")
+    swarm.run(lambda: swarm.moved[True] > 3)
+    swarm.publish("2", [2] * 40)
+    swarm.deploy("2")
+    agent = swarm.agents["vm-0"]
+    agent.dispatch(Tick())
+    for _ in range(swarm.limits.max_corrupt):
+        agent.dispatch(ChunkCorrupt(first, 0, "vm-1"))
+    assert not agent.plan.source("vm-1").banned
+
+
 def test_a_version_that_shares_90_percent_moves_only_what_changed():
     swarm = Swarm(6)
     swarm.publish("1", SEEDS)
