--- a/shallotpath/weights/_announcer.py
+++ b/shallotpath/weights/_announcer.py
@@ -18,17 +18,17 @@
 class Announcer:
     """Send the newest chunk map to each neighbour that has not seen it."""
 
-    __slots__ = ("control", "limits", "sent_bytes_", "untold_")
+    __slots__ = ("control", "limits", "sent_bytes_", "unannounced_")
 
     def __init__(self, limits: TransferLimits) -> None:
         self.limits = limits
         self.control = TokenBucket(limits.control_rate, limits.control_burst)
         self.sent_bytes_ = 0
-        self.untold_: set[str] = set()
+        self.unannounced_: set[str] = set()
 
     def queue(self, peers: Iterable[str]) -> None:
         """Note peers that need a new map."""
-        self.untold_.update(peers)
+        self.unannounced_.update(peers)
 
     def queue_new_chunk(
         self, neighbours: Iterable[str], digest: str, source: Callable[[str], Source]
@@ -46,9 +46,9 @@
         """Repeat the map for neighbours that are not known to be complete."""
         for peer in neighbours:
             known = source(peer)
-            due = later(now, self.limits.refresh, known.told_at)
+            due = later(now, self.limits.refresh, known.announced_at)
             if due and not known.finished(digest):
-                self.untold_.add(peer)
+                self.unannounced_.add(peer)
 
     def send(
         self,
@@ -66,19 +66,19 @@
         members = layout.topology_.members_by_id if layout.topology_ else {}
         effects: list[Effect] = []
         if first in members:
-            self.untold_.add(first)
+            self.unannounced_.add(first)
         for peer in sorted(
-            self.untold_,
-            key=lambda peer: (peer != first, source(peer).told_at or EPOCH, peer),
+            self.unannounced_,
+            key=lambda peer: (peer != first, source(peer).announced_at or EPOCH, peer),
         ):
             member = members.get(peer)
             if member is None:
-                self.untold_.discard(peer)
+                self.unannounced_.discard(peer)
                 continue
             if not self.control.take(size, now) and peer != first:
                 break
-            self.untold_.discard(peer)
-            source(peer).told_at = now
+            self.unannounced_.discard(peer)
+            source(peer).announced_at = now
             self.sent_bytes_ += size
             effects.append(Send(member.address, message))
         return effects
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -179,13 +179,13 @@
             return []
         source = self.source(event.member)
         counted = self._counted(event.member, source)
-        source.hear(event, now)
+        source.update_map(event, now)
         if event.member not in self.layout_.far_:
             self.selector_.changed(counted, self._counted(event.member, source))
         if event.digest == self.digest:
             self.uploads_.confirm(event.member, event.bitmap)
         # A neighbour that repeats its map may have missed that this one is complete.
-        if self.complete and later(now, self.limits.silence, source.told_at):
+        if self.complete and later(now, self.limits.silence, source.announced_at):
             self.announcer_.queue({event.member})
             return self._announce(now)
         return []
@@ -197,7 +197,7 @@
         self.missing_.discard(event.index)
         self.bitmap_ |= 1 << event.index
         self.progressed_at_ = now
-        self.source(event.peer).delivered(forgive=event.peer == ORIGIN)
+        self.source(event.peer).delivered(reset_corrupt=event.peer == ORIGIN)
         self.announcer_.queue_new_chunk(self.neighbours, self.digest, self.source)
         effects: list[Effect] = [Count("weights_chunks_stored", {})]
         if not self.missing_:
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -103,7 +103,7 @@
     @reduce.register
     def _(self, event: StatusHeard, now: datetime) -> list[Effect]:
         others = self.plan.neighbours - {event.member}
-        self.table_.hear(event.digest, event.entries, self._incarnation, others)
+        self.table_.receive(event.digest, event.entries, self._incarnation, others)
         return []
 
     def permission(self, now: datetime) -> Permission:
--- a/shallotpath/weights/_sources.py
+++ b/shallotpath/weights/_sources.py
@@ -19,7 +19,7 @@
     staged: bool = False
     heard_at: datetime | None = None
     progressed_at: datetime | None = None
-    told_at: datetime | None = None
+    announced_at: datetime | None = None
     avoid_until: datetime | None = None
     banned: bool = False
     outstanding: int = 0
@@ -45,7 +45,7 @@
             return False
         return self.avoid_until is None or now >= self.avoid_until
 
-    def hear(self, event: MapHeard, now: datetime) -> None:
+    def update_map(self, event: MapHeard, now: datetime) -> None:
         """Replace the chunk map."""
         digest, bitmap = event.digest, event.bitmap
         if digest != self.digest or bitmap & ~self.bitmap:
@@ -57,10 +57,10 @@
         self.staged = event.staged
         self.heard_at = now
 
-    def delivered(self, *, forgive: bool) -> None:
-        """Note a good chunk; a peer's corrupt chunks are not forgiven by it."""
+    def delivered(self, *, reset_corrupt: bool) -> None:
+        """Note a good chunk; it does not reset the corrupt chunks of a peer."""
         self.failures = 0
-        if forgive:
+        if reset_corrupt:
             self.corrupt = 0
 
     def failed(self, limits: TransferLimits, now: datetime) -> None:
--- a/shallotpath/weights/_status.py
+++ b/shallotpath/weights/_status.py
@@ -89,9 +89,9 @@
         self.status_by_key_[self.own_key] = Status(
             self.incarnation, version, finished, ready
         )
-        self._pass_on(self.own_key, neighbours)
+        self._forward(self.own_key, neighbours)
 
-    def hear(
+    def receive(
         self,
         digest: str,
         entries: bytes,
@@ -109,7 +109,7 @@
             )
             if key != self.own_key and self._newer(key, status, incarnation_of):
                 self.status_by_key_[key] = status
-                self._pass_on(key, others)
+                self._forward(key, others)
 
     def prune(self, members: Collection[str]) -> None:
         """Forget members that are gone, once they are as many as the present ones."""
@@ -167,7 +167,7 @@
             return 0 < (status.version - old.version) % VERSIONS < VERSIONS // 2
         return incarnation_of(key) == status.incarnation
 
-    def _pass_on(self, key: bytes, neighbours: Collection[str]) -> None:
+    def _forward(self, key: bytes, neighbours: Collection[str]) -> None:
         others = sorted(neighbours)
         for neighbour in self.random.sample(others, min(FANOUT, len(others))):
             self.queued_by_neighbour_.setdefault(neighbour, set()).add(key)
--- a/shallotpath/weights/tests/test_plan.py
+++ b/shallotpath/weights/tests/test_plan.py
@@ -152,7 +152,7 @@
     assert swarm.moved[True] < 80
 
 
-def test_an_answer_for_the_previous_version_blames_no_source():
+def test_an_answer_for_the_previous_version_avoids_no_source():
     # Guards against a source that is avoided for chunks of a replaced version.
     swarm = Swarm(2)
     first = swarm.publish("1", SEEDS)
