Use fewer receive slots

Cause: requests queued at busy senders while others were idle. Change: 4 receive slots in place of 6, and 1 in place of 2 at one peer.

--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -21,9 +21,9 @@
     """
 
     chunk_buffer: int = 16 * MIB
-    receive_slots: int = 6
+    receive_slots: int = 4
     upload_slots: int = 4
-    slots_per_peer: int = 2
+    slots_per_peer: int = 1
     link_rate: float = 0.0
     region_rate: float = 0.0
     control_rate: float = 3_600.0
