--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -7,6 +7,7 @@
 from ._entry import EntryServer
 from ._entry_part import EntryPart
 from ._entry_request import EntryLimits
+from ._link_pacer import LinkPacer
 from ._log_tailer import LogTailer
 from ._platform_client import LogPage, PlatformClient
 from ._ports import (
@@ -21,7 +22,7 @@
 from ._shell import Shell, Telemetry
 from ._timeouts import AgentTimeouts, EntryTimeouts
 from ._transport import Transport, peer_identity
-from ._weights import AgentWeights, LinkPacer
+from ._weights import AgentWeights
 from ._weights_engine import EngineWeightsClient
 
 __all__ = [
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -38,37 +38,21 @@
     decode_manifest,
     encode_manifest,
 )
+from ._link_pacer import LinkPacer
 from ._shell import Shell
 from ._transport import ROUTED_PREFIX, peer_identity
 from ._weights_engine import EngineWeightsClient
 
 PUMP_INTERVAL_S = 0.2
 OBSERVE_INTERVAL_S = 0.5
+# One slow answer must not count as a crash of the engine.
+LOST_AFTER = 3
 # The version in force and the one before it.
 KEPT_VERSIONS = 2
 
 Pace = Callable[[str, int], Awaitable[None]]
 
 
-class LinkPacer:
-    """Send chunks no faster than the VM's link; a rate of 0 means no limit."""
-
-    __slots__ = ("free_at_", "rate")
-
-    def __init__(self, rate: float) -> None:
-        self.rate = rate
-        self.free_at_ = 0.0
-
-    async def __call__(self, peer: str, size: int) -> None:
-        """Wait until the link has room for a chunk."""
-        if self.rate <= 0:
-            return
-        now = asyncio.get_running_loop().time()
-        start = max(self.free_at_, now)
-        self.free_at_ = start + size / self.rate
-        await asyncio.sleep(start - now)
-
-
 class AgentWeights:
     """Move chunks between peers, origin and engine, and order the engine.
 
@@ -109,6 +93,7 @@
         self.received_bytes_by_source_: dict[str, int] = {}
         self.staged_digests_: list[str] = []
         self.unloaded_ = ""
+        self.unanswered_ = 0
 
     @property
     def parts(self) -> list[Part]:
@@ -229,25 +214,31 @@
             self._dispatch(ChunkFailed(request.digest, request.index, request.peer))
 
     async def _fetch(self, request: Request) -> None:
-        version = self.plan.target_
-        platform = self.shell.platform
+        limit_s = self.plan.limits.chunk_timeout.total_seconds()
         try:
-            if request.index == MANIFEST_INDEX:
-                answer = await platform.manifest(version.model, version.version)
-                answer.pop("digest", None)
-                manifest = Manifest(**answer)
-                self._learn_manifest(encode_manifest(manifest), request.digest, ORIGIN)
-                return
-            payload = await platform.chunk(
-                version.model, version.version, request.index
-            )
-            if self.receive_pace is not None:
-                await self.receive_pace(ORIGIN, len(payload))
-        except (PlatformError, TypeError):
+            # Without the limit a slow fetch would go on beside the next one.
+            async with asyncio.timeout(limit_s):
+                payload = await self._read_origin(request.index)
+        except (PlatformError, TypeError, TimeoutError):
             self._dispatch(ChunkFailed(request.digest, request.index, ORIGIN))
             return
-        data = ChunkData(request.digest, request.index, payload)
-        await self._store(ORIGIN, data)
+        if request.index == MANIFEST_INDEX:
+            self._learn_manifest(payload, request.digest, ORIGIN)
+        else:
+            data = ChunkData(request.digest, request.index, payload)
+            await self._store(ORIGIN, data)
+
+    async def _read_origin(self, index: int) -> bytes:
+        model, version = self.plan.target_.model, self.plan.target_.version
+        platform = self.shell.platform
+        if index == MANIFEST_INDEX:
+            answer = await platform.manifest(model, version)
+            answer.pop("digest", None)
+            return encode_manifest(Manifest(**answer))
+        payload = await platform.chunk(model, version, index)
+        if self.receive_pace is not None:
+            await self.receive_pace(ORIGIN, len(payload))
+        return payload
 
     def _learn_manifest(self, payload: bytes, digest: str, source: str) -> None:
         try:
@@ -287,23 +278,26 @@
 
     async def _control_engine(self) -> None:
         while True:
-            await self._observe()
-            if self.orders.engine_ is not None and not self.orders.superseded_:
-                again = await self._advance()
-                if again:
-                    continue
+            observed = await self._observe()
+            if observed and not self.orders.superseded_ and await self._advance():
+                continue
             with suppress(TimeoutError):
                 await asyncio.wait_for(
                     self.engine_wake_.wait(), self.observe_interval_s
                 )
             self.engine_wake_.clear()
 
-    async def _observe(self) -> None:
+    async def _observe(self) -> bool:
+        """Read the engine's state; tell whether it answered."""
         state = await self.engine.state()
-        if state is None:
-            self._dispatch(EngineLost())
-        else:
+        if state is not None:
+            self.unanswered_ = 0
             self._dispatch(state)
+            return self.orders.engine_ is not None
+        self.unanswered_ += 1
+        if self.unanswered_ == LOST_AFTER:
+            self._dispatch(EngineLost())
+        return False
 
     async def _advance(self) -> bool:
         """Take one step with the engine; tell whether another may follow at once."""
@@ -354,8 +348,8 @@
             return False
         outcome = await self.engine.order(order)
         self._dispatch(outcome)
-        self.unloaded_ = old
-        return True
+        self.unloaded_ = old if isinstance(outcome, OrderDone) else ""
+        return self.unloaded_ == old
 
     async def _stage(self, digest: str, manifest: Manifest) -> bool:
         present = await self.engine.stage(digest, manifest)
--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -21,9 +21,9 @@
     """
 
     chunk_buffer: int = 16 * MIB
-    receive_slots: int = 6
+    receive_slots: int = 4
     upload_slots: int = 4
-    slots_per_peer: int = 2
+    slots_per_peer: int = 1
     link_rate: float = 0.0
     region_rate: float = 0.0
     control_rate: float = 3_600.0
@@ -35,7 +35,7 @@
     busy_backoff: timedelta = timedelta(milliseconds=150)
     failure_backoff: timedelta = timedelta(seconds=1)
     max_backoff: timedelta = timedelta(seconds=30)
-    refresh: timedelta = timedelta(seconds=1)
+    refresh: timedelta = timedelta(seconds=2)
     silence: timedelta = timedelta(seconds=5)
     stall: timedelta = timedelta(seconds=30)
     max_corrupt: int = 3
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from datetime import datetime
 from functools import singledispatchmethod
 from random import Random
@@ -25,6 +24,7 @@
     MANIFEST_INDEX,
     ORIGIN,
     ChunkCorrupt,
+    ChunkEvent,
     ChunkFailed,
     ChunkRefused,
     ChunksPresent,
@@ -94,17 +94,14 @@
     @property
     def wants_requests(self) -> bool:
         """Tell whether a further request may be possible."""
-        if self.manifest_ is None:
-            return self.requests_.open == 0
-        free = self.requests_.open < self.receive_slots_
-        return free and len(self.missing_) > self.requests_.open
+        limit = min(self.receive_slots_, len(self.missing_)) if self.manifest_ else 1
+        return self.requests_.open < limit
 
     @property
     def progress(self) -> float:
         """Return the share of the chunks that the engine holds."""
-        if self.manifest_ is None:
-            return 0.0
-        return 1 - len(self.missing_) / len(self.manifest_.chunks)
+        count = len(self.manifest_.chunks) if self.manifest_ else 0
+        return 1 - len(self.missing_) / count if count else 0.0
 
     @property
     def origin_region(self) -> str:
@@ -178,28 +175,29 @@
 
     @reduce.register
     def _(self, event: MapHeard, now: datetime) -> list[Effect]:
+        if not self.layout_.knows(event.member):
+            return []
         source = self.source(event.member)
         counted = self._counted(event.member, source)
-        source.hear(event, now)
+        source.update_map(event, now)
         if event.member not in self.layout_.far_:
             self.selector_.changed(counted, self._counted(event.member, source))
         if event.digest == self.digest:
             self.uploads_.confirm(event.member, event.bitmap)
         # A neighbour that repeats its map may have missed that this one is complete.
-        if self.complete and later(now, self.limits.silence, source.told_at):
+        if self.complete and later(now, self.limits.silence, source.announced_at):
             self.announcer_.queue({event.member})
             return self._announce(now)
         return []
 
     @reduce.register
     def _(self, event: ChunkStored, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
-        if event.digest != self.digest or event.index not in self.missing_:
+        if not self._end_request(event) or event.index not in self.missing_:
             return []
         self.missing_.discard(event.index)
         self.bitmap_ |= 1 << event.index
         self.progressed_at_ = now
-        self.source(event.peer).delivered(forgive=event.peer == ORIGIN)
+        self.source(event.peer).delivered(reset_corrupt=event.peer == ORIGIN)
         self.announcer_.queue_new_chunk(self.neighbours, self.digest, self.source)
         effects: list[Effect] = [Count("weights_chunks_stored", {})]
         if not self.missing_:
@@ -209,7 +207,8 @@
 
     @reduce.register
     def _(self, event: ChunkCorrupt, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         source = self.source(event.peer)
         if event.peer == ORIGIN:
             source.corrupt += 1
@@ -226,13 +225,15 @@
 
     @reduce.register
     def _(self, event: ChunkRefused, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         self.source(event.peer).refused(self.limits, now)
         return []
 
     @reduce.register
     def _(self, event: ChunkFailed, now: datetime) -> list[Effect]:
-        self._end_request(event.digest, event.index, event.peer)
+        if not self._end_request(event):
+            return []
         self.source(event.peer).failed(self.limits, now)
         return [Count("weights_chunks_failed", {"source": source_kind(event.peer)})]
 
@@ -241,7 +242,7 @@
         if self.target_ is None or self.layout_.topology_ is None:
             return []
         for peer, index in self.requests_.expired(now):
-            self._end_request(self.digest, index, peer)
+            self._close(peer, index)
             self.source(peer).failed(self.limits, now)
         if self.manifest_ is None:
             return self._manifest_request(now)
@@ -255,21 +256,19 @@
 
     def may_upload(self, peer: str, digest: str, index: int, now: datetime) -> bool:
         """Tell whether to serve a chunk, and take an upload slot for it."""
-        if digest != self.digest or not self.bitmap_ >> index & 1:
+        held = digest == self.digest and index >= 0 and self.bitmap_ >> index & 1
+        if not held or not self.layout_.knows(peer):
             return False
         # A chunk that crosses to another region serves all agents there, so it does
         # not wait behind the uploads inside the own region.
-        extra = 1 if self.layout_.crosses(peer) else 0
-        return self.uploads_.start(peer, index, now, extra=extra)
+        crosses = self.layout_.crosses(peer)
+        return self.uploads_.start(peer, index, now, extra=int(crosses))
 
     def accepts(self, digest: str, index: int, payload: bytes) -> bool:
         """Tell whether a payload is the pinned chunk."""
-        return (
-            self.manifest_ is not None
-            and digest == self.digest
-            and 0 <= index < len(self.manifest_.chunks)
-            and self.manifest_.matches(index, payload)
-        )
+        if self.manifest_ is None or digest != self.digest:
+            return False
+        return self.manifest_.matches(index, payload)
 
     def engine_lost(self) -> None:
         """Forget what the engine held; its new incarnation has no chunks."""
@@ -279,23 +278,6 @@
         self.uploads_.clear()
         if self.manifest_ is not None:
             self.missing_ = set(range(len(self.manifest_.chunks)))
-            self.selector_.restart(self.missing_, len(self.missing_))
-
-    def usable(self, now: datetime) -> Iterable[tuple[str, Source]]:
-        """Return the neighbours that may be asked now."""
-        for peer in self.neighbours:
-            source = self.sources_by_id_.get(peer)
-            if source is None or source.digest != self.digest:
-                continue
-            if source.usable(self.limits, now):
-                yield peer, source
-
-    def origin_usable(self, now: datetime) -> bool:
-        """Tell whether this agent may ask the origin for its chunks now."""
-        source = self.source(ORIGIN)
-        free = source.outstanding < self.receive_slots_
-        waited = source.avoid_until is None or now >= source.avoid_until
-        return free and waited and self.layout_.region_ == self.origin_region
 
     def _retarget(self, now: datetime) -> list[Effect]:
         service = self.configuration.services_by_id.get(self.service)
@@ -326,6 +308,11 @@
             old = self.neighbours
             if self.layout_.update(members):
                 self.announcer_.queue(self.neighbours - old)
+                self.sources_by_id_ = {
+                    peer: source
+                    for peer, source in self.sources_by_id_.items()
+                    if peer == ORIGIN or self.layout_.knows(peer)
+                }
                 self._recount()
         if self.layout_.update_slots(lambda member: self._silent(member, now)):
             self._set_rates()
@@ -377,8 +364,14 @@
         self.source(peer).outstanding += 1
         return Request(peer, index, self.digest)
 
-    def _end_request(self, digest: str, index: int, peer: str) -> None:
-        if digest == self.digest and self.requests_.end(peer, index):
+    def _end_request(self, event: ChunkEvent) -> bool:
+        """Close the request of an answer; tell whether it is for the target."""
+        if event.digest == self.digest:
+            self._close(event.peer, event.index)
+        return event.digest == self.digest
+
+    def _close(self, peer: str, index: int) -> None:
+        if self.requests_.end(peer, index):
             source = self.source(peer)
             source.outstanding = max(0, source.outstanding - 1)
 
@@ -394,6 +387,5 @@
     def _announce(self, now: datetime, always: str = "") -> list[Effect]:
         count = len(self.manifest_.chunks) if self.manifest_ else 0
         length = -(-count // 8) if self.staged_ else 0
-        bitmap = self.bitmap_.to_bytes(length, "little")
-        message = ChunkMap(self.digest, bitmap, count)
+        message = ChunkMap(self.digest, self.bitmap_.to_bytes(length, "little"), count)
         return self.announcer_.send(message, self.layout_, self.source, now, always)
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -91,6 +91,7 @@
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         self._update_own()
         members = self.membership.members_by_id
+        self.table_.prune(members)
         return [
             Send(members[neighbour].address, message)
             for neighbour, message in self.table_.messages(
@@ -102,7 +103,7 @@
     @reduce.register
     def _(self, event: StatusHeard, now: datetime) -> list[Effect]:
         others = self.plan.neighbours - {event.member}
-        self.table_.hear(event.digest, event.entries, self._incarnation, others)
+        self.table_.receive(event.digest, event.entries, self._incarnation, others)
         return []
 
     def permission(self, now: datetime) -> Permission:
