Decide claims before an order takes a place at its upstream

Cause: after a failure domain died, orders whose key waited for the witnesses of the retired home filled the two places of a cold upstream, so all other orders waited behind them (p99 8.1 s in that phase). Change: an order asks for its claim first and for its place afterwards; a claim that then finds no place is released; a key with an unread retired home waits 2 s for its witnesses instead of 8 s. Conclusion: a pending claim holds no capacity any more.

--- a/shallotpath/claims/_model.py
+++ b/shallotpath/claims/_model.py
@@ -70,6 +70,8 @@
     # Longer than the hand-over period, so that a request that arrives as the
     # log fails is still decided through witnesses.
     decide_within: timedelta = timedelta(seconds=8)
+    # Witnesses of a retired home agent answer within milliseconds or are gone.
+    debt_within: timedelta = timedelta(seconds=2)
     retry_interval: timedelta = timedelta(milliseconds=500)
     # The share of the log's several hundred appends a second for all claims.
     appends_per_second: float = 200.0
--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -110,7 +110,10 @@
         self, key: str, request_id: str, fresh: bool, now: datetime
     ) -> list[Effect]:
         """Ask to run a key; emit `ClaimDecided` now or later."""
-        item = Waiting(request_id, fresh, now + self.settings.decide_within)
+        settings = self.settings
+        owed = bool(self._unsettled(key))
+        within = settings.debt_within if owed else settings.decide_within
+        item = Waiting(request_id, fresh, now + within)
         refusal = None if self.keys_.holds(key) else self._refusal(key, fresh)
         if refusal is not None:
             return [decided(key, item, refusal)]
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import replace
 from datetime import datetime, timedelta
 
@@ -117,6 +118,12 @@
         except msgspec.DecodeError:
             self.refuse(peer, submit, Code.MALFORMED_REQUEST)
             return
+        if submit.repeatable:
+            self._admit(peer, submit, described, now)
+        else:
+            self._claim_first(self._record(peer, submit, described))
+
+    def _admit(self, peer: str, submit: Submit, described: Call, now: datetime) -> None:
         decision = self.gate.request(described, now)
         if isinstance(decision, Refuse):
             self.refuse(peer, submit, decision.code, decision.retry_after)
@@ -125,6 +132,38 @@
         if isinstance(decision, Admit):
             self._start(call)
 
+    def _claim_first(self, call: InboundCall) -> None:
+        # A key can wait for seconds for its decision; it must not hold one of the
+        # upstream's places meanwhile.
+        call.state = CallState.CLAIMING
+        self._accept(call)
+        self._spawn(call, self._claim(call))
+
+    async def _claim(self, call: InboundCall) -> None:
+        try:
+            decision = await self._decide(call)
+        except asyncio.CancelledError:
+            if call.stop is None:
+                raise
+            self._end(call, call.stop)
+            return
+        if isinstance(decision, RefuseClaim):
+            self._end(call, Failure(decision.code, decision.run))
+        elif isinstance(decision, KnownClaim):
+            self._end(call, answer_known(call, decision.state.phase))
+        else:
+            self._admit_claimed(call)
+
+    def _admit_claimed(self, call: InboundCall) -> None:
+        decision = self.gate.request(call.call, self.shell.clock.now())
+        if isinstance(decision, Refuse):
+            self._end(call, Failure(decision.code, RunState.NO))
+            return
+        call.state = CallState.QUEUED
+        call.task = None
+        if isinstance(decision, Admit):
+            self._start(call)
+
     def refuse(
         self,
         peer: str,
@@ -215,13 +254,16 @@
         return call
 
     def _start(self, call: InboundCall) -> None:
-        submit = call.submit
-        call.state = CallState.RUNNING if submit.repeatable else CallState.CLAIMING
-        accepted = Accepted(
-            submit.request_id, submit.attempt, self.incarnation, self.load()
-        )
-        self._send(call.peer, accepted)
-        call.task = self.shell.spawn(self._run(call))
+        call.state = CallState.RUNNING
+        self._accept(call)
+        self._spawn(call, self._run(call))
+
+    def _accept(self, call: InboundCall) -> None:
+        ids = (call.submit.request_id, call.submit.attempt)
+        self._send(call.peer, Accepted(*ids, self.incarnation, self.load()))
+
+    def _spawn(self, call: InboundCall, steps: Coroutine) -> None:
+        call.task = self.shell.spawn(steps)
         call.task.add_done_callback(lambda _: self._ended_early(call))
 
     def _ended_early(self, call: InboundCall) -> None:
@@ -231,7 +273,7 @@
 
     async def _run(self, call: InboundCall) -> None:
         try:
-            failure = await self._claim_and_run(call)
+            failure = await self._run_on_engine(call)
         except asyncio.CancelledError:
             if call.stop is None:
                 raise
@@ -244,14 +286,7 @@
             await self.engine.cancel(call.run_id)
         self._end(call, failure)
 
-    async def _claim_and_run(self, call: InboundCall) -> Failure | None:
-        if not call.submit.repeatable:
-            decision = await self._decide(call)
-            if isinstance(decision, RefuseClaim):
-                return Failure(decision.code, decision.run)
-            if isinstance(decision, KnownClaim):
-                return answer_known(call, decision.state.phase)
-            call.state = CallState.RUNNING
+    async def _run_on_engine(self, call: InboundCall) -> Failure | None:
         digest = self.weights.digest(self.service)
         # The engine may have changed while the call was queued.
         code = self.checks.engine_refusal(call.submit, self.shell.clock.now())
