--- a/shallotpath/runtime/tests/test_control.py
+++ b/shallotpath/runtime/tests/test_control.py
@@ -106,4 +106,4 @@
     before = first.shell.peer.dealers_by_address_[address]
     first.control._mend_connections()
     assert first.shell.peer.dealers_by_address_[address] is not before
-    assert before.closed
+    assert before.socket.closed
