--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,11 @@
 demo: $(STAMP)
 	$(BIN)/python tools/demo.py $(if $(KEEP),--keep)
 
+bench: $(STAMP)
+	$(BIN)/python tools/bench_all.py
+
+fuzz: $(STAMP)
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest --timeout 1800 -k "not test_entry and not test_agent"
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/shallotpath/runtime/_problem.py
+++ b/shallotpath/runtime/_problem.py
@@ -51,6 +51,10 @@
         "equal requests crashed upstreams; change the request or wait for the "
         "quarantine to end"
     ),
+    Code.ISOLATED: (
+        "an equal request crashed an upstream and another upstream tries it alone; "
+        "send the request again later"
+    ),
     Code.UPSTREAM_FAILED: "the upstream failed; check `run` before a repetition",
     Code.UPSTREAM_LOST: "the upstream does not answer; check `run` before a repetition",
     Code.SLOW_READER: "the response was read too slowly; read it faster",
@@ -79,6 +83,7 @@
         Code.DRAINING,
         Code.DOMAIN_OUT,
         Code.WEIGHTS_NOT_READY,
+        Code.ISOLATED,
         Code.CLAIM_IN_PROGRESS,
         Code.CLAIM_UNAVAILABLE,
     )
