--- a/shallotpath/weights/_limits.py
+++ b/shallotpath/weights/_limits.py
@@ -39,6 +39,7 @@
     silence: timedelta = timedelta(seconds=5)
     stall: timedelta = timedelta(seconds=30)
     max_corrupt: int = 3
+    ban: timedelta = timedelta(seconds=60)
 
     def slots(self, chunk_bytes: int) -> tuple[int, int]:
         """Return receive and upload slots whose chunks fit the buffer together."""
--- a/shallotpath/weights/_plan.py
+++ b/shallotpath/weights/_plan.py
@@ -131,6 +131,8 @@
     def _(self, event: Tick, now: datetime) -> list[Effect]:
         effects = self._retarget(now)
         self._update_layout(now)
+        if [s for s in self.sources_by_id_.values() if s.end_ban(now)]:
+            self._recount()
         if self.target_ is not None:
             self.announcer_.queue_refreshes(
                 self.neighbours, self.digest, self.source, now
@@ -218,7 +220,7 @@
                 source.failed(self.limits, now)
         else:
             counted = self._counted(event.peer, source)
-            source.corrupted(self.limits)
+            source.corrupted(self.limits, now)
             if not self.layout_.crosses(event.peer):
                 self.selector_.changed(counted, self._counted(event.peer, source))
         return [Count("weights_chunks_corrupt", {"source": source_kind(event.peer)})]
--- a/shallotpath/weights/_sources.py
+++ b/shallotpath/weights/_sources.py
@@ -74,10 +74,21 @@
         """Ask elsewhere until an upload slot may be free."""
         self._avoid(now + limits.busy_backoff)
 
-    def corrupted(self, limits: TransferLimits) -> None:
+    def corrupted(self, limits: TransferLimits, now: datetime) -> None:
         """Stop using a peer that sends corrupt chunks repeatedly."""
         self.corrupt += 1
         self.banned = self.corrupt >= limits.max_corrupt
+        self._avoid(now + limits.ban if self.banned else now)
+
+    def end_ban(self, now: datetime) -> bool:
+        """Try a banned peer again; one more corrupt chunk bans it at once.
+
+        Without an end a passing fault could leave an agent without any source.
+        """
+        if not self.banned or now < self.avoid_until:
+            return False
+        self.banned = False
+        return True
 
     def silent(self, since: datetime, limits: TransferLimits, now: datetime) -> bool:
         """Tell whether the source stopped reporting, or reports no progress.
--- a/shallotpath/weights/tests/test_rollout.py
+++ b/shallotpath/weights/tests/test_rollout.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from shallotpath.config import Preset
@@ -154,6 +154,10 @@
         swarm.kill(agent.id)
 
 
+# Left an agent with all sources banned for good.
+@example(
+    [("kill", 2, 2), ("kill", 1, 12), ("corrupt", 3, 11), ("restart", 3, 4)], False
+)
 @given(faults, st.booleans())
 def test_no_engine_is_ever_switched_to_an_incomplete_or_mixed_set(script, checks):
     swarm = Swarm(5, checks=checks)
