Measure the overhead of separate processes

Cause: with generator, engines, agents and entry on one event loop, the added time to first token was mostly contention, and the cost of the entry alone could not be told.

--- a/shallotpath/bench/__init__.py
+++ b/shallotpath/bench/__init__.py
@@ -11,7 +11,7 @@
 from ._load import LoadGenerator, LoadResult, Outcome, Request, StreamChecker
 from ._membership import measure_memory, run_membership
 from ._naive import NaiveEntry
-from ._overhead import run_overhead
+from ._overhead import OverheadTarget, measure_overhead, run_overhead
 from ._slow import run_slow
 from ._weights import run_weights
 
@@ -23,12 +23,14 @@
     "LoadResult",
     "NaiveEntry",
     "Outcome",
+    "OverheadTarget",
     "Request",
     "Rules",
     "StreamChecker",
     "bytes_per_upstream",
     "measure_core",
     "measure_memory",
+    "measure_overhead",
     "run_burst",
     "run_claims",
     "run_config",
--- a/shallotpath/cli/bench.py
+++ b/shallotpath/cli/bench.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import sys
 from collections.abc import Awaitable
 from dataclasses import asdict
 from typing import Annotated
@@ -16,8 +17,10 @@
 from .. import __version__
 from ..bench import (
     BurstSettings,
+    OverheadTarget,
     bytes_per_upstream,
     measure_core,
+    measure_overhead,
     run_burst,
     run_claims,
     run_config,
@@ -26,7 +29,7 @@
     run_slow,
     run_weights,
 )
-from ._program import run_app
+from ._program import EXIT_SETTINGS, run_app
 
 app = App(
     name="shallot-bench",
@@ -56,9 +59,33 @@
 
 
 @app.command
-def overhead(*, seconds: float = 12.0, seed: Seed = 1) -> None:
+def overhead(
+    *,
+    seconds: float = 12.0,
+    seed: Seed = 1,
+    entry: Annotated[str, Parameter(help="URL of a running entry.")] = "",
+    direct: Annotated[
+        list[str] | None, Parameter(help="URL of a running engine; repeatable.")
+    ] = None,
+    token: Annotated[str, Parameter(help="Token of a team.")] = "",
+    entry_metrics: Annotated[
+        str, Parameter(help="Operators' URL of the entry, for its processor time.")
+    ] = "",
+    agent_metrics: Annotated[
+        list[str] | None, Parameter(help="Operators' URL of an agent; repeatable.")
+    ] = None,
+) -> int | None:
     """Time that entry and agent add to a direct connection."""
-    show("overhead", run_quietly(run_overhead(seconds, seed)))
+    given = [bool(entry), bool(direct), bool(token)]
+    if any(given) and not all(given):
+        print("give --entry, --direct and --token together", file=sys.stderr)
+        return EXIT_SETTINGS
+    if not entry:
+        show("overhead", run_quietly(run_overhead(seconds, seed)))
+        return None
+    target = OverheadTarget(entry, direct, token, entry_metrics, agent_metrics or ())
+    show("overhead", run_quietly(measure_overhead(target, seconds, seed)))
+    return None
 
 
 @app.command
--- a/shallotpath/telemetry/_admin.py
+++ b/shallotpath/telemetry/_admin.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import asdict
+from time import process_time
 
 from aiohttp import web
 
@@ -19,6 +20,7 @@
         return web.Response(text="ok\n")
 
     async def metrics(request: web.Request) -> web.Response:
+        telemetry.gauge("process_cpu_seconds", {}, process_time())
         body, headers = telemetry.metrics.expose(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=headers)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -26,6 +26,8 @@
     service: str
     kind: str
     workers_by_domain: dict[str, int]
+    engine_settings: dict[str, str] = field(default_factory=dict)
+    agent_limits: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,6 +82,7 @@
     processes_by_id: dict[str, subprocess.Popen] = field(default_factory=dict)
     entry_urls: list[str] = field(default_factory=list)
     platform_url: str = ""
+    profiled_ids: set[str] = field(default_factory=set)
 
     def plan(self) -> None:
         """Choose ports and write the settings files."""
@@ -163,8 +166,12 @@
 
     def _start(self, spec: ProcessSpec) -> None:
         log = (self.directory / f"{spec.id}.log").open("ab")
+        command = [BIN / spec.program, "--config", self.directory / f"{spec.id}.ini"]
+        if spec.id in self.profiled_ids:
+            output = self.directory / f"{spec.id}.prof"
+            command = [sys.executable, "-m", "cProfile", "-o", output, *command]
         self.processes_by_id[spec.id] = subprocess.Popen(
-            [BIN / spec.program, "--config", self.directory / f"{spec.id}.ini"],
+            command,
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
@@ -198,6 +205,7 @@
         name = f"{service.service}-{domain}-{index}"
         listen = ports.address()
         engine = {"listen": listen, "service": service.service, "kind": service.kind}
+        engine |= service.engine_settings
         self._add(
             ProcessSpec(f"engine-{name}", "shallot-engine", {"engine": engine}, domain)
         )
@@ -207,6 +215,8 @@
             "url": f"http://{listen}",
             "service": service.service,
         }
+        if service.agent_limits:
+            sections["limits"] = dict(service.agent_limits)
         self._add(
             ProcessSpec(
                 f"agent-{name}",
