Dispatch answer frames by function instead of by method

Cause: in Python 3.11 a singledispatchmethod builds and decorates a wrapper on each access; each frame passed two of them (0.36 of 4.7 s in a profile of the entry). Change: Exchange and AnswerReader dispatch through singledispatch functions.

--- a/shallotpath/runtime/_exchange.py
+++ b/shallotpath/runtime/_exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from ..core import (
     Accepted,
@@ -110,15 +110,11 @@
             self.failure_ = AttemptFailure(code, run, retry_after, at_agent)
             self.wake_.set()
 
-    @singledispatchmethod
     def receive(self, message: Message, now: datetime) -> list[Message]:
         """Take a frame of this attempt and return the messages to send back."""
-        raise TypeError(f"{type(message).__name__} does not concern an attempt")
+        return _receive(message, self, now)
 
-    @receive.register(Head)
-    @receive.register(Data)
-    @receive.register(End)
-    def _(self, message: Head | Data | End, now: datetime) -> list[Message]:
+    def _take_frame(self, message: Head | Data | End, now: datetime) -> list[Message]:
         self.accepted_ = True
         replies = self.reader.receive(message, now)
         if self.reader.broken:
@@ -126,25 +122,12 @@
         self.wake_.set()
         return replies
 
-    @receive.register
-    def _(self, message: Accepted, now: datetime) -> list[Message]:
+    def _take_accepted(self, message: Accepted) -> None:
         self.accepted_ = True
         # The agent may be newer than the member list that the choice was based on.
         self.incarnation_ = message.incarnation
-        return []
 
-    @receive.register
-    def _(self, message: Refused, now: datetime) -> list[Message]:
-        self.fail(message.code, RunState.NO, message.retry_after, at_agent=True)
-        return []
-
-    @receive.register
-    def _(self, message: Failed, now: datetime) -> list[Message]:
-        self.fail(message.code, message.run, at_agent=True)
-        return []
-
-    @receive.register
-    def _(self, message: StatusReply, now: datetime) -> list[Message]:
+    def _take_status(self, message: StatusReply) -> None:
         if message.incarnation != self.incarnation_:
             # Another incarnation knows nothing about what the earlier one ran.
             self.fail(Code.UPSTREAM_LOST, RunState.UNKNOWN)
@@ -154,7 +137,6 @@
             self.fail(Code.UPSTREAM_LOST, self.run)
         else:
             self.fail(Code.UPSTREAM_LOST, RunState.NO, at_agent=True)
-        return []
 
     def member_now(self, incarnation: str) -> None:
         """Compare the incarnation that the member list names now."""
@@ -199,3 +181,41 @@
         """Wait for a change."""
         self.wake_.clear()
         await self.wake_.wait()
+
+
+# A singledispatchmethod builds a new wrapper on each access, which is costly for
+# a call per frame.
+@singledispatch
+def _receive(message: Message, exchange: Exchange, now: datetime) -> list[Message]:
+    raise TypeError(f"{type(message).__name__} does not concern an attempt")
+
+
+@_receive.register(Head)
+@_receive.register(Data)
+@_receive.register(End)
+def _(message: Head | Data | End, exchange: Exchange, now: datetime) -> list[Message]:
+    return exchange._take_frame(message, now)
+
+
+@_receive.register
+def _(message: Accepted, exchange: Exchange, now: datetime) -> list[Message]:
+    exchange._take_accepted(message)
+    return []
+
+
+@_receive.register
+def _(message: Refused, exchange: Exchange, now: datetime) -> list[Message]:
+    exchange.fail(message.code, RunState.NO, message.retry_after, at_agent=True)
+    return []
+
+
+@_receive.register
+def _(message: Failed, exchange: Exchange, now: datetime) -> list[Message]:
+    exchange.fail(message.code, message.run, at_agent=True)
+    return []
+
+
+@_receive.register
+def _(message: StatusReply, exchange: Exchange, now: datetime) -> list[Message]:
+    exchange._take_status(message)
+    return []
--- a/shallotpath/streams/_reader.py
+++ b/shallotpath/streams/_reader.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from datetime import datetime, timedelta
-from functools import singledispatchmethod
+from functools import singledispatch
 from hashlib import sha256
 
 from ..core import Credit, Data, End, Head, Message, Resume
@@ -81,50 +81,9 @@
         """Return the sequence number of the next expected frame."""
         return self.next_seq_
 
-    @singledispatchmethod
     def receive(self, message: Message, now: datetime) -> list[Message]:
         """Take a frame and return the messages to send back."""
-        raise TypeError(f"{type(message).__name__} is no frame of an answer")
-
-    @receive.register
-    def _(self, head: Head, now: datetime) -> list[Message]:
-        if self._concerns(head) and self.head_ is None:
-            self.heard_at_ = now
-            self.head_ = head
-        return []
-
-    @receive.register
-    def _(self, data: Data, now: datetime) -> list[Message]:
-        if not self._concerns(data):
-            return []
-        if data.seq < self.next_seq_:
-            self.duplicates_ += 1
-            return []
-        if data.seq > self.next_seq_ or self.head_ is None:
-            return self._ask_once()
-        if self.length_ + len(data.payload) > self.granted_:
-            self.broken_ = True
-            return []
-        self._append(data.payload, now)
-        return []
-
-    @receive.register
-    def _(self, end: End, now: datetime) -> list[Message]:
-        if not self._concerns(end):
-            return []
-        if end.frames > self.next_seq_:
-            return self._ask_once()
-        self.heard_at_ = now
-        if self.head_ is None:
-            self.head_ = _head_of(end)
-        self.complete_ = (
-            end.frames == self.next_seq_
-            and end.length == self.length_
-            and end.checksum == self.hash_.hexdigest()
-            and end.digest == self.head_.digest
-        )
-        self.broken_ = not self.complete_
-        return [self._confirmation()] if self.complete_ else []
+        return _receive(message, self, now)
 
     def read(self) -> bytes:
         """Return the next part of the answer, or nothing if none is held."""
@@ -160,6 +119,43 @@
             and not self.broken_
         )
 
+    def _take_head(self, head: Head, now: datetime) -> list[Message]:
+        if self._concerns(head) and self.head_ is None:
+            self.heard_at_ = now
+            self.head_ = head
+        return []
+
+    def _take_data(self, data: Data, now: datetime) -> list[Message]:
+        if not self._concerns(data):
+            return []
+        if data.seq < self.next_seq_:
+            self.duplicates_ += 1
+            return []
+        if data.seq > self.next_seq_ or self.head_ is None:
+            return self._ask_once()
+        if self.length_ + len(data.payload) > self.granted_:
+            self.broken_ = True
+            return []
+        self._append(data.payload, now)
+        return []
+
+    def _take_end(self, end: End, now: datetime) -> list[Message]:
+        if not self._concerns(end):
+            return []
+        if end.frames > self.next_seq_:
+            return self._ask_once()
+        self.heard_at_ = now
+        if self.head_ is None:
+            self.head_ = _head_of(end)
+        self.complete_ = (
+            end.frames == self.next_seq_
+            and end.length == self.length_
+            and end.checksum == self.hash_.hexdigest()
+            and end.digest == self.head_.digest
+        )
+        self.broken_ = not self.complete_
+        return [self._confirmation()] if self.complete_ else []
+
     def _append(self, payload: bytes, now: datetime) -> None:
         self.heard_at_ = now
         self.next_seq_ += 1
@@ -183,3 +179,25 @@
 
 def _head_of(end: End) -> Head:
     return Head(end.request_id, end.attempt, end.status, end.content_type, end.digest)
+
+
+# A singledispatchmethod builds a new wrapper on each access, which cost more
+# than the rest of the work on a frame.
+@singledispatch
+def _receive(message: Message, reader: AnswerReader, now: datetime) -> list[Message]:
+    raise TypeError(f"{type(message).__name__} is no frame of an answer")
+
+
+@_receive.register
+def _(message: Head, reader: AnswerReader, now: datetime) -> list[Message]:
+    return reader._take_head(message, now)
+
+
+@_receive.register
+def _(message: Data, reader: AnswerReader, now: datetime) -> list[Message]:
+    return reader._take_data(message, now)
+
+
+@_receive.register
+def _(message: End, reader: AnswerReader, now: datetime) -> list[Message]:
+    return reader._take_end(message, now)
