Account for an arriving frame without a look at the caller

Cause: for each frame the entry asked the caller's connection and the clock twice, on arrival and after the write. Change: an arriving frame adds its bytes to the budget. The connection is asked after the write, by the periodic check, and at once if the budget is exceeded.

--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -34,6 +34,9 @@
 from ._shell import Shell
 from ._timeouts import EntryTimeouts
 
+# Messages that carry the load of the agent.
+LOADED_MESSAGES = (Accepted, Refused, End, Failed)
+
 
 class Exchanges:
     """Route frames to attempts, keep the connections alive, bound held bytes."""
@@ -117,14 +120,22 @@
         if exchange is None or exchange.submit.attempt != message.attempt:
             self.shell.telemetry.count("late_frames", {}, 1)
             return
-        if isinstance(message, Accepted | Refused | End | Failed):
+        if isinstance(message, LOADED_MESSAGES):
             self.router.observe_load(exchange.member.id, message.load, now)
+        held = exchange.reader.held_bytes
         for reply in exchange.receive(message, now):
             self._send(exchange, reply)
-        if isinstance(message, Data):
+        grown = exchange.reader.held_bytes - held
+        if grown:
+            self._grow(exchange, grown, now)
+
+    def _grow(self, exchange: Exchange, added_bytes: int, now: datetime) -> None:
+        # The caller's connection is looked at when it took the bytes, or by the
+        # next check; only bytes over budget need it at once.
+        self.budget.grow(exchange.submit.request_id, added_bytes, now)
+        if self.budget.excess > 0:
             self._account(exchange)
-            if self.budget.excess > 0:
-                self._stop_slow_readers(now)
+            self._stop_slow_readers(now)
 
     def _on_heartbeat_reply(self, peer: str, reply: HeartbeatReply) -> None:
         now = self.shell.clock.now()
--- a/shallotpath/streams/_budget.py
+++ b/shallotpath/streams/_budget.py
@@ -50,6 +50,16 @@
         self.held_bytes_ += held_bytes - stream.held_bytes
         stream.held_bytes = held_bytes
 
+    def grow(self, stream_id: str, added_bytes: int, now: datetime) -> None:
+        """Add bytes that arrived for a stream; its reader is looked at later."""
+        stream = self.streams_by_id_.get(stream_id)
+        if stream is None:
+            stream = self.streams_by_id_[stream_id] = HeldStream(0, now)
+        if stream.held_bytes == 0:
+            stream.progress_at = now
+        self.held_bytes_ += added_bytes
+        stream.held_bytes += added_bytes
+
     def remove(self, stream_id: str) -> None:
         """Forget a stream."""
         stream = self.streams_by_id_.pop(stream_id, None)
