Send tokens after the first in batches of 5 ms

Cause: the entry woke up for almost every token. Change: an agent sends the first payload of an answer and its end at once, and other small payloads at most 5 ms later, together with those of other streams. Payloads of one stream that wait together share a frame, within credit and frame size. The first token is not delayed.

--- a/shallotpath/runtime/_engine_run.py
+++ b/shallotpath/runtime/_engine_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from ..config import Service, ServiceKind
@@ -14,12 +15,17 @@
 # The gate learns the growth of a call in steps, not for each token.
 HELD_REPORT_TOKENS = 16
 SSE_BOUNDARY = b"\n\n"
+# Tokens after the first wait this long for tokens of other streams, so that the
+# entry is woken once for several frames.
+BATCH_DELAY_S = 0.005
+# More than a few tokens is sent at once; it is a frame of its own anyway.
+BATCH_BYTES = 2 * 1024
 
 
 class EngineRun:
     """Run calls on the engine and write their answers."""
 
-    __slots__ = ("client", "flush", "held", "watch")
+    __slots__ = ("batch_", "client", "flush", "held", "watch")
 
     def __init__(
         self,
@@ -32,6 +38,7 @@
         self.watch = watch
         self.flush = flush
         self.held = held
+        self.batch_: dict[str, InboundCall] = {}
 
     async def run(
         self, call: InboundCall, service: Service, digest: str
@@ -74,8 +81,9 @@
 
     def _take(self, call: InboundCall, service: Service, payload: bytes) -> None:
         if not call.discarded:
+            first = not call.writer.length
             call.writer.write(payload)
-            self.flush(call)
+            self._flush_soon(call, at_once=first)
         if service.kind is ServiceKind.MODEL:
             before = call.tokens
             call.tokens += payload.count(SSE_BOUNDARY)
@@ -83,6 +91,23 @@
                 size = len(call.submit.body) + call.tokens * service.bytes_per_token
                 self.held(call.call.request_id, size)
 
+    def _flush_soon(self, call: InboundCall, *, at_once: bool) -> None:
+        if at_once or call.writer.pending_bytes > BATCH_BYTES:
+            self.flush(call)
+            return
+        if not self.batch_:
+            loop = asyncio.get_running_loop()
+            loop.call_later(BATCH_DELAY_S, self._flush_batch)
+        self.batch_[call.run_id] = call
+
+    def _flush_batch(self) -> None:
+        batch = list(self.batch_.values())
+        self.batch_.clear()
+        for call in batch:
+            # The end of a call has flushed or dropped what it held.
+            if call.active:
+                self.flush(call)
+
     async def _explain(self, call: InboundCall) -> Failure:
         # A broken answer may be the first sign of a crash, which concerns all
         # calls in flight.
--- a/shallotpath/streams/_writer.py
+++ b/shallotpath/streams/_writer.py
@@ -65,6 +65,16 @@
         """Return the bytes kept for the reader."""
         return self.pending_bytes_ + self.tail_bytes_
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes that have not been cut into frames."""
+        return self.pending_bytes_
+
+    @property
+    def length(self) -> int:
+        """Return the bytes written so far."""
+        return self.length_
+
     @property
     def room(self) -> int:
         """Return how many bytes may be written before the window is used up."""
@@ -181,12 +191,23 @@
 
     def _cut(self, limit: int) -> bytes:
         payload = self.pending_.popleft()
+        if self.pending_ and len(payload) < limit:
+            payload = self._join(payload, limit)
         if len(payload) > limit:
             self.pending_.appendleft(payload[limit:])
             payload = payload[:limit]
         self.pending_bytes_ -= len(payload)
         return payload
 
+    def _join(self, payload: bytes, limit: int) -> bytes:
+        # Each frame costs the reader far more than its bytes.
+        parts = [payload]
+        size = len(payload)
+        while self.pending_ and size + len(self.pending_[0]) <= limit:
+            parts.append(self.pending_.popleft())
+            size += len(parts[-1])
+        return b"".join(parts)
+
     def _end_sent(self) -> bool:
         # The end takes the place after the last frame, so that a resume from any
         # sequence number sends it again.
--- a/shallotpath/streams/tests/test_answer.py
+++ b/shallotpath/streams/tests/test_answer.py
@@ -159,3 +159,16 @@
     writer.frames()
     assert not writer.resume(0, 4)
     assert writer.frames() == []
+
+
+def test_parts_that_wait_together_share_a_frame_within_credit_and_size():
+    # Guards against a joined frame that is larger than the credit or the bound.
+    writer = AnswerWriter("r", 1, 10)
+    writer.begin(200, "text/plain", "")
+    for part in (b"abc", b"def", b"ghi", b"jkl"):
+        writer.write(part)
+    payloads = [m.payload for m in writer.frames() if isinstance(m, Data)]
+    assert payloads == [b"abcdefghi", b"j"]
+    assert writer.room == -2
+    writer.credit(20)
+    assert [m.payload for m in writer.frames()] == [b"kl"]
--- a/shallotpath/telemetry/tests/test_telemetry.py
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -70,6 +70,7 @@
     async with serve(app) as url, ClientSession() as session:
         text = await (await session.get(f"{url}/metrics")).text()
         assert 'shallot_refused_total{code="overloaded"' in text
+        assert "shallot_process_cpu_seconds{" in text
         assert await (await session.get(f"{url}/status")).json() == {"id": "agent-1"}
         page = await (await session.get(f"{url}/events?after=0")).json()
         assert [event["kind"] for event in page["events"]] == ["drain_started"]
