Let the rollout follow shallotctl's pause and its own drain

Cause: the pause of a rollout was recorded by the configuration in one place and read by the rollout in another, so shallotctl could not pause; the gate admitted while an engine was drained for an update. Change: the rollout reads paused_services; an agent that drains its engine admits nothing. The rollout test sets the pause where the configuration keeps it.

--- a/shallotpath/config/_model.py
+++ b/shallotpath/config/_model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
@@ -40,7 +40,6 @@
     default_deadline: timedelta = timedelta(seconds=30)
     bytes_per_token: int = 1024
     default_max_tokens: int = 256
-    update_paused: bool = False
 
     def repeatable(self, path: str) -> bool:
         """Tell whether calls of a path may run more than once."""
@@ -121,6 +120,11 @@
         """Return all failure domains."""
         ...
 
+    @property
+    def paused_services(self) -> Sequence[str]:
+        """Return the services whose rolling updates are paused."""
+        ...
+
 
 @dataclass(slots=True)
 class StaticConfiguration:
@@ -132,3 +136,4 @@
     services_by_id: dict[str, Service] = field(default_factory=dict)
     versions_by_id: dict[str, ModelVersion] = field(default_factory=dict)
     domains_by_id: dict[str, DomainState] = field(default_factory=dict)
+    paused_services: list[str] = field(default_factory=list)
--- a/shallotpath/nodes/_agent.py
+++ b/shallotpath/nodes/_agent.py
@@ -46,7 +46,7 @@
         self.served = ServedVersion(
             domain=settings.domain,
             configuration=self.configuration,
-            confirmed=lambda: self.orders.confirmed_digest,
+            confirmed=self.confirmed_digest,
         )
         self.gate = Gate(
             node_id=settings.id,
@@ -98,6 +98,10 @@
             self.part,
         ]
 
+    def confirmed_digest(self) -> str:
+        """Return the digest that new requests may be answered from."""
+        return self.orders.confirmed_digest if self.rollout.admitting else ""
+
     def _make_weights(self) -> None:
         settings = self.settings
         shared = {
--- a/shallotpath/weights/_rollout.py
+++ b/shallotpath/weights/_rollout.py
@@ -120,7 +120,8 @@
         if self.draining_:
             # A drained engine is not ready either way; finishing restores it.
             return Permission(transfer=True, switch=True, drain=True)
-        if service.update_paused or not self._may_act(beside, service.min_ready):
+        paused = self.service in self.configuration.paused_services
+        if paused or not self._may_act(beside, service.min_ready):
             return Permission(transfer=beside)
         if beside:
             return Permission(transfer=True, switch=True)
--- a/shallotpath/weights/tests/test_rollout.py
+++ b/shallotpath/weights/tests/test_rollout.py
@@ -85,8 +85,10 @@
     swarm, first = prepared(4)
     assert swarm.run(swarm.all_serve(first))
     second = swarm.publish("2", [2] * 12)
-    swarm.deploy("2", update_paused=True)
+    swarm.configuration.paused_services = ["s"]
+    swarm.deploy("2")
     assert not swarm.run(lambda: swarm.serving(second) > 0, seconds=20)
+    swarm.configuration.paused_services = []
     swarm.deploy("2")
     assert swarm.run(lambda: swarm.serving(second) >= 1)
     swarm.moved.clear()
