Let operators retire home agents and settle keys in doubt

Cause: after a failure domain died with all witnesses, its keys answered unknown until an operator appended a record, for which there was no command. Change: shallotctl claims homes, retire and settle, each with its confirmation. Measurement: the test takes a member from active to in doubt to settled.

--- /dev/null
+++ b/shallotpath/cli/_ctl_claims.py
@@ -0,0 +1,114 @@
+"""Commands on the home agents of non-repeatable services."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+from cyclopts import App
+
+from ..claims import STREAM, Debt, Home, HomeSet, Retire, Settled, encode_record
+from ..core import RecordsRead, RejectedChangeError
+from ._ctl_objects import DEFAULTS
+from ._ctl_options import DONE, REJECTED, USAGE, Options
+from ._ctl_session import Session, confirmed, fail, open_session, print_rows
+
+READ_LIMIT = 1000
+COLUMNS = ["member", "incarnation", "domain", "state", "witnesses"]
+
+claims = App(name="claims", help="Home agents of non-repeatable services.")
+
+
+@claims.command(name="homes")
+async def show_homes(service: str, *, options: Options = DEFAULTS) -> int:
+    """Show the home agents of a service and those whose keys are in doubt."""
+    async with open_session(options) as session:
+        homes = (await read_homes(session)).service(service)
+    rows = [_home_row(home, "active") for home in homes.active_by_id.values()]
+    rows += [_home_row(home, "joining") for home in homes.pending_by_id.values()]
+    rows += [_debt_row(debt) for debt in homes.debts_by_incarnation.values()]
+    print_rows(options, COLUMNS, rows)
+    return DONE
+
+
+@claims.command(name="retire")
+async def retire(service: str, member: str, *, options: Options = DEFAULTS) -> int:
+    """Assert that a home agent has stopped, so that its keys move.
+
+    The platform's VM list does the same on its own once it drops the VM.
+    """
+    question = f"{member} must have stopped for good, or refusals may be untrue."
+    if not confirmed(options, question):
+        return USAGE
+    async with open_session(options) as session:
+        homes = (await read_homes(session)).service(service)
+        home = homes.active_by_id.get(member) or homes.pending_by_id.get(member)
+        if home is None:
+            return _unknown(options, f"{member} is no home agent of {service}", service)
+        record = Retire(service, member, home.incarnation, _evidence(options))
+        await session.client.append(STREAM, [encode_record(record)])
+    return DONE
+
+
+@claims.command(name="settle")
+async def settle(service: str, member: str, *, options: Options = DEFAULTS) -> int:
+    """Assert that a retired home agent ran nothing without the log.
+
+    Needed only if its witnesses died with it, as with a whole failure domain.
+    """
+    question = f"Calls that {member} ran without the log could run again."
+    if not confirmed(options, question):
+        return USAGE
+    async with open_session(options) as session:
+        debts = (await read_homes(session)).service(service).debts_by_incarnation
+        owed = [debt for debt in debts.values() if debt.member == member]
+        if not owed:
+            return _unknown(options, f"{member} has no keys in doubt", service)
+        records = [
+            Settled(service, member, debt.incarnation, [], _evidence(options))
+            for debt in owed
+        ]
+        await session.client.append(STREAM, [encode_record(r) for r in records])
+    return DONE
+
+
+async def read_homes(session: Session) -> HomeSet:
+    """Fold the claims stream up to its end."""
+    homes = HomeSet()
+    now = datetime.now(UTC)
+    start = 0
+    while True:
+        page = await session.client.read(STREAM, start, wait_ms=0, limit=READ_LIMIT)
+        homes.reduce(RecordsRead(STREAM, page.records, page.next_offset), now)
+        start = max(page.next_offset, page.first_offset)
+        if not page.records:
+            return homes
+
+
+def _evidence(options: Options) -> str:
+    return f"operator {options.operator_name}"
+
+
+def _unknown(options: Options, reason: str, service: str) -> int:
+    error = RejectedChangeError(f"{reason}; see 'shallotctl claims homes {service}'")
+    fail(options, error.message)
+    return REJECTED
+
+
+def _home_row(home: Home, state: str) -> dict:
+    return {
+        "member": home.member,
+        "incarnation": home.incarnation,
+        "domain": home.domain,
+        "state": state,
+        "witnesses": ", ".join(witness.id for witness in home.witnesses),
+    }
+
+
+def _debt_row(debt: Debt) -> dict:
+    return {
+        "member": debt.member,
+        "incarnation": debt.incarnation,
+        "domain": "",
+        "state": "in doubt",
+        "witnesses": ", ".join(witness.id for witness in debt.witnesses),
+    }
--- a/shallotpath/cli/ctl.py
+++ b/shallotpath/cli/ctl.py
@@ -11,6 +11,7 @@
 
 from .. import __version__
 from ..core import PlatformError, SettingError, ShallotError
+from ._ctl_claims import claims
 from ._ctl_objects import (
     DEFAULTS,
     domains,
@@ -38,7 +39,7 @@
     exit_on_error=False,
     print_error=True,
 )
-for group in (teams, services, versions, presets, domains, rollouts):
+for group in (teams, services, versions, presets, domains, rollouts, claims):
     app.command(group)
 register(app, versions)
 
--- a/shallotpath/cli/tests/test_ctl.py
+++ b/shallotpath/cli/tests/test_ctl.py
@@ -5,6 +5,9 @@
 import pytest
 from aiohttp import ClientSession, web
 
+from shallotpath.claims import STREAM as CLAIMS_STREAM
+from shallotpath.claims import Contact, Join, Witness
+from shallotpath.claims import encode_record as encode_claim
 from shallotpath.cli._ctl_session import Session
 from shallotpath.cli.ctl import run
 from shallotpath.config import STREAM, Replica, decode_record
@@ -267,3 +270,24 @@
     result = await ctl.run("services set-version s 2", code=1)
     assert "bo" in result["reason"]
     assert (await ctl.run("services list"))[0]["min_ready"] == 4
+
+
+async def test_an_operator_settles_the_keys_of_a_retired_home(ctl):
+    # Guards against orders that stay in doubt although the operator knows better.
+    witness = Witness("w", "w1", "tcp://127.0.0.1:1")
+    records = [
+        Join("kit-desk", "a", "a1", "bne-a"),
+        Contact("kit-desk", "a", "a1", 1, 0, [witness]),
+    ]
+    async with ClientSession() as session:
+        data = [encode_claim(record) for record in records]
+        await PlatformClient(session, ctl.url).append(CLAIMS_STREAM, data)
+    homes = await ctl.run("claims homes kit-desk")
+    assert [(row["member"], row["state"]) for row in homes] == [("a", "active")]
+    await ctl.run("claims retire kit-desk a", code=2)
+    await ctl.run("claims retire kit-desk a --yes")
+    homes = await ctl.run("claims homes kit-desk")
+    assert [(row["member"], row["state"]) for row in homes] == [("a", "in doubt")]
+    await ctl.run("claims settle kit-desk b --yes", code=1)
+    await ctl.run("claims settle kit-desk a --yes")
+    assert await ctl.run("claims homes kit-desk") == []
