Use one manifest type in the stand-in and in the weights package

Cause: the stand-in had its own copy of the manifest and of the chunk size rule. Change: it uses the type of the weights package.

--- a/shallotpath/standins/_platform.py
+++ b/shallotpath/standins/_platform.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from ._link import RateLimiter
-from ._weights import Manifest, chunk_count, chunk_size, make_chunk, make_manifest
+from ._weights import Manifest, chunk_count, make_chunk, make_manifest
 
 POLL_INTERVAL_S = 0.02
 MAX_WAIT_MS = 30_000
@@ -238,7 +238,7 @@
         version = self._version(request)
         index = int(request.match_info["index"])
         manifest = version.manifest
-        size = chunk_size(manifest.size, manifest.chunk_bytes, index)
+        size = manifest.chunk_size(index)
         payload = make_chunk(version.seeds[index], index, size)
         self.origin_link_.bytes_per_second = self.faults.origin_rate
         await self.origin_link_.send(size)
