Read the claims stream only where it is needed

Cause: every process read the claims stream, so 1,250 long polls would reach the log at the design size; an agent that started while its domain was out waited for a leave that it had never made. Change: agents of services without non-repeatable calls do not read it; an agent without a seat may join again. Conclusion: entries and home agents still read it each on their own.

--- a/shallotpath/claims/_table.py
+++ b/shallotpath/claims/_table.py
@@ -87,6 +87,11 @@
         me = self.identity
         return self.homes.is_active(me.service, me.member, me.incarnation)
 
+    @property
+    def away(self) -> bool:
+        """Tell whether the log, as far as read, holds no seat of this agent."""
+        return self.seat_.home is None
+
     @property
     def left(self) -> bool:
         """Tell whether a graceful leave is in the log; the process may exit."""
@@ -142,7 +147,7 @@
 
     def rejoin(self, now: datetime) -> list[Effect]:
         """Join the home set again after a leave, under a new incarnation."""
-        if not self.left:
+        if not self.away:
             return []
         self.generation_ += 1
         incarnation = self.identity.incarnation.partition("/")[0]
--- a/shallotpath/nodes/_agent.py
+++ b/shallotpath/nodes/_agent.py
@@ -138,6 +138,11 @@
         """Return the number of calls that are queued or run."""
         return self.server.in_flight
 
+    def needs_claims(self) -> bool:
+        """Tell whether the service has calls that may not be repeated."""
+        service = self.configuration.services_by_id.get(self.settings.service)
+        return service is not None and bool(service.non_repeatable_paths)
+
     def connected(self) -> list[str]:
         """Return the entries that are connected to this agent."""
         return list(self.server.heard_at_by_peer_)
--- a/shallotpath/nodes/_home_duty.py
+++ b/shallotpath/nodes/_home_duty.py
@@ -48,7 +48,7 @@
         if out and not self.leaving_:
             self.leaving_ = True
             return self.claims.leave(now)
-        if not out and self.leaving_ and self.claims.left:
+        if not out and self.leaving_ and self.claims.away:
             self.leaving_ = False
             return self.claims.rejoin(now)
         return []
--- a/shallotpath/nodes/_process.py
+++ b/shallotpath/nodes/_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from random import Random
@@ -27,6 +28,8 @@
 from ..settings import NodeSettings
 from ..telemetry import HybridClock, ProcessTelemetry
 
+CLAIMS_CHECK_S = 0.5
+
 
 class Process:
     """Compose one process from its settings.
@@ -142,10 +145,21 @@
             list_interval_s=self.settings.vm_list_interval.total_seconds(),
         )
         await self.control.start()
-        self.shell.spawn(LogTailer(self.shell, CLAIMS_STREAM).run())
+        self.shell.spawn(self._read_claims())
         await self.open()
         self.telemetry.log("started", {"incarnation": self.incarnation})
 
+    def needs_claims(self) -> bool:
+        """Tell whether this process must know the home agents."""
+        return True
+
+    async def _read_claims(self) -> None:
+        # Most agents serve repeatable calls only; a reader each would ask the log
+        # for nothing.
+        while not self.needs_claims():  # noqa: ASYNC110
+            await asyncio.sleep(CLAIMS_CHECK_S)
+        await LogTailer(self.shell, CLAIMS_STREAM).run()
+
     async def open(self) -> None:
         """Start the servers of this role."""
         raise NotImplementedError
--- a/shallotpath/nodes/tests/test_home_duty.py
+++ b/shallotpath/nodes/tests/test_home_duty.py
@@ -19,10 +19,10 @@
 class World:
     """Hold one agent and a log that answers at once."""
 
-    def __init__(self):
+    def __init__(self, out=False):
         self.clock = ManualClock()
         self.configuration = StaticConfiguration()
-        self.set_out(False)
+        self.set_out(out)
         identity = Identity("kit-desk", "a", "a1", "d")
         self.claims = ClaimTable(identity, StaticMembership())
         duty = HomeDuty(
@@ -78,3 +78,13 @@
     world.run(12)
     assert world.claims.left
     assert not world.claims.joined
+
+
+def test_an_agent_that_starts_while_its_domain_is_out_joins_on_the_return():
+    # Guards against an agent that waits for a leave which it never made.
+    world = World(out=True)
+    world.run(5)
+    assert not world.claims.joined
+    world.set_out(False)
+    world.run(12)
+    assert world.claims.joined
