--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -132,6 +132,7 @@
         if member is None:
             repeatable = session.request.submit.repeatable
             code = Code.NO_UPSTREAM if repeatable else Code.CLAIM_UNAVAILABLE
+            session.call.unsent()
             return AttemptFailure(code, RunState.NO)
         now = self.shell.clock.now()
         submit = session.call.begin(member.id, now)
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -189,6 +189,15 @@
         assert problem["run"] == "no"
 
 
+async def test_a_callers_own_key_without_a_home_may_have_run():
+    # Guards against `run: no` for a key that ran before its home was cut off.
+    async with system([Upstream("a", "kit-desk")]) as entry:
+        entry.homes_ = repeat(None)
+        status, problem = await _order(entry, "k1")
+        assert (status, problem["code"]) == (503, "claim_unavailable")
+        assert problem["run"] == "unknown"
+
+
 async def test_a_caller_that_leaves_cancels_the_run():
     upstream = Upstream("a", "fold-model", token_interval_s=0.1)
     async with system([upstream]) as entry:
--- a/shallotpath/streams/_call.py
+++ b/shallotpath/streams/_call.py
@@ -97,6 +97,12 @@
         # A later refusal does not undo what an earlier attempt may have run.
         self.run_ = max(self.run_, run, key=_RUN_ORDER.index)
 
+    def unsent(self) -> None:
+        """Record that no home agent could be asked about the key of the call."""
+        # The caller may have sent its own key before, and that call may have run.
+        if not self.template.repeatable and not self.template.fresh_key:
+            self.run_ = max(self.run_, RunState.UNKNOWN, key=_RUN_ORDER.index)
+
     def fault(self) -> None:
         """Record that the entry itself failed in the middle of an attempt."""
         if self.state in ("submitted", "delivering"):
--- a/shallotpath/streams/tests/test_call.py
+++ b/shallotpath/streams/tests/test_call.py
@@ -44,6 +44,23 @@
     assert call.may_retry(Code.UPSTREAM_FAILED, run) is allowed
 
 
+@pytest.mark.parametrize(
+    ("repeatable", "fresh_key", "run"),
+    [
+        (False, False, RunState.UNKNOWN),
+        (False, True, RunState.NO),
+        (True, False, RunState.NO),
+    ],
+)
+def test_only_a_callers_own_key_may_have_run_without_an_attempt(
+    repeatable, fresh_key, run
+):
+    # Guards against `run: no` for a key that ran before its home was cut off.
+    call = make_call(repeatable=repeatable, fresh_key=fresh_key)
+    call.unsent()
+    assert call.run is run
+
+
 def test_a_plain_answer_that_has_started_is_not_repeated():
     call = make_call()
     call.begin("a", EPOCH)
