Script weights, returning upstreams and more runs without mechanisms

Change: add weights-swapped and upstream-returns, seven runs of pairs without a mechanism, and keys of all home agents in pair-pause-restart. The fake upstream delays the tokens in progress when it turns cold: one token at the warm pace made the gate start a call 6 ms later. The fake entry takes the load of heartbeats.

--- a/scenarios/test_scenarios.py
+++ b/scenarios/test_scenarios.py
@@ -40,6 +40,14 @@
     ("refusals", "run states", "no_false_refusal"),
     ("preset-race", "conflict check", "preset_everywhere"),
     ("poison", "suspects", "crashes"),
+    ("weights-swapped", "weights check", "only_published"),
+    ("pair-log-down-cut", "claims", "run_twice"),
+    ("pair-pause-restart", "claims", "run_twice"),
+    ("pair-out-log-down", "claims", "run_twice"),
+    ("pair-out-cold", "gate", "crashes"),
+    ("pair-leave-cut", "drain", "no_work_on"),
+    ("pair-leave-crash", "drain", "no_work_on"),
+    ("pair-preset-cut", "conflict check", "preset_everywhere"),
 ]
 
 
--- a/shallotpath/scenarios/_agent.py
+++ b/shallotpath/scenarios/_agent.py
@@ -37,7 +37,7 @@
 from ..limits import Admit, Call, Gate, GateSettings, Refuse
 from ..membership import Member
 from ..nodes import HomeDuty, ServedVersion
-from ._fakes import TOKENS, FakeUpstream
+from ._fakes import DIGEST, TOKENS, FakeUpstream
 from ._process import Process
 
 if TYPE_CHECKING:
@@ -101,7 +101,7 @@
             membership=self.membership,
             suspects=self.suspects,
             settings=GateSettings(cold_limit=spec.bears_cold, max_limit=spec.bears),
-            allowed_digests=lambda: self.served.digests(service),
+            allowed_digests=self._allowed_digests,
         )
         incarnation = self.member.incarnation
         self.claims = ClaimTable(
@@ -121,6 +121,11 @@
             )
         return parts
 
+    def _allowed_digests(self) -> set[str]:
+        if not self.world.has("weights check"):
+            return {self.upstream.digest, DIGEST}
+        return self.served.digests(self.member.service)
+
     @property
     def done(self) -> bool:
         """Tell whether a leaving agent may stop."""
--- a/shallotpath/scenarios/_checks.py
+++ b/shallotpath/scenarios/_checks.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from ..core import EPOCH, RunState
+from ._fakes import DIGEST
 from ._model import Expectation
 from ._world import WARM_UP, World
 
@@ -36,6 +37,12 @@
     return _late(late, since)
 
 
+def _work_on(world: World, since: timedelta, upstream: str) -> str:
+    limit = EPOCH + WARM_UP + since
+    found = any(s.upstream == upstream and s.at > limit for s in world.starts)
+    return "" if found else "no starts"
+
+
 def _late(starts: list, since: timedelta) -> str:
     limit = EPOCH + WARM_UP + since
     late = [start for start in starts if start.at > limit]
@@ -106,6 +113,11 @@
     return f"{crashes} crashes" if crashes > most else ""
 
 
+def _only_published(world: World) -> str:
+    other = [s.request_id for s in world.starts if s.digest not in ("", DIGEST)]
+    return f"run on other weights: {other[:5]}" if other else ""
+
+
 def _no_false_refusal(world: World) -> str:
     started = {start.request_id for start in world.starts}
     false = [
@@ -128,6 +140,7 @@
 _CHECKS: dict[str, Callable[..., str]] = {
     "no_work_in": _no_work_in,
     "no_work_on": _no_work_on,
+    "work_on": _work_on,
     "run_twice": _run_twice,
     "key_run": _key_run,
     "key_answered": _key_answered,
@@ -136,5 +149,6 @@
     "preset_everywhere": _preset_everywhere,
     "never_reverts": _never_reverts,
     "crashes": _crashes,
+    "only_published": _only_published,
     "no_false_refusal": _no_false_refusal,
 }
--- a/shallotpath/scenarios/_entry.py
+++ b/shallotpath/scenarios/_entry.py
@@ -114,6 +114,7 @@
         for request in list(self.requests_.values()):
             if request.member is None or request.member.address != peer:
                 continue
+            self.router.observe_load(request.member.id, message.load, self.now)
             if message.load.incarnation == request.member.incarnation:
                 request.heard = self.now
             else:
--- a/shallotpath/scenarios/_fakes.py
+++ b/shallotpath/scenarios/_fakes.py
@@ -10,6 +10,8 @@
 
 from ..core import EngineObserved, LogRecord, ManualClock
 
+# The only published version.
+DIGEST = "d1"
 TOKENS = 10
 TOKEN_BYTES = 1024
 TOKEN_TIME = timedelta(milliseconds=10)
@@ -105,6 +107,7 @@
         self.bears_cold = bears_cold
         self.digest = digest
         self.generation_ = 1
+        self.pace_ = 1
         self.up_ = True
         self.completed_ = 0
         self.crashes_ = 0
@@ -143,6 +146,11 @@
     def turn_cold(self) -> None:
         """Lose the caches without notice; only the pace and a late report show it."""
         self.completed_ = 0
+        # Tokens in progress are late too; one at the warm pace would prove to the
+        # gate that an engine that is cold already still is warm.
+        self.pace_ += 1
+        for request_id in self.running_:
+            self._next(request_id, self.generation_)
 
     def observe(self, deliver: Callable[[EngineObserved], None]) -> None:
         """Report the state that is current now, late."""
@@ -166,10 +174,14 @@
         self.completed_ = 0
 
     def _next(self, request_id: str, generation: int) -> None:
-        factor = COLD_FACTOR if self.cold else 1
-        self.queue.after(
-            TOKEN_TIME * factor, lambda: self._step(request_id, generation)
-        )
+        delay = TOKEN_TIME * (COLD_FACTOR if self.cold else 1)
+        pace = self.pace_
+
+        def step() -> None:
+            if pace == self.pace_:
+                self._step(request_id, generation)
+
+        self.queue.after(delay, step)
 
     def _step(self, request_id: str, generation: int) -> None:
         if generation != self.generation_ or request_id not in self.running_:
--- a/shallotpath/scenarios/_parser.py
+++ b/shallotpath/scenarios/_parser.py
@@ -38,6 +38,7 @@
      | "bring" "domain" NAME "in" -> domain_in
      | "crash" "upstream" NAME -> crash
      | "turn" "upstream" NAME "cold" -> turn_cold
+     | "swap" "weights" "of" NAME -> swap_weights
      | "log" "down" -> log_down
      | "log" "up" -> log_up
      | "log" "loses" "answers" -> log_loses
@@ -56,6 +57,7 @@
 expect: "expect" expectation
 ?expectation: "by" DURATION "no" "new" "work" "in" NAME -> no_work_in
      | "by" DURATION "no" "new" "work" "on" NAME -> no_work_on
+     | "after" DURATION "new" "work" "on" NAME -> work_on
      | "run" "twice" INT -> run_twice
      | "key" NAME "run" INT -> key_run
      | "key" NAME "answered" "by" DURATION -> key_answered
@@ -64,6 +66,7 @@
      | "preset" NAME "everywhere" "by" DURATION -> preset_everywhere
      | "preset" "never" "reverts" -> never_reverts
      | "engine" "crashes" "at" "most" INT -> crashes
+     | "only" "published" "weights" -> only_published
      | "no" "false" "refusal" -> no_false_refusal
 RATE.3: /[0-9]+\/s/
 DURATION.2: /[0-9]+(ms|s)\b/
@@ -83,6 +86,7 @@
     "domain_in": ("domain",),
     "crash": ("upstream",),
     "turn_cold": ("upstream",),
+    "swap_weights": ("upstream",),
     "pause": ("upstream", ""),
     "cut_domain": ("domain",),
     "restore_domain": ("domain",),
@@ -97,6 +101,7 @@
     "apply_preset": ("preset", ""),
     "no_work_in": ("", "domain"),
     "no_work_on": ("", "upstream"),
+    "work_on": ("", "upstream"),
     "preset_everywhere": ("preset", ""),
 }
 
--- a/shallotpath/scenarios/_steps.py
+++ b/shallotpath/scenarios/_steps.py
@@ -146,6 +146,9 @@
     "apply_preset": _apply_preset,
     "crash": lambda world, id: world.upstreams_by_id[id].crash(),
     "turn_cold": lambda world, id: world.upstreams_by_id[id].turn_cold(),
+    "swap_weights": lambda world, id: setattr(
+        world.upstreams_by_id[id], "digest", "unpublished"
+    ),
     "log_down": lambda world: setattr(world.log, "up", False),
     "log_up": lambda world: setattr(world.log, "up", True),
     "log_loses": lambda world: setattr(world.log, "loses_answers", True),
--- a/shallotpath/scenarios/_world.py
+++ b/shallotpath/scenarios/_world.py
@@ -27,7 +27,7 @@
 from ..membership import Member, Role
 from ._agent import Agent
 from ._entry import Entry
-from ._fakes import EventQueue, FakeLinks, FakeLog, FakeUpstream
+from ._fakes import DIGEST, EventQueue, FakeLinks, FakeLog, FakeUpstream
 from ._model import Scenario
 from ._process import Process
 from ._steps import perform
@@ -42,13 +42,13 @@
         "home duty",
         "run states",
         "suspects",
+        "weights check",
     }
 )
 # Membership, configuration and home sets have settled after this time; it is
 # two contact intervals of the home agents.
 WARM_UP = timedelta(seconds=15)
 LIST_INTERVAL = timedelta(seconds=1)
-DIGEST = "d1"
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +60,7 @@
     domain: str
     request_id: str
     key: str
+    digest: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -205,7 +206,14 @@
 
     def record_start(self, agent: Agent, submit: Submit) -> None:
         """Note that an upstream got a call."""
-        start = Start(self.now, agent.id, agent.domain, submit.request_id, submit.key)
+        start = Start(
+            self.now,
+            agent.id,
+            agent.domain,
+            submit.request_id,
+            submit.key,
+            agent.upstream.digest,
+        )
         self.starts.append(start)
         if submit.key:
             self.note(f"{agent.id} runs {submit.request_id} key {submit.key}")
