Let old load reports expire and warn agents of suspects with the call

Cause: three scenarios failed. An entry kept the last report (limit 0) of an upstream that had been closed for a moment and never sent it a call again; a suspect was retried 12 ms after its crash at an agent that had not heard of it and ran beside another call.

--- a/shallotpath/limits/_suspects.py
+++ b/shallotpath/limits/_suspects.py
@@ -145,6 +145,12 @@
         if record is not None and record.crashes:
             self._merge(fingerprint, set(), set(record.crash_ids), record.expires)
 
+    def warning(self, fingerprint: str, now: datetime) -> Gossip | None:
+        """Return what an agent must know before it gets a call, if anything."""
+        if self.state(fingerprint, now) is Suspicion.CLEAR:
+            return None
+        return Gossip(self.node_id, quarantine=[self._update(fingerprint, now)])
+
     def updates(self, now: datetime, limit: int = 100) -> list[QuarantineUpdate]:
         """Return the newest records for periodic gossip and new connections."""
         newest = list(reversed(self.records_by_fingerprint_))[:limit]
--- a/shallotpath/routing/_router.py
+++ b/shallotpath/routing/_router.py
@@ -13,6 +13,7 @@
     ConfigurationChanged,
     Effect,
     Event,
+    Gossip,
     Load,
     MemberChanged,
 )
@@ -95,6 +96,7 @@
         self, call: Call, exclude: Collection[str], now: datetime
     ) -> Member | None:
         """Return the upstream for the next attempt, or `None` if there is none."""
+        self.loads.advance(now)
         suspicion = Suspicion.CLEAR
         if self.suspects is not None:
             suspicion = self.suspects.state(call.fingerprint, now)
@@ -105,6 +107,15 @@
         repeated = self.repeats.repeated(call, now)
         return self._nearest(call, exclude, now, spill=not repeated)
 
+    def warning(self, call: Call, now: datetime) -> Gossip | None:
+        """Return what the upstream's agent must know before it gets the call.
+
+        Gossip may be slower than an attempt that follows a crash at once.
+        """
+        if self.suspects is None:
+            return None
+        return self.suspects.warning(call.fingerprint, now)
+
     def started(self, member_id: str) -> None:
         """Count an attempt that was sent to an upstream."""
         for evicted in self.loads.started(member_id):
@@ -121,7 +132,7 @@
 
     def observe_load(self, member_id: str, load: Load, now: datetime) -> None:
         """Take the load that came with a message of an upstream."""
-        for evicted in self.loads.observe(member_id, load):
+        for evicted in self.loads.observe(member_id, load, now):
             self.health.forget(evicted)
 
     def observe_failure(
--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -138,7 +138,7 @@
         submit = session.call.begin(member.id, now)
         exchange = Exchange(submit, member, session.caller, session.call.deadline, now)
         try:
-            if not self.exchanges.open(exchange):
+            if not self.exchanges.open(exchange, session.request.call):
                 exchange.fail(Code.UPSTREAM_LOST, RunState.NO, at_agent=True)
             failure = await self._relay(session, exchange)
         finally:
--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -20,6 +20,7 @@
     RunState,
     StatusReply,
 )
+from ..limits import Call
 from ..membership import Member, MembershipView
 from ..streams import (
     HeartbeatAction,
@@ -67,13 +68,17 @@
             self.shell.handlers_by_type[kind] = self._on_message
         self.shell.handlers_by_type[HeartbeatReply] = self._on_heartbeat_reply
 
-    def open(self, exchange: Exchange) -> bool:
+    def open(self, exchange: Exchange, call: Call) -> bool:
         """Send an attempt; tell whether the connection took it."""
         request_id = exchange.submit.request_id
         self.exchanges_by_id_[request_id] = exchange
         self.ids_by_peer_.setdefault(exchange.member.address, set()).add(request_id)
         self.router.started(exchange.member.id)
-        return self.shell.peer.send(exchange.member.address, exchange.submit)
+        address = exchange.member.address
+        warning = self.router.warning(call, self.shell.clock.now())
+        if warning is not None:
+            self.shell.peer.send(address, warning)
+        return self.shell.peer.send(address, exchange.submit)
 
     def close(self, exchange: Exchange) -> None:
         """Forget an attempt; tell the agent unless it knows the end."""
--- a/shallotpath/runtime/_ports.py
+++ b/shallotpath/runtime/_ports.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from ..config import ConfigurationView, ServiceKind
-from ..core import Code, Effect, Load, RunState
+from ..core import Code, Effect, Load, Message, RunState
 from ..limits import Call, Decision, Expired
 from ..membership import Member
 
@@ -84,6 +84,10 @@
         """Record a load report."""
         ...
 
+    def warning(self, call: Call, now: datetime) -> Message | None:
+        """Return a message to send before the call, if there is any."""
+        ...
+
     def completed(self, call: Call, member_id: str) -> None:
         """Record a complete response."""
         ...
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -145,6 +145,9 @@
         fitting = [m for m in self.members if m.service == call.service]
         return next((m for m in fitting if m.id not in exclude), None)
 
+    def warning(self, call, now):
+        return None
+
     def started(self, member_id):
         self.in_flight_ += 1
 
--- a/shallotpath/scenarios/_entry.py
+++ b/shallotpath/scenarios/_entry.py
@@ -135,6 +135,9 @@
         request.attempt = submit.attempt
         request.heard = self.now
         self.router.started(member.id)
+        warning = self.router.warning(request.call, self.now)
+        if warning is not None:
+            self.world.send(self, member.address, warning)
         self.world.send(self, member.address, submit)
 
     def _choose(self, request: Request) -> Member | None:
