--- a/shallotpath/runtime/_agent.py
+++ b/shallotpath/runtime/_agent.py
@@ -22,6 +22,7 @@
 from ..streams import SlowReaderBudget
 from ._agent_calls import RETRY_AFTER, AgentCalls
 from ._agent_part import AgentPart
+from ._call_review import CallReview
 from ._engine_client import EngineClient
 from ._inbound import UNKNOWN_STATE, InboundCall
 from ._ports import ConfiguredWeights, GatePort, WeightsPort
@@ -66,6 +67,7 @@
             timeouts=timeouts or AgentTimeouts(),
             budget=SlowReaderBudget(budget_bytes),
         )
+        self.review = CallReview(self.calls)
         self.barred_by_id_: OrderedDict[str, int] = OrderedDict()
         self.heard_at_by_peer_: dict[str, datetime] = {}
         self.watch_task_: asyncio.Task | None = None
@@ -127,7 +129,7 @@
         asyncio.get_running_loop().call_soon(self._check)
 
     def _check(self) -> None:
-        self.calls.check(self.heard_at_by_peer_)
+        self.review.run(self.heard_at_by_peer_)
         limit = self.shell.clock.now() - PEER_KEPT
         peers = {call.peer for call in self.calls.calls_by_id_.values()}
         for peer, heard_at in list(self.heard_at_by_peer_.items()):
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -145,19 +145,19 @@
         except asyncio.CancelledError:
             if call.stop is None:
                 raise
-            self._end(call, call.stop)
+            self.end(call, call.stop)
             return
         if isinstance(decision, RefuseClaim):
-            self._end(call, Failure(decision.code, decision.run))
+            self.end(call, Failure(decision.code, decision.run))
         elif isinstance(decision, KnownClaim):
-            self._end(call, answer_known(call, decision.state.phase))
+            self.end(call, answer_known(call, decision.state.phase))
         else:
             self._admit_claimed(call)
 
     def _admit_claimed(self, call: InboundCall) -> None:
         decision = self.gate.request(call.call, self.shell.clock.now())
         if isinstance(decision, Refuse):
-            self._end(call, Failure(decision.code, RunState.NO))
+            self.end(call, Failure(decision.code, RunState.NO))
             return
         call.state = CallState.QUEUED
         call.task = None
@@ -189,7 +189,7 @@
     def stop(self, call: InboundCall, code: Code) -> None:
         """Stop a call early."""
         if call.task is None:
-            self._end(call, Failure(code, RunState.NO))
+            self.end(call, Failure(code, RunState.NO))
         elif call.stop is None:
             call.stop = Failure(code, call.run)
             self._interrupt(call)
@@ -228,24 +228,6 @@
             released = ClaimReleased(event.key, event.request_id)
             asyncio.get_running_loop().call_soon(self.shell.dispatch, released)
 
-    def check(self, heard_at_by_peer: dict[str, datetime]) -> None:
-        """Expire queued calls and stop those that must not go on."""
-        now = self.shell.clock.now()
-        for expired in self.gate.expire(now):
-            call = self.calls_by_id_.get(expired.call.request_id)
-            if call is not None:
-                self._end(call, Failure(expired.code, RunState.NO))
-        # The limit grows and pauses end without a call that ends.
-        for described in self.gate.ready(now):
-            self._start_queued(described)
-        for call in list(self.calls_by_id_.values()):
-            if call.active:
-                self._check_active(call, now, heard_at_by_peer)
-            else:
-                self._check_done(call, now)
-        for request_id in self.budget.victims(now):
-            self._stop_reading(self.calls_by_id_[request_id])
-
     def _record(self, peer: str, submit: Submit, described: Call) -> InboundCall:
         window = max(1, min(submit.window_bytes, MAX_WINDOW_BYTES))
         writer = AnswerWriter(submit.request_id, submit.attempt, window)
@@ -269,7 +251,7 @@
     def _ended_early(self, call: InboundCall) -> None:
         # A task that is cancelled before its first step runs no handler.
         if call.stop is not None:
-            self._end(call, call.stop)
+            self.end(call, call.stop)
 
     async def _run(self, call: InboundCall) -> None:
         try:
@@ -279,12 +261,12 @@
                 raise
             failure = call.stop
         except Exception:
-            self._end(call, Failure(Code.UPSTREAM_FAILED, call.run))
+            self.end(call, Failure(Code.UPSTREAM_FAILED, call.run))
             raise
         if failure is not None and call.handed_over:
             # The gate must not give the place away while the engine still runs.
             await self.engine.cancel(call.run_id)
-        self._end(call, failure)
+        self.end(call, failure)
 
     async def _run_on_engine(self, call: InboundCall) -> Failure | None:
         digest = self.weights.digest(self.service)
@@ -302,7 +284,8 @@
         self.shell.dispatch(wanted)
         return await call.decided
 
-    def _end(self, call: InboundCall, failure: Failure | None) -> None:
+    def end(self, call: InboundCall, failure: Failure | None) -> None:
+        """Close a call, report its end and start calls that waited for its place."""
         if not call.active:
             return
         now = self.shell.clock.now()
@@ -320,7 +303,7 @@
             self._fail(call, failure)
         completed = call.state is CallState.ENDED
         for described in self.gate.release(call.submit.request_id, completed, now):
-            self._start_queued(described)
+            self.start_queued(described)
 
     def _report_end(self, call: InboundCall, failure: Failure | None) -> None:
         submit = call.submit
@@ -340,58 +323,22 @@
         else:
             call.state = CallState.FAILED
             call.outcome = Failed(*ids, failure.run, self.load())
-        self._drop_answer(call)
+        self.drop_answer(call)
         self.shell.telemetry.count("call_failed", {"code": failure.code}, 1)
         self.repeat_outcome(call)
 
-    def _start_queued(self, described: Call) -> None:
+    def start_queued(self, described: Call) -> None:
+        """Start a queued call that has got a place."""
         call = self.calls_by_id_.get(described.request_id)
         if call is not None and call.state is CallState.QUEUED:
             self._start(call)
         else:
             now = self.shell.clock.now()
             for other in self.gate.release(described.request_id, False, now):
-                self._start_queued(other)
-
-    def _check_active(
-        self, call: InboundCall, now: datetime, heard_at_by_peer: dict[str, datetime]
-    ) -> None:
-        heard_at = heard_at_by_peer.get(call.peer, now)
-        if call.state is CallState.QUEUED and self.checks.domain_out:
-            self.stop(call, Code.DOMAIN_OUT)
-        elif now - heard_at > self.timeouts.entry_silence:
-            self.detach(call)
-        elif now > call.call.deadline and (
-            call.submit.repeatable or call.state is not CallState.RUNNING
-        ):
-            self.stop(call, Code.DEADLINE_EXCEEDED)
-
-    def _check_done(self, call: InboundCall, now: datetime) -> None:
-        kept = self.timeouts.answer_kept
-        if now - call.done_at > kept and call.writer.held_bytes:
-            self._drop_answer(call)
-            ids = (call.submit.request_id, call.submit.attempt)
-            call.outcome = Failed(*ids, Code.SLOW_READER, RunState.YES, self.load())
-        # The record outlives the deadline, so that a late status query is never
-        # told that a request which ran is unknown.
-        if now > max(call.done_at, call.call.deadline) + kept:
-            self.budget.remove(call.submit.request_id)
-            del self.calls_by_id_[call.submit.request_id]
-
-    def _stop_reading(self, call: InboundCall) -> None:
-        if call.active and call.submit.repeatable:
-            self.stop(call, Code.SLOW_READER)
-            return
-        # A run that must not be cut off goes on without its reader.
-        call.detached = call.discarded = True
-        self._drop_answer(call)
-        call.room.set()
-        if not call.active:
-            ids = (call.submit.request_id, call.submit.attempt)
-            call.outcome = Failed(*ids, Code.SLOW_READER, RunState.YES, self.load())
-            self.repeat_outcome(call)
+                self.start_queued(other)
 
-    def _drop_answer(self, call: InboundCall) -> None:
+    def drop_answer(self, call: InboundCall) -> None:
+        """Give up what is held of an answer."""
         call.writer.drop()
         self.budget.remove(call.submit.request_id)
 
@@ -400,7 +347,7 @@
         if not self.in_flight - self._queued():
             # Without a run whose end would release queued calls, ask for them.
             for described in self.gate.release("", False, self.shell.clock.now()):
-                self._start_queued(described)
+                self.start_queued(described)
 
     def _queued(self) -> int:
         states = [call.state for call in self.calls_by_id_.values()]
--- /dev/null
+++ b/shallotpath/runtime/_call_review.py
@@ -0,0 +1,79 @@
+"""Regular review of the calls of an agent: expiry, silent entries, slow readers."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+from ..core import Code, Failed, RunState
+from ._agent_calls import AgentCalls
+from ._inbound import CallState, Failure, InboundCall
+
+
+class CallReview:
+    """Stop calls that must not go on and forget those that are long done."""
+
+    __slots__ = ("calls",)
+
+    def __init__(self, calls: AgentCalls) -> None:
+        self.calls = calls
+
+    def run(self, heard_at_by_peer: dict[str, datetime]) -> None:
+        """Review all calls once."""
+        calls = self.calls
+        now = calls.shell.clock.now()
+        for expired in calls.gate.expire(now):
+            call = calls.calls_by_id_.get(expired.call.request_id)
+            if call is not None:
+                calls.end(call, Failure(expired.code, RunState.NO))
+        # The limit grows and pauses end without a call that ends.
+        for described in calls.gate.ready(now):
+            calls.start_queued(described)
+        for call in list(calls.calls_by_id_.values()):
+            if call.active:
+                self._review_active(call, now, heard_at_by_peer)
+            else:
+                self._review_done(call, now)
+        for request_id in calls.budget.victims(now):
+            self._stop_reading(calls.calls_by_id_[request_id])
+
+    def _review_active(
+        self, call: InboundCall, now: datetime, heard_at_by_peer: dict[str, datetime]
+    ) -> None:
+        calls = self.calls
+        heard_at = heard_at_by_peer.get(call.peer, now)
+        may_stop = call.submit.repeatable or call.state is not CallState.RUNNING
+        if call.state is CallState.QUEUED and calls.checks.domain_out:
+            calls.stop(call, Code.DOMAIN_OUT)
+        elif now - heard_at > calls.timeouts.entry_silence:
+            calls.detach(call)
+        elif now > call.call.deadline and may_stop:
+            calls.stop(call, Code.DEADLINE_EXCEEDED)
+
+    def _review_done(self, call: InboundCall, now: datetime) -> None:
+        calls = self.calls
+        kept = calls.timeouts.answer_kept
+        if now - call.done_at > kept and call.writer.held_bytes:
+            calls.drop_answer(call)
+            call.outcome = self._slow_reader(call)
+        # The record outlives the deadline, so that a late status query is never
+        # told that a request which ran is unknown.
+        if now > max(call.done_at, call.call.deadline) + kept:
+            calls.budget.remove(call.submit.request_id)
+            del calls.calls_by_id_[call.submit.request_id]
+
+    def _stop_reading(self, call: InboundCall) -> None:
+        calls = self.calls
+        if call.active and call.submit.repeatable:
+            calls.stop(call, Code.SLOW_READER)
+            return
+        # A run that must not be cut off goes on without its reader.
+        call.detached = call.discarded = True
+        calls.drop_answer(call)
+        call.room.set()
+        if not call.active:
+            call.outcome = self._slow_reader(call)
+            calls.repeat_outcome(call)
+
+    def _slow_reader(self, call: InboundCall) -> Failed:
+        ids = (call.submit.request_id, call.submit.attempt)
+        return Failed(*ids, Code.SLOW_READER, RunState.YES, self.calls.load())
