--- a/shallotpath/bench/_burst_load.py
+++ b/shallotpath/bench/_burst_load.py
@@ -33,7 +33,7 @@
     domains: int = 3
     upstreams: int = 12
     entries: int = 6
-    # Demand in calls/s before the burst; a warm upstream bears about 37.
+    # Demand in calls/s before the burst; the capacity of a warm upstream is about 37.
     rate: float = 200.0
     burst_factor: float = 2.0
     burst_at_s: float = 15.0
--- a/shallotpath/bench/_fake_engine.py
+++ b/shallotpath/bench/_fake_engine.py
@@ -1,4 +1,4 @@
-"""A fake engine that batches continuously and falls over like the stand-in."""
+"""A fake engine that batches continuously and crashes under overload."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True, frozen=True)
 class EngineModel:
-    """Describe what a fake engine bears and how fast it is."""
+    """Describe the capacity and the speed of a fake engine."""
 
     step_s: float = 0.008
     step_per_run_s: float = 0.0004
@@ -86,7 +86,7 @@
 
     @property
     def cold(self) -> bool:
-        """Tell whether the engine bears only a small load."""
+        """Tell whether the engine has only its cold capacity."""
         return self.cold_runs_left_ > 0
 
     @property
--- a/shallotpath/routing/_settings.py
+++ b/shallotpath/routing/_settings.py
@@ -12,7 +12,7 @@
 
     # Upstreams per service and failure domain that calls without affinity use.
     subset_size: int = 32
-    # Assumed limit of an upstream that has not reported: a cold one bears two.
+    # Assumed limit of an upstream that has not reported: a cold one can take two.
     unknown_limit: int = 2
     # Upstreams whose load and health are kept; idle ones are evicted first.
     tracked_members: int = 512
--- a/shallotpath/runtime/_agent.py
+++ b/shallotpath/runtime/_agent.py
@@ -29,7 +29,7 @@
 from ._shell import Shell
 from ._timeouts import AgentTimeouts
 
-BARRED_KEPT = 10_000
+CANCELLED_ATTEMPTS_KEPT = 10_000
 DRAIN_POLL_S = 0.02
 PEER_KEPT = timedelta(minutes=1)
 DEFAULT_BUDGET_BYTES = 8 * 1024**2
@@ -68,7 +68,7 @@
             budget=SlowReaderBudget(budget_bytes),
         )
         self.review = CallReview(self.calls)
-        self.barred_by_id_: OrderedDict[str, int] = OrderedDict()
+        self.cancelled_attempts_by_id_: OrderedDict[str, int] = OrderedDict()
         self.heard_at_by_peer_: dict[str, datetime] = {}
         self.watch_task_: asyncio.Task | None = None
 
@@ -145,7 +145,9 @@
             # The earlier attempt still occupies the engine.
             self.calls.detach(known)
             self.calls.refuse(peer, submit, Code.OVERLOADED, RETRY_AFTER)
-        elif self.barred_by_id_.get(submit.request_id, -1) >= submit.attempt:
+        elif (
+            self.cancelled_attempts_by_id_.get(submit.request_id, -1) >= submit.attempt
+        ):
             self.calls.refuse(peer, submit, Code.CANCELLED)
         else:
             self.calls.submit(peer, submit)
@@ -189,7 +191,7 @@
         self._heard(peer)
         call = self._find(cancel)
         if call is None:
-            self._bar(cancel)
+            self._reject_later(cancel)
         elif call.active:
             self.calls.detach(call)
 
@@ -209,7 +211,7 @@
         known = self.calls.calls_by_id_.get(message.request_id)
         if known is not None and known.submit.attempt > message.attempt:
             return
-        self._bar(message)
+        self._reject_later(message)
         reply = StatusReply(
             message.request_id,
             UNKNOWN_STATE,
@@ -219,13 +221,13 @@
         )
         self.shell.peer.send(peer, reply)
 
-    def _bar(self, message: Resume | StatusQuery | Cancel) -> None:
+    def _reject_later(self, message: Resume | StatusQuery | Cancel) -> None:
         # The entry takes "unknown" for "not run", so a Submit that is still under
         # way on an older connection must not run.
-        self.barred_by_id_[message.request_id] = message.attempt
-        self.barred_by_id_.move_to_end(message.request_id)
-        if len(self.barred_by_id_) > BARRED_KEPT:
-            self.barred_by_id_.popitem(last=False)
+        self.cancelled_attempts_by_id_[message.request_id] = message.attempt
+        self.cancelled_attempts_by_id_.move_to_end(message.request_id)
+        if len(self.cancelled_attempts_by_id_) > CANCELLED_ATTEMPTS_KEPT:
+            self.cancelled_attempts_by_id_.popitem(last=False)
 
     def _heard(self, peer: str) -> None:
         self.heard_at_by_peer_[peer] = self.shell.clock.now()
--- a/shallotpath/runtime/_control.py
+++ b/shallotpath/runtime/_control.py
@@ -21,7 +21,7 @@
 
 
 class ControlLoop:
-    """Read the log while on duty, poll the VM list and mend connections."""
+    """Read the log while on duty, poll the VM list and replace broken connections."""
 
     __slots__ = (
         "configuration",
@@ -63,7 +63,7 @@
     async def _run(self) -> None:
         while True:
             self._adjust_tailer()
-            self._mend_connections()
+            self._replace_connections()
             await self._poll_list()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
@@ -78,7 +78,7 @@
             self.tailer_.cancel()
             self.tailer_ = None
 
-    def _mend_connections(self) -> None:
+    def _replace_connections(self) -> None:
         transport = self.shell.peer
         now = asyncio.get_running_loop().time()
         heard_at = transport.heard_at_by_peer_
--- a/shallotpath/runtime/_shell.py
+++ b/shallotpath/runtime/_shell.py
@@ -208,8 +208,16 @@
     async def _tick(self) -> None:
         while True:
             self.dispatch(Tick())
+            self._report_traffic()
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _report_traffic(self) -> None:
+        for name, transport in (("peer", self.peer), ("bulk", self.bulk)):
+            labels = {"socket": name}
+            self.telemetry.gauge("bad_frames", labels, transport.bad_frames_)
+            self.telemetry.gauge("sent_bytes", labels, transport.sent_bytes_)
+            self.telemetry.gauge("received_bytes", labels, transport.received_bytes_)
+
     def _task_done(self, task: asyncio.Task) -> None:
         self.tasks_.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -46,7 +46,7 @@
 from shallotpath.standins import EngineApp, make_token, serve
 
 TOKEN = "secret"
-PATIENCE_S = 20
+TIMEOUT_S = 20
 
 
 class MemoryTelemetry:
@@ -291,7 +291,7 @@
 
 async def until(condition):
     """Wait for a condition; the time-out only bounds a failing test."""
-    async with asyncio.timeout(PATIENCE_S):
+    async with asyncio.timeout(TIMEOUT_S):
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
 
--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -39,7 +39,7 @@
 from shallotpath.runtime import AgentTimeouts
 from shallotpath.standins import make_token
 
-from .parts import PATIENCE_S, Upstream, make_configuration, make_shell, until
+from .parts import TIMEOUT_S, Upstream, make_configuration, make_shell, until
 
 
 class RawEntry:
@@ -85,7 +85,7 @@
 
     async def next(self, *kinds):
         while True:
-            message = await asyncio.wait_for(self.replies.get(), PATIENCE_S)
+            message = await asyncio.wait_for(self.replies.get(), TIMEOUT_S)
             self.seen_.append(message)
             if isinstance(message, kinds):
                 return message
@@ -118,7 +118,7 @@
         assert [type(m) for m in entry.seen_[:2]] == [Accepted, Head]
         assert upstream.gate.running_ == set()
         entry.send(Credit("r", 1, end.length + 65537))
-        await asyncio.wait_for(upstream.agent.drain(), PATIENCE_S)
+        await asyncio.wait_for(upstream.agent.drain(), TIMEOUT_S)
 
 
 async def test_back_pressure_reaches_the_engine():
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -14,7 +14,7 @@
 from shallotpath.streams import _reader
 
 from .parts import (
-    PATIENCE_S,
+    TIMEOUT_S,
     FaultyTransport,
     SilentLink,
     Upstream,
@@ -237,7 +237,7 @@
         async with entry.session.get(entry.server.url + "/healthz") as health:
             assert health.status == 503
         assert await answer == expected_stream("crane", 30)
-        assert await asyncio.wait_for(asyncio.gather(*drains), PATIENCE_S) == [1, 1]
+        assert await asyncio.wait_for(asyncio.gather(*drains), TIMEOUT_S) == [1, 1]
 
 
 async def test_a_slow_reader_is_cancelled_and_others_are_served():
--- a/shallotpath/scenarios/_agent.py
+++ b/shallotpath/scenarios/_agent.py
@@ -100,7 +100,9 @@
             configuration=self.checked_configuration,
             membership=self.membership,
             suspects=self.suspects,
-            settings=GateSettings(cold_limit=spec.bears_cold, max_limit=spec.bears),
+            settings=GateSettings(
+                cold_limit=spec.cold_capacity, max_limit=spec.capacity
+            ),
             allowed_digests=self._allowed_digests,
         )
         incarnation = self.member.incarnation
--- a/shallotpath/scenarios/_fakes.py
+++ b/shallotpath/scenarios/_fakes.py
@@ -96,15 +96,15 @@
 
 
 class FakeUpstream:
-    """Take calls and time; crash if a call starts above what it bears."""
+    """Take calls and time; crash if a call starts above its capacity."""
 
     def __init__(
-        self, queue: EventQueue, id: str, bears: int, bears_cold: int, digest: str
+        self, queue: EventQueue, id: str, capacity: int, cold_capacity: int, digest: str
     ) -> None:
         self.queue = queue
         self.id = id
-        self.bears = bears
-        self.bears_cold = bears_cold
+        self.capacity = capacity
+        self.cold_capacity = cold_capacity
         self.digest = digest
         self.generation_ = 1
         self.pace_ = 1
@@ -125,7 +125,7 @@
     def start(self, request_id: str, poison: bool) -> None:
         """Start a run on an upstream that is up."""
         self.running_[request_id] = 0
-        limit = self.bears_cold if self.cold else self.bears
+        limit = self.cold_capacity if self.cold else self.capacity
         if poison or len(self.running_) > limit:
             self.crash()
             return
--- a/shallotpath/scenarios/_model.py
+++ b/shallotpath/scenarios/_model.py
@@ -34,13 +34,13 @@
 
 @dataclass(slots=True, frozen=True)
 class UpstreamSpec:
-    """Place an upstream and tell how many runs it bears warm and cold."""
+    """Place an upstream and give its capacity when warm and when cold."""
 
     id: str
     service: str
     domain: str
-    bears: int = 8
-    bears_cold: int = 2
+    capacity: int = 8
+    cold_capacity: int = 2
 
 
 @dataclass(slots=True)
--- a/shallotpath/scenarios/_parser.py
+++ b/shallotpath/scenarios/_parser.py
@@ -30,7 +30,7 @@
 domain: "domain" NAME "in" NAME
 entry: "entry" NAME "in" NAME
 service: "service" NAME ["non-repeatable" NAME]
-upstream: "upstream" NAME "of" NAME "in" NAME ["bears" INT "cold" INT]
+upstream: "upstream" NAME "of" NAME "in" NAME ["capacity" INT "cold" INT]
 team: "team" NAME
 preset: "preset" NAME
 at: "at" DURATION step
--- a/shallotpath/scenarios/_world.py
+++ b/shallotpath/scenarios/_world.py
@@ -124,7 +124,11 @@
             self.start_process(spec.id)
         for spec in layout.upstreams_by_id.values():
             self.upstreams_by_id[spec.id] = FakeUpstream(
-                self.queue, spec.id, spec.bears, spec.bears_cold, self._digest(spec.id)
+                self.queue,
+                spec.id,
+                spec.capacity,
+                spec.cold_capacity,
+                self._digest(spec.id),
             )
             self.start_process(spec.id)
         self._send_list()
--- a/shallotpath/standins/_engine.py
+++ b/shallotpath/standins/_engine.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from ..core import sha256_hex
+from ._metrics import counters_route
 from ._platform import set_faults
 
 COLD_WARM_UP_RUNS = 12
@@ -50,9 +51,8 @@
 class EngineApp:
     """Serve the engine's HTTP API; a plain service has no tokens and no weights.
 
-    Load falls over above the true capacity: more runs than a cold engine bears,
-    or held bytes above the memory, crash the engine, which loses its runs and
-    returns cold under a new incarnation.
+    More runs than its capacity, warm or cold, or held bytes above the memory crash
+    the engine, which loses its runs and returns cold under a new incarnation.
     """
 
     def __init__(
@@ -105,7 +105,7 @@
 
     @property
     def cold(self) -> bool:
-        """Tell whether the engine bears only a small load."""
+        """Tell whether the engine has only its cold capacity."""
         return self.cold_runs_left_ > 0
 
     def build(self) -> web.Application:
@@ -116,6 +116,7 @@
         app.add_routes(
             [
                 web.get("/healthz", self._health),
+                counters_route(self.service, self.counters_),
                 web.post("/run/{path:.*}", self._run),
                 web.delete("/run/{id}", self._cancel),
                 web.get("/state", self._state),
--- a/shallotpath/standins/_platform.py
+++ b/shallotpath/standins/_platform.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from ._link import RateLimiter
+from ._metrics import counters_route
 from ._weights import Manifest, chunk_count, make_chunk, make_manifest
 
 POLL_INTERVAL_S = 0.02
@@ -105,6 +106,7 @@
         app.add_routes(
             [
                 web.get("/healthz", self._health),
+                counters_route("platform", self.counters_),
                 web.post("/log/{stream}", self._append),
                 web.get("/log/{stream}", self._read),
                 web.get("/vms", self._list_vms),
--- a/shallotpath/standins/tests/test_platform.py
+++ b/shallotpath/standins/tests/test_platform.py
@@ -49,6 +49,14 @@
         assert sha256_hex(chunk) == second["chunks"][9]
 
 
+async def test_counters_are_served_to_prometheus():
+    platform = PlatformApp()
+    async with serve(platform.build()) as url, ClientSession() as session:
+        await session.post(f"{url}/log/config", json={"records": [record(b"a")]})
+        text = await (await session.get(f"{url}/metrics")).text()
+        assert 'shallot_standin_events{kind="appends",node="platform"} 1' in text
+
+
 async def test_an_unknown_fault_is_refused():
     platform = PlatformApp()
     async with serve(platform.build()) as url, ClientSession() as session:
--- a/shallotpath/streams/_heartbeats.py
+++ b/shallotpath/streams/_heartbeats.py
@@ -75,7 +75,7 @@
 
     def poll(self, peers: Collection[str], now: datetime) -> list[HeartbeatAction]:
         """Return what to do about the peers in use."""
-        self._forgive_pause(now)
+        self._exclude_pause(now)
         for peer in self.times_by_peer_.keys() - set(peers):
             del self.times_by_peer_[peer]
         actions: list[HeartbeatAction] = []
@@ -102,7 +102,7 @@
             actions.append(Probe(peer))
         return actions
 
-    def _forgive_pause(self, now: datetime) -> None:
+    def _exclude_pause(self, now: datetime) -> None:
         # While this process was paused it read nothing, which says nothing about
         # its peers.
         if self.polled_at_ is not None:
