Read the VM list every 20 s by default

Cause: the default of 5 s would ask the platform 250 times a second at the design size, and the capacity page named another figure. Measurement: the settings tests pass; the rate is derived. Conclusion: the interval bounds how long keys of a dead home wait.

--- a/shallotpath/settings/_programs.py
+++ b/shallotpath/settings/_programs.py
@@ -32,7 +32,7 @@
     http: tuple[str, int] = setting("node", "http", check_host_port)
     platform_url: str = setting("platform", "url", check_url)
     vm_list_interval: timedelta = setting(
-        "platform", "vm_list_interval", parse_duration, timedelta(seconds=5)
+        "platform", "vm_list_interval", parse_duration, timedelta(seconds=20)
     )
     vm_incarnation: str = setting("node", "vm_incarnation", str, "")
     seeds: list[str] = setting("peers", "seeds", check_endpoints, ())
