Keep a library's lines for each request out of the log

Cause: starting the programs by hand showed several INFO lines of the state machine library for each request; logs are for changes of state. Change: its level is WARNING; a test guards it.

--- a/shallotpath/telemetry/_telemetry.py
+++ b/shallotpath/telemetry/_telemetry.py
@@ -88,3 +88,5 @@
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
     logging.getLogger("asyncio").setLevel(logging.ERROR)
+    # The library writes several lines for each request.
+    logging.getLogger("transitions").setLevel(logging.WARNING)
--- a/shallotpath/telemetry/tests/test_telemetry.py
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -11,6 +11,7 @@
     HybridClock,
     ProcessTelemetry,
     TimelineFilter,
+    configure_logging,
     format_html,
     format_text,
     make_admin_app,
@@ -80,6 +81,14 @@
     assert telemetry.metrics.value("never_set") == 0
 
 
+def test_libraries_write_no_line_for_each_request(monkeypatch):
+    # Guards against lines that tell of no change of state of the process.
+    monkeypatch.setattr(logging.getLogger(), "handlers", [])
+    configure_logging()
+    assert not logging.getLogger("transitions.core").isEnabledFor(logging.INFO)
+    assert logging.getLogger("shallotpath").isEnabledFor(logging.INFO)
+
+
 def test_log_lines_are_json():
     records = []
     logger = logging.Logger("test")
