Check the keys of [security] with the other settings

Change: entry and agent check the pair before they start; wrong keys exit with 2. Conclusion: none further.

--- a/shallotpath/cli/_program.py
+++ b/shallotpath/cli/_program.py
@@ -22,8 +22,17 @@
 Run = Callable[[Any, asyncio.Event], Awaitable[None]]
 
 
-def make_program(name: str, help_text: str, settings_cls: type, run: Run) -> App:
-    """Return the command line of a program that runs until it is stopped."""
+def make_program(
+    name: str,
+    help_text: str,
+    settings_cls: type,
+    run: Run,
+    check: Callable[[Any], None] | None = None,
+) -> App:
+    """Return the command line of a program that runs until it is stopped.
+
+    `check` raises `SettingError` for faults that concern several settings.
+    """
     app = App(name=name, help=help_text, version=f"{name} {__version__}")
 
     @app.default
@@ -36,6 +45,8 @@
     ) -> int:
         try:
             settings = load_settings(settings_cls, config)
+            if check is not None:
+                check(settings)
         except SettingError as error:
             print(error.message, file=sys.stderr)
             return EXIT_SETTINGS
--- a/shallotpath/cli/agent.py
+++ b/shallotpath/cli/agent.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ..nodes import AgentProcess
+from ..nodes import AgentProcess, check_security
 from ..settings import AgentSettings
 from ._node import run_process
 from ._program import make_program, run_app
@@ -20,6 +20,7 @@
     "Control all access to the upstream of this VM.",
     AgentSettings,
     run,
+    check_security,
 )
 
 
--- a/shallotpath/cli/entry.py
+++ b/shallotpath/cli/entry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ..nodes import EntryProcess
+from ..nodes import EntryProcess, check_security
 from ..settings import EntrySettings
 from ._node import run_process
 from ._program import make_program, run_app
@@ -20,6 +20,7 @@
     "Accept callers' requests, select an upstream, relay the response.",
     EntrySettings,
     run,
+    check_security,
 )
 
 
--- a/shallotpath/nodes/__init__.py
+++ b/shallotpath/nodes/__init__.py
@@ -3,7 +3,14 @@
 from ._agent import AgentProcess
 from ._entry import EntryProcess
 from ._home_duty import HomeDuty
-from ._process import Process
+from ._process import Process, check_security
 from ._served import ServedVersion
 
-__all__ = ["AgentProcess", "EntryProcess", "HomeDuty", "Process", "ServedVersion"]
+__all__ = [
+    "AgentProcess",
+    "EntryProcess",
+    "HomeDuty",
+    "Process",
+    "ServedVersion",
+    "check_security",
+]
--- a/shallotpath/nodes/_process.py
+++ b/shallotpath/nodes/_process.py
@@ -23,6 +23,7 @@
     Security,
     Shell,
     Transport,
+    check_keys,
     status_of,
 )
 from ..settings import NodeSettings
@@ -189,5 +190,16 @@
     return Security(
         public_key=settings.public_key,
         secret_key=settings.secret_key,
-        accepted_keys=settings.accepted_keys.replace(",", " ").split(),
+        accepted_keys=accepted_keys(settings),
     )
+
+
+def check_security(settings: NodeSettings) -> None:
+    """Check the CURVE keys of the settings or raise `SettingError`."""
+    if settings.public_key or settings.secret_key:
+        check_keys(settings.public_key, settings.secret_key, accepted_keys(settings))
+
+
+def accepted_keys(settings: NodeSettings) -> list[str]:
+    """Return the public keys that are accepted from other processes."""
+    return settings.accepted_keys.replace(",", " ").split()
