Test that a waiting claim holds no place and that probes reach the node

Cause: both faults were found by experiments and fixed without a test of their own. Change: one test for each. Conclusion: each fault that was found has its test.

--- a/shallotpath/runtime/tests/test_agent.py
+++ b/shallotpath/runtime/tests/test_agent.py
@@ -28,6 +28,8 @@
     Head,
     Heartbeat,
     HeartbeatReply,
+    Ping,
+    Pong,
     Refused,
     Resume,
     RunState,
@@ -354,3 +356,26 @@
         entry.submit()
         await entry.next(End)
         assert upstream.shell.peer.bad_frames_ == 1
+
+
+async def test_an_order_that_waits_for_its_claim_holds_no_place():
+    # Guards against orders that queue behind a key whose witnesses do not answer.
+    async with agent("kit-desk") as (upstream, entry, _):
+        upstream.gate.limit = 1
+        decide = upstream.claims.request
+        upstream.claims.request = lambda key, request_id, fresh, now: (
+            [] if key == "waits" else decide(key, request_id, fresh, now)
+        )
+        order = {"service": "kit-desk", "path": "orders", "body": b"{}"}
+        entry.submit("first", **order, key="waits", repeatable=False)
+        await entry.next(Accepted)
+        entry.submit("second", **order, key="k", repeatable=False)
+        assert (await entry.next(End)).request_id == "second"
+        assert upstream.engine.runs_by_key_["waits"] == 0
+
+
+async def test_probes_of_the_membership_reach_the_node():
+    # Guards against handlers of the request path that take the answers for which
+    # the membership waits.
+    async with agent() as (upstream, _, _):
+        assert not {Ping, Pong} & set(upstream.shell.handlers_by_type)
