Start a fleet in one place

Cause: demo and overhead tool each had the start sequence; the demo's copy waited for the platform without a limit and repeated the fleet's check of a URL. Change: Fleet.start_all serves both, with the limit of the overhead tool. Conclusion: behaviour is the same but for the limit.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -71,19 +71,7 @@
         self.fleet.plan()
         count = len(self.fleet.specs_by_id)
         self.say(f"Starting {count} processes; logs in {self.fleet.directory}")
-        self.fleet.start("platform")
-        while not self._healthy():
-            time.sleep(0.05)
-        self.fleet.register()
-        self.fleet.start()
-        self.fleet.wait_until_healthy()
-
-    def _healthy(self) -> bool:
-        try:
-            urllib.request.urlopen(f"{self.fleet.platform_url}/healthz", timeout=1)
-        except OSError:
-            return False
-        return True
+        self.fleet.start_all()
 
     def configure(self) -> None:
         """Create domains, a team and services."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,6 +17,7 @@
 
 BIN = Path(sys.executable).parent
 STOP_TIMEOUT_S = 30.0
+PLATFORM_TIMEOUT_S = 30.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,6 +126,18 @@
             url = f"{self.platform_url}/vms/{spec_id}"
             request_json("PUT", url, body)
 
+    def start_all(self) -> None:
+        """Start all processes, the platform first, and wait until they answer."""
+        self.start("platform")
+        deadline = time.monotonic() + PLATFORM_TIMEOUT_S
+        while not answers(f"{self.platform_url}/healthz"):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the platform does not answer; read platform.log")
+            time.sleep(0.05)
+        self.register()
+        self.start()
+        self.wait_until_healthy()
+
     def wait_until_healthy(self, timeout_s: float = 30.0) -> None:
         """Wait until every process that serves `/healthz` answers."""
         deadline = time.monotonic() + timeout_s
--- a/tools/overhead.py
+++ b/tools/overhead.py
@@ -12,7 +12,7 @@
 import time
 from pathlib import Path
 
-from fleet import BIN, Fleet, Layout, ServiceLayout, answers, request_json
+from fleet import BIN, Fleet, Layout, ServiceLayout, request_json
 
 TOKEN = "overhead-token"
 DOMAIN = "bne-a"
@@ -49,19 +49,6 @@
 ]
 
 
-def start(fleet: Fleet) -> None:
-    """Start all processes, the platform first."""
-    fleet.start("platform")
-    deadline = time.monotonic() + READY_TIMEOUT_S
-    while not answers(f"{fleet.platform_url}/healthz"):
-        if time.monotonic() > deadline:
-            raise TimeoutError("the platform does not answer; read platform.log")
-        time.sleep(0.05)
-    fleet.register()
-    fleet.start()
-    fleet.wait_until_healthy()
-
-
 def configure(fleet: Fleet) -> None:
     """Create the service and wait until all replicas run its version."""
     for arguments in CONFIGURATION:
@@ -119,7 +106,7 @@
         print(f"profiles are written to {directory}", file=sys.stderr)
     fleet.plan()
     try:
-        start(fleet)
+        fleet.start_all()
         configure(fleet)
         code = measure(fleet, arguments.seconds, arguments.seed)
     finally:
