--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -115,19 +115,19 @@
         )
         self.leaving_ = True
         self.parts.stopping = True
-        self.reporter.event("drain", active=self.forwarder.active)
+        self.reporter.event("drain", active=self.callers_.active)
         self.publish()
         await asyncio.sleep(BALANCER_NOTICE.total_seconds())
         self.callers_.close()
         self.callers_.close_idle()
-        while self.forwarder.active and loop.time() < stop_at:
+        while self.callers_.active and loop.time() < stop_at:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_STEP_S)
-        self.reporter.event("drained", active=self.forwarder.active)
+        self.reporter.event("drained", active=self.callers_.active)
 
     async def stop(self) -> None:
         """Close everything."""
-        await self.callers_.stop(timedelta())
-        await self.readiness_.stop(timedelta())
+        await self.callers_.stop()
+        await self.readiness_.stop()
         self.pool.close()
         await super().stop()
 
@@ -255,7 +255,7 @@
             }
         return super().status() | {
             "ready": self.ready,
-            "active": self.forwarder.active,
+            "active": self.callers_.active,
             "upstreams": upstreams,
         }
 
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from datetime import datetime, timedelta
 
 from aiohttp import web
@@ -17,20 +18,19 @@
     OriginClient,
     ProcessSettings,
 )
-from ..replication import ChunkItem, EngineItem, News
-from ..swarm import ORIGIN, Fetch, SwarmMember, SwarmPlan
+from ..replication import ChunkItem, EngineItem, News, PeerAddress
+from ..swarm import ORIGIN, Fetch, SwarmMember, SwarmPlan, UploadPacer
 from ._member import MemberProcess
 
 # The report is free from the own VM and lags by some 200 ms.
 REPORT_INTERVAL = timedelta(milliseconds=250)
 # News of chunks while a transfer runs; a chunk takes some 54 ms of the link.
-TRANSFER_INTERVAL = timedelta(milliseconds=100)
+TRANSFER_INTERVAL = timedelta(milliseconds=120)
 IDLE_STEP = timedelta(milliseconds=100)
 MANIFEST_TIMEOUT = timedelta(milliseconds=1500)
 MANIFEST_PAUSE = timedelta(milliseconds=300)
 CHUNK_TIMEOUT = timedelta(seconds=2)
-# Uploads at a time; more would hold each other up on the narrow link.
-MAX_UPLOADS = 3
+_BUSY = 503
 # Entries learn within a gossip message that the engine stops taking requests.
 NOTICE = timedelta(milliseconds=30)
 # A transfer beyond this share is finished before a newer version is begun.
@@ -54,7 +54,7 @@
         self.holders_: dict[tuple[str, int], dict[str, tuple[SwarmMember, int]]] = {}
         self.staged_: set[int] = set()
         self.ordering_ = False
-        self.uploads_ = 0
+        self.pacer_ = UploadPacer(settings.link_bytes_per_s)
         self.fetching_: set[asyncio.Task] = set()
         self.wake_ = asyncio.Event()
         self.manifest_body_ = b""
@@ -145,16 +145,11 @@
         chunk = plan.chunk(int(request.query["index"])) if plan else None
         if chunk is None:
             return web.Response(status=404, text="chunk is not here\n")
-        if self.uploads_ >= MAX_UPLOADS:
-            return web.Response(status=503, text="all uploads are in use\n")
-        self.uploads_ += 1
-        try:
-            response = web.Response(body=chunk)
-            await response.prepare(request)
-            await response.write_eof()
-            return response
-        finally:
-            self.uploads_ -= 1
+        wait = self.pacer_.reserve(len(chunk), self.clock.now())
+        if wait is None:
+            return web.Response(status=_BUSY, text="the link is taken\n")
+        await asyncio.sleep(wait.total_seconds())
+        return web.Response(body=chunk)
 
     def status(self) -> dict[str, object]:
         """Add the engine and the transfer."""
@@ -202,10 +197,8 @@
 
     async def _keep_weights(self) -> None:
         while True:
-            try:
+            with suppress(TimeoutError):
                 await asyncio.wait_for(self.wake_.wait(), IDLE_STEP.total_seconds())
-            except TimeoutError:
-                pass
             self.wake_.clear()
             try:
                 await self._step()
@@ -308,21 +301,33 @@
             if peer.engine
         ]
 
+    def _mates(self) -> list[PeerAddress]:
+        return [peer for peer in self.peers.all() if peer.engine]
+
+    def _near_mates(self) -> list[PeerAddress]:
+        regions = self.settings.regions_by_domain
+        return [
+            peer
+            for peer in self._mates()
+            if regions.get(self.peers.domain(peer.id)) == self.settings.region
+        ]
+
+    def transferring(self) -> bool:
+        """Tell whether chunks are being fetched."""
+        return self.plan_ is not None and not self.plan_.complete
+
     async def _fetch(self, plan: SwarmPlan, fetch: Fetch) -> None:
         try:
             payload = await self._fetch_bytes(plan, fetch)
         except CallError as error:
-            plan.failed(fetch, self.clock.now())
-            self.reporter.count("chunks_failed", source=self._kind(fetch))
-            if error.status != 503:
-                self.reporter.event(
-                    "chunk_failed", source=fetch.source, detail=error.message
-                )
+            self._chunk_failed(plan, fetch, error)
         else:
             good = plan.received(fetch, payload, self.clock.now())
             name = "chunks_received" if good else "chunks_corrupt"
             self.reporter.count(name, source=self._kind(fetch))
-            if not good:
+            if good and plan is self.plan_:
+                await self._stage_chunk(plan, fetch.index)
+            elif not good:
                 self.reporter.event(
                     "chunk_corrupt", source=fetch.source, index=fetch.index
                 )
@@ -330,6 +335,29 @@
             self._fetch_more()
             self.wake_.set()
 
+    def _chunk_failed(self, plan: SwarmPlan, fetch: Fetch, error: CallError) -> None:
+        now = self.clock.now()
+        if error.status == _BUSY and fetch.source != ORIGIN:
+            plan.busy(fetch, now)
+            self.reporter.count("chunks_busy")
+            return
+        plan.failed(fetch, now)
+        self.reporter.count("chunks_failed", source=self._kind(fetch))
+        self.reporter.event("chunk_failed", source=fetch.source, detail=error.message)
+
+    async def _stage_chunk(self, plan: SwarmPlan, index: int) -> None:
+        """Stage a chunk as it arrives; what fails is staged again before the order."""
+        chunk = plan.chunk(index)
+        if chunk is None or index in self.staged_:
+            return
+        try:
+            await self.engine_.stage(plan.model, index, chunk)
+        except CallError as error:
+            self.reporter.event("staging_failed", index=index, detail=error.message)
+        else:
+            if plan is self.plan_:
+                self.staged_.add(index)
+
     @staticmethod
     def _kind(fetch: Fetch) -> str:
         return ORIGIN if fetch.source == ORIGIN else "peer"
@@ -355,9 +383,12 @@
         while plan is self.plan_:
             if plan.bitmap != told:
                 told = plan.bitmap
-                mates = [p for p in self.peers.all() if p.engine]
-                self.gossip_.send(self.news(), mates)
-            if plan.complete and told == plan.bitmap:
+                self.gossip_.send(self.news(), self._near_mates())
+            if plan.complete:
+                self.gossip_.send(self.news(), self._mates())
+                self.reporter.event(
+                    "weights_complete", model=plan.model, version=plan.version
+                )
                 return
             await asyncio.sleep(TRANSFER_INTERVAL.total_seconds())
 
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -35,6 +35,8 @@
 # Seeds may be stale or down, so members also find each other in the store.
 MEMBERS_INTERVAL = timedelta(seconds=15)
 LONELY_INTERVAL = timedelta(seconds=1)
+# Rounds of gossip after which mates are told too and addresses are passed on.
+WIDE_ROUND = 5
 METRICS_PATH = "/metrics"
 
 
@@ -96,7 +98,7 @@
         for task in list(self.tasks_):
             task.cancel()
         await asyncio.gather(*self.tasks_, return_exceptions=True)
-        await self.peer_listener_.stop(timedelta())
+        await self.peer_listener_.stop()
         self.gossip_.close()
         if self.session_ is not None:
             await self.session_.close()
@@ -172,7 +174,7 @@
             domain=self.settings.domain,
             leaving=self.leaving_,
             ends_by_topic={n: t.end for n, t in self.topics_by_name_.items()},
-            peers=self.peers.sample(),
+            peers=self.peers.sample() if self.sequence_ % WIDE_ROUND == 0 else [],
         )
 
     def publish(self) -> None:
@@ -251,10 +253,21 @@
         if not task.cancelled() and task.exception() is not None:
             self.reporter.event("task_failed", detail=repr(task.exception()))
 
+    def transferring(self) -> bool:
+        """Tell whether this process and its mates exchange chunks."""
+        return False
+
     async def _gossip(self) -> None:
+        """Tell entries each round, mates less often unless they exchange chunks."""
+        rounds = 0
         while True:
             self.peers.tick(self.clock.now())
-            self.publish()
+            rounds += 1
+            known = self.peers.all()
+            if rounds % WIDE_ROUND and not self.transferring():
+                known = [peer for peer in known if not peer.engine]
+            if known:
+                self.gossip_.send(self.news(), known)
             self.reporter.writer.flush()
             await asyncio.sleep(
                 GOSSIP_INTERVAL.total_seconds() * self.random.uniform(0.85, 1.0)
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -43,12 +43,6 @@
         self.operator = operator
         self.beliefs = beliefs
         self.reporter = reporter
-        self.active_ = 0
-
-    @property
-    def active(self) -> int:
-        """Return the number of requests in progress."""
-        return self.active_
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -56,7 +50,6 @@
         arrived_at = clock.now()
         fields = self.parts.wire.read_request(request.headers)
         journal = RequestJournal(self.reporter, fields.request_id, arrived_at)
-        self.active_ += 1
         outcome, status, call = "caller_gone", 0, None
         try:
             prepared = await self._prepare(request, fields, arrived_at)
@@ -82,7 +75,6 @@
             outcome = "caller_gone"
             raise
         finally:
-            self.active_ -= 1
             catalog = self.operator.catalog
             version = catalog.version if catalog else 0
             journal.close(outcome, status, clock.now(), call, version)
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -16,6 +16,35 @@
 MAX_HEADER_BYTES = 65536
 
 
+# Time for the connections that are still in use when a listener stops; the library
+# takes 0 for no limit.
+CLOSE_TIME = timedelta(milliseconds=10)
+
+
+class _Connection(web.RequestHandler):
+    """Know whether a request has arrived that is not answered yet."""
+
+    __slots__ = ("waiting_",)
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self.waiting_ = False
+
+    def data_received(self, data: bytes) -> None:
+        """Note that bytes of a request have arrived."""
+        self.waiting_ = True
+        super().data_received(data)
+
+    def answered(self) -> None:
+        """Note that the whole answer has been written."""
+        self.waiting_ = False
+
+    def close_if_idle(self) -> None:
+        """Close unless a request may be under way here."""
+        if not self.waiting_ and self.transport is not None:
+            self.transport.close()
+
+
 class Listener:
     """Serve HTTP at one address."""
 
@@ -31,12 +60,18 @@
         self.max_body = max_body
         self.server_: web.Server | None = None
         self.socket_: asyncio.Server | None = None
+        self.active_ = 0
+
+    @property
+    def active(self) -> int:
+        """Return the number of requests whose answer is not written yet."""
+        return self.active_
 
     async def start(self, host: str, port: int) -> int:
         """Begin to accept connections; return the port."""
         loop = asyncio.get_running_loop()
         self.server_ = web.Server(
-            self.handler, request_factory=self._request, handler_cancellation=True
+            self._serve, request_factory=self._request, handler_cancellation=True
         )
         self.socket_ = await loop.create_server(
             self._connection, host, port, backlog=BACKLOG
@@ -56,16 +91,30 @@
     def close_idle(self) -> None:
         """Close the connections that no request is using."""
         if self.server_ is not None:
-            self.server_.pre_shutdown()
+            for connection in self.server_.connections:
+                connection.close_if_idle()
 
-    async def stop(self, timeout: timedelta) -> None:
-        """Close all connections, after a time for those in use."""
+    async def stop(self) -> None:
+        """Close all connections."""
         self.close()
         if self.server_ is not None:
-            await self.server_.shutdown(timeout.total_seconds())
+            await self.server_.shutdown(CLOSE_TIME.total_seconds())
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Write the whole answer before the request counts as answered."""
+        self.active_ += 1
+        try:
+            response = await self.handler(request)
+            if request.transport is not None:
+                await response.prepare(request)
+                await response.write_eof()
+            return response
+        finally:
+            self.active_ -= 1
+            request.protocol.answered()
 
-    def _connection(self) -> web.RequestHandler:
-        return web.RequestHandler(
+    def _connection(self) -> _Connection:
+        return _Connection(
             self.server_,
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -28,7 +28,7 @@
 PLAIN_REQUESTS_PER_SLOT = 3
 # An upstream in the entry's own region is preferred up to this difference, since
 # links between regions are narrow and priced.
-REGION_PREFERENCE = timedelta(milliseconds=25)
+REGION_PREFERENCE = timedelta(milliseconds=80)
 # Engines that stop taking requests for older weights do so this long before the
 # bound, which covers the way of the acknowledgement and of the request.
 VERSION_MARGIN = timedelta(milliseconds=1200)
@@ -179,7 +179,8 @@
         target = self.operator.target(call.model)
         if not held or target is None or held >= target.version:
             return held or None
-        stale_after = target.learnt_at + self.rules.version_bound - VERSION_MARGIN
+        outdated_since = target.outdated_since(held)
+        stale_after = outdated_since + self.rules.version_bound - VERSION_MARGIN
         return held if now < stale_after else None
 
     def _place(
--- a/shallotpath/gateway/_operator.py
+++ b/shallotpath/gateway/_operator.py
@@ -8,6 +8,9 @@
 
 from ._catalog import Catalog
 
+# Versions whose naming is remembered for each model.
+KEPT_NAMINGS = 8
+
 
 @dataclass(slots=True, frozen=True)
 class CatalogNamed:
@@ -43,10 +46,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """Hold the named weights of a model and when this process learnt of them."""
+    """Hold the named weights of a model and when this process learnt of each."""
 
     version: int
-    learnt_at: datetime
+    learnt_by_version: dict[int, datetime]
+
+    def outdated_since(self, held: int) -> datetime | None:
+        """Return when a version newer than the held one was first named."""
+        newer = [at for v, at in self.learnt_by_version.items() if v > held]
+        return min(newer, default=None)
 
 
 class OperatorState:
@@ -97,5 +105,12 @@
         known = self.targets_by_model_.get(record.model)
         if known and record.version <= known.version:
             return False
-        self.targets_by_model_[record.model] = Target(record.version, now)
+        learnt = dict(known.learnt_by_version) if known else {}
+        for version in sorted(learnt)[: max(0, len(learnt) + 1 - KEPT_NAMINGS)]:
+            # The oldest namings merge into the next one, which keeps their time.
+            later = min((v for v in learnt if v > version), default=record.version)
+            learnt[later] = min(learnt.pop(version), learnt.get(later, now))
+        learnt.setdefault(record.version, now)
+        target = Target(record.version, learnt)
+        self.targets_by_model_[record.model] = target
         return True
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -43,6 +43,8 @@
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     memory_bytes: int
+    # Bytes a second of the VM's own link, each way.
+    link_bytes_per_s: float
     # Time between SIGTERM and SIGKILL.
     stop_grace: timedelta
     budget_ratio: float
@@ -101,6 +103,7 @@
         seeds=reader.endpoints("seeds"),
         store=reader.required_endpoint("platform.address"),
         memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
+        link_bytes_per_s=reader.number("limits.linkMbps", 100) * 1_000_000 / 8,
         stop_grace=timedelta(seconds=reader.number("bounds.graceS", 8)),
         budget_ratio=reader.number("bounds.budgetRatio", 0.1),
         budget_extra=reader.number("bounds.budgetExtra", 10),
--- /dev/null
+++ b/shallotpath/swarm/_pacer.py
@@ -0,0 +1,29 @@
+"""Pace of uploads on a link that live responses share."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+
+# Part of the link that uploads take; responses of the engine use the same link.
+LINK_PART = 0.9
+# Longer waits are refused, so that the receiver asks another source.
+MAX_WAIT = timedelta(milliseconds=200)
+
+
+class UploadPacer:
+    """Start uploads so that their bytes never wait behind each other on the link."""
+
+    __slots__ = ("bytes_per_s", "free_at_")
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_at_: datetime | None = None
+
+    def reserve(self, size: int, now: datetime) -> timedelta | None:
+        """Return how long to wait before an upload, or `None` to refuse it."""
+        starts_at = max(now, self.free_at_ or now)
+        if starts_at - now > MAX_WAIT:
+            return None
+        lasts = timedelta(seconds=size / (LINK_PART * self.bytes_per_s))
+        self.free_at_ = starts_at + lasts
+        return starts_at - now
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -11,14 +11,18 @@
 from ..core import sha256_hex
 
 ORIGIN = "origin"
-# Requests in flight; four chunks of 24 KB keep a 3.65 Mbit/s link busy for 0.2 s.
+# Requests in flight; three chunks of 24 KB keep a 3.65 Mbit/s link busy for 0.16 s.
 MAX_OUTSTANDING = 4
-MAX_AT_ORIGIN = 2
-MAX_AT_PEER = 2
+# Chunks that many mates fetch at once share the origin's link and arrive late, when
+# nobody can pass them on.
+MAX_AT_ORIGIN = 1
+MAX_AT_PEER = 1
 # Time after which chunks that nobody has brought are fetched from the origin by all.
 DESIGNATED_FOR = timedelta(milliseconds=2500)
 # Time after which a chunk may cross regions although another mate is to bring it.
-IMPORTER_FOR = timedelta(milliseconds=2000)
+IMPORTER_FOR = timedelta(milliseconds=4500)
+# Pause in the use of a source whose uploads are all taken.
+BUSY_FOR = timedelta(milliseconds=80)
 # Pause in the use of a source that failed.
 AVOIDED_FOR = timedelta(milliseconds=400)
 # Corrupt chunks after which a peer is avoided for longer.
@@ -156,6 +160,11 @@
         if fetch.source != ORIGIN:
             source.bitmap &= ~(1 << fetch.index)
 
+    def busy(self, fetch: Fetch, now: datetime) -> None:
+        """Note that a source is sending to others."""
+        self._end(fetch)
+        self.sources_by_id_[fetch.source].avoid_until = now + BUSY_FOR
+
     def spoilt(self, index: int) -> None:
         """Forget a chunk that cannot be trusted any more."""
         self.chunks_by_index_.pop(index, None)
