--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -141,7 +141,7 @@
             holders[member.id] = (member, bitmap)
             plan = self.plan_
             if plan and (plan.model, plan.version) == (item.model, item.version):
-                plan.peer_has(member, bitmap)
+                plan.peer_has(member, bitmap, self.clock.now())
                 self.wake_.set()
 
     async def answer_other(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -258,7 +258,7 @@
         for member, bitmap in self.holders_.get(
             (plan.model, plan.version), {}
         ).values():
-            plan.peer_has(member, bitmap)
+            plan.peer_has(member, bitmap, self.clock.now())
         self.plan_ = plan
         self.staged_ = set()
         self.spawn(self._tell_transfer(plan))
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -61,6 +61,7 @@
         self.server_: web.Server | None = None
         self.socket_: asyncio.Server | None = None
         self.active_ = 0
+        self.closing_ = False
 
     @property
     def active(self) -> int:
@@ -89,7 +90,8 @@
             self.socket_.close()
 
     def close_idle(self) -> None:
-        """Close the connections that no request is using."""
+        """Close connections as soon as no request is using them."""
+        self.closing_ = True
         if self.server_ is not None:
             for connection in self.server_.connections:
                 connection.close_if_idle()
@@ -112,6 +114,8 @@
         finally:
             self.active_ -= 1
             request.protocol.answered()
+            if self.closing_:
+                request.protocol.close_if_idle()
 
     def _connection(self) -> _Connection:
         return _Connection(
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -18,10 +18,12 @@
 # nobody can pass them on.
 MAX_AT_ORIGIN = 1
 MAX_AT_PEER = 1
+# Spreads neighbouring chunks over the mates; prime to any usual number of mates.
+TURN_STRIDE = 31
 # Time after which chunks that nobody has brought are fetched from the origin by all.
-DESIGNATED_FOR = timedelta(milliseconds=2500)
-# Time after which a chunk may cross regions although another mate is to bring it.
-IMPORTER_FOR = timedelta(milliseconds=5200)
+DESIGNATED_FOR = timedelta(milliseconds=3200)
+# Time after which one more mate of a region may bring a chunk from another region.
+IMPORTER_STEP = timedelta(milliseconds=4000)
 # Pause in the use of a source whose uploads are all taken.
 BUSY_FOR = timedelta(milliseconds=80)
 # Pause in the use of a source that failed.
@@ -86,6 +88,7 @@
         self.members_: list[SwarmMember] = [own]
         self.chunks_by_index_: dict[int, bytes] = {}
         self.pending_by_index_: dict[int, str] = {}
+        self.seen_at_by_index_: dict[int, datetime] = {}
         self.sources_by_id_: dict[str, _Source] = {ORIGIN: _Source()}
 
     @property
@@ -111,9 +114,12 @@
         """Take the mates that are alive, this one included."""
         self.members_ = sorted({self.own, *members}, key=lambda m: m.id)
 
-    def peer_has(self, member: SwarmMember, bitmap: int) -> None:
+    def peer_has(self, member: SwarmMember, bitmap: int, now: datetime) -> None:
         """Take the chunks that a mate says it holds."""
         source = self.sources_by_id_.setdefault(member.id, _Source())
+        for index in range(len(self.digests)):
+            if bitmap >> index & 1:
+                self.seen_at_by_index_.setdefault(index, now)
         source.bitmap = bitmap
         source.region = member.region
 
@@ -198,10 +204,11 @@
         }
         if not usable:
             return None
-        copies = self._copies()
+        copies, near_copies = self._copies(), self._copies(self.own.region)
         missing = self._missing()
         self.random.shuffle(missing)
-        for index in sorted(missing, key=lambda index: copies[index]):
+        # A chunk that the region lacks comes first, as its mates wait for it too.
+        for index in sorted(missing, key=lambda i: (near_copies[i], copies[i])):
             holders = [p for p, s in usable.items() if s.bitmap >> index & 1]
             near = [p for p in holders if usable[p].region == self.own.region]
             if not near and not self._imports(index, now):
@@ -212,26 +219,35 @@
                 return Fetch(peer, index)
         return None
 
-    def _copies(self) -> Counter[int]:
+    def _copies(self, region: str | None = None) -> Counter[int]:
+        """Return how many mates hold each chunk, in one region or in all."""
         copies: Counter[int] = Counter()
         for peer, source in self.sources_by_id_.items():
-            if peer != ORIGIN:
+            if peer != ORIGIN and region in (None, source.region):
                 for index in range(len(self.digests)):
                     copies[index] += source.bitmap >> index & 1
         return copies
 
     def _designated(self, index: int) -> bool:
-        return self.members_[index % len(self.members_)].id == self.own.id
+        return self._origin_receiver(index).id == self.own.id
+
+    def _origin_receiver(self, index: int) -> SwarmMember:
+        """Return the mate that takes a chunk from the origin."""
+        return self.members_[index * TURN_STRIDE % len(self.members_)]
 
     def _imports(self, index: int, now: datetime) -> bool:
-        """Tell whether this mate may bring a chunk from another region."""
-        if now - self.started_at >= IMPORTER_FOR:
-            return True
-        near = [m for m in self.members_ if m.region == self.own.region]
-        if any(self.members_[index % len(self.members_)].id == m.id for m in near):
+        """Tell whether this mate may bring a chunk from another region.
+
+        One mate of the region may at first, and one more after each step of time,
+        since the first may be slow or gone.
+        """
+        near = [m.id for m in self.members_ if m.region == self.own.region]
+        turn = (near.index(self.own.id) - index) % len(near)
+        if self._origin_receiver(index).region == self.own.region:
             # Another mate of the region takes this chunk from the origin.
-            return False
-        return near[index % len(near)].id == self.own.id
+            turn += 1
+        seen_at = self.seen_at_by_index_.get(index, now)
+        return now - seen_at >= turn * IMPORTER_STEP
 
     def _end(self, fetch: Fetch) -> None:
         if self.pending_by_index_.pop(fetch.index, None) is not None:
--- a/shallotpath/swarm/tests/simulation.py
+++ b/shallotpath/swarm/tests/simulation.py
@@ -13,6 +13,8 @@
 STEP = timedelta(milliseconds=5)
 NEAR_NEWS = timedelta(milliseconds=120)
 FAR_NEWS = timedelta(milliseconds=300)
+# A mate that has died counts as alive for this time.
+SILENT_AFTER = timedelta(seconds=3)
 CHUNK_BYTES = 24_576
 LINK = 3.65e6 / 8
 ORIGIN_LINK = 7.3e6 / 8
@@ -51,11 +53,13 @@
         origin_until: float = 1e9,
         corrupt: float = 0.0,
         silent: frozenset[str] = frozenset(),
+        slow: dict[str, float] | None = None,
     ) -> None:
         self.random = Random(seed)
         self.origin_region = origin_region
         self.origin_until = origin_until
         self.corrupt = corrupt
+        self.slow = slow or {}
         self.payloads = [f"chunk {i}".encode() for i in range(chunks)]
         digests = [sha256(payload).hexdigest() for payload in self.payloads]
         members = [
@@ -92,11 +96,14 @@
             for member_id in self.plans_by_id:
                 if now >= near_at[member_id]:
                     near_at[member_id] = now + NEAR_NEWS
-                    self._tell(member_id, far=False)
+                    self._tell(member_id, now, far=False)
                 if now >= far_at[member_id]:
                     far_at[member_id] = now + FAR_NEWS
-                    self._tell(member_id, far=True)
+                    self._tell(member_id, now, far=True)
             self._move(now)
+            if now - EPOCH == SILENT_AFTER:
+                for plan in self.plans_by_id.values():
+                    plan.set_members(self.members_by_id.values())
             for member_id, plan in self.plans_by_id.items():
                 for fetch in plan.next_fetches(now):
                     self._start(member_id, fetch, now)
@@ -106,13 +113,13 @@
             now += STEP
         return self.result
 
-    def _tell(self, member_id: str, *, far: bool) -> None:
+    def _tell(self, member_id: str, now, *, far: bool) -> None:
         sender = self.members_by_id[member_id]
         bitmap = self.plans_by_id[member_id].bitmap
         for other, plan in self.plans_by_id.items():
             same = self.members_by_id[other].region == sender.region
             if other != member_id and (far or same):
-                plan.peer_has(sender, bitmap)
+                plan.peer_has(sender, bitmap, now)
 
     def _start(self, member_id: str, fetch: Fetch, now) -> None:
         starts_at = now
@@ -137,7 +144,9 @@
             down[transfer.receiver] = down.get(transfer.receiver, 0) + 1
         for transfer in active:
             link = ORIGIN_LINK if transfer.source == ORIGIN else LINK
-            rate = min(link / up[transfer.source], LINK / down[transfer.receiver])
+            link *= self.slow.get(transfer.source, 1.0)
+            receiving = LINK * self.slow.get(transfer.receiver, 1.0)
+            rate = min(link / up[transfer.source], receiving / down[transfer.receiver])
             transfer.left -= rate * STEP.total_seconds()
             if transfer.left <= 0:
                 self._deliver(transfer, now)
