Hand on the age of replicated records and read upstreams sooner

A replica that was pulled from a peer counted as confirmed at that moment, and a reader looked only each 0.6 s whether it was due, so two late steps and one lost call of 1.5 s added up to more than the 2 s.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -37,7 +37,7 @@
 # Upstreams write every 1.2 s, and one that leaves must get nothing 2 s later.
 UPSTREAM_INTERVAL = timedelta(milliseconds=600)
 # An entry reads the upstreams itself once its domain's reader was silent so long.
-UPSTREAM_AGE = timedelta(milliseconds=1100)
+UPSTREAM_AGE = timedelta(milliseconds=900)
 PRUNE_INTERVAL = timedelta(seconds=1)
 # Older beliefs do not justify to deny a request.
 FRESH_WITHIN = timedelta(seconds=10)
@@ -100,7 +100,7 @@
         self.upstream_topic_ = self.add_topic(
             UPSTREAM_TOPIC, self.apply_upstreams, timedelta()
         )
-        self.spawn(self.upstream_topic_.poll(UPSTREAM_INTERVAL, self._reads_upstreams))
+        self.spawn(self.upstream_topic_.poll(self._reads_upstreams))
         self.spawn(self._prune())
         readiness, callers = self.settings.readiness, self.settings.callers
         self.callers_ = Listener(self.forwarder.handle)
@@ -260,11 +260,13 @@
         }
 
     def _reads_upstreams(self) -> bool:
-        """Tell whether this entry is the one of its domain that reads the store."""
+        """Tell whether it is this entry's turn to read the store for its domain."""
         now = self.clock.now()
-        age = self.upstream_topic_.age(now)
+        age, read_at = self.upstream_topic_.age(now), self.upstream_topic_.read_at_
         if age is None or age > UPSTREAM_AGE:
             return True
+        if read_at is not None and now - read_at < UPSTREAM_INTERVAL:
+            return False
         live = [
             peer.id
             for peer in self.peers.live(now)
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -22,6 +22,8 @@
 
 FIRST_RETRY = timedelta(milliseconds=100)
 MAX_RETRY = timedelta(seconds=1)
+# Steps at which a reader that is not held by the store looks whether it is due.
+DUE_STEP = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
 # A reader that waits for news has it at about the same time as its peers; only one
 # that is still behind after this delay asks them.
@@ -57,6 +59,7 @@
         self.replica_ = KeyedReplica()
         self.listed_ = False
         self.confirmed_at_: datetime | None = None
+        self.read_at_: datetime | None = None
         self.store_lost_at_: datetime | None = None
         self.pulling_ = False
         self.retry_ = FIRST_RETRY
@@ -67,7 +70,7 @@
         return self.replica_.end
 
     def age(self, now: datetime) -> timedelta | None:
-        """Return the time since the store or a peer confirmed the replica."""
+        """Return the time since the store confirmed the replica, here or at a peer."""
         return None if self.confirmed_at_ is None else now - self.confirmed_at_
 
     async def follow(self) -> None:
@@ -76,16 +79,17 @@
             if not await self.read_once():
                 await asyncio.sleep(self._next_retry())
 
-    async def poll(self, interval: timedelta, due: Callable[[], bool]) -> None:
-        """Read the topic at intervals while this process is to do it."""
+    async def poll(self, due: Callable[[], bool]) -> None:
+        """Read the topic whenever this process is to do it."""
         while True:
-            delay = interval.total_seconds() * self.random.uniform(0.85, 1.0)
+            delay = DUE_STEP.total_seconds() * self.random.uniform(0.8, 1.0)
             if due() and not await self.read_once():
                 delay = self._next_retry()
             await asyncio.sleep(delay)
 
     async def read_once(self) -> bool:
         """Read what is new from the store; tell whether it answered."""
+        self.read_at_ = self.clock.now()
         try:
             if self.listed_:
                 page = await self.store.read(self.topic, self.end, self.wait)
@@ -102,7 +106,7 @@
             self._store_lost(error)
             return False
         self._store_back()
-        self._confirm(newer)
+        self._confirm(newer, timedelta())
         return True
 
     async def behind(self, peer: PeerAddress, end: int) -> None:
@@ -124,7 +128,8 @@
             RecordItem(record.key, record.value, record.offset)
             for record in self.replica_.after(offset)
         ]
-        return encode_message(RecordPage(self.end, records))
+        age = self.age(self.clock.now()) or timedelta()
+        return encode_message(RecordPage(self.end, records, age.total_seconds()))
 
     async def _pull(self, peer: PeerAddress) -> None:
         url = (
@@ -143,10 +148,12 @@
         newer = self.replica_.merge(records, page.end)
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
-        self._confirm(newer)
+        self._confirm(newer, timedelta(seconds=page.age_s))
 
-    def _confirm(self, newer: list[KeyedRecord]) -> None:
-        self.confirmed_at_ = self.clock.now()
+    def _confirm(self, newer: list[KeyedRecord], age: timedelta) -> None:
+        confirmed_at = self.clock.now() - age
+        if self.confirmed_at_ is None or confirmed_at > self.confirmed_at_:
+            self.confirmed_at_ = confirmed_at
         self.apply(newer)
 
     def _next_retry(self) -> float:
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -13,8 +13,9 @@
 from ..replication import KeyedRecord
 from ._settings import Endpoint
 
-# A healthy store answers in some 4 ms; one that takes 60 times as long still counts.
-CALL_TIMEOUT = timedelta(milliseconds=1500)
+# A healthy store answers in some 4 ms and may take 60 times as long. Twice that, as
+# an upstream that leaves must be known within 2 s although one call may be lost.
+CALL_TIMEOUT = timedelta(milliseconds=700)
 # Added to the time for which a read may wait for news.
 WAIT_SLACK = timedelta(seconds=1)
 _HEADER_BYTES = 16
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -95,6 +95,8 @@
 
     end: int
     records: list[RecordItem]
+    # Seconds since the store confirmed what the sender holds.
+    age_s: float = 0.0
 
 
 def encode_message(message: News | RecordPage) -> bytes:
