--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -55,6 +55,7 @@
         self.staged_: set[int] = set()
         self.ordering_ = False
         self.ordered_version_ = 0
+        self.adopted_version_ = 0
         self.waves_ = LoadWaves(settings.node)
         self.versions_by_mate_: dict[str, int] = {}
         self.pacer_ = UploadPacer(settings.link_bytes_per_s)
@@ -221,6 +222,7 @@
         target = self.operator.target(self.model_)
         wanted = target.version if target else None
         if self._satisfied(wanted):
+            await self._adopt()
             return
         if self.plan_ is None or self._superseded(wanted):
             await self._begin(wanted)
@@ -228,6 +230,23 @@
         if self.plan_.complete and not self.ordering_:
             await self._load()
 
+    async def _adopt(self) -> None:
+        """Offer the staged chunks of the version that the engine holds to mates."""
+        held = self.held_version
+        if self.adopted_version_ == held or self.transferring():
+            return
+        if self.plan_ is not None and self.plan_.version == held:
+            return
+        plan = self._new_plan(await self._manifest(held))
+        await self._recover_staged(plan)
+        self.adopted_version_ = held
+        if plan.complete:
+            self.plan_ = plan
+            self.staged_ = set(range(len(plan.digests)))
+        self.reporter.event(
+            "weights_adopted", version=held, progress=round(plan.progress, 2)
+        )
+
     def _satisfied(self, wanted: int | None) -> bool:
         held = self.held_version
         return held > 0 and (wanted is None or held >= wanted)
@@ -241,16 +260,8 @@
         return plan.progress < FINISHED_FIRST or done
 
     async def _begin(self, wanted: int | None) -> None:
-        manifest = await self._manifest(wanted)
+        plan = self._new_plan(await self._manifest(wanted))
         old = self.plan_
-        plan = SwarmPlan(
-            own=SwarmMember(self.settings.node, self.settings.region),
-            model=manifest.model,
-            version=manifest.version,
-            digests=manifest.digests,
-            started_at=self.clock.now(),
-            random=self.random,
-        )
         if old is not None:
             self.kept_by_model_[old.model] = old
         reused = plan.reuse(old.chunks_by_index_.values()) if old else 0
@@ -271,6 +282,16 @@
             held=self.held_version,
         )
 
+    def _new_plan(self, manifest: ChunkManifest) -> SwarmPlan:
+        return SwarmPlan(
+            own=SwarmMember(self.settings.node, self.settings.region),
+            model=manifest.model,
+            version=manifest.version,
+            digests=manifest.digests,
+            started_at=self.clock.now(),
+            random=self.random,
+        )
+
     async def _manifest(self, wanted: int | None) -> ChunkManifest:
         origins = self.operator.catalog.origins_by_id.values()
         error: CallError | None = None
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -186,8 +186,12 @@
     def hear(self, news: News) -> None:
         """Take the message of a peer."""
         now = self.clock.now()
+        greet = not self.peers.has_heard(news.sender.id)
         if not self.peers.hear(news, now):
             return
+        if greet:
+            # A process that has just started learns at once what this one knows.
+            self.gossip_.send(self.news(), [news.sender])
         for name, end in news.ends_by_topic.items():
             topic = self.topics_by_name_.get(name)
             if topic is not None and end > topic.end and self.may_pull(topic, news):
--- a/shallotpath/replication/_peers.py
+++ b/shallotpath/replication/_peers.py
@@ -52,6 +52,11 @@
             known.address = address
         return False
 
+    def has_heard(self, peer_id: str) -> bool:
+        """Tell whether a peer has been heard before."""
+        peer = self.peers_by_id_.get(peer_id)
+        return peer is not None and peer.heard_at is not None
+
     def hear(self, news: News, now: datetime) -> bool:
         """Take a message; tell whether it is newer than all before."""
         if news.sender.id == self.own.id:
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -187,14 +187,14 @@
     def _from_origin(self, now: datetime) -> Fetch | None:
         if not self.sources_by_id_[ORIGIN].usable(now, MAX_AT_ORIGIN):
             return None
-        missing = self._missing()
-        designated = [index for index in missing if self._designated(index)]
-        if not designated and now - self.started_at >= DESIGNATED_FOR:
-            held = self._copies()
-            designated = [index for index in missing if not held[index]]
-        if not designated:
+        held = self._copies()
+        absent = [index for index in self._missing() if not held[index]]
+        wanted = [index for index in absent if self._designated(index)]
+        if not wanted and now - self.started_at >= DESIGNATED_FOR:
+            wanted = absent
+        if not wanted:
             return None
-        return Fetch(ORIGIN, self.random.choice(designated))
+        return Fetch(ORIGIN, self.random.choice(wanted))
 
     def _from_peer(self, now: datetime) -> Fetch | None:
         usable = {
