--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -29,9 +29,14 @@
 # An upstream in the entry's own region is preferred up to this difference, since
 # links between regions are narrow and priced.
 REGION_PREFERENCE = timedelta(milliseconds=80)
-# Engines that stop taking requests for older weights do so this long before the
-# bound, which covers the way of the acknowledgement and of the request.
-VERSION_MARGIN = timedelta(milliseconds=1200)
+# A request for older weights must begin before the bound. The margin covers the way
+# of the acknowledgement and of the request, the factor the error of the prediction.
+VERSION_MARGIN = timedelta(milliseconds=350)
+VERSION_FACTOR = 2
+# Cost of an upstream at which a request would begin on outdated weights.
+TOO_LATE = timedelta(seconds=60)
+# Longer than any request lasts.
+NEVER = timedelta(days=1)
 # Engines admit urgent requests first; 5 is what a request without priority has.
 ON_TIME_PRIORITY = 4
 LATE_PRIORITY = 7
@@ -40,8 +45,9 @@
 MIN_RETURN = timedelta(milliseconds=150)
 # Callers honour Retry-After up to this share of their time.
 HONOURED_SHARE = 1 / 3
-# Wait for an upstream that is about to take work again.
-NO_UPSTREAM_RETURN = timedelta(milliseconds=1500)
+# Wait for an upstream that is about to take work again; new weights take seconds, so
+# callers return as late as they honour.
+NO_UPSTREAM_RETURN = timedelta(milliseconds=2500)
 
 
 class RejectReason(StrEnum):
@@ -176,12 +182,17 @@
             held = report.version
         else:
             held = upstream.record.versions_by_model.get(call.model, 0)
-        target = self.operator.target(call.model)
-        if not held or target is None or held >= target.version:
-            return held or None
-        outdated_since = target.outdated_since(held)
-        stale_after = outdated_since + self.rules.version_bound - VERSION_MARGIN
-        return held if now < stale_after else None
+        if not held or now >= self._ends_at(call.model, held, now):
+            return None
+        return held
+
+    def _ends_at(self, model: str, held: int, now: datetime) -> datetime:
+        """Return when requests for weights must have begun."""
+        target = self.operator.target(model)
+        since = target.outdated_since(held) if target else None
+        if since is None:
+            return now + NEVER
+        return since + self.rules.version_bound - VERSION_MARGIN
 
     def _place(
         self,
@@ -195,6 +206,11 @@
         if not self._admits(call, service, best[1], best[2], now):
             best = self._best(call, service, fit, now)
         upstream, prediction, load = best
+        late = call.model and not self._begins_in_time(
+            call, upstream, prediction.first_token, now
+        )
+        if late:
+            return self._reject(call, RejectReason.NO_WEIGHTS, now, len(fit))
         if not self._admits(call, service, prediction, load, now):
             excess = prediction.wait - call.route.target_latency / 2
             return self._reject(
@@ -222,6 +238,8 @@
             load = self.loads.load(upstream.id, upstream.record.address, now)
             prediction = self._predict(call, service, upstream, load)
             cost = prediction.first_token
+            if call.model and not self._begins_in_time(call, upstream, cost, now):
+                cost += TOO_LATE
             region = self.rules.regions_by_domain.get(upstream.record.domain)
             if region != own_region:
                 cost += REGION_PREFERENCE
@@ -243,6 +261,19 @@
             call.route.target_latency * load.requests / slots, timedelta()
         )
 
+    def _begins_in_time(
+        self,
+        call: GatewayCall,
+        upstream: Upstream,
+        predicted: timedelta,
+        now: datetime,
+    ) -> bool:
+        """Tell whether a request begins before the upstream's weights are outdated."""
+        held = self._weights(call, upstream, now)
+        if held is None:
+            return False
+        return now + VERSION_FACTOR * predicted < self._ends_at(call.model, held, now)
+
     def _admits(
         self,
         call: GatewayCall,
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -11,9 +11,9 @@
 from ..core import sha256_hex
 
 ORIGIN = "origin"
-# Requests in flight. In the simulation of ten mates, 4 left links idle for 0.3 s
-# more in all and 6 gained nothing.
-MAX_OUTSTANDING = 5
+# Requests to peers in flight. In the simulation of ten mates, 4 left links idle for
+# 0.3 s more in all and 6 gained nothing.
+MAX_AT_PEERS = 5
 # Chunks that many mates fetch at once share the origin's link and arrive late, when
 # nobody can pass them on.
 MAX_AT_ORIGIN = 1
@@ -22,8 +22,12 @@
 TURN_STRIDE = 31
 # Time after which chunks that nobody has brought are fetched from the origin by all.
 DESIGNATED_FOR = timedelta(milliseconds=3200)
-# Time after which one more mate of a region may bring a chunk from another region.
-IMPORTER_STEP = timedelta(milliseconds=4000)
+# Time after which any mate of a region may bring a chunk that is held elsewhere.
+IMPORTED_WITHIN = timedelta(milliseconds=5000)
+# A mate that holds less than this share of what this one holds counts as slow, once
+# this one holds enough to tell.
+SLOW_PART = 0.5
+SLOW_FROM = 12
 # Pause in the use of a source whose uploads are all taken.
 BUSY_FOR = timedelta(milliseconds=80)
 # Pause in the use of a source that failed.
@@ -138,10 +142,9 @@
     def next_fetches(self, now: datetime) -> list[Fetch]:
         """Return the requests to make now; each is pending until it ends."""
         fetches = []
-        while len(self.pending_by_index_) < MAX_OUTSTANDING:
-            fetch = self._from_origin(now) or self._from_peer(now)
-            if fetch is None:
-                break
+        # The origin may go away, and its chunks are what all others wait for, so
+        # they do not wait behind those of peers.
+        while fetch := self._from_origin(now) or self._from_peer(now):
             self.pending_by_index_[fetch.index] = fetch.source
             self.sources_by_id_[fetch.source].outstanding += 1
             fetches.append(fetch)
@@ -197,6 +200,9 @@
         return Fetch(ORIGIN, self.random.choice(wanted))
 
     def _from_peer(self, now: datetime) -> Fetch | None:
+        at_origin = self.sources_by_id_[ORIGIN].outstanding
+        if len(self.pending_by_index_) - at_origin >= MAX_AT_PEERS:
+            return None
         usable = {
             peer: source
             for peer, source in self.sources_by_id_.items()
@@ -233,21 +239,38 @@
 
     def _origin_receiver(self, index: int) -> SwarmMember:
         """Return the mate that takes a chunk from the origin."""
-        return self.members_[index * TURN_STRIDE % len(self.members_)]
+        return self._first_able(self.members_, index * TURN_STRIDE)
 
     def _imports(self, index: int, now: datetime) -> bool:
         """Tell whether this mate may bring a chunk from another region.
 
-        One mate of the region may at first, and one more after each step of time,
-        since the first may be slow or gone.
+        One mate of the region may at first, and any after a time, since the first
+        may be gone.
         """
-        near = [m.id for m in self.members_ if m.region == self.own.region]
-        turn = (near.index(self.own.id) - index) % len(near)
-        if self._origin_receiver(index).region == self.own.region:
-            # Another mate of the region takes this chunk from the origin.
-            turn += 1
         seen_at = self.seen_at_by_index_.get(index, now)
-        return now - seen_at >= turn * IMPORTER_STEP
+        if now - seen_at >= IMPORTED_WITHIN:
+            return True
+        if self._origin_receiver(index).region == self.own.region:
+            return False
+        near = [m for m in self.members_ if m.region == self.own.region]
+        return self._first_able(near, index).id == self.own.id
+
+    def _first_able(self, members: list[SwarmMember], start: int) -> SwarmMember:
+        """Return the first member from a position on whose link is not slow."""
+        count = len(members)
+        for step in range(count):
+            member = members[(start + step) % count]
+            if member.id == self.own.id or not self._slow(member.id):
+                return member
+        return self.own
+
+    def _slow(self, member_id: str) -> bool:
+        """Tell whether a mate has fallen far behind this one."""
+        source = self.sources_by_id_.get(member_id)
+        own = len(self.chunks_by_index_)
+        if source is None or own < SLOW_FROM:
+            return False
+        return source.bitmap.bit_count() < SLOW_PART * own
 
     def _end(self, fetch: Fetch) -> None:
         if self.pending_by_index_.pop(fetch.index, None) is not None:
--- a/shallotpath/swarm/_waves.py
+++ b/shallotpath/swarm/_waves.py
@@ -9,7 +9,7 @@
 WAVES = 2
 # An engine stops taking requests for its old weights by the bound in any case, so
 # waiting beyond this point before it gains nothing.
-BOUND_MARGIN = timedelta(milliseconds=1000)
+BOUND_MARGIN = timedelta(milliseconds=500)
 
 
 class LoadWaves:
