Test the decisions of the platform programs; skip records that cannot be read

Found by the new tests: a cut length field at the end of a page, and a record with an unreadable key, raised an error for the whole page, so a reader would have stayed at its offset. Such records now take their offset, are counted and logged.

--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -106,6 +106,11 @@
             self._store_lost(error)
             return False
         self._store_back()
+        if page.unreadable:
+            self.reporter.count("records_bad", topic=self.topic)
+            self.reporter.event(
+                "unreadable_records", topic=self.topic, count=page.unreadable
+            )
         self._confirm(newer, timedelta())
         return True
 
--- /dev/null
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -0,0 +1,182 @@
+"""Placement and admission without a network."""
+
+import pytest
+
+from shallotpath.core import EPOCH
+from shallotpath.gateway import (
+    DomainOut,
+    EngineReport,
+    Placement,
+    Rejection,
+    RejectReason,
+    Share,
+    WeightsNamed,
+)
+
+from .helpers import make_call, make_dispatcher, make_record, make_route, ms
+
+
+def report(number, **changes):
+    values = {
+        "address": f"10.0.0.{number}:80",
+        "model": "m",
+        "version": 1,
+        "accepting": True,
+        "queued": 0,
+        "active": 0,
+        "pace": 1.0,
+    }
+    return EngineReport(**(values | changes))
+
+
+def test_domain_that_is_out_gets_nothing():
+    dispatcher = make_dispatcher([make_record(1, "a-1"), make_record(2, "b-1")])
+    dispatcher.operator.apply(DomainOut("a-1"), EPOCH)
+    for number in range(10):
+        placement = dispatcher.choose(
+            make_call(number), (), 1, EPOCH + ms(600 * number)
+        )
+        assert placement.upstream.id == "u2"
+
+
+@pytest.mark.parametrize("holder", ["route", "team"])
+def test_request_stays_in_its_regions(holder):
+    # Guards against a body that leaves the regions its route or team allows.
+    dispatcher = make_dispatcher([make_record(1, "a-1"), make_record(2, "b-1")])
+    allowed = frozenset({"c"})
+    call = (
+        make_call(route=make_route(regions=allowed))
+        if holder == "route"
+        else make_call(regions=allowed)
+    )
+    rejection = dispatcher.choose(call, (), 1, EPOCH)
+    assert rejection.reason is RejectReason.NO_UPSTREAM
+
+
+def test_route_and_team_regions_bind_together():
+    dispatcher = make_dispatcher([make_record(1, "a-1"), make_record(2, "b-1")])
+    call = make_call(
+        route=make_route(regions=frozenset({"a", "b"})), regions=frozenset({"b"})
+    )
+    assert dispatcher.choose(call, (), 1, EPOCH).upstream.id == "u2"
+
+
+def test_old_weights_end_at_the_bound_of_the_first_newer_version():
+    # Guards against a second naming that moves the bound of the first one.
+    dispatcher = make_dispatcher([make_record(1)])
+    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
+    dispatcher.operator.apply(WeightsNamed("m", 3), EPOCH + ms(4000))
+    early = dispatcher.choose(make_call(1), (), 1, EPOCH + ms(7000))
+    assert isinstance(early, Placement)
+    assert early.version == 1
+    late = dispatcher.choose(make_call(2), (), 1, EPOCH + ms(7700))
+    assert late.reason is RejectReason.NO_WEIGHTS
+
+
+def test_request_that_would_begin_after_the_bound_is_not_sent():
+    # Guards against a request that waits at a full engine until its weights are old.
+    dispatcher = make_dispatcher([make_record(1)])
+    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
+    now = EPOCH + ms(7000)
+    dispatcher.loads.engine_heard(report(1, active=10), now)
+    assert isinstance(dispatcher.choose(make_call(), (), 1, now), Placement)
+    dispatcher.loads.engine_heard(report(1, active=16, queued=4), now)
+    came_back = make_call(patience=ms(4000), now=now)
+    rejection = dispatcher.choose(came_back, (), 1, now)
+    assert rejection.reason is RejectReason.NO_WEIGHTS
+
+
+def test_engine_that_changes_its_weights_gets_nothing():
+    dispatcher = make_dispatcher([make_record(1), make_record(2)])
+    dispatcher.loads.engine_heard(report(1, accepting=False), EPOCH)
+    for number in range(3):
+        assert dispatcher.choose(make_call(number), (), 1, EPOCH).upstream.id == "u2"
+
+
+def test_upstream_without_weights_gets_no_model_request():
+    dispatcher = make_dispatcher([make_record(1, version=0)])
+    rejection = dispatcher.choose(make_call(), (), 1, EPOCH)
+    assert rejection.reason is RejectReason.NO_WEIGHTS
+
+
+def test_failed_upstream_is_used_only_when_no_other_is_left():
+    dispatcher = make_dispatcher([make_record(1), make_record(2)])
+    dispatcher.breaker.lost("u1", EPOCH)
+    assert dispatcher.choose(make_call(), (), 1, EPOCH).upstream.id == "u2"
+    assert dispatcher.choose(make_call(), {"u2"}, 1, EPOCH).upstream.id == "u1"
+
+
+def offer(dispatcher, calls, per_s, now=EPOCH, entries=1):
+    """Offer calls at an even rate, none of which ends; return the decisions."""
+    decisions = []
+    for number in range(calls):
+        at = now + ms(1000 * number / per_s)
+        call = make_call(number, at)
+        decision = dispatcher.choose(call, (), entries, at)
+        if isinstance(decision, Placement):
+            dispatcher.loads.sent(call.request_id, decision.upstream.id, 979, at)
+        decisions.append(decision)
+    return decisions
+
+
+def test_steady_overload_is_refused_at_once_and_spread():
+    # Load pattern: more calls than the engines hold, none ends within the second.
+    dispatcher = make_dispatcher([make_record(1), make_record(2)])
+    decisions = offer(dispatcher, 80, per_s=40)
+    refused = [d for d in decisions if isinstance(d, Rejection)]
+    assert len(refused) >= 80 - 2 * (16 + 4)
+    waits = {d.retry_after for d in refused}
+    assert all(ms(150) <= wait <= ms(2026) for wait in waits)
+    # Callers that return together would be refused together again.
+    assert len(waits) > len(refused) / 2
+
+
+def test_long_prompts_are_admitted_as_often_as_short_ones():
+    # Load pattern: engines close to full, where the largest tenth would starve.
+    admitted = {}
+    for tokens in (300, 3800):
+        dispatcher = make_dispatcher([make_record(1)])
+        dispatcher.loads.engine_heard(report(1, active=17), EPOCH)
+        call = make_call(prompt_tokens=tokens)
+        admitted[tokens] = isinstance(dispatcher.choose(call, (), 1, EPOCH), Placement)
+    assert admitted[300] == admitted[3800]
+
+
+def test_caller_that_came_back_may_wait_behind_the_others():
+    dispatcher = make_dispatcher([make_record(1)])
+    dispatcher.loads.engine_heard(report(1, active=16, queued=4), EPOCH)
+    first = dispatcher.choose(make_call(1), (), 1, EPOCH)
+    assert first.reason is RejectReason.OVERLOADED
+    again = dispatcher.choose(make_call(2, patience=ms(4000)), (), 1, EPOCH)
+    assert isinstance(again, Placement)
+    assert again.priority > 5
+
+
+@pytest.mark.parametrize("entries", [8, 40])
+def test_entries_with_late_figures_do_not_herd(entries):
+    # Load pattern: a burst within one gossip interval, each entry knows only itself.
+    dispatchers = [
+        make_dispatcher([make_record(n) for n in range(10)], seed=n)
+        for n in range(entries)
+    ]
+    counts = dict.fromkeys((f"u{n}" for n in range(10)), 0)
+    for number in range(80):
+        dispatcher = dispatchers[number % entries]
+        call = make_call(number)
+        placement = dispatcher.choose(call, (), entries, EPOCH)
+        if isinstance(placement, Placement):
+            counts[placement.upstream.id] += 1
+            dispatcher.loads.sent(call.request_id, placement.upstream.id, 979, EPOCH)
+    # 80 calls over 10 engines: none gets more than it has slots.
+    assert max(counts.values()) <= 16
+
+
+def test_peers_work_counts():
+    dispatcher = make_dispatcher([make_record(1), make_record(2)])
+    dispatcher.loads.peer_heard("e2", {"u1": Share(16, 4000)}, EPOCH)
+    for number in range(5):
+        assert dispatcher.choose(make_call(number), (), 1, EPOCH).upstream.id == "u2"
+    # Figures that are old count no more.
+    later = EPOCH + ms(5000)
+    ids = {dispatcher.choose(make_call(n), (), 1, later).upstream.id for n in range(10)}
+    assert ids == {"u1", "u2"}
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -34,6 +34,8 @@
 
     records: list[KeyedRecord]
     end: int
+    # Records of other writers that have no readable key or value.
+    unreadable: int = 0
 
 
 class StoreClient:
@@ -53,7 +55,7 @@
         """
         records: list[KeyedRecord] = []
         query = {"topic": topic, "part": "0"}
-        first_end = None
+        first_end, unreadable = None, 0
         while True:
             body = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
             page = _json(body)
@@ -61,10 +63,13 @@
                 if first_end is None:
                     first_end = int(page["end"])
                 for item in page["items"]:
-                    value = base64.b64decode(item["value"])
-                    records.append(KeyedRecord(item["key"], value, item["offset"]))
+                    record = _decode_item(item)
+                    if record is None:
+                        unreadable += 1
+                    else:
+                        records.append(record)
                 if not page.get("hasMore"):
-                    return TopicPage(records, first_end)
+                    return TopicPage(records, first_end, unreadable)
                 query["after"] = page["items"][-1]["key"]
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 raise PlatformError(
@@ -134,24 +139,38 @@
         ) from error
 
 
+def _decode_item(item: dict) -> KeyedRecord | None:
+    try:
+        value = base64.b64decode(item["value"])
+        return KeyedRecord(str(item["key"]), value, int(item["offset"]))
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 def _decode_page(body: bytes, offset: int) -> TopicPage:
+    """Decode records; one that cannot be read takes its offset and is skipped."""
     records: list[KeyedRecord] = []
-    position = _HEADER_BYTES
+    position, unreadable = _HEADER_BYTES, 0
+    while position + _LENGTH_BYTES <= len(body):
+        start = position + _LENGTH_BYTES
+        end = start + int.from_bytes(body[position:start], "big")
+        if end > len(body):
+            break
+        record = _decode_record(body[start:end], offset)
+        if record is None:
+            unreadable += 1
+        else:
+            records.append(record)
+        offset += 1
+        position = end
+    return TopicPage(records, offset, unreadable)
+
+
+def _decode_record(content: bytes, offset: int) -> KeyedRecord | None:
+    if not content or len(content) <= content[0]:
+        return None
+    key, value = content[1 : 1 + content[0]], content[1 + content[0] :]
     try:
-        while position < len(body):
-            length = int.from_bytes(body[position : position + _LENGTH_BYTES], "big")
-            start = position + _LENGTH_BYTES
-            content = body[start : start + length]
-            if len(content) != length:
-                break
-            key_length = content[0]
-            key = content[1 : 1 + key_length].decode()
-            value = content[1 + key_length :]
-            records.append(KeyedRecord(key, value or None, offset))
-            offset += 1
-            position = start + length
-    except (IndexError, UnicodeDecodeError) as error:
-        raise PlatformError(
-            f"records from offset {offset} cannot be read: {error!r}; check the store"
-        ) from error
-    return TopicPage(records, offset)
+        return KeyedRecord(key.decode(), value or None, offset)
+    except UnicodeDecodeError:
+        return None
--- /dev/null
+++ b/shallotpath/platform/tests/test_platform.py
@@ -0,0 +1,231 @@
+"""The adapter: settings, records and headers of the platform."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from shallotpath.core import SettingError
+from shallotpath.forwarding import Stamp
+from shallotpath.gateway import DomainBack, DomainOut, RouteKind
+from shallotpath.platform import (
+    PlatformWire,
+    RecordError,
+    decode_operator_record,
+    decode_upstream,
+    parse_process_settings,
+)
+from shallotpath.platform._engine_calls import decode_engine_state
+from shallotpath.platform._store import _decode_page
+
+SETTINGS = """
+node=edge-a-1
+class=edge
+ip=10.1.0.40
+zone=a-1
+region=a
+zones.a-1=a
+zones.b-1=b
+listen.front=10.1.0.40:8005
+listen.ready=10.1.0.40:8002
+listen.control=10.1.0.40:8000
+internalPorts=7700,7715
+seeds=10.1.0.40:8000,10.2.0.37:8000
+limits.linkMbps=8
+bounds.budgetExtra=102
+bounds.version_ms=8000
+platform.address=10.200.1.7:8007
+something.new=1
+"""
+
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 6000,
+    "targetLatencyMs": 405,
+    "priority": 1,
+    "service": "llm",
+    "maxAttempts": 2,
+    "public": False,
+    "canResume": True,
+    "gapTargetMs": 400,
+    "allowedRegions": ["a"],
+}
+ENGINE = {
+    "slots": 16,
+    "kvTokens": 317000,
+    "stride": 5,
+    "models": [{"name": "m", "warmS": 0.3}],
+    "step_ms": 9.27,
+    "read_per_s": 20700.0,
+    "chunk": 2048,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "llm", "coldPerS": 26.0, "engine": ENGINE},
+        {"name": "files", "origin": "172.20.0.3:8006", "zone": "a-1"},
+    ],
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 0}],
+}
+SERVER = {
+    "service": "llm",
+    "address": "10.128.0.9:8080",
+    "zone": "a-1",
+    "slots": 16,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "models": [{"name": "m", "version": 2}],
+    "born": 12,
+}
+
+
+def test_settings_are_read_and_unknown_keys_ignored():
+    settings = parse_process_settings(SETTINGS)
+    assert settings.region == "a"
+    assert (settings.callers.host, settings.callers.port) == ("10.1.0.40", 8005)
+    assert settings.peer_port == 7700
+    assert [str(seed) for seed in settings.seeds] == [
+        "10.1.0.40:8000",
+        "10.2.0.37:8000",
+    ]
+    assert settings.link_bytes_per_s == 1_000_000
+    assert settings.version_bound == timedelta(seconds=8)
+
+
+def test_all_faults_of_a_settings_file_are_named_with_a_remedy():
+    text = SETTINGS.replace("node=edge-a-1\n", "").replace(":8007", "")
+    text = text.replace("budgetExtra=102", "budgetExtra=many")
+    with pytest.raises(SettingError) as caught:
+        parse_process_settings(text)
+    message = caught.value.message
+    assert "node is missing; add a line" in message
+    assert "platform.address" in message
+    assert "budgetExtra=many is not a number" in message
+
+
+def test_configuration_is_decoded_into_our_types():
+    record = decode_operator_record("config", json.dumps(CONFIG).encode())
+    catalog = record.catalog
+    route = catalog.match("h", "/a/x")
+    assert route.kind is RouteKind.STREAM
+    assert route.repeatable
+    assert route.regions == {"a"}
+    assert catalog.teams_by_key["k2"].priority == 0
+    assert catalog.services_by_id["llm"].engine.steps_per_pass == 5
+    assert catalog.origins_by_id["files"].address == "172.20.0.3:8006"
+
+
+def test_evacuation_is_a_domain_that_goes_out_and_comes_back():
+    assert decode_operator_record("evacuate/a-1", b"{}") == DomainOut("a-1")
+    assert decode_operator_record("evacuate/a-1", None) == DomainBack("a-1")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": [ROUTE | {"kind": "magic"}]},
+        {"routes": [ROUTE | {"timeoutMs": "soon"}]},
+        {"services": None},
+    ],
+)
+def test_bad_configuration_is_an_error_that_names_the_remedy(change):
+    value = json.dumps(CONFIG | change).encode()
+    with pytest.raises(RecordError, match="the last good one holds"):
+        decode_operator_record("config", value)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"{}",
+        json.dumps(SERVER | {"state": "dancing"}).encode(),
+        json.dumps(SERVER | {"address": 5}).encode(),
+        json.dumps(SERVER | {"slots": None}).encode(),
+        json.dumps(SERVER | {"models": ["m"]}).encode(),
+    ],
+)
+def test_foreign_entries_of_upstreams_are_errors(value):
+    # Guards against a record of another writer that stops the reader.
+    with pytest.raises(RecordError):
+        decode_upstream("i-1", value)
+
+
+def test_entry_of_an_upstream_is_decoded():
+    record = decode_upstream("i-1", json.dumps(SERVER).encode())
+    assert record.versions_by_model == {"m": 2}
+    assert record.cold_left == timedelta(milliseconds=1500)
+    assert not record.draining
+
+
+def record(key, value):
+    content = bytes([len(key)]) + key + value
+    return len(content).to_bytes(4, "big") + content
+
+
+def test_page_of_the_log_is_decoded_with_offsets_and_removals():
+    body = bytes(16) + record(b"a", b"1") + record(b"b", b"") + b"\x00\x00"
+    page = _decode_page(body, 40)
+    assert [(r.key, r.value, r.offset) for r in page.records] == [
+        ("a", b"1", 40),
+        ("b", None, 41),
+    ]
+    assert page.end == 42
+
+
+def test_records_that_cannot_be_read_are_skipped():
+    # Guards against a reader that stays at the offset of another writer's record.
+    empty, bad_key = bytes(4), b"\x00\x00\x00\x03\x01\xff1"
+    cut_key = b"\x00\x00\x00\x02\x09a"
+    body = bytes(16) + empty + bad_key + cut_key + record(b"a", b"1")
+    page = _decode_page(body, 7)
+    assert [(r.key, r.offset) for r in page.records] == [("a", 10)]
+    assert (page.end, page.unreadable) == (11, 3)
+
+
+def test_report_of_an_engine_without_weights_is_decoded():
+    state = decode_engine_state(b'{"models":[],"busy":true,"pace":2.5,"born":3}')
+    assert (state.models, state.ordering, state.pace) == ([], True, 2.5)
+
+
+def test_headers_that_only_the_system_sets_are_replaced():
+    # Guards against a caller that names its own team, version or upstream.
+    raw = [
+        (b"Host", b"h"),
+        (b"X-Api-Key", b"secret"),
+        (b"shallotpath-tenant", b"forged"),
+        (b"Shallotpath-Expect-Version", b"9"),
+        (b"Path", b"1.2.3.4:5=0-4"),
+        (b"Connection", b"close"),
+        (b"Shallotpath-Request-Id", b"q1"),
+        (b"X-Odd", b"kept  as is"),
+    ]
+    stamp = Stamp("i-1", timedelta(milliseconds=1234.9), "team", 2, 4, "12")
+    headers = PlatformWire().outgoing(raw, stamp)
+    assert headers == [
+        (b"Host", b"h"),
+        (b"Shallotpath-Request-Id", b"q1"),
+        (b"X-Odd", b"kept  as is"),
+        (b"Shallotpath-Deadline-Ms", b"1234"),
+        (b"Shallotpath-Expect-Instance", b"i-1"),
+        (b"Shallotpath-Tenant", b"team"),
+        (b"Shallotpath-Expect-Version", b"2"),
+        (b"Shallotpath-Request-Priority", b"4"),
+        (b"Last-Event-Id", b"12"),
+    ]
+
+
+@pytest.mark.parametrize("value", ["", "soon", "1e999"])
+def test_unreadable_numbers_of_callers_count_as_absent(value):
+    headers = CIMultiDict(
+        {"Shallotpath-Deadline-Ms": value, "Shallotpath-Token-Counts": value}
+    )
+    fields = PlatformWire().read_request(CIMultiDictProxy(headers))
+    assert fields.patience is None
+    assert (fields.prompt_tokens, fields.output_tokens) == (0, 0)
--- /dev/null
+++ b/shallotpath/replication/tests/test_replication.py
@@ -0,0 +1,107 @@
+"""Replicas, peers and their messages."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotpath.core import EPOCH, FrameError
+from shallotpath.replication import (
+    KeyedRecord,
+    KeyedReplica,
+    News,
+    PeerAddress,
+    PeerTable,
+    RecordItem,
+    RecordPage,
+    decode_news,
+    decode_page,
+    encode_message,
+)
+
+LOG = [
+    KeyedRecord("ab"[n % 2], None if n % 7 == 3 else bytes([n]), n) for n in range(20)
+]
+
+
+def newest():
+    return {record.key: record for record in LOG}
+
+
+@given(st.lists(st.tuples(st.integers(0, 20), st.integers(0, 20)), max_size=12))
+def test_replica_never_goes_back_and_ends_at_the_newest(reads):
+    # Guards against a late answer of the store that undoes what a peer told.
+    replica = KeyedReplica()
+    offsets = {}
+    for start, end in reads:
+        replica.merge(LOG[start:end], 0)
+        for key, record in replica.records_by_key_.items():
+            assert record.offset >= offsets.get(key, -1)
+            offsets[key] = record.offset
+    replica.merge(LOG, 20)
+    assert replica.records_by_key_ == newest()
+    assert replica.end == 20
+
+
+def test_full_listing_removes_keys_that_are_missing_from_it():
+    # Guards against an upstream that stays because its removal was compacted away.
+    replica = KeyedReplica()
+    replica.merge([KeyedRecord("a", b"1", 1), KeyedRecord("b", b"1", 2)], 3)
+    changed = replica.replace([KeyedRecord("b", b"2", 8)], 9)
+    assert {record.key: record.value for record in changed} == {"a": None, "b": b"2"}
+
+
+def test_full_listing_keeps_keys_that_are_newer_than_it():
+    replica = KeyedReplica()
+    replica.merge([KeyedRecord("a", b"1", 12)], 13)
+    replica.replace([], 9)
+    assert replica.records_by_key_["a"].value == b"1"
+
+
+def address(number, *, engine=False):
+    return PeerAddress(f"p{number}", f"10.0.0.{number}", 7700, engine)
+
+
+def news(number, sequence, incarnation=1, **fields):
+    return News(address(number), incarnation, sequence, "a-1", **fields)
+
+
+def test_messages_survive_the_wire():
+    message = news(1, 2, ends_by_topic={"t": 5}, peers=[address(3)])
+    assert decode_news(encode_message(message)) == message
+    page = RecordPage(7, [RecordItem("a", b"1", 3), RecordItem("b", None, 4)], 0.5)
+    assert decode_page(encode_message(page)) == page
+
+
+@pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x01\x90", b"\x92\x63\xc0"])
+def test_unreadable_messages_are_frame_errors(payload):
+    with pytest.raises(FrameError, match="run the same release"):
+        decode_news(payload)
+
+
+def test_late_message_is_ignored_and_a_restart_is_taken():
+    table = PeerTable(address(0), Random(1))
+    assert table.hear(news(1, 5), EPOCH)
+    assert not table.hear(news(1, 4), EPOCH)
+    assert table.hear(news(1, 1, incarnation=2), EPOCH)
+    # The time of day jumped back between two starts.
+    later = EPOCH + timedelta(seconds=2)
+    assert table.hear(news(1, 1, incarnation=1), later)
+
+
+def test_silent_entry_keeps_its_share_of_the_limits_for_a_window():
+    # Guards against limits that add up to more than the whole behind a cut.
+    table = PeerTable(address(0), Random(1))
+    table.hear(news(1, 1), EPOCH)
+    table.hear(News(address(2, engine=True), 1, 1, "a-1"), EPOCH)
+    assert table.entries(EPOCH + timedelta(seconds=11)) == 2
+    assert table.entries(EPOCH + timedelta(seconds=13)) == 1
+    assert [p.id for p in table.live(EPOCH + timedelta(seconds=4))] == []
+
+
+def test_addresses_are_passed_on():
+    table = PeerTable(address(0), Random(1))
+    table.hear(news(1, 1, peers=[address(0), address(2)]), EPOCH)
+    assert {peer.id for peer in table.all()} == {"p1", "p2"}
--- /dev/null
+++ b/shallotpath/swarm/tests/test_transfer.py
@@ -0,0 +1,78 @@
+"""Transfers between the mates of a model, in simulated time."""
+
+from datetime import timedelta
+
+import pytest
+
+from shallotpath.core import EPOCH
+from shallotpath.swarm import LoadWaves, UploadPacer
+
+from .simulation import Swarm
+
+# New weights must serve within 8 s; the requests that run take some 1.5 s to end and
+# a load 0.3 s.
+COMPLETE_WITHIN_S = 6.2
+# What a transfer may take when a part of it fails: the bound itself.
+BOUND_S = 8.0
+REGIONS = {"a": 3, "b": 3, "c": 4}
+
+
+def test_ten_mates_complete_in_time_with_one_copy_from_the_origin():
+    # Load pattern: all mates want a new version at once over links of 3.65 Mbit/s.
+    result = Swarm(REGIONS, origin_region="b").run()
+    assert result.last <= COMPLETE_WITHIN_S
+    assert result.origin_chunks <= 1.1 * 96
+    # Each of the other regions needs one copy; chunks that were taken from the origin
+    # outside its region cross once more.
+    assert result.far_chunks <= 3.2 * 96
+
+
+def test_origin_that_goes_away_after_one_copy_is_not_needed():
+    result = Swarm(REGIONS, origin_region="b", origin_until=2.9).run()
+    assert len(result.seconds_by_id) == 10
+    assert result.last <= COMPLETE_WITHIN_S
+
+
+def test_mate_that_died_delays_the_others_less_than_the_bound():
+    result = Swarm(REGIONS, origin_region="b", silent=frozenset({"a-1"})).run()
+    assert result.last <= BOUND_S
+
+
+def test_spoilt_chunks_are_fetched_again():
+    swarm = Swarm(REGIONS, origin_region="b", corrupt=0.06)
+    result = swarm.run()
+    assert result.last <= BOUND_S
+    plan = swarm.plans_by_id["a-0"]
+    assert [plan.chunk(i) for i in range(96)] == swarm.payloads
+
+
+def test_chunks_of_another_version_with_the_same_digest_are_reused():
+    swarm = Swarm({"a": 1})
+    plan = swarm.plans_by_id["a-0"]
+    assert plan.reuse([swarm.payloads[3], b"unknown", swarm.payloads[5]]) == 2
+    assert plan.bitmap == 0b101000
+
+
+def test_uploads_never_overlap_on_the_link():
+    pacer = UploadPacer(bytes_per_s=1000.0)
+    waits = [pacer.reserve(97, EPOCH) for _ in range(4)]
+    assert waits[:3] == [timedelta(milliseconds=100 * n) for n in range(3)]
+    # A receiver that would wait long asks another source.
+    assert waits[3] is None
+
+
+@pytest.mark.parametrize(
+    ("own", "loaded", "may"),
+    [("a", [], True), ("b", [], False), ("b", ["a"], False), ("b", ["a", "c"], True)],
+)
+def test_engines_change_in_two_waves(own, loaded, may):
+    # Guards against all engines draining at the same time.
+    waves = LoadWaves(own)
+    arguments = {
+        "member_ids": ["a", "b", "c", "d"],
+        "loaded_ids": loaded,
+        "outdated_since": EPOCH,
+        "bound": timedelta(seconds=8),
+    }
+    assert waves.may_load(now=EPOCH + timedelta(seconds=6), **arguments) is may
+    assert waves.may_load(now=EPOCH + timedelta(seconds=7.6), **arguments)
