--- /dev/null
+++ b/shallotpath/fleet/tests/standins.py
@@ -0,0 +1,137 @@
+"""Small stand-ins of the platform's store, the origin and an engine."""
+
+import base64
+import hashlib
+import json
+
+from aiohttp import web
+
+HOST = "127.0.0.1"
+
+
+async def listen(handler):
+    """Serve a handler at a free port; return the runner and the port."""
+    runner = web.ServerRunner(web.Server(handler))
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()[1]
+
+
+class Log:
+    """Hold the records of keyed topics."""
+
+    def __init__(self):
+        self.topics = {}
+        self.firsts = {}
+
+    def put(self, topic, key, value):
+        data = b"" if value is None else json.dumps(value).encode()
+        self.put_raw(topic, key, data)
+
+    def put_raw(self, topic, key, data):
+        self.topics.setdefault(topic, []).append((key, data))
+
+    def forget_history(self, topic):
+        self.firsts[topic] = len(self.topics.get(topic, []))
+
+
+class StoreStandIn:
+    """Serve a log, or refuse all calls."""
+
+    def __init__(self, log):
+        self.log = log
+        self.refusing = False
+        self.calls = 0
+
+    async def handle(self, request):
+        self.calls += 1
+        if self.refusing:
+            return web.Response(status=503)
+        topic = request.query["topic"]
+        records = self.log.topics.get(topic, [])
+        if request.path == "/log-newest":
+            newest = {k: (v, n) for n, (k, v) in enumerate(records)}
+            items = [
+                {"key": k, "value": base64.b64encode(v).decode(), "offset": n}
+                for k, (v, n) in newest.items()
+                if v
+            ]
+            page = {"items": items, "hasMore": False, "end": len(records)}
+            return web.json_response(page)
+        if request.path == "/log-read":
+            start = int(request.query["from"])
+            if start < self.log.firsts.get(topic, 0):
+                return web.json_response({"first": self.log.firsts[topic]}, status=410)
+            body = len(records).to_bytes(8, "big") + bytes(8)
+            for key, value in records[start:]:
+                content = bytes([len(key)]) + key.encode() + value
+                body += len(content).to_bytes(4, "big") + content
+            return web.Response(body=body)
+        if request.path == "/log-append":
+            body = await request.read()
+            length = body[4]
+            self.log.put_raw(topic, body[5 : 5 + length].decode(), body[5 + length :])
+            return web.json_response({"offset": len(records), "end": len(records)})
+        return web.Response(status=404)
+
+
+class Origin:
+    """Serve versions of a model, some chunks of them spoilt at first."""
+
+    def __init__(self, chunks=8):
+        self.count = chunks
+        self.sent = 0
+        self.spoilt = set()
+
+    def chunk(self, version, index):
+        return f"{version}/{index}".encode() * 100
+
+    async def handle(self, request):
+        version = int(request.query.get("version", "1"))
+        if request.path.startswith("/manifest/"):
+            digests = [
+                hashlib.sha256(self.chunk(version, i)).hexdigest()
+                for i in range(self.count)
+            ]
+            body = {"model": "m", "version": version, "layers": 4, "digests": digests}
+            return web.json_response(body)
+        index = int(request.query["num"])
+        self.sent += 1
+        if index in self.spoilt:
+            self.spoilt.discard(index)
+            return web.Response(body=b"spoilt")
+        return web.Response(body=self.chunk(version, index))
+
+
+class Engine:
+    """Take staged chunks and load them as they lie."""
+
+    def __init__(self):
+        self.staged = {}
+        self.version = 0
+        self.loaded = {}
+        self.orders = []
+        self.rots_once = set()
+
+    async def handle(self, request):
+        if request.path == "/report":
+            models = [{"name": "m", "version": self.version}] if self.version else []
+            return web.json_response({"models": models, "busy": False, "born": 1})
+        if request.path == "/order":
+            order = await request.json()
+            self.orders.append(order["version"])
+            self.version, self.loaded = order["version"], dict(self.staged)
+            return web.Response(status=202)
+        if request.path.startswith("/stage-put/"):
+            self.staged[int(request.query["num"])] = await request.read()
+            return web.Response()
+        if "num" not in request.query:
+            return web.json_response({"held": sorted(self.staged)})
+        index = int(request.query["num"])
+        if index not in self.staged:
+            return web.Response(status=404)
+        if index in self.rots_once:
+            self.rots_once.discard(index)
+            self.staged[index] = b"rotten"
+        return web.Response(body=self.staged[index])
--- /dev/null
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -0,0 +1,291 @@
+"""The processes of the platform on loopback, with stand-ins around them."""
+
+import asyncio
+import json
+import os
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+
+import aiohttp
+import pytest
+
+from shallotpath.core import ManualClock
+from shallotpath.fleet import BoundedWriter, EdgeProcess, LineReporter, MateProcess
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC, parse_process_settings
+
+from .standins import HOST, Engine, Log, Origin, StoreStandIn, listen
+
+ENGINE = {
+    "slots": 4,
+    "kvTokens": 1000,
+    "models": [{"name": "m", "warmS": 0.1}],
+    "step_ms": 9,
+    "read_per_s": 20000,
+    "chunk": 2048,
+}
+
+
+def make_config(version, origin="127.0.0.1:1"):
+    return {
+        "version": version,
+        "routes": [],
+        "services": [
+            {"name": "llm", "engine": ENGINE},
+            {"name": "files", "origin": origin},
+        ],
+        "tenants": [],
+    }
+
+
+def make_server(**changes):
+    return {
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "zone": "a-1",
+        "slots": 4,
+        "state": "ready",
+    } | changes
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def make_settings(name, store_port, engine_port=None):
+    callers, ready, peer = free_ports(3)
+    lines = [
+        f"node={name}",
+        f"ip={HOST}",
+        "zone=a-1",
+        "zones.a-1=a",
+        f"internalPorts={peer},{peer}",
+        f"platform.address={HOST}:{store_port}",
+    ]
+    if engine_port is None:
+        lines += [f"listen.front={HOST}:{callers}", f"listen.ready={HOST}:{ready}"]
+    else:
+        lines += [f"app={HOST}:{engine_port}"]
+    return parse_process_settings("\n".join(lines))
+
+
+class Output:
+    """Keep log lines in place of standard output."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, line):
+        self.lines.append(json.loads(line))
+
+    def flush(self):
+        pass
+
+    def kinds(self):
+        return [line["message"] for line in self.lines]
+
+
+@asynccontextmanager
+async def running(process_cls, settings):
+    from shallotpath.core import MonotonicClock
+
+    clock = MonotonicClock()
+    reporter = LineReporter(settings.node, settings.domain, clock, Output())
+    process = process_cls(settings, clock=clock, reporter=reporter)
+    await process.start()
+    try:
+        yield process
+    finally:
+        await process.stop()
+
+
+async def until(condition, limit=5.0):
+    async with asyncio.timeout(limit):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def stores(log, count):
+    async with AsyncExitStack() as stack:
+        result = []
+        for _ in range(count):
+            store = StoreStandIn(log)
+            runner, port = await listen(store.handle)
+            stack.push_async_callback(runner.cleanup)
+            result.append((store, port))
+        yield result
+
+
+async def test_entry_that_the_store_turns_away_learns_from_its_peer():
+    # Guards against a revoked key that stays valid while the store refuses one VM.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready)
+        store_b.refusing = True
+        log.put(OPERATOR_TOPIC, "config", make_config(2))
+        log.put(OPERATOR_TOPIC, "evacuate/a-1", {})
+        log.put(UPSTREAM_TOPIC, "u1", make_server())
+        await until(lambda: b.operator.catalog.version == 2)
+        await until(lambda: "a-1" in b.operator.domains_out_)
+        await until(lambda: "u1" in b.upstreams.upstreams_by_id_)
+        # A removed evacuation reaches it the same way.
+        log.put(OPERATOR_TOPIC, "evacuate/a-1", None)
+        await until(lambda: "a-1" not in b.operator.domains_out_)
+        assert "store_lost" in b.reporter.writer.kinds()
+
+
+async def test_removal_is_learnt_although_the_history_was_lost():
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 1) as ((store, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: "u1" in edge.upstreams.upstreams_by_id_)
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        log.put(UPSTREAM_TOPIC, "u2", make_server())
+        log.forget_history(UPSTREAM_TOPIC)
+        await until(lambda: set(edge.upstreams.upstreams_by_id_) == {"u2"})
+        assert "history_lost" in edge.reporter.writer.kinds()
+
+
+async def test_bad_records_keep_the_last_good_state():
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: edge.ready)
+        log.put_raw(OPERATOR_TOPIC, "config", b"\xff{")
+        log.put_raw(UPSTREAM_TOPIC, "u1", b"[]")
+        log.put(UPSTREAM_TOPIC, "u2", make_server())
+        await until(lambda: "u2" in edge.upstreams.upstreams_by_id_)
+        assert edge.operator.catalog.version == 1
+        await until(lambda: "bad_record" in edge.reporter.writer.kinds())
+
+
+async def test_readiness_follows_the_configuration_and_the_stop():
+    log = Log()
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+        aiohttp.ClientSession() as session,
+    ):
+        url = f"http://{edge.settings.readiness}/ready"
+        caller = f"http://{edge.settings.callers}/x"
+
+        async def status(target):
+            async with session.get(target) as response:
+                return response.status
+
+        assert await status(url) == 503
+        # Without a configuration nothing is denied.
+        assert await status(caller) == 503
+        log.put(OPERATOR_TOPIC, "config", make_config(1))
+        await until(lambda: edge.ready)
+        assert await status(url) == 200
+        assert await status(caller) == 404
+        draining = asyncio.ensure_future(edge.drain())
+        await asyncio.sleep(0.05)
+        assert await status(url) == 503
+        draining.cancel()
+
+
+@pytest.mark.timeout(60)
+async def test_mates_bring_a_version_to_their_engines_with_one_copy():
+    # Chunks that arrive spoilt or rot after staging must not be loaded.
+    log, origin = Log(), Origin()
+    origin.spoilt = {2, 5}
+    engines = [Engine(), Engine(), Engine()]
+    engines[1].rots_once = {3}
+    async with AsyncExitStack() as stack:
+        ((_, store_port),) = await stack.enter_async_context(stores(log, 1))
+        runner, origin_port = await listen(origin.handle)
+        stack.push_async_callback(runner.cleanup)
+        log.put(OPERATOR_TOPIC, "config", make_config(1, f"{HOST}:{origin_port}"))
+        mates = []
+        for number, engine in enumerate(engines):
+            runner, port = await listen(engine.handle)
+            stack.push_async_callback(runner.cleanup)
+            settings = make_settings(f"mate-{number}", store_port, port)
+            mates.append(
+                await stack.enter_async_context(running(MateProcess, settings))
+            )
+        for mate in mates[1:]:
+            mates[0].peers.learn(mate.address)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 1})
+        await until(lambda: all(e.version == 1 for e in engines), 20)
+        sent = origin.sent
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        await until(lambda: all(e.version == 2 for e in engines), 20)
+        # One copy, and the chunks that several mates asked for before they knew.
+        assert origin.sent - sent <= 2 * origin.count
+    for engine in engines:
+        assert engine.loaded == {i: origin.chunk(2, i) for i in range(origin.count)}
+        assert engine.orders == sorted(set(engine.orders))
+
+
+async def test_mate_that_starts_again_recognises_what_its_engine_holds():
+    # Guards against loading again after a mere restart of the process.
+    log, origin, engine = Log(), Origin(), Engine()
+    engine.version = 1
+    engine.staged = {i: origin.chunk(1, i) for i in range(origin.count)}
+    async with AsyncExitStack() as stack:
+        ((_, store_port),) = await stack.enter_async_context(stores(log, 1))
+        runner, origin_port = await listen(origin.handle)
+        stack.push_async_callback(runner.cleanup)
+        runner, port = await listen(engine.handle)
+        stack.push_async_callback(runner.cleanup)
+        log.put(OPERATOR_TOPIC, "config", make_config(1, f"{HOST}:{origin_port}"))
+        settings = make_settings("mate", store_port, port)
+        mate = await stack.enter_async_context(running(MateProcess, settings))
+        await until(lambda: mate.adopted_version_ == 1)
+        assert mate.plan_.complete
+    assert engine.orders == []
+    assert origin.sent == 0
+
+
+def test_lines_of_failed_requests_are_the_last_to_be_left_out():
+    # Load pattern: far more requests than lines may be written.
+    clock = ManualClock()
+    output = Output()
+    reporter = LineReporter("n", "d", clock, output)
+    for number in range(2000):
+        outcome = "failed" if number % 100 == 0 else "served"
+        reporter.event("request", outcome=outcome, number=number)
+        clock.advance(timedelta(milliseconds=1))
+    outcomes = [line["outcome"] for line in output.lines]
+    assert len(outcomes) <= 120 + 2 * 60
+    assert outcomes.count("failed") == 20
+    reporter.event("stop")
+    # What was left out is said in the next line that is written.
+    left_out = sum(line.get("left_out", 0) for line in output.lines)
+    assert left_out == 2000 - len(outcomes)
+
+
+def test_a_reader_that_stops_never_blocks_the_writer():
+    reading, writing = os.pipe()
+    writer = BoundedWriter(writing)
+    line = b"x" * 1000 + b"\n"
+    for _ in range(3000):
+        writer.write(line)
+    assert writer.dropped_ > 1000
+    assert os.read(reading, 1001) == line
+    os.close(reading)
+    writer.write(line)
+    os.close(writing)
