--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -30,7 +30,7 @@
     RecordError,
     decode_upstream,
 )
-from ..replication import KeyedRecord, News, ShareItem, SuspectItem
+from ..replication import KeyedRecord, News, PeerAddress, ShareItem, SuspectItem
 from ._member import MemberProcess
 from ._topics import TopicReplica
 
@@ -46,6 +46,8 @@
 # Left of the grace for closing sockets.
 STOP_RESERVE = timedelta(milliseconds=700)
 DRAIN_STEP_S = 0.05
+# Rounds of gossip after which entries in other regions are told.
+FAR_ROUND = 3
 SUSPECTS_PER_MESSAGE = 10
 
 
@@ -206,6 +208,10 @@
         )
         return message
 
+    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
+        """Tell entries; far ones less often, as engines report their whole load."""
+        return not peer.engine and (self.is_near(peer) or rounds % FAR_ROUND == 0)
+
     def heard(self, news: News) -> None:
         """Take peers' work, engines' reports and suspects."""
         now = self.clock.now()
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -334,12 +334,11 @@
         return [peer for peer in self.peers.all() if peer.engine]
 
     def _near_mates(self) -> list[PeerAddress]:
-        regions = self.settings.regions_by_domain
-        return [
-            peer
-            for peer in self._mates()
-            if regions.get(self.peers.domain(peer.id)) == self.settings.region
-        ]
+        return [peer for peer in self._mates() if self.is_near(peer)]
+
+    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
+        """Tell entries the engine's state, and mates too while chunks move."""
+        return not peer.engine or self.transferring()
 
     def transferring(self) -> bool:
         """Tell whether chunks are being fetched."""
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -257,19 +257,24 @@
         if not task.cancelled() and task.exception() is not None:
             self.reporter.event("task_failed", detail=repr(task.exception()))
 
-    def transferring(self) -> bool:
-        """Tell whether this process and its mates exchange chunks."""
-        return False
+    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
+        """Tell whether a peer is told in a round between the wide ones."""
+        return not peer.engine
+
+    def is_near(self, peer: PeerAddress) -> bool:
+        """Tell whether a peer is in the own region."""
+        domain = self.peers.domain(peer.id)
+        return self.settings.regions_by_domain.get(domain) == self.settings.region
 
     async def _gossip(self) -> None:
-        """Tell entries each round, mates less often unless they exchange chunks."""
+        """Tell those that need it each round, the others less often."""
         rounds = 0
         while True:
             self.peers.tick(self.clock.now())
             rounds += 1
             known = self.peers.all()
-            if rounds % WIDE_ROUND and not self.transferring():
-                known = [peer for peer in known if not peer.engine]
+            if rounds % WIDE_ROUND:
+                known = [peer for peer in known if self.tells_often(peer, rounds)]
             if known:
                 self.gossip_.send(self.news(), known)
             self.reporter.writer.flush()
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -17,9 +17,10 @@
 from ._operator import OperatorState
 from ._upstreams import Upstream, UpstreamTable
 
-# Candidates whose predictions are compared; all of them would send every entry to
-# the same upstream until figures are exchanged again.
-CANDIDATES = 3
+# Candidates in other regions whose predictions are compared with those of the own
+# region; all of them would send every entry to the same upstream until figures are
+# exchanged again.
+FAR_CANDIDATES = 2
 # Part of the target that the prediction may use up; the rest covers its error.
 ADMITTED_PART = 0.9
 # A caller that came back is late already, so it may wait behind those that are not.
@@ -28,7 +29,7 @@
 PLAIN_REQUESTS_PER_SLOT = 3
 # An upstream in the entry's own region is preferred up to this difference, since
 # links between regions are narrow and priced.
-REGION_PREFERENCE = timedelta(milliseconds=80)
+REGION_PREFERENCE = timedelta(milliseconds=100)
 # A request for older weights must begin before the bound. The margin covers the way
 # of the acknowledgement and of the request, the factor the error of the prediction.
 VERSION_MARGIN = timedelta(milliseconds=350)
@@ -201,8 +202,10 @@
         fit: list[Upstream],
         now: datetime,
     ) -> Placement | Rejection:
-        sample = self.random.sample(fit, min(CANDIDATES, len(fit)))
-        best = self._best(call, service, sample, now)
+        near = [u for u in fit if self._is_near(u)]
+        far = [u for u in fit if not self._is_near(u)]
+        far = self.random.sample(far, min(FAR_CANDIDATES, len(far)))
+        best = self._best(call, service, self.random.sample(near, len(near)) + far, now)
         if not self._admits(call, service, best[1], best[2], now):
             best = self._best(call, service, fit, now)
         upstream, prediction, load = best
@@ -225,6 +228,10 @@
         priority = LATE_PRIORITY if call.came_back else ON_TIME_PRIORITY
         return Placement(upstream, version, priority, prediction)
 
+    def _is_near(self, upstream: Upstream) -> bool:
+        regions = self.rules.regions_by_domain
+        return regions.get(upstream.record.domain) == regions.get(self.rules.domain)
+
     def _best(
         self,
         call: GatewayCall,
@@ -232,7 +239,6 @@
         upstreams: list[Upstream],
         now: datetime,
     ) -> tuple[Upstream, Prediction, EngineLoad]:
-        own_region = self.rules.regions_by_domain.get(self.rules.domain)
         best, best_cost = None, None
         for upstream in upstreams:
             load = self.loads.load(upstream.id, upstream.record.address, now)
@@ -240,8 +246,7 @@
             cost = prediction.first_token
             if call.model and not self._begins_in_time(call, upstream, cost, now):
                 cost += TOO_LATE
-            region = self.rules.regions_by_domain.get(upstream.record.domain)
-            if region != own_region:
+            if not self._is_near(upstream):
                 cost += REGION_PREFERENCE
             if best_cost is None or cost < best_cost:
                 best, best_cost = (upstream, prediction, load), cost
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -8,8 +8,9 @@
 
 from ._engine_model import EngineLoad
 
-# Four gossip intervals of 300 ms: older figures of a peer count no more.
-PEER_AGE = timedelta(milliseconds=1200)
+# Entries in other regions are heard each 900 ms; older figures than two of these
+# count no more.
+PEER_AGE = timedelta(milliseconds=2000)
 # Engines report their state with a lag of some 200 ms; their VM publishes it each 300.
 REPORT_AGE = timedelta(milliseconds=1500)
 
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -1,20 +1,21 @@
-"""What processes tell each other in datagrams and over HTTP."""
+"""What processes tell each other in datagrams and over HTTP.
 
-from __future__ import annotations
+Messages are encoded as arrays: with field names they took twice the bytes, which
+are priced between regions.
+"""
 
-from dataclasses import dataclass, field
+from __future__ import annotations
 
 import msgspec
 
 from ..core import FrameError
 
-PROTOCOL = 1
+PROTOCOL = 2
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
 
 
-@dataclass(slots=True, frozen=True)
-class PeerAddress:
+class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
     """Name a process and where it listens."""
 
     id: str
@@ -23,8 +24,7 @@
     engine: bool
 
 
-@dataclass(slots=True, frozen=True)
-class ShareItem:
+class ShareItem(msgspec.Struct, frozen=True, array_like=True):
     """Tell how much work an entry has at an upstream."""
 
     upstream: str
@@ -32,8 +32,7 @@
     unread_tokens: int
 
 
-@dataclass(slots=True, frozen=True)
-class EngineItem:
+class EngineItem(msgspec.Struct, frozen=True, array_like=True):
     """Tell the state of an engine, from its own VM."""
 
     address: str
@@ -45,8 +44,7 @@
     pace: float
 
 
-@dataclass(slots=True, frozen=True)
-class ChunkItem:
+class ChunkItem(msgspec.Struct, frozen=True, array_like=True):
     """Tell which chunks of a version a process can pass on."""
 
     model: str
@@ -54,16 +52,14 @@
     bitmap: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class SuspectItem:
+class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
     """Name a request that was running when upstreams crashed."""
 
     fingerprint: str
     upstreams: list[str]
 
 
-@dataclass(slots=True, frozen=True)
-class News:
+class News(msgspec.Struct, frozen=True, array_like=True):
     """Tell peers what a process knows; each message stands for itself."""
 
     sender: PeerAddress
@@ -72,16 +68,15 @@
     domain: str
     leaving: bool = False
     # End of the replica of each topic, by topic name.
-    ends_by_topic: dict[str, int] = field(default_factory=dict)
-    shares: list[ShareItem] = field(default_factory=list)
-    engines: list[EngineItem] = field(default_factory=list)
-    chunks: list[ChunkItem] = field(default_factory=list)
-    suspects: list[SuspectItem] = field(default_factory=list)
-    peers: list[PeerAddress] = field(default_factory=list)
+    ends_by_topic: dict[str, int] = {}
+    shares: list[ShareItem] = []
+    engines: list[EngineItem] = []
+    chunks: list[ChunkItem] = []
+    suspects: list[SuspectItem] = []
+    peers: list[PeerAddress] = []
 
 
-@dataclass(slots=True, frozen=True)
-class RecordItem:
+class RecordItem(msgspec.Struct, frozen=True, array_like=True):
     """Carry a record of a replica."""
 
     key: str
@@ -89,8 +84,7 @@
     offset: int
 
 
-@dataclass(slots=True, frozen=True)
-class RecordPage:
+class RecordPage(msgspec.Struct, frozen=True, array_like=True):
     """Carry the records of a topic from an offset on."""
 
     end: int
