Ask the origin for chunks that only unreachable mates hold

Two mates also finished version 2 although the origin was down, and took its link from the others. Now mates that fail or are silent count as holding nothing, pauses double, and a stalled transfer gives way to a newer version. The new test fails without the change. Ruled out: evacuation and the store, which the mates do not need for a transfer.

--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -29,6 +29,7 @@
 IDLE_STEP = timedelta(milliseconds=100)
 MANIFEST_TIMEOUT = timedelta(milliseconds=1500)
 MANIFEST_PAUSE = timedelta(milliseconds=300)
+# A chunk takes some 0.3 s beside others on a link of 3.65 Mbit/s.
 CHUNK_TIMEOUT = timedelta(seconds=2)
 _BUSY = 503
 # Entries learn within a gossip message that the engine stops taking requests.
@@ -257,7 +258,7 @@
             return False
         # The older version is loaded first if little of it is left to fetch.
         done = max(self.held_version, self.ordered_version_) >= plan.version
-        return plan.progress < FINISHED_FIRST or done
+        return plan.progress < FINISHED_FIRST or plan.stalled or done
 
     async def _begin(self, wanted: int | None) -> None:
         plan = self._new_plan(await self._manifest(wanted))
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -30,8 +30,10 @@
 SLOW_FROM = 12
 # Pause in the use of a source whose uploads are all taken.
 BUSY_FOR = timedelta(milliseconds=80)
-# Pause in the use of a source that failed.
+# Pause in the use of a source that failed; for a peer it doubles with each failure,
+# as one behind a cut costs a time-out each time.
 AVOIDED_FOR = timedelta(milliseconds=400)
+MAX_AVOIDED_FOR = timedelta(milliseconds=3200)
 # Corrupt chunks after which a peer is avoided for longer.
 MAX_CORRUPT = 3
 BANNED_FOR = timedelta(seconds=10)
@@ -59,6 +61,8 @@
     region: str = ""
     outstanding: int = 0
     corrupt: int = 0
+    # Failures since the last chunk that arrived.
+    failures: int = 0
     avoid_until: datetime | None = None
 
     def usable(self, now: datetime, limit: int) -> bool:
@@ -114,6 +118,13 @@
         """Return a verified chunk."""
         return self.chunks_by_index_.get(index)
 
+    @property
+    def stalled(self) -> bool:
+        """Tell whether chunks are missing that only a failing origin has."""
+        held = self._copies()
+        absent = any(not held[index] for index in self._missing())
+        return absent and self.sources_by_id_[ORIGIN].failures > 0
+
     def set_members(self, members: Iterable[SwarmMember]) -> None:
         """Take the mates that are alive, this one included."""
         self.members_ = sorted({self.own, *members}, key=lambda m: m.id)
@@ -159,6 +170,7 @@
             if fetch.source != ORIGIN and source.corrupt >= MAX_CORRUPT:
                 source.avoid_until = now + BANNED_FOR
             return False
+        source.failures = 0
         self.chunks_by_index_[fetch.index] = payload
         return True
 
@@ -166,9 +178,11 @@
         """Note that a source did not deliver."""
         self._end(fetch)
         source = self.sources_by_id_[fetch.source]
-        source.avoid_until = now + AVOIDED_FOR
+        pause = AVOIDED_FOR
         if fetch.source != ORIGIN:
-            source.bitmap &= ~(1 << fetch.index)
+            pause = min(AVOIDED_FOR * 2**source.failures, MAX_AVOIDED_FOR)
+        source.failures += 1
+        source.avoid_until = now + pause
 
     def busy(self, fetch: Fetch, now: datetime) -> None:
         """Note that a source is sending to others."""
@@ -226,10 +240,16 @@
         return None
 
     def _copies(self, region: str | None = None) -> Counter[int]:
-        """Return how many mates hold each chunk, in one region or in all."""
+        """Return how many mates hold each chunk, in one region or in all.
+
+        Mates that are silent or do not deliver count as holding nothing, so that
+        the origin is asked for what only they have.
+        """
+        alive = {member.id for member in self.members_}
         copies: Counter[int] = Counter()
         for peer, source in self.sources_by_id_.items():
-            if peer != ORIGIN and region in (None, source.region):
+            reachable = peer in alive and not source.failures
+            if reachable and region in (None, source.region):
                 for index in range(len(self.digests)):
                     copies[index] += source.bitmap >> index & 1
         return copies
--- a/shallotpath/swarm/tests/simulation.py
+++ b/shallotpath/swarm/tests/simulation.py
@@ -54,12 +54,16 @@
         corrupt: float = 0.0,
         silent: frozenset[str] = frozenset(),
         slow: dict[str, float] | None = None,
+        cut: str = "",
+        cut_at: float = 0.0,
     ) -> None:
         self.random = Random(seed)
         self.origin_region = origin_region
         self.origin_until = origin_until
         self.corrupt = corrupt
         self.slow = slow or {}
+        self.cut = cut
+        self.cut_at = cut_at
         self.payloads = [f"chunk {i}".encode() for i in range(chunks)]
         digests = [sha256(payload).hexdigest() for payload in self.payloads]
         members = [
@@ -118,15 +122,22 @@
         bitmap = self.plans_by_id[member_id].bitmap
         for other, plan in self.plans_by_id.items():
             same = self.members_by_id[other].region == sender.region
+            if self._is_cut(sender.region, self.members_by_id[other].region, now):
+                continue
             if other != member_id and (far or same):
                 plan.peer_has(sender, bitmap, now)
 
     def _start(self, member_id: str, fetch: Fetch, now) -> None:
         starts_at = now
+        region = self.members_by_id[member_id].region
         if fetch.source == ORIGIN:
-            if (now - EPOCH).total_seconds() > self.origin_until:
+            away = (now - EPOCH).total_seconds() > self.origin_until
+            if away or self._is_cut(self.origin_region, region, now):
                 self.plans_by_id[member_id].failed(fetch, now)
                 return
+        elif self._is_cut(self.members_by_id[fetch.source].region, region, now):
+            self.plans_by_id[member_id].failed(fetch, now)
+            return
         else:
             wait = self.pacers_by_id[fetch.source].reserve(CHUNK_BYTES, now)
             if wait is None:
@@ -135,6 +146,12 @@
             starts_at = now + wait
         self.transfers.append(Transfer(fetch.source, member_id, fetch, starts_at))
 
+    def _is_cut(self, one: str, other: str, now) -> bool:
+        """Tell whether a cut region lies between two regions."""
+        if not self.cut or (now - EPOCH).total_seconds() < self.cut_at:
+            return False
+        return (one == self.cut) != (other == self.cut)
+
     def _move(self, now) -> None:
         active = [t for t in self.transfers if t.starts_at <= now]
         up: dict[str, int] = {}
--- a/shallotpath/swarm/tests/test_transfer.py
+++ b/shallotpath/swarm/tests/test_transfer.py
@@ -38,6 +38,19 @@
     assert result.last <= BOUND_S
 
 
+def test_region_that_is_cut_off_with_the_origin_completes_from_it():
+    # Guards against mates that wait for chunks which only cut-off mates hold.
+    swarm = Swarm(REGIONS, origin_region="b", cut="b", cut_at=3.0)
+    result = swarm.run()
+    assert {m for m in result.seconds_by_id if m[0] == "b"} == {"b-0", "b-1", "b-2"}
+
+
+def test_stalled_transfer_says_so_once_the_origin_fails():
+    swarm = Swarm({"a": 2}, origin_until=0.5)
+    swarm.run(timedelta(seconds=2))
+    assert swarm.plans_by_id["a-0"].stalled
+
+
 def test_spoilt_chunks_are_fetched_again():
     swarm = Swarm(REGIONS, origin_region="b", corrupt=0.06)
     result = swarm.run()
