Split chunk transport off the mate; fill lost staging again before an order

Cause: a staged chunk that the engine lost was read back with 404 for ever, since it counted as staged. The new test hangs without the change.

--- /dev/null
+++ b/shallotpath/fleet/_chunks.py
@@ -0,0 +1,99 @@
+"""Chunks of weights over HTTP: from the origin, from mates and to mates."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from datetime import timedelta
+
+from aiohttp import web
+
+from ..core import Clock
+from ..gateway import OperatorState
+from ..platform import CallError, ChunkManifest, HttpCaller, OriginClient
+from ..replication import PeerTable
+from ..swarm import ORIGIN, Fetch, SwarmPlan, UploadPacer
+
+MANIFEST_TIMEOUT = timedelta(milliseconds=1500)
+# A chunk takes some 0.3 s beside others on a link of 3.65 Mbit/s.
+CHUNK_TIMEOUT = timedelta(seconds=2)
+CHUNK_PATH = "/chunk"
+BUSY = 503
+
+
+class ChunkFetcher:
+    """Fetch manifests and chunks."""
+
+    __slots__ = ("caller", "operator", "origin_", "peers")
+
+    def __init__(
+        self, operator: OperatorState, peers: PeerTable, caller: HttpCaller
+    ) -> None:
+        self.operator = operator
+        self.peers = peers
+        self.caller = caller
+        self.origin_ = OriginClient(caller)
+
+    async def manifest(self, model: str, version: int | None) -> ChunkManifest:
+        """Return the manifest of a version, the newest one by default."""
+        return await self.origin_.manifest(
+            self._origin_address(), model, version, MANIFEST_TIMEOUT
+        )
+
+    async def chunk(self, plan: SwarmPlan, fetch: Fetch) -> bytes:
+        """Return the bytes of a chunk from the planned source."""
+        if fetch.source == ORIGIN:
+            return await self.origin_.chunk(
+                self._origin_address(),
+                plan.model,
+                plan.version,
+                fetch.index,
+                CHUNK_TIMEOUT,
+            )
+        peer = self.peers.address(fetch.source)
+        if peer is None:
+            raise CallError(
+                f"mate {fetch.source} is not known any more; another one is asked"
+            )
+        url = (
+            f"http://{peer.host}:{peer.port}{CHUNK_PATH}"
+            f"?model={plan.model}&version={plan.version}&index={fetch.index}"
+        )
+        return await self.caller.call("GET", url, CHUNK_TIMEOUT)
+
+    def _origin_address(self) -> str:
+        catalog = self.operator.catalog
+        for origin in catalog.origins_by_id.values() if catalog else ():
+            return origin.address
+        raise CallError(
+            "the configuration names no origin of weights; add a service with one"
+        )
+
+
+class ChunkServer:
+    """Send chunks to mates at the pace of the own link."""
+
+    __slots__ = ("clock", "pacer_")
+
+    def __init__(self, clock: Clock, link_bytes_per_s: float) -> None:
+        self.clock = clock
+        self.pacer_ = UploadPacer(link_bytes_per_s)
+
+    async def answer(
+        self, request: web.BaseRequest, plans: Iterable[SwarmPlan]
+    ) -> web.Response:
+        """Answer the request of a mate."""
+        query = request.query
+        chunk = None
+        for plan in plans:
+            named = (query.get("model"), query.get("version"))
+            index = query.get("index", "")
+            if named == (plan.model, str(plan.version)) and index.isdecimal():
+                chunk = chunk or plan.chunk(int(index))
+        if chunk is None:
+            return web.Response(status=404, text="chunk is not here\n")
+        wait = self.pacer_.reserve(len(chunk), self.clock.now())
+        if wait is None:
+            return web.Response(status=BUSY, text="the link is taken\n")
+        await asyncio.sleep(wait.total_seconds())
+        return web.Response(body=chunk)
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -15,11 +15,11 @@
     ChunkManifest,
     EngineClient,
     EngineState,
-    OriginClient,
     ProcessSettings,
 )
 from ..replication import ChunkItem, EngineItem, News, PeerAddress
-from ..swarm import ORIGIN, Fetch, LoadWaves, SwarmMember, SwarmPlan, UploadPacer
+from ..swarm import ORIGIN, Fetch, LoadWaves, SwarmMember, SwarmPlan
+from ._chunks import BUSY, CHUNK_PATH, ChunkFetcher, ChunkServer
 from ._member import MemberProcess
 
 # The report is free from the own VM and lags by some 200 ms.
@@ -27,15 +27,12 @@
 # News of chunks while a transfer runs; a chunk takes some 54 ms of the link.
 TRANSFER_INTERVAL = timedelta(milliseconds=120)
 IDLE_STEP = timedelta(milliseconds=100)
-MANIFEST_TIMEOUT = timedelta(milliseconds=1500)
 MANIFEST_PAUSE = timedelta(milliseconds=300)
-# A chunk takes some 0.3 s beside others on a link of 3.65 Mbit/s.
-CHUNK_TIMEOUT = timedelta(seconds=2)
-_BUSY = 503
 # Entries learn within a gossip message that the engine stops taking requests.
 NOTICE = timedelta(milliseconds=30)
 # A transfer beyond this share is finished before a newer version is begun.
 FINISHED_FIRST = 0.5
+_NOT_FOUND = 404
 ORDER_PAUSE = timedelta(milliseconds=300)
 # An order is given again if the engine shows neither it nor its result by then.
 ORDER_TIMEOUT = timedelta(seconds=10)
@@ -47,7 +44,8 @@
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=True, **options)
         self.engine_: EngineClient | None = None
-        self.origin_: OriginClient | None = None
+        self.fetcher_: ChunkFetcher | None = None
+        self.server_ = ChunkServer(self.clock, settings.link_bytes_per_s)
         self.state_: EngineState | None = None
         self.model_ = ""
         self.plan_: SwarmPlan | None = None
@@ -59,16 +57,14 @@
         self.adopted_version_ = 0
         self.waves_ = LoadWaves(settings.node)
         self.versions_by_mate_: dict[str, int] = {}
-        self.pacer_ = UploadPacer(settings.link_bytes_per_s)
         self.fetching_: set[asyncio.Task] = set()
         self.wake_ = asyncio.Event()
-        self.manifest_body_ = b""
 
     async def start(self) -> None:
         """Follow the operators' records and the engine's report."""
         await super().start()
         self.engine_ = EngineClient(self.settings.engine, self.caller_)
-        self.origin_ = OriginClient(self.caller_)
+        self.fetcher_ = ChunkFetcher(self.operator, self.peers, self.caller_)
         self.spawn(self._watch_engine())
         self.spawn(self._keep_weights())
 
@@ -116,9 +112,7 @@
                     pace=state.pace,
                 )
             )
-        for plan in {
-            id(p): p for p in (self.plan_, *self.kept_by_model_.values()) if p
-        }.values():
+        for plan in self._plans():
             size = (len(plan.digests) + 7) // 8
             message.chunks.append(
                 ChunkItem(
@@ -148,17 +142,14 @@
 
     async def answer_other(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a chunk to another mate."""
-        if request.path != "/chunk":
+        if request.path != CHUNK_PATH:
             return await super().answer_other(request)
-        plan = self._plan_of(request.query.get("model", ""), request.query)
-        chunk = plan.chunk(int(request.query["index"])) if plan else None
-        if chunk is None:
-            return web.Response(status=404, text="chunk is not here\n")
-        wait = self.pacer_.reserve(len(chunk), self.clock.now())
-        if wait is None:
-            return web.Response(status=_BUSY, text="the link is taken\n")
-        await asyncio.sleep(wait.total_seconds())
-        return web.Response(body=chunk)
+        return await self.server_.answer(request, self._plans())
+
+    def _plans(self) -> list[SwarmPlan]:
+        """Return the transfers whose chunks are here, without repeats."""
+        plans = [self.plan_, *self.kept_by_model_.values()]
+        return list({id(plan): plan for plan in plans if plan is not None}.values())
 
     def status(self) -> dict[str, object]:
         """Add the engine and the transfer."""
@@ -170,16 +161,6 @@
             "transfer_progress": plan.progress if plan else None,
         }
 
-    def _plan_of(self, model: str, query) -> SwarmPlan | None:
-        for plan in (self.plan_, self.kept_by_model_.get(model)):
-            if (
-                plan
-                and plan.model == model
-                and str(plan.version) == query.get("version")
-            ):
-                return plan
-        return None
-
     async def _watch_engine(self) -> None:
         lost = False
         while True:
@@ -238,7 +219,7 @@
             return
         if self.plan_ is not None and self.plan_.version == held:
             return
-        plan = self._new_plan(await self._manifest(held))
+        plan = self._new_plan(await self.fetcher_.manifest(self.model_, held))
         await self._recover_staged(plan)
         self.adopted_version_ = held
         if plan.complete:
@@ -261,7 +242,7 @@
         return plan.progress < FINISHED_FIRST or plan.stalled or done
 
     async def _begin(self, wanted: int | None) -> None:
-        plan = self._new_plan(await self._manifest(wanted))
+        plan = self._new_plan(await self.fetcher_.manifest(self.model_, wanted))
         old = self.plan_
         if old is not None:
             self.kept_by_model_[old.model] = old
@@ -293,18 +274,6 @@
             random=self.random,
         )
 
-    async def _manifest(self, wanted: int | None) -> ChunkManifest:
-        origins = self.operator.catalog.origins_by_id.values()
-        error: CallError | None = None
-        for origin in origins:
-            try:
-                return await self.origin_.manifest(
-                    origin.address, self.model_, wanted, MANIFEST_TIMEOUT
-                )
-            except CallError as failure:
-                error = failure
-        raise error or CallError("the configuration names no origin of weights")
-
     async def _recover_staged(self, plan: SwarmPlan) -> int:
         """Take chunks that an earlier process on this VM staged."""
         try:
@@ -347,7 +316,7 @@
 
     async def _fetch(self, plan: SwarmPlan, fetch: Fetch) -> None:
         try:
-            payload = await self._fetch_bytes(plan, fetch)
+            payload = await self.fetcher_.chunk(plan, fetch)
         except CallError as error:
             self._chunk_failed(plan, fetch, error)
         else:
@@ -366,7 +335,7 @@
 
     def _chunk_failed(self, plan: SwarmPlan, fetch: Fetch, error: CallError) -> None:
         now = self.clock.now()
-        if error.status == _BUSY and fetch.source != ORIGIN:
+        if error.status == BUSY and fetch.source != ORIGIN:
             plan.busy(fetch, now)
             self.reporter.count("chunks_busy")
             return
@@ -391,21 +360,6 @@
     def _kind(fetch: Fetch) -> str:
         return ORIGIN if fetch.source == ORIGIN else "peer"
 
-    async def _fetch_bytes(self, plan: SwarmPlan, fetch: Fetch) -> bytes:
-        if fetch.source == ORIGIN:
-            for origin in self.operator.catalog.origins_by_id.values():
-                return await self.origin_.chunk(
-                    origin.address, plan.model, plan.version, fetch.index, CHUNK_TIMEOUT
-                )
-        peer = self.peers.address(fetch.source)
-        if peer is None:
-            raise CallError(f"mate {fetch.source} is not known any more")
-        url = (
-            f"http://{peer.host}:{peer.port}/chunk"
-            f"?model={plan.model}&version={plan.version}&index={fetch.index}"
-        )
-        return await self.caller_.call("GET", url, CHUNK_TIMEOUT)
-
     async def _tell_transfer(self, plan: SwarmPlan) -> None:
         """Tell the other mates of new chunks while the transfer runs."""
         told = -1
@@ -478,12 +432,21 @@
                 await self.engine_.stage(plan.model, index, chunk)
                 self.staged_.add(index)
         for index, digest in enumerate(plan.digests):
-            staged = await self.engine_.staged(plan.model, index)
-            if sha256_hex(staged) != digest:
+            if not await self._staged_well(plan, index, digest):
                 self.staged_.discard(index)
                 self.reporter.event("staged_chunk_spoilt", index=index)
         return len(self.staged_) == len(plan.digests)
 
+    async def _staged_well(self, plan: SwarmPlan, index: int, digest: str) -> bool:
+        """Tell whether a staged chunk is still there and the right one."""
+        try:
+            staged = await self.engine_.staged(plan.model, index)
+        except CallError as error:
+            if error.status == _NOT_FOUND:
+                return False
+            raise
+        return sha256_hex(staged) == digest
+
     async def _await_loaded(self, version: int) -> None:
         ends_at: datetime = self.clock.now() + ORDER_TIMEOUT
         while self.clock.now() < ends_at:
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -113,6 +113,7 @@
         self.loaded = {}
         self.orders = []
         self.rots_once = set()
+        self.loses_once = set()
 
     async def handle(self, request):
         if request.path == "/report":
@@ -129,6 +130,9 @@
         if "num" not in request.query:
             return web.json_response({"held": sorted(self.staged)})
         index = int(request.query["num"])
+        if index in self.loses_once:
+            self.loses_once.discard(index)
+            self.staged.pop(index, None)
         if index not in self.staged:
             return web.Response(status=404)
         if index in self.rots_once:
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -260,6 +260,23 @@
     assert origin.sent == 0
 
 
+async def test_staging_that_was_lost_is_filled_again_before_the_order():
+    # Guards against a mate that reads back lost chunks for ever.
+    log, origin, engine = Log(), Origin(), Engine()
+    engine.loses_once = {1, 6}
+    async with AsyncExitStack() as stack:
+        ((_, store_port),) = await stack.enter_async_context(stores(log, 1))
+        runner, origin_port = await listen(origin.handle)
+        stack.push_async_callback(runner.cleanup)
+        runner, port = await listen(engine.handle)
+        stack.push_async_callback(runner.cleanup)
+        log.put(OPERATOR_TOPIC, "config", make_config(1, f"{HOST}:{origin_port}"))
+        settings = make_settings("mate", store_port, port)
+        await stack.enter_async_context(running(MateProcess, settings))
+        await until(lambda: engine.version == 1)
+    assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
+
+
 def test_lines_of_failed_requests_are_the_last_to_be_left_out():
     # Load pattern: far more requests than lines may be written.
     clock = ManualClock()
