Stop using an address that answers as another upstream

The 421 names who answered, so the old entry is now dropped at once; a 421 for other weights keeps it. Ruled out: late reads of the store, which had no removal to offer yet.

--- a/shallotpath/cli/tests/test_programs.py
+++ b/shallotpath/cli/tests/test_programs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from shallotpath.cli import agent, engine, entry, platform, timeline
+from shallotpath.cli import agent, edge, engine, entry, mate, platform, timeline
 from shallotpath.cli._program import run_app
 
 PLATFORM = "[platform]\nlisten = 127.0.0.1:0\n"
@@ -51,3 +51,45 @@
 def test_a_wrong_option_exits_with_2(monkeypatch, capsys):
     # Guards against a usage error that a script cannot tell from a failure.
     assert exit_code(platform.app, ["--bogus"], monkeypatch) == 2
+
+
+PROCESS = """
+node=n
+ip=127.0.0.1
+zone=a-1
+internalPorts=7700,7715
+platform.address=127.0.0.1:8007
+"""
+
+
+def fleet_exit_code(program, arguments, monkeypatch):
+    monkeypatch.setattr("sys.argv", ["program", *arguments])
+    monkeypatch.delenv("SHALLOTPATH_CONFIG", raising=False)
+    with pytest.raises(SystemExit) as caught:
+        program.main()
+    return caught.value.code
+
+
+@pytest.mark.parametrize("program", [edge, mate])
+@pytest.mark.parametrize("flag", ["--help", "--version"])
+def test_help_and_version_of_platform_programs(program, flag, monkeypatch, capsys):
+    assert fleet_exit_code(program, [flag], monkeypatch) == 0
+    assert capsys.readouterr().out
+
+
+@pytest.mark.parametrize("program", [edge, mate])
+def test_platform_programs_check_a_settings_file(
+    program, monkeypatch, capsys, tmp_path
+):
+    path = tmp_path / "boot.conf"
+    path.write_text(PROCESS)
+    arguments = ["--check-config", str(path)]
+    assert fleet_exit_code(program, arguments, monkeypatch) == 0
+    path.write_text(PROCESS.replace("node=n\n", ""))
+    assert fleet_exit_code(program, arguments, monkeypatch) == 2
+    assert "node is missing" in capsys.readouterr().err
+
+
+def test_platform_program_without_settings_names_the_variable(monkeypatch, capsys):
+    assert fleet_exit_code(edge, [], monkeypatch) == 2
+    assert "SHALLOTPATH_CONFIG is not set" in capsys.readouterr().err
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -134,9 +134,7 @@
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
         if status == _MISDIRECTED:
-            raise AttemptError(
-                Failure(FailureKind.MISDIRECTED, f"status {status}", fields.retry_after)
-            )
+            raise AttemptError(self._misdirected(fields))
         if fields.not_executed and status in _NOT_RUN_STATUSES:
             raise AttemptError(
                 Failure(FailureKind.REFUSED, f"status {status}", fields.retry_after)
@@ -148,6 +146,14 @@
                 Failure(FailureKind.GARBLED, f"status {status} without a seal")
             )
 
+    def _misdirected(self, fields: ResponseFields) -> Failure:
+        answered_by = fields.upstream_id
+        if answered_by and answered_by != self.placement.upstream.id:
+            detail = f"address belongs to {answered_by}"
+            return Failure(FailureKind.REPLACED, detail, fields.retry_after)
+        detail = f"status {self.status}"
+        return Failure(FailureKind.MISDIRECTED, detail, fields.retry_after)
+
 
 async def wait_for_head(task: asyncio.Task[None], limit_s: float | None) -> bool:
     """Wait for an exchange; tell whether it ended within the limit."""
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -344,6 +344,12 @@
                 breaker.lost(upstream_id, now)
                 self.parts.pool.drop(upstream_id)
                 self.parts.suspects.crashed(upstream_id, now)
+            case FailureKind.REPLACED:
+                # Its entry lapses seconds later; until it is heard again, every
+                # request that is sent there is lost time.
+                self.parts.dispatcher.upstreams.drop(upstream_id)
+                self.parts.pool.drop(upstream_id)
+                self.parts.suspects.crashed(upstream_id, now)
             case FailureKind.SILENT:
                 breaker.lost(upstream_id, now)
                 self.parts.pool.drop(upstream_id)
--- a/shallotpath/forwarding/_wire.py
+++ b/shallotpath/forwarding/_wire.py
@@ -44,6 +44,8 @@
     request_id: str
     sealed: bool
     not_executed: bool
+    # Id of the upstream that answered, where it says so.
+    upstream_id: str
     retry_after: timedelta | None
     keep_alive: timedelta | None
 
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -84,6 +84,27 @@
     assert "502" in head
 
 
+async def test_address_of_another_upstream_is_not_used_again():
+    # Guards against requests that go to a crashed upstream's successor until the
+    # entry of the old one lapses.
+    other = reply(status="421 No", extra=["Shallotpath-Instance-Id: u9"])
+    successor, good = Upstream(other), Upstream(reply())
+    async with make_world(successor, good, **ONCE) as world:
+        heads = [await world.call(number=n, method="POST") for n in range(8)]
+    assert len(successor.requests) == 1
+    assert all("200" in head for head, _ in heads)
+
+
+async def test_upstream_with_other_weights_stays_known():
+    other = reply(status="421 No", extra=["Shallotpath-Instance-Id: u0"])
+    upstream = Upstream(other)
+    async with make_world(upstream, **ONCE) as world:
+        for number in range(3):
+            head, _ = await world.call(number=number, method="POST")
+            assert "503" in head
+    assert len(upstream.requests) == 3
+
+
 async def test_failure_of_an_order_passes_with_its_status_and_seal():
     upstream = Upstream(reply(b"why", status="500 Oops"))
     async with make_world(upstream, **ONCE) as world:
--- a/shallotpath/gateway/_outcomes.py
+++ b/shallotpath/gateway/_outcomes.py
@@ -14,6 +14,9 @@
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    # The address belongs to another upstream now.
+    REPLACED = "replaced"
+    # The upstream holds other weights than the request asks for.
     MISDIRECTED = "misdirected"
     LOST = "lost"
     SILENT = "silent"
@@ -24,6 +27,7 @@
 RUN_BY_KIND = {
     FailureKind.UNREACHABLE: RunState.NO,
     FailureKind.REFUSED: RunState.NO,
+    FailureKind.REPLACED: RunState.NO,
     FailureKind.MISDIRECTED: RunState.NO,
     FailureKind.LOST: RunState.UNKNOWN,
     FailureKind.SILENT: RunState.UNKNOWN,
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -56,6 +56,7 @@
             request_id=headers.get(names.REQUEST_ID, ""),
             sealed=names.SEAL in headers,
             not_executed=names.NOT_EXECUTED in headers,
+            upstream_id=headers.get(names.OWN_ID, ""),
             retry_after=_seconds(headers.get("Retry-After")),
             keep_alive=timedelta(seconds=int(match.group(1))) if match else None,
         )
--- a/shallotpath/telemetry/tests/test_metric_names.py
+++ b/shallotpath/telemetry/tests/test_metric_names.py
@@ -2,7 +2,10 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[3]
-USE = re.compile(r"(?:Count|Gauge|telemetry\.count|telemetry\.gauge)\(\s*\"([a-z_]+)\"")
+USE = re.compile(
+    r"(?:Count|Gauge|(?:telemetry|reporter)\.(?:count|gauge|observe))"
+    r"\(\s*\"([a-z_]+)\""
+)
 
 
 def test_every_metric_is_documented():
