Move the options of the platform programs into a module of their own

The new tests found that the options could not be read: their types were imported inside a function, where the annotations are not resolved.

--- a/shallotpath/cli/_fleet_program.py
+++ b/shallotpath/cli/_fleet_program.py
@@ -7,13 +7,11 @@
 import signal
 import sys
 from collections.abc import Callable
-from pathlib import Path
 
 from ..core import SettingError
 from ..fleet import MemberProcess
 from ..platform import ProcessSettings, load_process_settings
 
-EXIT_OK = 0
 EXIT_SETTINGS = 2
 # Objects of the libraries live as long as the process; scanning them again costs
 # processor time and delays requests.
@@ -25,7 +23,9 @@
 def run_program(name: str, help_text: str, make: Make) -> None:
     """Run a program; without arguments the command line library is not loaded."""
     if len(sys.argv) > 1:
-        _run_command_line(name, help_text)
+        from ._fleet_command import run_options  # noqa: PLC0415
+
+        run_options(name, help_text)
     try:
         settings = load_process_settings()
     except SettingError as error:
@@ -36,33 +36,6 @@
     asyncio.run(_run(make(settings)))
 
 
-def _run_command_line(name: str, help_text: str) -> None:
-    from typing import Annotated  # noqa: PLC0415
-
-    from cyclopts import App, Parameter  # noqa: PLC0415
-
-    from .. import __version__  # noqa: PLC0415
-    from ._program import run_app  # noqa: PLC0415
-
-    app = App(name=name, help=help_text, version=f"{name} {__version__}")
-
-    @app.default
-    def check(
-        *,
-        check_config: Annotated[
-            Path, Parameter(help="Check a settings file and exit.")
-        ],
-    ) -> int:
-        try:
-            load_process_settings(check_config)
-        except SettingError as error:
-            print(error.message, file=sys.stderr)
-            return EXIT_SETTINGS
-        return EXIT_OK
-
-    run_app(app)
-
-
 async def _run(process: MemberProcess) -> None:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
