Wait for upstreams' records at one entry of a domain; share how fresh they are

Peers now confirm each other's replicas with the age of the store's answer, and the reader waits at the store, so a change is known at once.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -34,10 +34,11 @@
 from ._member import MemberProcess
 from ._topics import TopicReplica
 
-# Upstreams write every 1.2 s, and one that leaves must get nothing 2 s later.
-UPSTREAM_INTERVAL = timedelta(milliseconds=600)
+# Time for which the store holds a read of the upstreams. One that leaves must get
+# nothing 2 s later, also where a read was lost and had to time out.
+UPSTREAM_WAIT = timedelta(milliseconds=1000)
 # An entry reads the upstreams itself once its domain's reader was silent so long.
-UPSTREAM_AGE = timedelta(milliseconds=900)
+UPSTREAM_AGE = timedelta(milliseconds=1500)
 PRUNE_INTERVAL = timedelta(seconds=1)
 # Older beliefs do not justify to deny a request.
 FRESH_WITHIN = timedelta(seconds=10)
@@ -100,8 +101,10 @@
         """Open all sockets; readiness follows the first configuration."""
         await super().start()
         self.upstream_topic_ = self.add_topic(
-            UPSTREAM_TOPIC, self.apply_upstreams, timedelta()
+            UPSTREAM_TOPIC, self.apply_upstreams, UPSTREAM_WAIT
         )
+        self.upstream_topic_.after_news = self._tell_near
+        self.upstream_topic_.before_news = self.upstreams.read_succeeded
         self.spawn(self.upstream_topic_.poll(self._reads_upstreams))
         self.spawn(self._prune())
         readiness, callers = self.settings.readiness, self.settings.callers
@@ -155,8 +158,6 @@
 
     def apply_upstreams(self, records: Iterable[KeyedRecord]) -> None:
         """Fold new entries of upstreams."""
-        now = self.clock.now()
-        self.upstreams.read_succeeded(now)
         changed = False
         for record in records:
             changed |= self._apply_upstream(record)
@@ -268,11 +269,9 @@
     def _reads_upstreams(self) -> bool:
         """Tell whether it is this entry's turn to read the store for its domain."""
         now = self.clock.now()
-        age, read_at = self.upstream_topic_.age(now), self.upstream_topic_.read_at_
+        age = self.upstream_topic_.age(now)
         if age is None or age > UPSTREAM_AGE:
             return True
-        if read_at is not None and now - read_at < UPSTREAM_INTERVAL:
-            return False
         live = [
             peer.id
             for peer in self.peers.live(now)
@@ -281,6 +280,11 @@
         own = self.settings.node
         return rendezvous_choice("upstreams", [*live, own]) == own
 
+    def _tell_near(self) -> None:
+        """Let the entries of the region take what was read, before they look."""
+        near = [p for p in self.peers.all() if not p.engine and self.is_near(p)]
+        self.gossip_.send(self.news(), near)
+
     async def _answer_probe(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self.ready else 503)
 
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -27,11 +27,14 @@
 from ..replication import KeyedRecord, News, PeerAddress, PeerTable
 from ._gossip import GOSSIP_INTERVAL, GossipSocket, incarnation
 from ._reporter import LineReporter
-from ._topics import TopicReplica
+from ._topics import Apply, TopicReplica
 
 # Time for which the store holds a read of the operators' records. Short enough to
 # notice a connection that went silent, long enough to cost few calls.
 OPERATOR_WAIT = timedelta(seconds=8)
+# All processes wait for the operators' records, so they have them at about the same
+# time; only one that is still behind after this delay asks its peers.
+OPERATOR_PULL_DELAY = timedelta(milliseconds=150)
 # Seeds may be stale or down, so members also find each other in the store.
 MEMBERS_INTERVAL = timedelta(seconds=15)
 LONELY_INTERVAL = timedelta(seconds=1)
@@ -84,7 +87,7 @@
         self.caller_ = HttpCaller(self.session_)
         self.store_ = StoreClient(self.settings.store, self.session_)
         self.operator_topic_ = self.add_topic(
-            OPERATOR_TOPIC, self.apply_operator, OPERATOR_WAIT
+            OPERATOR_TOPIC, self.apply_operator, OPERATOR_WAIT, OPERATOR_PULL_DELAY
         )
         host, port = self.settings.host, self.settings.peer_port
         await self.peer_listener_.start(host, port)
@@ -126,7 +129,13 @@
         self.tasks_.add(task)
         task.add_done_callback(self._task_ended)
 
-    def add_topic(self, name: str, apply, wait: timedelta) -> TopicReplica:
+    def add_topic(
+        self,
+        name: str,
+        apply: Apply,
+        wait: timedelta,
+        pull_delay: timedelta = timedelta(),
+    ) -> TopicReplica:
         """Add a replica of a topic that peers may ask for."""
         topic = TopicReplica(
             name,
@@ -137,6 +146,7 @@
             reporter=self.reporter,
             apply=apply,
             wait=wait,
+            pull_delay=pull_delay,
         )
         self.topics_by_name_[name] = topic
         return topic
@@ -167,13 +177,14 @@
     def news(self) -> News:
         """Return the message for peers."""
         self.sequence_ += 1
+        now = self.clock.now()
         return News(
             sender=self.address,
             incarnation=self.incarnation_,
             sequence=self.sequence_,
             domain=self.settings.domain,
             leaving=self.leaving_,
-            ends_by_topic={n: t.end for n, t in self.topics_by_name_.items()},
+            topics=[topic.item(now) for topic in self.topics_by_name_.values()],
             peers=self.peers.sample() if self.sequence_ % WIDE_ROUND == 0 else [],
         )
 
@@ -192,10 +203,13 @@
         if greet:
             # A process that has just started learns at once what this one knows.
             self.gossip_.send(self.news(), [news.sender])
-        for name, end in news.ends_by_topic.items():
-            topic = self.topics_by_name_.get(name)
-            if topic is not None and end > topic.end and self.may_pull(topic, news):
-                self.spawn(topic.behind(news.sender, end))
+        for item in news.topics:
+            topic = self.topics_by_name_.get(item.name)
+            if topic is None:
+                continue
+            topic.confirmed_elsewhere(item)
+            if item.end > topic.end and self.may_pull(topic, news):
+                self.spawn(topic.behind(news.sender, item.end))
         self.heard(news)
 
     def may_pull(self, topic: TopicReplica, news: News) -> bool:
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from math import ceil
 from random import Random
 
 from ..core import Clock, FrameError, PlatformError
@@ -15,6 +16,7 @@
     PeerAddress,
     RecordItem,
     RecordPage,
+    TopicItem,
     decode_page,
     encode_message,
 )
@@ -25,9 +27,6 @@
 # Steps at which a reader that is not held by the store looks whether it is due.
 DUE_STEP = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
-# A reader that waits for news has it at about the same time as its peers; only one
-# that is still behind after this delay asks them.
-PULL_DELAY = timedelta(milliseconds=150)
 
 Apply = Callable[[list[KeyedRecord]], None]
 
@@ -46,6 +45,7 @@
         reporter: LineReporter,
         apply: Apply,
         wait: timedelta = timedelta(),
+        pull_delay: timedelta = timedelta(),
     ) -> None:
         self.topic = topic
         self.store = store
@@ -56,13 +56,19 @@
         self.apply = apply
         # Time for which the store may hold a read until there is news.
         self.wait = wait
+        # Time in which the own read is expected to bring what a peer already has.
+        self.pull_delay = pull_delay
         self.replica_ = KeyedReplica()
         self.listed_ = False
         self.confirmed_at_: datetime | None = None
-        self.read_at_: datetime | None = None
         self.store_lost_at_: datetime | None = None
         self.pulling_ = False
         self.retry_ = FIRST_RETRY
+        # Called after a read of the store that brought records.
+        self.after_news: Callable[[], None] | None = None
+        # Called when a newer answer of the store is known, before its records are
+        # applied.
+        self.before_news: Callable[[datetime], None] | None = None
 
     @property
     def end(self) -> int:
@@ -89,7 +95,6 @@
 
     async def read_once(self) -> bool:
         """Read what is new from the store; tell whether it answered."""
-        self.read_at_ = self.clock.now()
         try:
             if self.listed_:
                 page = await self.store.read(self.topic, self.end, self.wait)
@@ -112,16 +117,29 @@
                 "unreadable_records", topic=self.topic, count=page.unreadable
             )
         self._confirm(newer, timedelta())
+        if newer and self.after_news is not None:
+            self.after_news()
         return True
 
+    def confirmed_elsewhere(self, item: TopicItem) -> None:
+        """Take that a peer with the same records had them confirmed more recently."""
+        if item.end == self.end and item.age_s is not None and self.listed_:
+            self._confirm([], timedelta(seconds=item.age_s))
+
+    def item(self, now: datetime) -> TopicItem:
+        """Return how far this replica is, for peers."""
+        age = self.age(now)
+        # Rounded up: replicas that confirm each other must not grow younger.
+        age_s = None if age is None else ceil(age.total_seconds() * 100) / 100
+        return TopicItem(self.topic, self.end, age_s)
+
     async def behind(self, peer: PeerAddress, end: int) -> None:
         """Take what a peer has beyond this replica."""
         if self.pulling_ or end <= self.end:
             return
         self.pulling_ = True
         try:
-            if self.wait:
-                await asyncio.sleep(PULL_DELAY.total_seconds())
+            await asyncio.sleep(self.pull_delay.total_seconds())
             if end > self.end:
                 await self._pull(peer)
         finally:
@@ -159,7 +177,10 @@
         confirmed_at = self.clock.now() - age
         if self.confirmed_at_ is None or confirmed_at > self.confirmed_at_:
             self.confirmed_at_ = confirmed_at
-        self.apply(newer)
+            if self.before_news is not None:
+                self.before_news(confirmed_at)
+        if newer:
+            self.apply(newer)
 
     def _next_retry(self) -> float:
         delay = self.retry_.total_seconds() * self.random.uniform(0.5, 1.0)
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -147,6 +147,51 @@
         assert "store_lost" in b.reporter.writer.kinds()
 
 
+async def test_one_entry_of_a_domain_reads_the_upstreams():
+    # Guards against store calls that grow with the number of entries.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (_, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready and b.peers.live(b.clock.now()))
+        await asyncio.sleep(0.5)
+        labels = {"topic": UPSTREAM_TOPIC}
+        before = [p.reporter.metrics.value("store_reads", labels) for p in (a, b)]
+        for number in range(20):
+            log.put(UPSTREAM_TOPIC, "u1", make_server(seq=number))
+            await asyncio.sleep(0.1)
+        after = [p.reporter.metrics.value("store_reads", labels) for p in (a, b)]
+        reads = sorted(y - x for x, y in zip(before, after, strict=True))
+        assert reads[0] == 0
+        assert a.upstream_topic_.end == b.upstream_topic_.end
+
+
+async def test_outage_is_noticed_although_peers_confirm_each_other():
+    # Guards against lapsed entries that are dropped when the store comes back.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 2) as ((store_a, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: "u1" in b.upstreams.upstreams_by_id_)
+        store_a.refusing = store_b.refusing = True
+        await asyncio.sleep(4.2)
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        store_a.refusing = store_b.refusing = False
+        for process in (a, b):
+            await until(lambda p=process: p.upstream_topic_.end == 2)
+            usable = process.upstreams.usable("llm", process.clock.now())
+            assert [u.id for u in usable] == ["u1"]
+
+
 async def test_removal_is_learnt_although_the_history_was_lost():
     log = Log()
     log.put(OPERATOR_TOPIC, "config", make_config(1))
--- a/shallotpath/gateway/_upstreams.py
+++ b/shallotpath/gateway/_upstreams.py
@@ -57,11 +57,11 @@
         self.last_read_at_: datetime | None = None
         self.store_back_at_: datetime | None = None
 
-    def read_succeeded(self, now: datetime) -> None:
-        """Note that the store answered, before its records are applied."""
-        if self.last_read_at_ and now - self.last_read_at_ > READ_GAP:
-            self.store_back_at_ = now
-        self.last_read_at_ = now
+    def read_succeeded(self, read_at: datetime) -> None:
+        """Note when the store answered, before its records are applied."""
+        if self.last_read_at_ and read_at - self.last_read_at_ > READ_GAP:
+            self.store_back_at_ = read_at
+        self.last_read_at_ = read_at
 
     def apply(self, record: UpstreamRecord, now: datetime) -> bool:
         """Take a record; tell whether anything but its age changed."""
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -17,7 +17,7 @@
 # an upstream that leaves must be known within 2 s although one call may be lost.
 CALL_TIMEOUT = timedelta(milliseconds=700)
 # Added to the time for which a read may wait for news.
-WAIT_SLACK = timedelta(seconds=1)
+WAIT_SLACK = timedelta(milliseconds=700)
 _HEADER_BYTES = 16
 _LENGTH_BYTES = 4
 _OK = 200
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -10,7 +10,7 @@
 
 from ..core import FrameError
 
-PROTOCOL = 2
+PROTOCOL = 3
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
 
@@ -52,6 +52,15 @@
     bitmap: bytes
 
 
+class TopicItem(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how far a process holds a topic, and how long ago the store said so."""
+
+    name: str
+    end: int
+    # `None` before the first read.
+    age_s: float | None
+
+
 class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
     """Name a request that was running when upstreams crashed."""
 
@@ -67,8 +76,7 @@
     sequence: int
     domain: str
     leaving: bool = False
-    # End of the replica of each topic, by topic name.
-    ends_by_topic: dict[str, int] = {}
+    topics: list[TopicItem] = []
     shares: list[ShareItem] = []
     engines: list[EngineItem] = []
     chunks: list[ChunkItem] = []
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -16,6 +16,7 @@
     PeerTable,
     RecordItem,
     RecordPage,
+    TopicItem,
     decode_news,
     decode_page,
     encode_message,
@@ -69,13 +70,13 @@
 
 
 def test_messages_survive_the_wire():
-    message = news(1, 2, ends_by_topic={"t": 5}, peers=[address(3)])
+    message = news(1, 2, topics=[TopicItem("t", 5, 0.25)], peers=[address(3)])
     assert decode_news(encode_message(message)) == message
     page = RecordPage(7, [RecordItem("a", b"1", 3), RecordItem("b", None, 4)], 0.5)
     assert decode_page(encode_message(page)) == page
 
 
-@pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x02\x90", b"\x92\x63\xc0"])
+@pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x03\x90", b"\x92\x63\xc0"])
 def test_unreadable_messages_are_frame_errors(payload):
     with pytest.raises(FrameError, match="run the same release"):
         decode_news(payload)
