--- a/shallotpath/gateway/tests/test_limits.py
+++ b/shallotpath/gateway/tests/test_limits.py
@@ -72,6 +72,7 @@
         not_run = kind in (
             FailureKind.UNREACHABLE,
             FailureKind.REFUSED,
+            FailureKind.REPLACED,
             FailureKind.MISDIRECTED,
         )
         assert allowed == not_run
