--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -15,7 +15,6 @@
     BudgetLimit,
     CrashSuspects,
     Dispatcher,
-    EngineReport,
     LoadBook,
     PlacementRules,
     Retries,
@@ -222,16 +221,7 @@
                 for item in news.shares
             }
             self.loads.peer_heard(news.sender.id, shares, now)
-        for item in news.engines:
-            report = EngineReport(
-                address=item.address,
-                model=item.model,
-                version=item.version,
-                accepting=item.accepting,
-                queued=item.queued,
-                active=item.active,
-                pace=item.pace,
-            )
+        for report in news.engines:
             self.loads.engine_heard(report, now)
         for suspect in news.suspects:
             self.suspects.merge(suspect.fingerprint, suspect.upstreams, now)
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from ..core import sha256_hex
-from ..gateway import Service
+from ..gateway import EngineReport, Service
 from ..platform import (
     CallError,
     ChunkManifest,
@@ -17,7 +17,7 @@
     EngineState,
     ProcessSettings,
 )
-from ..replication import ChunkItem, EngineItem, News, PeerAddress
+from ..replication import ChunkItem, News, PeerAddress
 from ..swarm import ORIGIN, Fetch, LoadWaves, SwarmMember, SwarmPlan
 from ._chunks import BUSY, CHUNK_PATH, ChunkFetcher, ChunkServer
 from ._member import MemberProcess
@@ -102,7 +102,7 @@
         state = self.state_
         if state is not None and self.model_:
             message.engines.append(
-                EngineItem(
+                EngineReport(
                     address=str(self.settings.engine),
                     model=self.model_,
                     version=self.held_version,
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+import msgspec
+
 from ._engine_model import EngineLoad
 
 # Entries in other regions are heard each 900 ms; older figures than two of these
@@ -25,9 +27,8 @@
     unread_tokens: int
 
 
-@dataclass(slots=True, frozen=True)
-class EngineReport:
-    """Hold what an engine says of itself, relayed from its own VM."""
+class EngineReport(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what an engine says of itself, relayed from its own VM to all entries."""
 
     address: str
     model: str
--- a/shallotpath/replication/__init__.py
+++ b/shallotpath/replication/__init__.py
@@ -3,7 +3,6 @@
 from ._messages import (
     MAX_DATAGRAM_BYTES,
     ChunkItem,
-    EngineItem,
     News,
     PeerAddress,
     RecordItem,
@@ -21,7 +20,6 @@
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "ChunkItem",
-    "EngineItem",
     "KeyedRecord",
     "KeyedReplica",
     "News",
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..core import FrameError
+from ..gateway import EngineReport
 
 PROTOCOL = 3
 # A datagram above this size would be split and lost as a whole more often.
@@ -32,18 +33,6 @@
     unread_tokens: int
 
 
-class EngineItem(msgspec.Struct, frozen=True, array_like=True):
-    """Tell the state of an engine, from its own VM."""
-
-    address: str
-    model: str
-    version: int
-    accepting: bool
-    queued: int
-    active: int
-    pace: float
-
-
 class ChunkItem(msgspec.Struct, frozen=True, array_like=True):
     """Tell which chunks of a version a process can pass on."""
 
@@ -78,7 +67,7 @@
     leaving: bool = False
     topics: list[TopicItem] = []
     shares: list[ShareItem] = []
-    engines: list[EngineItem] = []
+    engines: list[EngineReport] = []
     chunks: list[ChunkItem] = []
     suspects: list[SuspectItem] = []
     peers: list[PeerAddress] = []
