Leave a silent upstream only with a repeat in hand; read back staging only at a start

Cause, found in reading the code: a request gave up a silent upstream before the retry budget was asked, and failed where the budget was spent although the upstream might still have answered. The new test fails without the change.

--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -246,8 +246,11 @@
         old = self.plan_
         if old is not None:
             self.kept_by_model_[old.model] = old
-        reused = plan.reuse(old.chunks_by_index_.values()) if old else 0
-        reused += await self._recover_staged(plan)
+        if old is not None:
+            reused = plan.reuse(old.chunks_by_index_.values())
+        else:
+            reused = await self._recover_staged(plan)
+        self._forget_holders(plan)
         for member, bitmap in self.holders_.get(
             (plan.model, plan.version), {}
         ).values():
@@ -264,6 +267,14 @@
             held=self.held_version,
         )
 
+    def _forget_holders(self, plan: SwarmPlan) -> None:
+        """Drop what mates said of versions that nobody fetches any more."""
+        self.holders_ = {
+            key: holders
+            for key, holders in self.holders_.items()
+            if key[0] == plan.model and key[1] >= plan.version
+        }
+
     def _new_plan(self, manifest: ChunkManifest) -> SwarmPlan:
         return SwarmPlan(
             own=SwarmMember(self.settings.node, self.settings.region),
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -98,6 +98,8 @@
         self.events_ = EventSplitter()
         self.spare_: _Buffered | None = None
         self.may_have_run_ = False
+        # Where a request goes that leaves a silent upstream.
+        self.following_: Placement | None = None
         self.outcome_ = "served"
 
     @property
@@ -128,7 +130,8 @@
             except AttemptError as error:
                 failure = error.failure
             self._note_failure(decision, failure)
-            following = self._next(failure)
+            following, self.following_ = self.following_, None
+            following = following or self._next(failure)
             if following is None:
                 return await self._failed(failure)
             decision = following
@@ -216,14 +219,10 @@
 
     def _leave_if_possible(self, detail: str) -> None:
         """Raise if the request may go elsewhere; a silent upstream may still answer."""
-        if (
-            self.sends_ >= self.call.route.max_attempts
-            or not self.call.route.repeatable
-        ):
-            return
-        if isinstance(self._choose(), Rejection):
-            return
-        raise AttemptError(Failure(FailureKind.SILENT, detail))
+        failure = Failure(FailureKind.SILENT, detail)
+        self.following_ = self._next(failure)
+        if self.following_ is not None:
+            raise AttemptError(failure)
 
     async def _relay(self, attempt: Attempt, key: str) -> web.StreamResponse:
         if attempt.status == _OK and self.call.route.kind is RouteKind.STREAM:
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -227,7 +227,7 @@
 
 
 @asynccontextmanager
-async def make_world(*upstreams, fresh=True, **route):
+async def make_world(*upstreams, fresh=True, budget=100, **route):
     """Run a forwarder before upstreams on loopback."""
     clock = MonotonicClock()
     operator, table = OperatorState(), UpstreamTable()
@@ -258,7 +258,7 @@
     )
     parts = ForwarderParts(
         dispatcher=dispatcher,
-        retries=Retries(RetryBudget(BudgetLimit(0.2, 100, ms(10_000)))),
+        retries=Retries(RetryBudget(BudgetLimit(0.2, budget, ms(10_000)))),
         suspects=CrashSuspects(),
         pool=ConnectionPool(clock),
         wire=PlatformWire(),
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -124,6 +124,18 @@
                 assert body == b"good"
 
 
+async def test_silent_upstream_is_kept_when_the_budget_is_spent():
+    # Guards against requests that are cut off for a repeat that is not allowed.
+    async def late(reader, writer, head):
+        await asyncio.sleep(0.8)
+        writer.write(answer(head, b"late"))
+        await writer.drain()
+
+    async with make_world(Upstream(late), Upstream(late), budget=0) as world:
+        _, body = await world.call()
+    assert body == b"late"
+
+
 async def test_unreachable_upstreams_do_not_use_up_the_attempts():
     port = await Upstream(reply()).start()
     closed = Upstream(reply())
