--- /dev/null
+++ b/shallotpath/fleet/tests/test_requirements.py
@@ -0,0 +1,18 @@
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).parents[3]
+
+
+def test_requirements_of_the_platform_agree_with_the_package():
+    # Guards against a build on the platform with other releases than CI tests.
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    requirements = (ROOT / "requirements.txt").read_text().split()
+    assert sorted(requirements) == sorted(project["dependencies"])
+
+
+def test_deploy_file_names_programs_that_exist():
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    for role in deploy["roles"].values():
+        module = role["run"].split()[-1]
+        assert (ROOT / (module.replace(".", "/") + ".py")).is_file()
