Serve metrics at a port of their own; restart tasks that fail

A task that met an exception which no handler expects ended for ever and was logged once.

Change: SHALLOTPATH_METRICS_PORT, set in the deploy file beside the port it names; a port that is taken is logged and callers are served without metrics. Tasks that last as long as the process are begun anew, with the traceback in the log and a counter.

Ruled out: an argument of the program, since the command line library costs memory and start-up time in each process.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -104,8 +104,8 @@
         )
         self.upstream_topic_.after_news = self._tell_near
         self.upstream_topic_.before_news = self.upstreams.read_succeeded
-        self.spawn(self.upstream_topic_.poll(self._reads_upstreams))
-        self.spawn(self._prune())
+        self.keep_running(self._read_upstreams)
+        self.keep_running(self._prune)
         readiness, callers = self.settings.readiness, self.settings.callers
         self.callers_ = Listener(self.forwarder.handle)
         await self.callers_.start(callers.host, callers.port)
@@ -256,6 +256,9 @@
             "upstreams": upstreams,
         }
 
+    async def _read_upstreams(self) -> None:
+        await self.upstream_topic_.poll(self._reads_upstreams)
+
     def _reads_upstreams(self) -> bool:
         """Tell whether it is this entry's turn to read the store for its domain."""
         now = self.clock.now()
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -65,8 +65,8 @@
         await super().start()
         self.engine_ = EngineClient(self.settings.engine, self.caller_)
         self.fetcher_ = ChunkFetcher(self.operator, self.peers, self.caller_)
-        self.spawn(self._watch_engine())
-        self.spawn(self._keep_weights())
+        self.keep_running(self._watch_engine)
+        self.keep_running(self._keep_weights)
 
     async def drain(self) -> None:
         """Stop at once: no request of a caller passes here."""
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+import traceback
+from collections.abc import Callable, Coroutine, Iterable
 from datetime import timedelta
 from random import Random
 
@@ -41,6 +42,9 @@
 # Rounds of gossip after which mates are told too and addresses are passed on.
 WIDE_ROUND = 5
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+# Keeps a task that fails at once from taking the whole processor.
+RESTART_PAUSE = timedelta(milliseconds=500)
 
 
 class MemberProcess:
@@ -74,6 +78,7 @@
         self.operator_topic_: TopicReplica | None = None
         self.topics_by_name_: dict[str, TopicReplica] = {}
         self.peer_listener_ = Listener(self.answer_peer)
+        self.metrics_listener_ = Listener(self.answer_observer)
         self.tasks_: set[asyncio.Task] = set()
         self.incarnation_ = incarnation(self.clock.now())
         self.sequence_ = 0
@@ -92,9 +97,10 @@
         host, port = self.settings.host, self.settings.peer_port
         await self.peer_listener_.start(host, port)
         await self.gossip_.start(host, port)
-        self.spawn(self.operator_topic_.follow())
-        self.spawn(self._gossip())
-        self.spawn(self._find_members())
+        await self._serve_metrics()
+        self.keep_running(self.operator_topic_.follow)
+        self.keep_running(self._gossip)
+        self.keep_running(self._find_members)
 
     async def stop(self) -> None:
         """Close what `start` opened."""
@@ -102,6 +108,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks_, return_exceptions=True)
         await self.peer_listener_.stop()
+        await self.metrics_listener_.stop()
         self.gossip_.close()
         if self.session_ is not None:
             await self.session_.close()
@@ -123,8 +130,27 @@
         if changed:
             self.settings = settings
 
+    def keep_running(self, make: Callable[[], Coroutine]) -> None:
+        """Run a task that only ends with the process; begin it anew if it fails."""
+        self.spawn(self._keep_running(make))
+
+    async def _keep_running(self, make: Callable[[], Coroutine]) -> None:
+        while True:
+            try:
+                await make()
+            except Exception as error:
+                # A fault in one record or message must not end what the process
+                # learns from all later ones.
+                self.reporter.count("tasks_restarted")
+                self.reporter.event(
+                    "task_restarted",
+                    task=make.__name__,
+                    detail="".join(traceback.format_exception(error)),
+                )
+            await asyncio.sleep(RESTART_PAUSE.total_seconds())
+
     def spawn(self, coroutine: Coroutine) -> None:
-        """Run a task until the process stops; its failure is logged."""
+        """Run a task that ends by itself; its failure is logged."""
         task = asyncio.ensure_future(coroutine)
         self.tasks_.add(task)
         task.add_done_callback(self._task_ended)
@@ -223,12 +249,28 @@
         """Answer a peer or an operator's tool."""
         if request.path == "/records":
             return self._records(request)
+        if request.path in (METRICS_PATH, STATUS_PATH):
+            return await self.answer_observer(request)
+        return await self.answer_other(request)
+
+    async def answer_observer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with metrics or with what this process believes."""
         if request.path == METRICS_PATH:
             body, headers = self.reporter.metrics.expose()
             return web.Response(body=body, headers=headers)
-        if request.path == "/status":
+        if request.path == STATUS_PATH:
             return web.json_response(self.status())
-        return await self.answer_other(request)
+        return web.Response(status=404, text=f"no page {request.path}\n")
+
+    async def _serve_metrics(self) -> None:
+        port = self.settings.metrics_port
+        if port is None:
+            return
+        try:
+            await self.metrics_listener_.start(self.settings.host, port)
+        except OSError as error:
+            # Callers are served without metrics rather than not at all.
+            self.reporter.event("metrics_unavailable", port=port, detail=str(error))
 
     async def answer_other(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a call that only the own role serves."""
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -12,7 +12,12 @@
 
 from shallotpath.core import ManualClock
 from shallotpath.fleet import BoundedWriter, EdgeProcess, LineReporter, MateProcess
-from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC, parse_process_settings
+from shallotpath.platform import (
+    METRICS_PORT_VARIABLE,
+    OPERATOR_TOPIC,
+    UPSTREAM_TOPIC,
+    parse_process_settings,
+)
 
 from .standins import HOST, Engine, Log, Origin, StoreStandIn, listen
 
@@ -58,7 +63,7 @@
     return ports
 
 
-def make_settings(name, store_port, engine_port=None):
+def make_settings(name, store_port, engine_port=None, metrics_port=None):
     callers, ready, peer = free_ports(3)
     lines = [
         f"node={name}",
@@ -72,7 +77,8 @@
         lines += [f"listen.front={HOST}:{callers}", f"listen.ready={HOST}:{ready}"]
     else:
         lines += [f"app={HOST}:{engine_port}"]
-    return parse_process_settings("\n".join(lines))
+    environment = {METRICS_PORT_VARIABLE: str(metrics_port)} if metrics_port else {}
+    return parse_process_settings("\n".join(lines), environment)
 
 
 class Output:
@@ -251,6 +257,50 @@
         draining.cancel()
 
 
+async def test_metrics_are_served_at_their_own_port_or_not_at_all():
+    # Guards against metrics that are found only on days whose ports fit, and against
+    # an entry that does not start since another process has the port.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    (metrics,) = free_ports(1)
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port, None, metrics)) as first,
+        running(EdgeProcess, make_settings("edge-b", port, None, metrics)) as second,
+        aiohttp.ClientSession() as session,
+    ):
+        await until(lambda: first.ready and second.ready)
+        async with session.get(f"http://{HOST}:{metrics}/metrics") as response:
+            assert 'node="edge-a"' in await response.text()
+        async with session.get(f"http://{HOST}:{metrics}/records") as response:
+            assert response.status == 404
+        assert "metrics_unavailable" in second.reporter.writer.kinds()
+
+
+async def test_task_that_fails_is_logged_and_runs_again(monkeypatch):
+    # Guards against an entry that goes on serving from an old configuration after one
+    # message that no handler expects.
+    monkeypatch.setattr("shallotpath.fleet._member.RESTART_PAUSE", timedelta())
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: edge.ready)
+        apply = edge.operator_topic_.apply
+
+        def fail_once(records):
+            edge.operator_topic_.apply = apply
+            raise LookupError("unexpected")
+
+        edge.operator_topic_.apply = fail_once
+        log.put(OPERATOR_TOPIC, "config", make_config(2))
+        await until(lambda: "task_restarted" in edge.reporter.writer.kinds())
+        log.put(OPERATOR_TOPIC, "config", make_config(3))
+        await until(lambda: edge.operator.catalog.version == 3)
+
+
 @pytest.mark.timeout(60)
 async def test_mates_bring_a_version_to_their_engines_with_one_copy():
     # Chunks that arrive spoilt or rot after staging must not be loaded.
--- a/shallotpath/fleet/tests/test_requirements.py
+++ b/shallotpath/fleet/tests/test_requirements.py
@@ -1,6 +1,9 @@
 import tomllib
 from pathlib import Path
 
+from shallotpath.fleet._member import METRICS_PATH
+from shallotpath.platform import METRICS_PORT_VARIABLE
+
 ROOT = Path(__file__).parents[3]
 
 
@@ -16,3 +19,12 @@
     for role in deploy["roles"].values():
         module = role["run"].split()[-1]
         assert (ROOT / (module.replace(".", "/") + ".py")).is_file()
+
+
+def test_metrics_are_served_at_the_port_that_the_deploy_file_names():
+    # Guards against metrics that the platform asks for at a port of another day.
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    for role in deploy["roles"].values():
+        port, path = role["metrics"].split("/")
+        assert role["env"][METRICS_PORT_VARIABLE] == port
+        assert "/" + path == METRICS_PATH
--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -13,6 +13,7 @@
 from ._names import MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
 from ._records import RecordError, decode_operator_record, decode_upstream
 from ._settings import (
+    METRICS_PORT_VARIABLE,
     Endpoint,
     ProcessSettings,
     load_process_settings,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "MEMBER_TOPIC",
+    "METRICS_PORT_VARIABLE",
     "OPERATOR_TOPIC",
     "UPSTREAM_TOPIC",
     "CallError",
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -11,8 +12,12 @@
 from ..settings import check_host_port
 
 SETTINGS_VARIABLE = "SHALLOTPATH_CONFIG"
+# The platform's file names no address for metrics; the deploy file sets this variable
+# beside the port that it names as the metrics' own.
+METRICS_PORT_VARIABLE = "SHALLOTPATH_METRICS_PORT"
 # Index in the range of internal ports; the same on all VMs.
 PEER_PORT_INDEX = 0
+PORTS = 1 << 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,6 +45,8 @@
     # Address of the upstream on the same VM.
     engine: Endpoint | None
     peer_port: int
+    # None where the metrics are served at the peer port only.
+    metrics_port: int | None
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     memory_bytes: int
@@ -75,10 +82,12 @@
         raise SettingError(
             f"{path} cannot be read: {error}; check the path and its encoding"
         ) from error
-    return parse_process_settings(text)
+    return parse_process_settings(text, os.environ)
 
 
-def parse_process_settings(text: str) -> ProcessSettings:
+def parse_process_settings(
+    text: str, environment: Mapping[str, str] | None = None
+) -> ProcessSettings:
     """Parse lines of the form `a.b=value`; unknown keys are ignored."""
     values = dict(
         line.strip().split("=", 1)
@@ -86,6 +95,7 @@
         if "=" in line and not line.lstrip().startswith("#")
     )
     reader = _Reader(values)
+    metrics = _Reader(dict(environment or {}))
     settings = ProcessSettings(
         node=reader.text("node"),
         host=reader.text("ip"),
@@ -100,6 +110,7 @@
         control=reader.endpoint("listen.control"),
         engine=reader.endpoint("app"),
         peer_port=reader.first_port("internalPorts") + PEER_PORT_INDEX,
+        metrics_port=metrics.port(METRICS_PORT_VARIABLE),
         seeds=reader.endpoints("seeds"),
         store=reader.required_endpoint("platform.address"),
         memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
@@ -112,8 +123,9 @@
         cold_slack=reader.number("bounds.coldSlack", 0),
         version_bound=timedelta(milliseconds=reader.number("bounds.version_ms", 8000)),
     )
-    if reader.faults_:
-        raise SettingError("; ".join(reader.faults_))
+    faults = reader.faults_ + metrics.faults_
+    if faults:
+        raise SettingError("; ".join(faults))
     return settings
 
 
@@ -164,6 +176,15 @@
             )
             return 0
 
+    def port(self, key: str) -> int | None:
+        value = self.values.get(key, "")
+        if not value:
+            return None
+        if not value.isdecimal() or not 0 < int(value) < PORTS:
+            self.faults_.append(f"{key}={value} is no port; write one like 9464")
+            return None
+        return int(value)
+
     def _endpoint(self, key: str, value: str) -> Endpoint | None:
         if not value:
             return None
--- a/shallotpath/platform/tests/test_platform.py
+++ b/shallotpath/platform/tests/test_platform.py
@@ -10,6 +10,7 @@
 from shallotpath.forwarding import Stamp
 from shallotpath.gateway import DomainBack, DomainOut, RouteKind
 from shallotpath.platform import (
+    METRICS_PORT_VARIABLE,
     PlatformWire,
     RecordError,
     decode_operator_record,
@@ -108,6 +109,15 @@
     assert "budgetExtra=many is not a number" in message
 
 
+def test_port_of_the_metrics_comes_from_the_environment():
+    assert parse_process_settings(SETTINGS).metrics_port is None
+    settings = parse_process_settings(SETTINGS, {METRICS_PORT_VARIABLE: "9464"})
+    assert settings.metrics_port == 9464
+    for value in ("seven", "0", "65536"):
+        with pytest.raises(SettingError, match="is no port; write one like"):
+            parse_process_settings(SETTINGS, {METRICS_PORT_VARIABLE: value})
+
+
 def test_configuration_is_decoded_into_our_types():
     record = decode_operator_record("config", json.dumps(CONFIG).encode())
     catalog = record.catalog
