Serve first attempts before callers that came back under lasting overload

Refused callers also returned within 0.9 s, where nothing tells them from first attempts, so they took the slots of those still on time.

Change: the load book tells work that yields from the rest; the prediction for an urgent request leaves out what is queued behind it. A full engine sends callers back after the time by which they are known to have come back. A gauge follows the share of first attempts that are refused; above a third, returned callers get only a slot that is free at once. Each request is told to the entries near its upstream as it is sent (bounded to 16 peers), in place of guessing what they have sent.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -29,7 +29,14 @@
     RecordError,
     decode_upstream,
 )
-from ..replication import KeyedRecord, News, PeerAddress, ShareItem, SuspectItem
+from ..replication import (
+    KeyedRecord,
+    News,
+    PeerAddress,
+    PlacedItem,
+    ShareItem,
+    SuspectItem,
+)
 from ._member import MemberProcess
 from ._topics import TopicReplica
 
@@ -49,6 +56,9 @@
 # Rounds of gossip after which entries in other regions are told.
 FAR_ROUND = 3
 SUSPECTS_PER_MESSAGE = 10
+# Peers that are told of each request at once. Bounds the datagrams of an entry, which
+# would grow with the fleet; of peers beyond, the load book assumes the own rate.
+MAX_TOLD_PEERS = 16
 
 
 class EdgeProcess(MemberProcess):
@@ -58,7 +68,7 @@
         super().__init__(settings, engine=False, **options)
         self.upstreams = UpstreamTable()
         self.breaker = Breaker()
-        self.loads = LoadBook()
+        self.loads = LoadBook(self._tell_placed)
         self.suspects = CrashSuspects()
         self.pool = ConnectionPool(self.clock)
         rules = PlacementRules(
@@ -199,7 +209,7 @@
         """Add the own work at upstreams and the suspects."""
         message = super().news()
         message.shares.extend(
-            ShareItem(upstream, share.requests, share.unread_tokens)
+            _encode_share(upstream, share)
             for upstream, share in self.loads.own_shares().items()
         )
         suspects = self.suspects.recent(self.clock.now(), SUSPECTS_PER_MESSAGE)
@@ -216,16 +226,18 @@
         """Take peers' work, engines' reports and suspects."""
         now = self.clock.now()
         if not news.sender.engine:
-            shares = {
-                item.upstream: Share(item.requests, item.unread_tokens)
-                for item in news.shares
-            }
+            shares = {item.upstream: _decode_share(item) for item in news.shares}
             self.loads.peer_heard(news.sender.id, shares, now)
         for report in news.engines:
             self.loads.engine_heard(report, now)
         for suspect in news.suspects:
             self.suspects.merge(suspect.fingerprint, suspect.upstreams, now)
 
+    def heard_placed(self, placed: PlacedItem) -> None:
+        """Count a peer's request until the peer tells of all its work."""
+        share = placed.share
+        self.loads.peer_placed(placed.sender, share.upstream, _decode_share(share))
+
     def may_pull(self, topic: TopicReplica, news: News) -> bool:
         """Take upstreams from peers in the own domain, from others when late."""
         if not super().may_pull(topic, news):
@@ -273,6 +285,23 @@
         own = self.settings.node
         return rendezvous_choice("upstreams", [*live, own]) == own
 
+    def _tell_placed(self, upstream_id: str, share: Share) -> None:
+        """Tell the entries that are likely to choose the same upstream next."""
+        upstream = self.upstreams.upstreams_by_id_.get(upstream_id)
+        if upstream is None:
+            return
+        regions = self.settings.regions_by_domain
+        told = {self.settings.region, regions.get(upstream.record.domain)}
+        peers = [
+            peer
+            for peer in self.peers.all()
+            if not peer.engine and regions.get(self.peers.domain(peer.id)) in told
+        ]
+        if len(peers) > MAX_TOLD_PEERS:
+            peers = self.random.sample(peers, MAX_TOLD_PEERS)
+        item = PlacedItem(self.settings.node, _encode_share(upstream_id, share))
+        self.gossip_.send(item, peers)
+
     def _tell_near(self) -> None:
         """Let the entries of the region take what was read, before they look."""
         near = [p for p in self.peers.all() if not p.engine and self.is_near(p)]
@@ -285,7 +314,27 @@
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
-            self.loads.sharers = 1 + sum(
+            near = sum(
                 not peer.engine and self.is_near(peer)
                 for peer in self.peers.live(self.clock.now())
             )
+            self.loads.sharers = 1 + max(0, near - MAX_TOLD_PEERS)
+
+
+def _encode_share(upstream: str, share: Share) -> ShareItem:
+    return ShareItem(
+        upstream,
+        share.requests,
+        share.unread_tokens,
+        share.yielding_requests,
+        share.yielding_tokens,
+    )
+
+
+def _decode_share(item: ShareItem) -> Share:
+    return Share(
+        item.requests,
+        item.unread_tokens,
+        item.yielding_requests,
+        item.yielding_tokens,
+    )
--- a/shallotpath/fleet/_gossip.py
+++ b/shallotpath/fleet/_gossip.py
@@ -9,20 +9,20 @@
 from ..core import FrameError
 from ..replication import (
     MAX_DATAGRAM_BYTES,
-    News,
+    Datagram,
     PeerAddress,
-    decode_news,
+    decode_datagram,
     encode_message,
 )
 from ._reporter import LineReporter
 
 GOSSIP_INTERVAL = timedelta(milliseconds=300)
 
-Hear = Callable[[News], None]
+Hear = Callable[[Datagram], None]
 
 
 class GossipSocket(asyncio.DatagramProtocol):
-    """Send and receive news."""
+    """Send and receive messages of peers."""
 
     def __init__(self, hear: Hear, reporter: LineReporter) -> None:
         self.hear = hear
@@ -41,20 +41,20 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a message and hand it on."""
         try:
-            news = decode_news(data)
+            message = decode_datagram(data)
         except FrameError as error:
             self.reporter.count("datagrams_bad")
             self.reporter.event("bad_datagram", sender=addr[0], detail=error.message)
             return
-        self.hear(news)
+        self.hear(message)
 
     def error_received(self, exc: OSError) -> None:
         """Count a datagram that could not be delivered."""
         self.reporter.count("datagrams_failed")
 
-    def send(self, news: News, peers: Iterable[PeerAddress]) -> None:
+    def send(self, message: Datagram, peers: Iterable[PeerAddress]) -> None:
         """Send a message to peers."""
-        payload = encode_message(news)
+        payload = encode_message(message)
         if len(payload) > MAX_DATAGRAM_BYTES:
             self.reporter.count("datagrams_oversized")
             self.reporter.event("oversized_datagram", bytes=len(payload))
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Callable, Coroutine, Iterable
 from datetime import timedelta
+from functools import singledispatchmethod
 from random import Random
 
 import aiohttp
@@ -25,7 +26,14 @@
     decode_operator_record,
     load_process_settings,
 )
-from ..replication import KeyedRecord, News, PeerAddress, PeerTable
+from ..replication import (
+    Datagram,
+    KeyedRecord,
+    News,
+    PeerAddress,
+    PeerTable,
+    PlacedItem,
+)
 from ._gossip import GOSSIP_INTERVAL, GossipSocket, incarnation
 from ._reporter import LineReporter
 from ._topics import Apply, TopicReplica
@@ -220,8 +228,17 @@
         if known:
             self.gossip_.send(self.news(), known)
 
-    def hear(self, news: News) -> None:
+    @singledispatchmethod
+    def hear(self, message: Datagram) -> None:
         """Take the message of a peer."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @hear.register
+    def _(self, placed: PlacedItem) -> None:
+        self.heard_placed(placed)
+
+    @hear.register
+    def _(self, news: News) -> None:
         now = self.clock.now()
         greet = not self.peers.has_heard(news.sender.id)
         if not self.peers.hear(news, now):
@@ -245,6 +262,9 @@
     def heard(self, news: News) -> None:
         """Take the parts of a message that concern the own role."""
 
+    def heard_placed(self, placed: PlacedItem) -> None:
+        """Take that a peer has sent a request to an upstream."""
+
     async def answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a peer or an operator's tool."""
         if request.path == "/records":
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -18,6 +18,7 @@
     UPSTREAM_TOPIC,
     parse_process_settings,
 )
+from shallotpath.replication import PlacedItem, ShareItem
 
 from .standins import HOST, Engine, Log, Origin, StoreStandIn, listen
 
@@ -257,6 +258,26 @@
         draining.cancel()
 
 
+async def test_peers_learn_of_a_request_as_it_is_sent():
+    # Guards against entries that send to the same engine until the next gossip.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as a,
+        running(EdgeProcess, make_settings("edge-b", port)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.peers.domain("edge-b") and b.peers.domain("edge-a"))
+        await until(lambda: a.upstreams.upstreams_by_id_)
+        heard = []
+        b.heard_placed = heard.append
+        a.loads.sent("q", "u1", 700, a.clock.now(), yielding=True)
+        await until(lambda: heard)
+        assert heard == [PlacedItem("edge-a", ShareItem("u1", 1, 700, 1, 700))]
+
+
 async def test_metrics_are_served_at_their_own_port_or_not_at_all():
     # Guards against metrics that are found only on days whose ports fit, and against
     # an entry that does not start since another process has the port.
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -174,7 +174,13 @@
         loads = self.parts.dispatcher.loads
         key = f"{self.call.request_id}/{len(self.tried_)}"
         now = self.parts.clock.now()
-        loads.sent(key, upstream.id, self.call.prompt_tokens, now)
+        loads.sent(
+            key,
+            upstream.id,
+            self.call.prompt_tokens,
+            now,
+            yielding=placement.yielding,
+        )
         try:
             await attempt.connect()
             self.sends_ += 1
--- a/shallotpath/gateway/_call.py
+++ b/shallotpath/gateway/_call.py
@@ -40,6 +40,12 @@
         """Tell whether the caller was refused before."""
         return self.patience < FIRST_ATTEMPT_SHARE * self.route.timeout
 
+    def time_to_known_return(self, now: datetime) -> timedelta:
+        """Return how long the caller must stay away to be known to have come back."""
+        patience = self.arrived_at + self.patience - now
+        known = patience - FIRST_ATTEMPT_SHARE * self.route.timeout
+        return max(timedelta(), known + timedelta.resolution)
+
     def time_left(self, now: datetime) -> timedelta:
         """Return the time until the caller or the operator stops waiting."""
         return self.ends_at - now
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -15,6 +15,7 @@
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import LoadBook
 from ._operator import OperatorState
+from ._overload import OverloadGauge
 from ._upstreams import Upstream, UpstreamTable
 
 # Candidates in other regions whose predictions are compared with those of the own
@@ -25,6 +26,9 @@
 ADMITTED_PART = 0.9
 # A caller that came back is late already, so it may wait behind those that are not.
 LATE_WAIT = timedelta(milliseconds=1500)
+# Under lasting overload it gets what first attempts leave: a slot that is free or
+# becomes free at once; a full engine frees one each 110 ms.
+OVERLOADED_LATE_WAIT = timedelta(milliseconds=150)
 # Requests that a plain service may hold per slot before its queue is called full.
 PLAIN_REQUESTS_PER_SLOT = 3
 # An upstream in the entry's own region is preferred up to this difference, since
@@ -69,6 +73,11 @@
     priority: int
     prediction: Prediction
 
+    @property
+    def yielding(self) -> bool:
+        """Tell whether the engine lets more urgent requests go first."""
+        return self.priority == LATE_PRIORITY
+
 
 @dataclass(slots=True, frozen=True)
 class Rejection:
@@ -99,6 +108,7 @@
         "buckets_",
         "loads",
         "operator",
+        "overload_",
         "random",
         "rules",
         "upstreams",
@@ -121,6 +131,7 @@
         self.breaker = breaker
         self.random = random
         self.buckets_ = ColdBuckets()
+        self.overload_ = OverloadGauge()
 
     def choose(
         self,
@@ -156,6 +167,9 @@
             if not fit:
                 return self._reject(call, RejectReason.COLD, now, len(allowed))
         placement = self._place(call, service, fit, now)
+        if not call.came_back and not excluded:
+            refused = isinstance(placement, Rejection)
+            self.overload_.first_attempt(call.service, refused=refused)
         if isinstance(placement, Placement) and limit is not None:
             self.buckets_.take(placement.upstream.id, limit, entries, now)
         return placement
@@ -215,14 +229,12 @@
         if late:
             return self._reject(call, RejectReason.NO_WEIGHTS, now, len(fit))
         if not self._admits(call, service, prediction, load, now):
-            excess = prediction.wait - call.route.target_latency / 2
             return self._reject(
                 call,
                 RejectReason.OVERLOADED,
                 now,
                 len(fit),
-                predicted=prediction.first_token,
-                wait=excess,
+                predicted=prediction,
             )
         version = self._weights(call, upstream, now) or None
         priority = LATE_PRIORITY if call.came_back else ON_TIME_PRIORITY
@@ -260,6 +272,8 @@
         load: EngineLoad,
     ) -> Prediction:
         if service.engine is not None:
+            if not call.came_back:
+                load = load.ahead_of_urgent(service.engine.slots)
             return predict_first_token(service.engine, load, call.prompt_tokens)
         slots = max(1, upstream.record.slots)
         return Prediction(
@@ -290,7 +304,9 @@
         if service.engine is None:
             return prediction.wait < call.route.target_latency * PLAIN_REQUESTS_PER_SLOT
         if call.came_back:
-            return prediction.wait <= min(LATE_WAIT, call.time_left(now) / 2)
+            lasting = self.overload_.lasting(call.service)
+            longest = OVERLOADED_LATE_WAIT if lasting else LATE_WAIT
+            return prediction.wait <= min(longest, call.time_left(now) / 2)
         # The own prompt is counted at the usual size, so that long ones are not
         # refused more often than short ones.
         usual = timedelta(
@@ -313,10 +329,27 @@
         now: datetime,
         candidates: int = 0,
         *,
-        predicted: timedelta | None = None,
-        wait: timedelta = NO_UPSTREAM_RETURN,
+        predicted: Prediction | None = None,
     ) -> Rejection:
-        spread = self.random.uniform(*RETURN_SPREAD)
         longest = max(MIN_RETURN, call.time_left(now) * HONOURED_SHARE)
-        retry_after = min(max(wait * spread, MIN_RETURN), longest)
-        return Rejection(reason, retry_after, candidates, predicted)
+        if reason is not RejectReason.OVERLOADED:
+            wait = NO_UPSTREAM_RETURN * self.random.uniform(*RETURN_SPREAD)
+        elif call.model:
+            wait = self._overload_return(call, longest, now)
+        else:
+            excess = predicted.wait - call.route.target_latency / 2
+            wait = excess * self.random.uniform(*RETURN_SPREAD)
+        retry_after = min(max(wait, MIN_RETURN), longest)
+        first_token = predicted.first_token if predicted else None
+        return Rejection(reason, retry_after, candidates, first_token)
+
+    def _overload_return(
+        self, call: GatewayCall, longest: timedelta, now: datetime
+    ) -> timedelta:
+        """Return when to come back to full engines.
+
+        A caller that returned sooner than it can be told from a first attempt would
+        take the slot of one, though it is late.
+        """
+        earliest = min(longest, call.time_to_known_return(now))
+        return earliest + (longest - earliest) * self.random.random()
--- a/shallotpath/gateway/_engine_model.py
+++ b/shallotpath/gateway/_engine_model.py
@@ -20,6 +20,23 @@
     unread_tokens: int = 0
     # Times the usual step; over 1 for an engine that turned slow.
     pace: float = 1.0
+    # Requests without a first token that let more urgent ones go first.
+    yielding_requests: int = 0
+    yielding_tokens: int = 0
+
+    def ahead_of_urgent(self, slots: int) -> EngineLoad:
+        """Return the work that an urgent request that arrives now waits for.
+
+        Requests beyond the slots are queued, the yielding ones last; those that got a
+        slot are read before it.
+        """
+        passed = min(self.yielding_requests, max(0, self.requests - slots))
+        if not passed:
+            return self
+        tokens = self.yielding_tokens * passed // self.yielding_requests
+        return EngineLoad(
+            self.requests - passed, self.unread_tokens - tokens, self.pace
+        )
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
@@ -25,6 +25,31 @@
 
     requests: int
     unread_tokens: int
+    # Those of them that wait for their first token and let more urgent ones go first.
+    yielding_requests: int = 0
+    yielding_tokens: int = 0
+
+    def __add__(self, other: Share) -> Share:
+        """Return the work of both."""
+        return Share(
+            self.requests + other.requests,
+            self.unread_tokens + other.unread_tokens,
+            self.yielding_requests + other.yielding_requests,
+            self.yielding_tokens + other.yielding_tokens,
+        )
+
+    def __mul__(self, times: int) -> Share:
+        """Return the work of several entries that do the same."""
+        return Share(
+            self.requests * times,
+            self.unread_tokens * times,
+            self.yielding_requests * times,
+            self.yielding_tokens * times,
+        )
+
+
+NO_WORK = Share(0, 0)
+AfterSent = Callable[[str, Share], None]
 
 
 class EngineReport(msgspec.Struct, frozen=True, array_like=True):
@@ -41,8 +66,7 @@
 
 @dataclass(slots=True)
 class _Sent:
-    upstream_id: str
-    unread_tokens: int
+    share: Share
     sent_at: datetime
 
 
@@ -61,30 +85,61 @@
 class LoadBook:
     """Keep own requests, the peers' figures and the engines' reports."""
 
-    __slots__ = ("peers_by_id_", "reports_by_address_", "sent_by_key_", "sharers")
-
-    def __init__(self) -> None:
-        # Entries that prefer the same upstreams, this one included.
+    __slots__ = (
+        "after_sent",
+        "peers_by_id_",
+        "reports_by_address_",
+        "sent_by_upstream_",
+        "sharers",
+        "upstreams_by_key_",
+    )
+
+    def __init__(self, after_sent: AfterSent | None = None) -> None:
+        # Called with each request that goes to an upstream, to tell peers.
+        self.after_sent = after_sent
+        # Entries that prefer the same upstreams and do not tell of each request, this
+        # one included.
         self.sharers = 1
-        self.sent_by_key_: dict[str, _Sent] = {}
+        self.upstreams_by_key_: dict[str, str] = {}
+        self.sent_by_upstream_: dict[str, dict[str, _Sent]] = {}
         self.peers_by_id_: dict[str, _PeerShares] = {}
         self.reports_by_address_: dict[str, _Heard] = {}
 
     def sent(
-        self, key: str, upstream_id: str, prompt_tokens: int, now: datetime
+        self,
+        key: str,
+        upstream_id: str,
+        prompt_tokens: int,
+        now: datetime,
+        *,
+        yielding: bool = False,
     ) -> None:
         """Count a request that goes to an upstream."""
-        self.sent_by_key_[key] = _Sent(upstream_id, prompt_tokens, now)
+        share = (
+            Share(1, prompt_tokens, 1, prompt_tokens)
+            if yielding
+            else Share(1, prompt_tokens)
+        )
+        self.upstreams_by_key_[key] = upstream_id
+        self.sent_by_upstream_.setdefault(upstream_id, {})[key] = _Sent(share, now)
+        if self.after_sent is not None:
+            self.after_sent(upstream_id, share)
 
     def first_token(self, key: str) -> None:
         """Note that the prompt of a request has been read."""
-        sent = self.sent_by_key_.get(key)
-        if sent is not None:
-            sent.unread_tokens = 0
+        upstream_id = self.upstreams_by_key_.get(key)
+        if upstream_id is not None:
+            self.sent_by_upstream_[upstream_id][key].share = Share(1, 0)
 
     def ended(self, key: str) -> None:
         """Forget a request that left its upstream."""
-        self.sent_by_key_.pop(key, None)
+        upstream_id = self.upstreams_by_key_.pop(key, None)
+        if upstream_id is None:
+            return
+        sent = self.sent_by_upstream_[upstream_id]
+        del sent[key]
+        if not sent:
+            del self.sent_by_upstream_[upstream_id]
 
     def peer_heard(
         self, peer: str, shares_by_id: Mapping[str, Share], now: datetime
@@ -92,6 +147,13 @@
         """Take the figures of another entry."""
         self.peers_by_id_[peer] = _PeerShares(now, shares_by_id)
 
+    def peer_placed(self, peer: str, upstream_id: str, share: Share) -> None:
+        """Add a request that another entry has just sent to an upstream."""
+        known = self.peers_by_id_.get(peer)
+        if known is not None:
+            placed = known.shares_by_id.get(upstream_id, NO_WORK)
+            known.shares_by_id = {**known.shares_by_id, upstream_id: placed + share}
+
     def engine_heard(self, report: EngineReport, now: datetime) -> None:
         """Take the report of an engine."""
         self.reports_by_address_[report.address] = _Heard(now, report)
@@ -105,35 +167,37 @@
 
     def own_shares(self) -> dict[str, Share]:
         """Return this entry's figures for its peers."""
-        totals: dict[str, Share] = {}
-        for sent in self.sent_by_key_.values():
-            known = totals.get(sent.upstream_id, Share(0, 0))
-            totals[sent.upstream_id] = Share(
-                known.requests + 1, known.unread_tokens + sent.unread_tokens
-            )
-        return totals
+        return {
+            upstream_id: sum((each.share for each in sent.values()), NO_WORK)
+            for upstream_id, sent in self.sent_by_upstream_.items()
+        }
 
     def load(self, upstream_id: str, address: str, now: datetime) -> EngineLoad:
         """Return the work that an upstream is believed to hold."""
-        own = [s for s in self.sent_by_key_.values() if s.upstream_id == upstream_id]
-        requests, unread = len(own), sum(sent.unread_tokens for sent in own)
+        own = self.sent_by_upstream_.get(upstream_id, {}).values()
+        total = sum((sent.share for sent in own), NO_WORK)
         # What the others have sent since they were last heard is not known; they are
         # taken to have done what this entry did.
-        unseen = [sent for sent in own if now - sent.sent_at < UNSEEN]
-        requests += len(unseen) * (self.sharers - 1)
-        unread += sum(sent.unread_tokens for sent in unseen) * (self.sharers - 1)
+        unseen = (sent.share for sent in own if now - sent.sent_at < UNSEEN)
+        total += sum(unseen, NO_WORK) * (self.sharers - 1)
         for shares in self._fresh_peers(now):
             share = shares.get(upstream_id)
             if share is not None:
-                requests += share.requests
-                unread += share.unread_tokens
+                total += share
         heard = self.reports_by_address_.get(address)
-        if heard is None or now - heard.heard_at > REPORT_AGE:
-            return EngineLoad(requests, unread)
-        # Entries that cannot be heard show only in the engine's own report.
-        since = sum(sent.sent_at > heard.heard_at for sent in own)
-        reported = heard.report.queued + heard.report.active + since
-        return EngineLoad(max(requests, reported), unread, max(1.0, heard.report.pace))
+        requests, pace = total.requests, 1.0
+        if heard is not None and now - heard.heard_at <= REPORT_AGE:
+            # Entries that cannot be heard show only in the engine's own report.
+            since = sum(sent.sent_at > heard.heard_at for sent in own)
+            reported = heard.report.queued + heard.report.active + since
+            requests, pace = max(requests, reported), max(1.0, heard.report.pace)
+        return EngineLoad(
+            requests,
+            total.unread_tokens,
+            pace,
+            total.yielding_requests,
+            total.yielding_tokens,
+        )
 
     def _fresh_peers(self, now: datetime) -> Iterable[Mapping[str, Share]]:
         for peer, shares in list(self.peers_by_id_.items()):
--- /dev/null
+++ b/shallotpath/gateway/_overload.py
@@ -0,0 +1,29 @@
+"""Whether engines are overloaded for longer than a burst."""
+
+from __future__ import annotations
+
+# Weight of the newest first attempt: the share is that of the last twenty or so, some
+# three seconds of one entry's traffic.
+NEWEST_WEIGHT = 0.05
+# Above this share of refused first attempts there is no spare time for callers that
+# came back. In simulated load up to 1.2 times the capacity stays below it, twice the
+# capacity is above.
+LASTING_SHARE = 1 / 3
+
+
+class OverloadGauge:
+    """Follow the share of first attempts that were refused, by service."""
+
+    __slots__ = ("refused_by_service_",)
+
+    def __init__(self) -> None:
+        self.refused_by_service_: dict[str, float] = {}
+
+    def first_attempt(self, service: str, *, refused: bool) -> None:
+        """Take the decision on a first attempt."""
+        share = self.refused_by_service_.get(service, 0.0)
+        self.refused_by_service_[service] = share + NEWEST_WEIGHT * (refused - share)
+
+    def lasting(self, service: str) -> bool:
+        """Tell whether first attempts alone are more than the engines can serve."""
+        return self.refused_by_service_.get(service, 0.0) > LASTING_SHARE
--- /dev/null
+++ b/shallotpath/gateway/tests/load_simulation.py
@@ -0,0 +1,330 @@
+"""Engines that batch, entries that decide on late figures, and callers that return."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import partial
+from itertools import count
+from math import ceil
+from random import Random
+
+from shallotpath.core import EPOCH
+from shallotpath.gateway import (
+    Dispatcher,
+    EngineReport,
+    GatewayCall,
+    Placement,
+    Share,
+)
+
+from .helpers import RATES, make_call, make_dispatcher, make_record, make_route, ms
+
+GOSSIP = ms(300)
+# Entries in other regions are told less often.
+FAR_ROUNDS = 3
+DOMAINS = ("a-1", "b-1", "c-1")
+REPORT_LAG = ms(200)
+NETWORK = ms(3)
+# Kinds of the standard sheets: share, prompt and output tokens, target.
+KINDS = ((0.41, 1330, 100, 506), (0.31, 827, 100, 406), (0.28, 647, 70, 405))
+LATE_WORTH = 0.25
+
+
+@dataclass(eq=False, slots=True)
+class _Work:
+    """A request at an engine."""
+
+    caller: _Caller
+    priority: int
+    unread: int
+    unwritten: int
+    order: int
+    started: bool = False
+    gone: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class _Caller:
+    number: int
+    kind: tuple[float, int, int, int]
+    began_at: datetime
+    returned: bool = False
+    outcome: str = ""
+    first_token_at: datetime | None = None
+
+
+class _Engine:
+    """Batch continuously in passes, urgent requests first."""
+
+    def __init__(self, world: LoadSimulation, number: int) -> None:
+        self.world = world
+        self.number = number
+        self.queue: list[_Work] = []
+        self.running: list[_Work] = []
+        self.busy = False
+
+    def take(self, work: _Work) -> None:
+        self.queue.append(work)
+        if not self.busy:
+            self._pass()
+
+    def _pass(self) -> None:
+        self.queue = [work for work in self.queue if not work.gone]
+        self.running = [work for work in self.running if not work.gone]
+        self.queue.sort(key=lambda work: (work.priority, work.order))
+        free = RATES.slots - len(self.running)
+        self.running += self.queue[:free]
+        self.queue = self.queue[free:]
+        self.busy = bool(self.running)
+        if not self.busy:
+            return
+        duration, chunk = timedelta(), RATES.chunk_tokens
+        for work in self.running:
+            read = min(work.unread, chunk)
+            work.unread -= read
+            chunk -= read
+            duration += timedelta(seconds=read / RATES.read_tokens_per_s)
+        writers = [work for work in self.running if not work.unread]
+        if writers:
+            step = RATES.step + len(writers) * (
+                RATES.step_per_sequence + RATES.step_per_kilotoken
+            )
+            duration += RATES.steps_per_pass * step
+        self.world.at(self.world.now + duration, lambda: self._pass_ends(writers))
+
+    def _pass_ends(self, writers: list[_Work]) -> None:
+        for work in writers:
+            if work.gone:
+                continue
+            if not work.started:
+                work.started = True
+                self.world.first_token(work)
+            work.unwritten -= RATES.steps_per_pass
+            if work.unwritten <= 0:
+                work.gone = True
+                self.world.ended(work)
+        self._pass()
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Count what became of the callers of a run."""
+
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    # Ended without an answer after waiting at an engine.
+    left: int = 0
+    waits: list[timedelta] = field(default_factory=list)
+
+    @property
+    def callers(self) -> int:
+        """Return all callers."""
+        return self.on_time + self.late + self.refused + self.left
+
+    @property
+    def credit(self) -> float:
+        """Return the share of the credit that was earned."""
+        return (self.on_time + LATE_WORTH * self.late) / self.callers
+
+    @property
+    def served(self) -> float:
+        """Return the share of the callers that got an answer."""
+        return (self.on_time + self.late) / self.callers
+
+
+class LoadSimulation:
+    """Offer calls to engines through entries that decide by themselves."""
+
+    def __init__(self, *, engines: int = 5, entries: int = 7, seed: int = 1) -> None:
+        self.random = Random(seed)
+        self.now = self.started_at = EPOCH
+        self.events: list[tuple[datetime, int, Callable[[], None]]] = []
+        self.numbers = count()
+        self.engines = [_Engine(self, number) for number in range(engines)]
+        self.records = [
+            make_record(number, DOMAINS[number % len(DOMAINS)])
+            for number in range(engines)
+        ]
+        self.entries = [self._entry(seed, number) for number in range(entries)]
+        self.work_by_key: dict[str, tuple[Dispatcher, _Work]] = {}
+        self.callers: list[_Caller] = []
+
+    def _entry(self, seed: int, number: int) -> Dispatcher:
+        domain = DOMAINS[number % len(DOMAINS)]
+        seed = 1000 * seed + number
+        dispatcher = make_dispatcher(self.records, seed=seed, domain=domain)
+        dispatcher.loads.after_sent = lambda upstream, share: self._tell_placed(
+            dispatcher, upstream, share
+        )
+        return dispatcher
+
+    def _tell_placed(self, sender: Dispatcher, upstream_id: str, share: Share) -> None:
+        upstream = sender.upstreams.upstreams_by_id_[upstream_id]
+        told = {sender.rules.domain, upstream.record.domain}
+        for other in self.entries:
+            if other is not sender and other.rules.domain in told:
+                tell = partial(
+                    other.loads.peer_placed, str(id(sender)), upstream_id, share
+                )
+                self.at(self.now + NETWORK, tell)
+
+    def _near(self, dispatcher: Dispatcher) -> list[Dispatcher]:
+        domain = dispatcher.rules.domain
+        return [other for other in self.entries if other.rules.domain == domain]
+
+    def at(self, when: datetime, action: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self.events, (when, next(self.numbers), action))
+
+    def run(self, rate: Callable[[float], float], seconds: float) -> Outcome:
+        """Offer calls at a rate in calls a second that depends on the time."""
+        for dispatcher in self.entries:
+            self.at(self.now + self.random.random() * GOSSIP, self._gossip(dispatcher))
+        for engine in self.engines:
+            self.at(self.now + self.random.random() * GOSSIP, self._report(engine))
+        at = 0.0
+        while at < seconds:
+            at += self.random.expovariate(max(rate(at), 0.01))
+            kind = self.random.choices(KINDS, [kind[0] for kind in KINDS])[0]
+            caller = _Caller(len(self.callers), kind, EPOCH + timedelta(seconds=at))
+            self.callers.append(caller)
+            self.at(caller.began_at, lambda caller=caller: self._ask(caller))
+        end = EPOCH + timedelta(seconds=seconds + 7)
+        while self.events and self.events[0][0] < end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        return self._outcome()
+
+    def _ask(self, caller: _Caller) -> None:
+        dispatcher = self.random.choice(self.entries)
+        _, prompt, output, target = caller.kind
+        call = make_call(
+            caller.number,
+            self.now,
+            request_id=f"q{caller.number}-{int(caller.returned)}",
+            route=make_route(target_latency=ms(target)),
+            patience=caller.began_at + ms(6078) - self.now,
+            prompt_tokens=prompt,
+            output_tokens=output,
+        )
+        decision = dispatcher.choose(call, (), len(self.entries), self.now)
+        if isinstance(decision, Placement):
+            self._send(dispatcher, call, caller, decision)
+        elif caller.returned:
+            caller.outcome = "refused"
+        else:
+            caller.returned = True
+            self.at(self.now + decision.retry_after, lambda: self._ask(caller))
+
+    def _send(
+        self,
+        dispatcher: Dispatcher,
+        call: GatewayCall,
+        caller: _Caller,
+        placement: Placement,
+    ) -> None:
+        _, prompt, output, _ = caller.kind
+        work = _Work(caller, placement.priority, prompt, output, next(self.numbers))
+        dispatcher.loads.sent(
+            call.request_id,
+            placement.upstream.id,
+            prompt,
+            self.now,
+            yielding=placement.yielding,
+        )
+        self.work_by_key[call.request_id] = (dispatcher, work)
+        engine = self.engines[int(placement.upstream.id[1:])]
+        self.at(self.now + NETWORK, lambda: engine.take(work))
+        self.at(call.ends_at, lambda: self._leave(work))
+
+    def _leave(self, work: _Work) -> None:
+        if not work.gone:
+            work.gone = True
+            self.ended(work)
+
+    def first_token(self, work: _Work) -> None:
+        """Note the first token of a request."""
+        work.caller.first_token_at = self.now
+        key = self._key(work)
+        self.work_by_key[key][0].loads.first_token(key)
+
+    def ended(self, work: _Work) -> None:
+        """Note the end of a request."""
+        key = self._key(work)
+        self.work_by_key.pop(key)[0].loads.ended(key)
+        work.caller.outcome = "left" if work.unwritten > 0 else "served"
+
+    def _key(self, work: _Work) -> str:
+        return f"q{work.caller.number}-{int(work.caller.returned)}"
+
+    def _gossip(self, dispatcher: Dispatcher) -> Callable[[], None]:
+        rounds = count()
+
+        def tell() -> None:
+            shares = dispatcher.loads.own_shares()
+            far = next(rounds) % FAR_ROUNDS == 0
+            for other in self.entries if far else self._near(dispatcher):
+                if other is not dispatcher:
+                    other.loads.peer_heard(str(id(dispatcher)), shares, self.now)
+            self.at(self.now + GOSSIP, tell)
+
+        return tell
+
+    def _report(self, engine: _Engine) -> Callable[[], None]:
+        def take() -> None:
+            report = EngineReport(
+                address=self.records[engine.number].address,
+                model="m",
+                version=1,
+                accepting=True,
+                queued=len(engine.queue),
+                active=len(engine.running),
+                pace=1.0,
+            )
+            self.at(self.now + REPORT_LAG, lambda: tell(report))
+            self.at(self.now + GOSSIP, take)
+
+        def tell(report: EngineReport) -> None:
+            for dispatcher in self.entries:
+                dispatcher.loads.engine_heard(report, self.now)
+
+        return take
+
+    def _outcome(self) -> Outcome:
+        outcome = Outcome()
+        for caller in self.callers:
+            if caller.outcome == "refused":
+                outcome.refused += 1
+            elif caller.outcome != "served":
+                outcome.left += 1
+            else:
+                outcome.waits.append(caller.first_token_at - caller.began_at)
+                if self.on_time(caller):
+                    outcome.on_time += 1
+                else:
+                    outcome.late += 1
+        return outcome
+
+    @staticmethod
+    def on_time(caller: _Caller) -> bool:
+        """Tell whether a caller was served within its target."""
+        if caller.outcome != "served":
+            return False
+        return caller.first_token_at - caller.began_at <= ms(caller.kind[3])
+
+
+def capacity(engines: int) -> float:
+    """Return the calls a second that full engines complete."""
+    prompt = sum(kind[0] * kind[1] for kind in KINDS)
+    output = sum(kind[0] * kind[2] for kind in KINDS)
+    passes = ceil(output / RATES.steps_per_pass)
+    step = RATES.step + RATES.slots * (
+        RATES.step_per_sequence + RATES.step_per_kilotoken
+    )
+    writing = passes * RATES.steps_per_pass * step / RATES.slots
+    reading = timedelta(seconds=prompt / RATES.read_tokens_per_s)
+    return engines / (writing + reading).total_seconds()
--- a/shallotpath/gateway/tests/test_dispatcher.py
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -143,6 +143,7 @@
 
 
 def test_caller_that_came_back_may_wait_behind_the_others():
+    # Load pattern: engines that are full for a moment.
     dispatcher = make_dispatcher([make_record(1)])
     dispatcher.loads.engine_heard(report(1, active=16, queued=4), EPOCH)
     first = dispatcher.choose(make_call(1), (), 1, EPOCH)
@@ -152,6 +153,73 @@
     assert again.priority > 5
 
 
+def test_lasting_overload_leaves_the_slots_to_first_attempts():
+    # Load pattern: lasting overload, where callers that are late already would take
+    # the slots of those that can still be served on time.
+    dispatcher = make_dispatcher([make_record(1)])
+    came_back = make_call(1000, patience=ms(4000))
+    dispatcher.loads.engine_heard(report(1, active=16, queued=4), EPOCH)
+    for number in range(20):
+        dispatcher.choose(make_call(number), (), 1, EPOCH)
+    assert isinstance(dispatcher.choose(came_back, (), 1, EPOCH), Rejection)
+    dispatcher.loads.engine_heard(report(1, active=12), EPOCH)
+    assert dispatcher.choose(came_back, (), 1, EPOCH).yielding
+    # Once first attempts are served again, those that came back may wait again.
+    for number in range(20):
+        dispatcher.choose(make_call(number), (), 1, EPOCH + ms(50 * number))
+    later = EPOCH + ms(1000)
+    dispatcher.loads.engine_heard(report(1, active=16, queued=4), later)
+    assert dispatcher.choose(came_back, (), 1, later).yielding
+
+
+def test_first_attempts_do_not_wait_for_those_that_yield():
+    # Load pattern: engines are full and callers that came back fill their queues.
+    dispatcher = make_dispatcher([make_record(1)])
+    for number in range(16):
+        dispatcher.loads.sent(f"r{number}", "u1", 979, EPOCH)
+        dispatcher.loads.first_token(f"r{number}")
+    dispatcher.loads.peer_heard("e2", {"u1": Share(6, 6000, 6, 6000)}, EPOCH)
+    later = EPOCH + ms(500)
+    assert isinstance(dispatcher.choose(make_call(1), (), 2, later), Placement)
+    dispatcher.loads.peer_heard("e2", {"u1": Share(6, 6000)}, later)
+    assert isinstance(dispatcher.choose(make_call(1), (), 2, later), Rejection)
+
+
+def test_overload_sends_callers_back_late_enough_to_be_known():
+    # Guards against callers that return at once and pass for first attempts.
+    dispatcher = make_dispatcher([make_record(1)])
+    dispatcher.loads.engine_heard(report(1, active=16, queued=20), EPOCH)
+    for number in range(50):
+        call = make_call(number)
+        rejection = dispatcher.choose(call, (), 1, EPOCH)
+        assert rejection.reason is RejectReason.OVERLOADED
+        assert rejection.retry_after <= call.patience / 3
+        again = make_call(number, patience=call.patience - rejection.retry_after)
+        assert again.came_back
+
+
+def test_requests_that_peers_have_just_sent_count():
+    # Load pattern: a burst at several entries between two rounds of gossip.
+    loads = make_dispatcher().loads
+    address = "10.0.0.1:80"
+    loads.peer_placed("e2", "u1", Share(1, 979))
+    assert loads.load("u1", address, EPOCH).requests == 0
+    loads.peer_heard("e2", {"u1": Share(2, 979)}, EPOCH)
+    loads.peer_placed("e2", "u1", Share(1, 979))
+    assert loads.load("u1", address, EPOCH).requests == 3
+    # The next message of the peer holds all of its work.
+    loads.peer_heard("e2", {"u1": Share(2, 0)}, EPOCH)
+    assert loads.load("u1", address, EPOCH).requests == 2
+
+
+def test_each_request_is_told_to_peers_as_it_is_sent():
+    told = []
+    loads = make_dispatcher().loads
+    loads.after_sent = lambda upstream, share: told.append((upstream, share))
+    loads.sent("q", "u1", 500, EPOCH, yielding=True)
+    assert told == [("u1", Share(1, 500, 1, 500))]
+
+
 @pytest.mark.parametrize("entries", [8, 40])
 def test_entries_with_late_figures_do_not_herd(entries):
     # Load pattern: a burst within one gossip interval, each entry knows only itself.
--- /dev/null
+++ b/shallotpath/gateway/tests/test_load_patterns.py
@@ -0,0 +1,57 @@
+"""Who is served under load, by simulated engines and several entries."""
+
+import pytest
+
+from .load_simulation import LoadSimulation, capacity
+
+ENGINES = 5
+CAPACITY = capacity(ENGINES)
+SECONDS = 12
+
+
+def run(rate, seed):
+    return LoadSimulation(engines=ENGINES, seed=seed).run(rate, SECONDS)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("times", [2, 3])
+def test_lasting_overload_serves_first_attempts_on_time(times, seed):
+    # Load pattern: several times the capacity for long. The target is that two thirds
+    # of what the engines can serve is served on time; callers that came back, who
+    # are late already, took half of it before.
+    outcome = run(lambda at: times * CAPACITY, seed)
+    assert outcome.on_time >= 2 / 3 * CAPACITY * SECONDS
+    # The engines stay full.
+    assert outcome.on_time + outcome.late >= 0.9 * CAPACITY * SECONDS
+
+
+@pytest.mark.parametrize("times", [0.9, 1.2, 3])
+def test_what_is_admitted_is_served(times):
+    # Load pattern: steady load around and above the capacity. Nobody waits at an
+    # engine until the deadline passes.
+    outcome = run(lambda at: times * CAPACITY, 3)
+    assert outcome.left <= 0.002 * outcome.callers
+
+
+def test_load_below_the_capacity_is_served():
+    # Load pattern: steady 0.8 of the capacity with the spread of random arrivals.
+    outcome = run(lambda at: 0.8 * CAPACITY, 4)
+    assert outcome.served >= 0.99
+    assert outcome.on_time >= 0.95 * outcome.callers
+
+
+def test_burst_does_not_outlast_itself():
+    # Load pattern: four times the capacity for two seconds. Callers that return
+    # later must not turn the burst into a lasting overload.
+    burst = (4.0, 6.0)
+    simulation = LoadSimulation(engines=ENGINES, seed=5)
+    simulation.run(
+        lambda at: CAPACITY * (4 if burst[0] <= at < burst[1] else 0.6), SECONDS
+    )
+    after = [
+        caller
+        for caller in simulation.callers
+        if (caller.began_at - simulation.started_at).total_seconds() > burst[1] + 1
+    ]
+    on_time = sum(simulation.on_time(caller) for caller in after)
+    assert on_time >= 0.9 * len(after)
--- a/shallotpath/replication/__init__.py
+++ b/shallotpath/replication/__init__.py
@@ -3,14 +3,16 @@
 from ._messages import (
     MAX_DATAGRAM_BYTES,
     ChunkItem,
+    Datagram,
     News,
     PeerAddress,
+    PlacedItem,
     RecordItem,
     RecordPage,
     ShareItem,
     SuspectItem,
     TopicItem,
-    decode_news,
+    decode_datagram,
     decode_page,
     encode_message,
 )
@@ -20,9 +22,11 @@
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "ChunkItem",
+    "Datagram",
     "KeyedRecord",
     "KeyedReplica",
     "News",
+    "PlacedItem",
     "PeerAddress",
     "PeerTable",
     "RecordItem",
@@ -30,7 +34,7 @@
     "ShareItem",
     "SuspectItem",
     "TopicItem",
-    "decode_news",
+    "decode_datagram",
     "decode_page",
     "encode_message",
 ]
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -11,7 +11,7 @@
 from ..core import FrameError
 from ..gateway import EngineReport
 
-PROTOCOL = 3
+PROTOCOL = 4
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
 
@@ -31,6 +31,8 @@
     upstream: str
     requests: int
     unread_tokens: int
+    yielding_requests: int = 0
+    yielding_tokens: int = 0
 
 
 class ChunkItem(msgspec.Struct, frozen=True, array_like=True):
@@ -57,7 +59,14 @@
     upstreams: list[str]
 
 
-class News(msgspec.Struct, frozen=True, array_like=True):
+class PlacedItem(msgspec.Struct, frozen=True, array_like=True, tag="placed"):
+    """Tell peers of a request that an entry has just sent to an upstream."""
+
+    sender: str
+    share: ShareItem
+
+
+class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
     """Tell peers what a process knows; each message stands for itself."""
 
     sender: PeerAddress
@@ -90,14 +99,17 @@
     age_s: float = 0.0
 
 
-def encode_message(message: News | RecordPage) -> bytes:
+Datagram = News | PlacedItem
+
+
+def encode_message(message: Datagram | RecordPage) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode([PROTOCOL, message])
 
 
-def decode_news(payload: bytes) -> News:
+def decode_datagram(payload: bytes) -> Datagram:
     """Decode a datagram or raise `FrameError`."""
-    return _decode(payload, News)
+    return _decode(payload, Datagram)
 
 
 def decode_page(payload: bytes) -> RecordPage:
@@ -105,7 +117,7 @@
     return _decode(payload, RecordPage)
 
 
-def _decode(payload: bytes, expected: type):
+def _decode(payload: bytes, expected):
     try:
         protocol, message = msgspec.msgpack.decode(payload, type=tuple[int, expected])
     except (msgspec.DecodeError, ValueError) as error:
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -14,10 +14,12 @@
     News,
     PeerAddress,
     PeerTable,
+    PlacedItem,
     RecordItem,
     RecordPage,
+    ShareItem,
     TopicItem,
-    decode_news,
+    decode_datagram,
     decode_page,
     encode_message,
 )
@@ -71,7 +73,9 @@
 
 def test_messages_survive_the_wire():
     message = news(1, 2, topics=[TopicItem("t", 5, 0.25)], peers=[address(3)])
-    assert decode_news(encode_message(message)) == message
+    assert decode_datagram(encode_message(message)) == message
+    placed = PlacedItem("p1", ShareItem("u1", 1, 900))
+    assert decode_datagram(encode_message(placed)) == placed
     page = RecordPage(7, [RecordItem("a", b"1", 3), RecordItem("b", None, 4)], 0.5)
     assert decode_page(encode_message(page)) == page
 
@@ -79,7 +83,7 @@
 @pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x03\x90", b"\x92\x63\xc0"])
 def test_unreadable_messages_are_frame_errors(payload):
     with pytest.raises(FrameError, match="run the same release"):
-        decode_news(payload)
+        decode_datagram(payload)
 
 
 def test_late_message_is_ignored_and_a_restart_is_taken():
