Read configurations at three entries of a region; pass messages on in the region

Change: three entries of each region read the operators' records, at 1 s a call; peers pull a compressed page and read themselves after 1.5 s without confirmation (mates 4 s). News from another region are pulled after 150 ms. A message to another region goes to one entry, which passes it on; mates tell other regions in each round while chunks move. Rounds come less often with more than 8 peers in a region, requests are told to 6 peers, changes of upstreams only in the region, and the upstreams' reader pauses 0.3 s.

Ruled out: one reader a region.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -32,7 +32,6 @@
 from ..replication import (
     KeyedRecord,
     News,
-    PeerAddress,
     PlacedItem,
     ShareItem,
     SuspectItem,
@@ -43,6 +42,9 @@
 # Time for which the store holds a read of the upstreams. One that leaves must get
 # nothing 2 s later, also where a read was lost and had to time out.
 UPSTREAM_WAIT = timedelta(milliseconds=1000)
+# Heartbeats change the topic all the time; a pause collects those of some upstreams.
+# One that leaves still gets nothing after the bound of 2 s.
+UPSTREAM_PAUSE = timedelta(milliseconds=300)
 # An entry reads the upstreams itself once its domain's reader was silent so long.
 UPSTREAM_AGE = timedelta(milliseconds=1500)
 PRUNE_INTERVAL = timedelta(seconds=1)
@@ -53,12 +55,10 @@
 # Left of the grace for closing sockets.
 STOP_RESERVE = timedelta(milliseconds=700)
 DRAIN_STEP_S = 0.05
-# Rounds of gossip after which entries in other regions are told.
-FAR_ROUND = 3
 SUSPECTS_PER_MESSAGE = 10
 # Peers that are told of each request at once. Bounds the datagrams of an entry, which
 # would grow with the fleet; of peers beyond, the load book assumes the own rate.
-MAX_TOLD_PEERS = 16
+MAX_TOLD_PEERS = 6
 
 
 class EdgeProcess(MemberProcess):
@@ -112,7 +112,7 @@
         self.upstream_topic_ = self.add_topic(
             UPSTREAM_TOPIC, self.apply_upstreams, UPSTREAM_WAIT
         )
-        self.upstream_topic_.after_news = self._tell_near
+        self.upstream_topic_.after_news = self._tell_near_entries
         self.upstream_topic_.before_news = self.upstreams.read_succeeded
         self.keep_running(self._read_upstreams)
         self.keep_running(self._prune)
@@ -174,7 +174,7 @@
             known = set(self.upstreams.upstreams_by_id_)
             self.breaker.forget(known)
             self.dispatcher.buckets_.forget(known)
-            self.publish()
+            self._tell_near_entries()
 
     def _apply_upstream(self, record: KeyedRecord) -> bool:
         now = self.clock.now()
@@ -218,9 +218,14 @@
         )
         return message
 
-    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
-        """Tell entries; far ones less often, as engines report their whole load."""
-        return not peer.engine and (self.is_near(peer) or rounds % FAR_ROUND == 0)
+    def relay(self, news: News, payload: bytes) -> None:
+        """Pass on what concerns entries, and to mates what concerns chunks."""
+        near = [
+            peer
+            for peer in self.peers.all()
+            if self.is_near(peer) and (not peer.engine or news.chunks)
+        ]
+        self.gossip_.pass_on(payload, near)
 
     def heard(self, news: News) -> None:
         """Take peers' work, engines' reports and suspects."""
@@ -240,12 +245,11 @@
 
     def may_pull(self, topic: TopicReplica, news: News) -> bool:
         """Take upstreams from peers in the own domain, from others when late."""
-        if not super().may_pull(topic, news):
-            return False
         if topic is not self.upstream_topic_ or news.domain == self.settings.domain:
-            return True
+            return super().may_pull(topic, news)
         age = topic.age(self.clock.now())
-        return age is None or age > UPSTREAM_AGE
+        late = age is None or age > UPSTREAM_AGE
+        return late and super().may_pull(topic, news)
 
     def status(self) -> dict[str, object]:
         """Add upstreams and the work at them."""
@@ -269,7 +273,7 @@
         }
 
     async def _read_upstreams(self) -> None:
-        await self.upstream_topic_.poll(self._reads_upstreams)
+        await self.upstream_topic_.poll(self._reads_upstreams, UPSTREAM_PAUSE)
 
     def _reads_upstreams(self) -> bool:
         """Tell whether it is this entry's turn to read the store for its domain."""
@@ -302,7 +306,7 @@
         item = PlacedItem(self.settings.node, _encode_share(upstream_id, share))
         self.gossip_.send(item, peers)
 
-    def _tell_near(self) -> None:
+    def _tell_near_entries(self) -> None:
         """Let the entries of the region take what was read, before they look."""
         near = [p for p in self.peers.all() if not p.engine and self.is_near(p)]
         self.gossip_.send(self.news(), near)
--- a/shallotpath/fleet/_gossip.py
+++ b/shallotpath/fleet/_gossip.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from ..core import FrameError
@@ -17,8 +18,28 @@
 from ._reporter import LineReporter
 
 GOSSIP_INTERVAL = timedelta(milliseconds=300)
+# Peers in the region up to which rounds keep that interval; with more, rounds come less
+# often, so that the messages of a process do not grow with the fleet. Requests and
+# changes are told as they happen.
+PEERS_AT_FULL_RATE = 8
+# Three of these fit the age at which peers' figures count no more.
+MAX_GOSSIP_INTERVAL = timedelta(milliseconds=650)
 
-Hear = Callable[[Datagram], None]
+
+@dataclass(slots=True, frozen=True)
+class Received:
+    """Hold a datagram as it came."""
+
+    payload: bytes
+    host: str
+    port: int
+
+    def is_from(self, peer: PeerAddress) -> bool:
+        """Tell whether a peer sent it itself, in place of one that passed it on."""
+        return (self.host, self.port) == (peer.host, peer.port)
+
+
+Hear = Callable[[Datagram, Received], None]
 
 
 class GossipSocket(asyncio.DatagramProtocol):
@@ -46,7 +67,7 @@
             self.reporter.count("datagrams_bad")
             self.reporter.event("bad_datagram", sender=addr[0], detail=error.message)
             return
-        self.hear(message)
+        self.hear(message, Received(data, *addr[:2]))
 
     def error_received(self, exc: OSError) -> None:
         """Count a datagram that could not be delivered."""
@@ -59,6 +80,10 @@
             self.reporter.count("datagrams_oversized")
             self.reporter.event("oversized_datagram", bytes=len(payload))
             return
+        self.pass_on(payload, peers)
+
+    def pass_on(self, payload: bytes, peers: Iterable[PeerAddress]) -> None:
+        """Send an encoded message to peers."""
         for peer in peers:
             self.transport_.sendto(payload, (peer.host, peer.port))
 
@@ -68,6 +93,12 @@
             self.transport_.close()
 
 
+def gossip_interval(near: int) -> timedelta:
+    """Return the time between rounds for a number of peers in the region."""
+    stretched = GOSSIP_INTERVAL * max(1.0, near / PEERS_AT_FULL_RATE)
+    return min(stretched, MAX_GOSSIP_INTERVAL)
+
+
 def incarnation(now: datetime) -> int:
     """Return a number that is higher for a later start of the process."""
     return int(now.timestamp() * 1000)
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -26,6 +26,8 @@
 REPORT_INTERVAL = timedelta(milliseconds=250)
 # News of chunks while a transfer runs; a chunk takes some 54 ms of the link.
 TRANSFER_INTERVAL = timedelta(milliseconds=120)
+# The reader's wait and two wide rounds of gossip, 1.5 s each.
+MATE_OPERATOR_AGE = timedelta(seconds=4)
 IDLE_STEP = timedelta(milliseconds=100)
 MANIFEST_PAUSE = timedelta(milliseconds=300)
 # Entries learn within a gossip message that the engine stops taking requests.
@@ -73,6 +75,10 @@
         self.leaving_ = True
         self.publish()
 
+    def operator_age(self) -> timedelta:
+        """Return a longer age: entries tell mates in the wide rounds only."""
+        return MATE_OPERATOR_AGE
+
     def operator_changed(self) -> None:
         """Look at the named version at once."""
         self.wake_.set()
@@ -311,13 +317,19 @@
             if peer.engine
         ]
 
-    def _mates(self) -> list[PeerAddress]:
-        return [peer for peer in self.peers.all() if peer.engine]
-
     def _near_mates(self) -> list[PeerAddress]:
-        return [peer for peer in self._mates() if self.is_near(peer)]
+        return [peer for peer in self.peers.all() if peer.engine and self.is_near(peer)]
+
+    @property
+    def far_interval(self) -> timedelta:
+        """Tell other regions in each round while chunks move.
+
+        A mate whose chunks are not heard of is passed over, and others fetch them again
+        over the same links.
+        """
+        return timedelta() if self.transferring() else super().far_interval
 
-    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
+    def tells_often(self, peer: PeerAddress) -> bool:
         """Tell entries the engine's state, and mates too while chunks move."""
         return not peer.engine or self.transferring()
 
@@ -379,7 +391,7 @@
                 told = plan.bitmap
                 self.gossip_.send(self.news(), self._near_mates())
             if plan.complete:
-                self.gossip_.send(self.news(), self._mates())
+                self.publish()
                 self.reporter.event(
                     "weights_complete", model=plan.model, version=plan.version
                 )
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -13,7 +13,13 @@
 import msgspec
 from aiohttp import web
 
-from ..core import Clock, MonotonicClock, PlatformError, SettingError
+from ..core import (
+    Clock,
+    MonotonicClock,
+    PlatformError,
+    SettingError,
+    rendezvous_order,
+)
 from ..forwarding import Listener
 from ..gateway import OperatorState
 from ..platform import (
@@ -34,21 +40,41 @@
     PeerTable,
     PlacedItem,
 )
-from ._gossip import GOSSIP_INTERVAL, GossipSocket, incarnation
+from ._gossip import GossipSocket, Received, gossip_interval, incarnation
 from ._reporter import LineReporter
 from ._topics import Apply, TopicReplica
 
-# Time for which the store holds a read of the operators' records. Short enough to
-# notice a connection that went silent, long enough to cost few calls.
-OPERATOR_WAIT = timedelta(seconds=8)
-# All processes wait for the operators' records, so they have them at about the same
-# time; only one that is still behind after this delay asks its peers.
-OPERATOR_PULL_DELAY = timedelta(milliseconds=150)
+# Entries of a region that read the operators' records for all its peers. A large
+# configuration for each process would fill the links between regions for seconds; with
+# one reader, one that the store turns away delays its region's weights by 2 s.
+OPERATOR_READERS = 3
+# Time for which the store holds such a read.
+OPERATOR_WAIT = timedelta(seconds=1)
+# A process reads them itself once it has gone without confirmation for so long: the
+# reader's wait, a round of gossip and some slack. A change then still comes into force
+# within 2 s.
+OPERATOR_AGE = timedelta(milliseconds=1500)
+# Time over which the peers of a reader spread their pulls.
+OPERATOR_PULL_SPREAD = timedelta(milliseconds=40)
+# Rounds of gossip that repeat a change to all peers in the region, as datagrams are
+# lost at times.
+REPEATED_ROUNDS = 3
 # Seeds may be stale or down, so members also find each other in the store.
 MEMBERS_INTERVAL = timedelta(seconds=15)
 LONELY_INTERVAL = timedelta(seconds=1)
-# Rounds of gossip after which mates are told too and addresses are passed on.
-WIDE_ROUND = 5
+# Time after which all peers of the region are told and silent ones are tried.
+WIDE_INTERVAL = timedelta(milliseconds=1450)
+# Messages after which one passes on addresses.
+ADDRESSES_EVERY = 5
+# Entries of another region that get a message and pass it on. A lost one costs a
+# round.
+FAR_RELAYS = 1
+# Links between regions are narrow and priced. Two intervals fit the age at which the
+# figures of peers count no more.
+FAR_INTERVAL = timedelta(milliseconds=850)
+# Peers that fell silent and are tried again in a wide round, so that regions find each
+# other after a cut.
+SILENT_PROBES = 8
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
 # Keeps a task that fails at once from taking the whole processor.
@@ -90,6 +116,8 @@
         self.tasks_: set[asyncio.Task] = set()
         self.incarnation_ = incarnation(self.clock.now())
         self.sequence_ = 0
+        self.repeats_ = 0
+        self.far_at_ = self.wide_at_ = self.clock.now()
         self.leaving_ = False
 
     async def start(self) -> None:
@@ -100,13 +128,14 @@
         self.caller_ = HttpCaller(self.session_)
         self.store_ = StoreClient(self.settings.store, self.session_)
         self.operator_topic_ = self.add_topic(
-            OPERATOR_TOPIC, self.apply_operator, OPERATOR_WAIT, OPERATOR_PULL_DELAY
+            OPERATOR_TOPIC, self.apply_operator, OPERATOR_WAIT, OPERATOR_PULL_SPREAD
         )
+        self.operator_topic_.after_news = self.tell_change
         host, port = self.settings.host, self.settings.peer_port
         await self.peer_listener_.start(host, port)
         await self.gossip_.start(host, port)
         await self._serve_metrics()
-        self.keep_running(self.operator_topic_.follow)
+        self.keep_running(self._read_operator)
         self.keep_running(self._gossip)
         self.keep_running(self._find_members)
 
@@ -168,7 +197,7 @@
         name: str,
         apply: Apply,
         wait: timedelta,
-        pull_delay: timedelta = timedelta(),
+        pull_spread: timedelta = timedelta(),
     ) -> TopicReplica:
         """Add a replica of a topic that peers may ask for."""
         topic = TopicReplica(
@@ -180,7 +209,7 @@
             reporter=self.reporter,
             apply=apply,
             wait=wait,
-            pull_delay=pull_delay,
+            pull_spread=pull_spread,
         )
         self.topics_by_name_[name] = topic
         return topic
@@ -203,7 +232,6 @@
                 )
         if changed:
             self.operator_changed()
-            self.publish()
 
     def operator_changed(self) -> None:
         """Take a change of what the operators ask for."""
@@ -219,30 +247,31 @@
             domain=self.settings.domain,
             leaving=self.leaving_,
             topics=[topic.item(now) for topic in self.topics_by_name_.values()],
-            peers=self.peers.sample() if self.sequence_ % WIDE_ROUND == 0 else [],
+            peers=self.peers.sample() if self.sequence_ % ADDRESSES_EVERY == 0 else [],
         )
 
     def publish(self) -> None:
         """Tell all peers what this process knows now."""
-        known = self.peers.all()
-        if known:
-            self.gossip_.send(self.news(), known)
+        told = self._near_peers() + self.far_relays() + self.peers.unheard()
+        self.gossip_.send(self.news(), told)
 
     @singledispatchmethod
-    def hear(self, message: Datagram) -> None:
+    def hear(self, message: Datagram, received: Received) -> None:
         """Take the message of a peer."""
         raise TypeError(f"no handler for {type(message).__name__}")
 
     @hear.register
-    def _(self, placed: PlacedItem) -> None:
+    def _(self, placed: PlacedItem, received: Received) -> None:
         self.heard_placed(placed)
 
     @hear.register
-    def _(self, news: News) -> None:
+    def _(self, news: News, received: Received) -> None:
         now = self.clock.now()
         greet = not self.peers.has_heard(news.sender.id)
         if not self.peers.hear(news, now):
             return
+        if not self.is_near(news.sender) and received.is_from(news.sender):
+            self.relay(news, received.payload)
         if greet:
             # A process that has just started learns at once what this one knows.
             self.gossip_.send(self.news(), [news.sender])
@@ -252,13 +281,17 @@
                 continue
             topic.confirmed_elsewhere(item)
             if item.end > topic.end and self.may_pull(topic, news):
-                self.spawn(topic.behind(news.sender, item.end))
+                far = not self.is_near(news.sender)
+                self.spawn(topic.behind(news.sender, item.end, far=far))
         self.heard(news)
 
     def may_pull(self, topic: TopicReplica, news: News) -> bool:
         """Tell whether to ask a peer for what it has beyond a replica."""
         return not topic.pulling_ and not news.sender.engine
 
+    def relay(self, news: News, payload: bytes) -> None:
+        """Pass on the message of a peer in another region."""
+
     def heard(self, news: News) -> None:
         """Take the parts of a message that concern the own role."""
 
@@ -333,8 +366,13 @@
         if not task.cancelled() and task.exception() is not None:
             self.reporter.event("task_failed", detail=repr(task.exception()))
 
-    def tells_often(self, peer: PeerAddress, rounds: int) -> bool:
-        """Tell whether a peer is told in a round between the wide ones."""
+    @property
+    def far_interval(self) -> timedelta:
+        """Return the time after which other regions are told again."""
+        return FAR_INTERVAL
+
+    def tells_often(self, peer: PeerAddress) -> bool:
+        """Tell whether a peer of the region is told between the wide rounds."""
         return not peer.engine
 
     def is_near(self, peer: PeerAddress) -> bool:
@@ -342,22 +380,85 @@
         domain = self.peers.domain(peer.id)
         return self.settings.regions_by_domain.get(domain) == self.settings.region
 
+    def tell_change(self) -> None:
+        """Tell peers of news from the store, those of the region for some rounds."""
+        self.repeats_ = REPEATED_ROUNDS
+        self.publish()
+
+    def _near_peers(self) -> list[PeerAddress]:
+        return [peer for peer in self.peers.all() if self.is_near(peer)]
+
+    async def _read_operator(self) -> None:
+        await self.operator_topic_.poll(self._reads_operator)
+
+    def _reads_operator(self) -> bool:
+        """Tell whether it is this process's turn to read for its region."""
+        now = self.clock.now()
+        age = self.operator_topic_.age(now)
+        if age is None or age > self.operator_age():
+            return True
+        entries = [
+            peer.id
+            for peer in self.peers.live(now)
+            if not peer.engine and self.is_near(peer)
+        ]
+        if not self.engine:
+            entries.append(self.settings.node)
+        readers = rendezvous_order(OPERATOR_TOPIC, entries)[:OPERATOR_READERS]
+        return not readers or self.settings.node in readers
+
+    def operator_age(self) -> timedelta:
+        """Return the age of the operators' records at which to read them oneself."""
+        return OPERATOR_AGE
+
     async def _gossip(self) -> None:
         """Tell those that need it each round, the others less often."""
-        rounds = 0
         while True:
             self.peers.tick(self.clock.now())
-            rounds += 1
-            known = self.peers.all()
-            if rounds % WIDE_ROUND:
-                known = [peer for peer in known if self.tells_often(peer, rounds)]
-            if known:
-                self.gossip_.send(self.news(), known)
+            told = self._told()
+            if told:
+                self.gossip_.send(self.news(), told)
             self.reporter.writer.flush()
+            interval = gossip_interval(len(self._near_peers()))
             await asyncio.sleep(
-                GOSSIP_INTERVAL.total_seconds() * self.random.uniform(0.85, 1.0)
+                interval.total_seconds() * self.random.uniform(0.85, 1.0)
             )
 
+    def _told(self) -> list[PeerAddress]:
+        """Return the peers that get a message in a round.
+
+        Only some entries of another region are told; they pass the message on. With
+        all pairs of peers the links between regions would carry messages only.
+        """
+        now = self.clock.now()
+        wide, far = now >= self.wide_at_, now >= self.far_at_
+        often = wide or self.repeats_ > 0
+        self.repeats_ = max(0, self.repeats_ - 1)
+        told = [peer for peer in self._near_peers() if often or self.tells_often(peer)]
+        if far:
+            self.far_at_ = now + self.far_interval
+            told += self.far_relays()
+        if wide:
+            self.wide_at_ = now + WIDE_INTERVAL
+            live = {peer.id for peer in self.peers.live(now)}
+            silent = [peer for peer in self.peers.all() if peer.id not in live]
+            told += self.random.sample(silent, min(SILENT_PROBES, len(silent)))
+        return list({peer.id: peer for peer in told}.values())
+
+    def far_relays(self) -> list[PeerAddress]:
+        """Return some entries of each other region, or engines' peers if none."""
+        far_by_region: dict[str, list[PeerAddress]] = {}
+        for peer in self.peers.live(self.clock.now()):
+            domain = self.peers.domain(peer.id)
+            region = self.settings.regions_by_domain.get(domain, "")
+            if region != self.settings.region:
+                far_by_region.setdefault(region, []).append(peer)
+        relays = []
+        for peers in far_by_region.values():
+            entries = [peer for peer in peers if not peer.engine] or peers
+            relays += self.random.sample(entries, min(FAR_RELAYS, len(entries)))
+        return relays
+
     async def _find_members(self) -> None:
         """Greet the seeds, register, and read who else did."""
         self._greet_seeds()
@@ -370,6 +471,7 @@
                     registered = True
                 page = await self.store_.newest(MEMBER_TOPIC)
                 self._learn(page.records)
+                self.gossip_.send(self.news(), self.peers.unheard())
             except PlatformError as error:
                 self.reporter.event("members_unread", detail=error.message)
             lonely = not self.peers.live(self.clock.now())
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -19,6 +19,8 @@
     TopicItem,
     decode_page,
     encode_message,
+    pack_records,
+    unpack_records,
 )
 from ._reporter import LineReporter
 
@@ -26,6 +28,9 @@
 MAX_RETRY = timedelta(seconds=1)
 # Steps at which a reader that is not held by the store looks whether it is due.
 DUE_STEP = timedelta(milliseconds=150)
+# Time in which the readers of the own region are expected to bring what a peer in
+# another region already has.
+FAR_DELAY = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
 
 Apply = Callable[[list[KeyedRecord]], None]
@@ -45,7 +50,7 @@
         reporter: LineReporter,
         apply: Apply,
         wait: timedelta = timedelta(),
-        pull_delay: timedelta = timedelta(),
+        pull_spread: timedelta = timedelta(),
     ) -> None:
         self.topic = topic
         self.store = store
@@ -56,14 +61,17 @@
         self.apply = apply
         # Time for which the store may hold a read until there is news.
         self.wait = wait
-        # Time in which the own read is expected to bring what a peer already has.
-        self.pull_delay = pull_delay
+        # Time over which the replicas that a peer tells of news spread their pulls.
+        self.pull_spread = pull_spread
         self.replica_ = KeyedReplica()
         self.listed_ = False
         self.confirmed_at_: datetime | None = None
         self.store_lost_at_: datetime | None = None
         self.pulling_ = False
+        self.waiting_ = False
         self.retry_ = FIRST_RETRY
+        # The last page for peers: most of them ask for the same one.
+        self.packed_: tuple[int, int, bytes] | None = None
         # Called after a read of the store that brought records.
         self.after_news: Callable[[], None] | None = None
         # Called when a newer answer of the store is known, before its records are
@@ -79,17 +87,19 @@
         """Return the time since the store confirmed the replica, here or at a peer."""
         return None if self.confirmed_at_ is None else now - self.confirmed_at_
 
-    async def follow(self) -> None:
-        """Read the topic again and again, without a pause while reads wait."""
-        while True:
-            if not await self.read_once():
-                await asyncio.sleep(self._next_retry())
+    async def poll(
+        self, due: Callable[[], bool], pause: timedelta = timedelta()
+    ) -> None:
+        """Read the topic whenever this process is to do it.
 
-    async def poll(self, due: Callable[[], bool]) -> None:
-        """Read the topic whenever this process is to do it."""
+        Reads that wait for news follow each other after the pause.
+        """
         while True:
-            delay = DUE_STEP.total_seconds() * self.random.uniform(0.8, 1.0)
-            if due() and not await self.read_once():
+            if not due():
+                delay = DUE_STEP.total_seconds() * self.random.uniform(0.8, 1.0)
+            elif await self.read_once():
+                delay = pause.total_seconds() * self.random.uniform(0.8, 1.0)
+            else:
                 delay = self._next_retry()
             await asyncio.sleep(delay)
 
@@ -133,45 +143,67 @@
         age_s = None if age is None else ceil(age.total_seconds() * 100) / 100
         return TopicItem(self.topic, self.end, age_s)
 
-    async def behind(self, peer: PeerAddress, end: int) -> None:
-        """Take what a peer has beyond this replica."""
+    async def behind(self, peer: PeerAddress, end: int, *, far: bool) -> None:
+        """Take what a peer has beyond this replica; pass on what comes from afar."""
+        if far and not await self._still_behind(end):
+            return
         if self.pulling_ or end <= self.end:
             return
         self.pulling_ = True
         try:
-            await asyncio.sleep(self.pull_delay.total_seconds())
-            if end > self.end:
-                await self._pull(peer)
+            await asyncio.sleep(
+                (self.pull_spread * self.random.random()).total_seconds()
+            )
+            newer = end > self.end and await self._pull(peer)
         finally:
             self.pulling_ = False
+        if newer and far and self.after_news is not None:
+            self.after_news()
+
+    async def _still_behind(self, end: int) -> bool:
+        """Leave the peers of the own region the time to bring what is missing."""
+        if self.waiting_:
+            return False
+        self.waiting_ = True
+        try:
+            await asyncio.sleep(FAR_DELAY.total_seconds())
+        finally:
+            self.waiting_ = False
+        return end > self.end
 
     def page_after(self, offset: int) -> bytes:
         """Return the encoded records from an offset on, for a peer."""
-        records = [
-            RecordItem(record.key, record.value, record.offset)
-            for record in self.replica_.after(offset)
-        ]
+        if self.packed_ is None or self.packed_[:2] != (offset, self.end):
+            records = [
+                RecordItem(record.key, record.value, record.offset)
+                for record in self.replica_.after(offset)
+            ]
+            self.packed_ = (offset, self.end, pack_records(records))
         age = self.age(self.clock.now()) or timedelta()
-        return encode_message(RecordPage(self.end, records, age.total_seconds()))
+        return encode_message(
+            RecordPage(self.end, self.packed_[2], age.total_seconds())
+        )
 
-    async def _pull(self, peer: PeerAddress) -> None:
+    async def _pull(self, peer: PeerAddress) -> bool:
         url = (
             f"http://{peer.host}:{peer.port}/records"
             f"?topic={self.topic}&after={self.end}"
         )
         try:
             page = decode_page(await self.caller.call("GET", url, PULL_TIMEOUT))
+            items = unpack_records(page.packed)
         except (CallError, FrameError) as error:
             self.reporter.count("peer_pulls_failed", topic=self.topic)
             self.reporter.event(
                 "peer_pull_failed", peer=peer.id, topic=self.topic, detail=error.message
             )
-            return
-        records = [KeyedRecord(r.key, r.value, r.offset) for r in page.records]
+            return False
+        records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
         newer = self.replica_.merge(records, page.end)
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
         self._confirm(newer, timedelta(seconds=page.age_s))
+        return bool(newer)
 
     def _confirm(self, newer: list[KeyedRecord], age: timedelta) -> None:
         confirmed_at = self.clock.now() - age
@@ -180,6 +212,7 @@
             if self.before_news is not None:
                 self.before_news(confirmed_at)
         if newer:
+            self.packed_ = None
             self.apply(newer)
 
     def _next_retry(self) -> float:
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -18,7 +18,8 @@
     UPSTREAM_TOPIC,
     parse_process_settings,
 )
-from shallotpath.replication import PlacedItem, ShareItem
+from shallotpath.replication import PeerAddress, PlacedItem, ShareItem
+from shallotpath.swarm import SwarmMember, SwarmPlan
 
 from .standins import HOST, Engine, Log, Origin, StoreStandIn, listen
 
@@ -64,13 +65,14 @@
     return ports
 
 
-def make_settings(name, store_port, engine_port=None, metrics_port=None):
+def make_settings(name, store_port, engine_port=None, metrics_port=None, domain="a-1"):
     callers, ready, peer = free_ports(3)
     lines = [
         f"node={name}",
         f"ip={HOST}",
-        "zone=a-1",
+        f"zone={domain}",
         "zones.a-1=a",
+        "zones.b-1=b",
         f"internalPorts={peer},{peer}",
         f"platform.address={HOST}:{store_port}",
     ]
@@ -177,6 +179,129 @@
         assert a.upstream_topic_.end == b.upstream_topic_.end
 
 
+@pytest.mark.timeout(60)
+async def test_some_entries_of_a_region_read_the_configuration(monkeypatch):
+    # Guards against a large configuration that fills the links between regions with a
+    # copy for each process, and against peers that wait for a reader that is cut off.
+    monkeypatch.setattr("shallotpath.fleet._member.OPERATOR_READERS", 1)
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        reached = await enter(stores(log, 3))
+        runner, engine_port = await listen(Engine().handle)
+        stack.push_async_callback(runner.cleanup)
+        settings = [
+            make_settings("edge-a", reached[0][1]),
+            make_settings("edge-b", reached[1][1]),
+            make_settings("mate-c", reached[2][1], engine_port),
+        ]
+        kinds = [EdgeProcess, EdgeProcess, MateProcess]
+        processes = [
+            await enter(running(kind, each))
+            for kind, each in zip(kinds, settings, strict=True)
+        ]
+        for process in processes[1:]:
+            processes[0].peers.learn(process.address)
+            process.peers.learn(processes[0].address)
+
+        def reads():
+            labels = {"topic": OPERATOR_TOPIC}
+            return [p.reporter.metrics.value("store_reads", labels) for p in processes]
+
+        async def change(version):
+            log.put(OPERATOR_TOPIC, "config", make_config(version))
+            await until(
+                lambda: all(
+                    p.operator.catalog and p.operator.catalog.version == version
+                    for p in processes
+                ),
+                2.0,
+            )
+
+        # The tests' settings wait for no traffic: roles are settled after a moment.
+        await asyncio.sleep(2)
+        before = reads()
+        for version in range(2, 12):
+            await change(version)
+        grown = [b - a for a, b in zip(before, reads(), strict=True)]
+        readers = [number for number, count in enumerate(grown) if count]
+        assert len(readers) == 1
+        assert kinds[readers[0]] is EdgeProcess
+        reached[readers[0]][0].refusing = True
+        await change(12)
+
+
+async def test_reader_that_the_store_turns_away_delays_nobody():
+    # Guards against weights that a region learns of seconds late.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready and b.peers.live(b.clock.now()))
+        store_b.refusing = True
+        await asyncio.sleep(0.2)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        await until(lambda: b.operator.target("m") is not None, 0.5)
+
+
+async def test_region_that_the_store_turns_away_learns_from_another_one():
+    # Guards against a region that learns of new weights 2 s late, when its replica has
+    # grown old.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a, domain="a-1")) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b, domain="b-1")) as b,
+        running(EdgeProcess, make_settings("edge-c", port_b, domain="b-1")) as c,
+    ):
+        for process in (a, b):
+            process.peers.learn(c.address)
+        a.peers.learn(b.address)
+        processes = (a, b, c)
+        await until(
+            lambda: all(
+                p.ready and len(p.peers.live(p.clock.now())) == 2 for p in processes
+            )
+        )
+        store_b.refusing = True
+        await asyncio.sleep(0.2)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        await until(lambda: all(p.operator.target("m") for p in processes), 0.8)
+
+
+async def test_near_peers_are_asked_while_a_far_one_is_held_back():
+    # Guards against news of another region that delay those of the own one.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as a,
+    ):
+        await until(lambda: a.ready)
+        topic, asked = a.operator_topic_, []
+
+        async def pull(peer):
+            asked.append(peer.id)
+            topic.replica_.merge([], 9)
+            return False
+
+        topic._pull = pull
+        near = PeerAddress("near", HOST, 1, False)
+        far = PeerAddress("far", HOST, 2, False)
+        await asyncio.gather(
+            topic.behind(far, 9, far=True), topic.behind(near, 9, far=False)
+        )
+        assert asked == ["near"]
+        await topic.behind(far, 10, far=True)
+        assert asked == ["near", "far"]
+
+
 async def test_outage_is_noticed_although_peers_confirm_each_other():
     # Guards against lapsed entries that are dropped when the store comes back.
     log = Log()
@@ -258,6 +383,70 @@
         draining.cancel()
 
 
+@pytest.mark.timeout(60)
+async def test_messages_between_regions_do_not_grow_with_the_entries():
+    # Guards against links between regions that carry messages of all pairs of peers.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with AsyncExitStack() as stack:
+        ((_, port),) = await stack.enter_async_context(stores(log, 1))
+        processes = []
+        for number in range(12):
+            domain = "ab"[number % 2]
+            settings = make_settings(f"edge-{number}", port, domain=f"{domain}-1")
+            processes.append(
+                await stack.enter_async_context(running(EdgeProcess, settings))
+            )
+        for process in processes:
+            for other in processes:
+                process.peers.learn(other.address)
+        await until(
+            lambda: all(len(p.peers.live(p.clock.now())) == 11 for p in processes)
+        )
+        sent = []
+        a = processes[0]
+        pass_on = a.gossip_.pass_on
+
+        def count(payload, peers):
+            peers = list(peers)
+            sent.extend(p for p in peers if not a.is_near(p))
+            pass_on(payload, peers)
+
+        a.gossip_.pass_on = count
+        a.loads.sent("q", "u1", 700, a.clock.now())
+        before = processes[1].peers.peers_by_id_["edge-0"].sequence
+        await asyncio.sleep(3)
+        # Ten rounds of 300 ms, of which each third goes to an entry of the other
+        # region, the probes of silent peers, and the notice of the request.
+        assert 0 < len(sent) <= 5 + 6
+        # Every entry there hears of it all the same.
+        for process in processes[1::2]:
+            assert process.peers.peers_by_id_["edge-0"].sequence > before
+            shares = process.loads.peers_by_id_["edge-0"].shares_by_id
+            assert shares["u1"].requests == 1
+
+
+def test_mate_tells_other_regions_in_each_round_while_chunks_move():
+    # Guards against chunks that several regions fetch since they hear too late of the
+    # mate that has them: transfers took 12 s in place of 8 s.
+    mate = MateProcess(
+        make_settings("mate", 1, 2),
+        reporter=LineReporter("mate", "a-1", ManualClock(), Output()),
+    )
+    assert mate.far_interval > timedelta()
+    mate.plan_ = SwarmPlan(
+        own=SwarmMember("mate", "a"),
+        model="m",
+        version=1,
+        digests=("0" * 64,),
+        started_at=mate.clock.now(),
+        random=mate.random,
+    )
+    assert mate.transferring()
+    assert mate.far_interval == timedelta()
+
+
 async def test_peers_learn_of_a_request_as_it_is_sent():
     # Guards against entries that send to the same engine until the next gossip.
     log = Log()
--- a/shallotpath/replication/__init__.py
+++ b/shallotpath/replication/__init__.py
@@ -15,6 +15,8 @@
     decode_datagram,
     decode_page,
     encode_message,
+    pack_records,
+    unpack_records,
 )
 from ._peers import PeerTable
 from ._replica import KeyedRecord, KeyedReplica
@@ -37,4 +39,6 @@
     "decode_datagram",
     "decode_page",
     "encode_message",
+    "pack_records",
+    "unpack_records",
 ]
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from ..core import FrameError
@@ -14,6 +16,9 @@
 PROTOCOL = 4
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
+# Bounds what a broken peer makes a process allocate; the store keeps less in a topic.
+MAX_PAGE_BYTES = 64 << 20
+FAST_COMPRESSION = 1
 
 
 class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
@@ -94,11 +99,34 @@
     """Carry the records of a topic from an offset on."""
 
     end: int
-    records: list[RecordItem]
+    # Records as `pack_records` writes them.
+    packed: bytes
     # Seconds since the store confirmed what the sender holds.
     age_s: float = 0.0
 
 
+def pack_records(records: list[RecordItem]) -> bytes:
+    """Encode and compress records; a large configuration shrinks to a tenth."""
+    return zlib.compress(msgspec.msgpack.encode(records), FAST_COMPRESSION)
+
+
+def unpack_records(packed: bytes) -> list[RecordItem]:
+    """Decode packed records or raise `FrameError`."""
+    inflater = zlib.decompressobj()
+    try:
+        encoded = inflater.decompress(packed, MAX_PAGE_BYTES)
+        if not inflater.eof:
+            raise FrameError(
+                f"page of records is cut or above {MAX_PAGE_BYTES} bytes; "
+                "run the same release on all VMs"
+            )
+        return msgspec.msgpack.decode(encoded, type=list[RecordItem])
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise FrameError(
+            f"page of records does not decode: {error}; run the same release on all VMs"
+        ) from error
+
+
 Datagram = News | PlacedItem
 
 
--- a/shallotpath/replication/_peers.py
+++ b/shallotpath/replication/_peers.py
@@ -119,6 +119,12 @@
         """Return the addresses of all peers."""
         return [peer.address for peer in self.peers_by_id_.values()]
 
+    def unheard(self) -> list[PeerAddress]:
+        """Return the addresses of peers that were never heard."""
+        return [
+            peer.address for peer in self.peers_by_id_.values() if peer.heard_at is None
+        ]
+
     def sample(self) -> list[PeerAddress]:
         """Return some addresses to pass on."""
         known = self.all()
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -1,5 +1,6 @@
 """Replicas, peers and their messages."""
 
+import zlib
 from datetime import timedelta
 from random import Random
 
@@ -22,6 +23,8 @@
     decode_datagram,
     decode_page,
     encode_message,
+    pack_records,
+    unpack_records,
 )
 
 LOG = [
@@ -76,8 +79,18 @@
     assert decode_datagram(encode_message(message)) == message
     placed = PlacedItem("p1", ShareItem("u1", 1, 900))
     assert decode_datagram(encode_message(placed)) == placed
-    page = RecordPage(7, [RecordItem("a", b"1", 3), RecordItem("b", None, 4)], 0.5)
+    page = RecordPage(7, b"packed", 0.5)
     assert decode_page(encode_message(page)) == page
+    records = [RecordItem("a", b"1", 3), RecordItem("b", None, 4)]
+    assert unpack_records(pack_records(records)) == records
+
+
+@pytest.mark.parametrize(
+    "packed", [b"", b"no", pack_records([])[:-2], zlib.compress(b"\xc1")]
+)
+def test_unreadable_pages_are_frame_errors(packed):
+    with pytest.raises(FrameError, match="run the same release"):
+        unpack_records(packed)
 
 
 @pytest.mark.parametrize("payload", [b"", b"\xc1", b"\x92\x03\x90", b"\x92\x63\xc0"])
