Read log lines of the platform's programs in shallot-timeline

Cause: the tool asked processes for their events, which the programs on the platform do not keep; on-call engineers have their output only.

Ruled out: events in memory of the programs, which would cost each of them some MB.

--- a/shallotpath/cli/tests/test_programs.py
+++ b/shallotpath/cli/tests/test_programs.py
@@ -93,3 +93,18 @@
 def test_platform_program_without_settings_names_the_variable(monkeypatch, capsys):
     assert fleet_exit_code(edge, [], monkeypatch) == 2
     assert "SHALLOTPATH_CONFIG is not set" in capsys.readouterr().err
+
+
+def test_timeline_reads_files_of_log_lines(tmp_path, monkeypatch, capsys):
+    path = tmp_path / "edge.log"
+    path.write_text(
+        'noise\n{"message": "start", "node": "edge-1", "role": "edge",'
+        ' "time": "2026-02-11T22:08:47.172+00:00"}\n'
+    )
+    assert exit_code(timeline.app, ["--lines", str(path)], monkeypatch) == 0
+    output = capsys.readouterr()
+    assert "edge-1" in output.out
+    assert "1 lines are no log lines" in output.err
+    missing = str(tmp_path / "none.log")
+    assert exit_code(timeline.app, ["--lines", missing], monkeypatch) == 3
+    assert exit_code(timeline.app, [], monkeypatch) == 2
--- a/shallotpath/cli/timeline.py
+++ b/shallotpath/cli/timeline.py
@@ -17,6 +17,7 @@
     format_html,
     format_text,
     merge_events,
+    parse_lines,
 )
 from ._program import run_app
 
@@ -38,16 +39,32 @@
     domain: str = "",
     model_version: str = "",
     kind: str = "",
+    text: Annotated[
+        str, Parameter(help="Part of any field, such as the id of an upstream.")
+    ] = "",
+    lines: Annotated[
+        tuple[Path, ...],
+        Parameter(help="File of log lines; repeat it for further files."),
+    ] = (),
     html: Annotated[
         Path | None, Parameter(help="Write a self-contained page instead of text.")
     ] = None,
 ) -> int:
     """Print the merged events; processes that do not answer are named."""
-    if not urls:
-        print("no process was named; give the [node] http addresses", file=sys.stderr)
+    if not urls and not lines:
+        print(
+            "no source was named; give the [node] http addresses, or --lines FILE "
+            "for the output of programs on the users' platform",
+            file=sys.stderr,
+        )
         return 2
     events, unreachable = asyncio.run(read_all(urls))
-    selection = TimelineFilter(request, vm, domain, model_version, kind)
+    try:
+        events += read_lines(lines)
+    except OSError as error:
+        print(f"{error}; name a file that can be read", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    selection = TimelineFilter(request, vm, domain, model_version, kind, text)
     merged = merge_events(events, selection)
     if html is not None:
         html.write_text(format_html(merged), encoding="utf-8")
@@ -58,6 +75,18 @@
     return EXIT_UNREACHABLE if unreachable else 0
 
 
+def read_lines(paths: tuple[Path, ...]) -> list[TraceEvent]:
+    """Return the events of files of log lines; say how many lines are none."""
+    events: list[TraceEvent] = []
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            found, unreadable = parse_lines(file)
+        events += found
+        if unreadable:
+            print(f"{path}: {unreadable} lines are no log lines", file=sys.stderr)
+    return events
+
+
 async def read_all(urls: tuple[str, ...]) -> tuple[list[TraceEvent], list[str]]:
     """Return the events of all processes and the addresses that did not answer."""
     async with ClientSession(timeout=ClientTimeout(READ_TIMEOUT_S)) as session:
--- a/shallotpath/telemetry/_hlc.py
+++ b/shallotpath/telemetry/_hlc.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import datetime
+
 from ..core import Clock
 
 # With 10 bits a stamp fits a signed 64-bit frame field until the year 2255.
@@ -23,8 +25,7 @@
 
     def tick(self) -> int:
         """Return a stamp later than all before."""
-        physical = int(self.clock.now().timestamp() * 1e6) << LOGICAL_BITS
-        self.last_ = max(self.last_ + 1, physical)
+        self.last_ = max(self.last_ + 1, make_stamp(self.clock.now()))
         return self.last_
 
     def observe(self, stamp: int) -> None:
@@ -32,6 +33,11 @@
         self.last_ = max(self.last_, stamp)
 
 
+def make_stamp(moment: datetime) -> int:
+    """Return the first stamp of a moment."""
+    return int(moment.timestamp() * 1e6) << LOGICAL_BITS
+
+
 def stamp_seconds(stamp: int) -> float:
     """Return the time of a stamp in seconds since 1970."""
     return (stamp >> LOGICAL_BITS) / 1e6
--- a/shallotpath/telemetry/_timeline.py
+++ b/shallotpath/telemetry/_timeline.py
@@ -20,6 +20,8 @@
     domain: str = ""
     version: str = ""
     kind: str = ""
+    # Part of any field: the id of an upstream, a path, a reason.
+    text: str = ""
 
     def matches(self, event: TraceEvent) -> bool:
         """Tell whether an event is selected."""
@@ -29,6 +31,10 @@
             and (not self.domain or event.domain == self.domain)
             and (not self.version or self.version in event.fields.values())
             and (not self.kind or event.kind == self.kind)
+            and (
+                not self.text
+                or any(self.text in value for value in event.fields.values())
+            )
         )
 
 
--- a/shallotpath/telemetry/tests/test_telemetry.py
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -16,6 +16,7 @@
     format_text,
     make_admin_app,
     merge_events,
+    parse_lines,
 )
 
 
@@ -100,3 +101,26 @@
     line = json.loads(JsonFormatter("%(message)s").format(records[0]))
     assert line["message"] == "limit_reset"
     assert line["fields"] == {"reason": "incarnation"}
+
+
+LINES = """\
+   0.1726 edge-1 {"levelname": "INFO", "message": "request", "request": "q1", \
+"outcome": "refused", "steps": ["+0.2ms to i-7", "+9.5ms misdirected"], \
+"node": "edge-1", "time": "2026-02-11T22:08:47.172+00:00"}
+{"levelname": "INFO", "message": "upstream_gone", "upstream": "i-7", \
+"node": "edge-2", "time": "2026-02-11T22:08:47.100+00:00"}
+a line of another program
+{"message": "cut
+"""
+
+
+def test_log_lines_of_several_processes_become_one_time_line():
+    events, unreadable = parse_lines(LINES.splitlines())
+    assert unreadable == 2
+    merged = merge_events(events)
+    assert [event.kind for event in merged] == ["upstream_gone", "request"]
+    assert "22:08:47.172" in format_text(merged)
+    chosen = merge_events(events, TimelineFilter(request="q1"))
+    assert chosen[0].fields["steps"] == "+0.2ms to i-7; +9.5ms misdirected"
+    # A worker is found in the steps of requests as well.
+    assert len(merge_events(events, TimelineFilter(text="i-7"))) == 2
