--- a/tools/bench_all.py
+++ b/tools/bench_all.py
@@ -71,7 +71,8 @@
         f"{os.cpu_count()} cores, {platform.machine()}, "
         f"Python {platform.python_version()}. Load at the start: "
         f"{os.getloadavg()[0]:.1f}. Keys that start with `naive` are the baseline of "
-        "the same run. Targets are in section 12 of `docs/design.md`.\n"
+        "the same run. Targets are in section 12 of `docs/design.md`. Worth per day on "
+        "the users' sites: [BENCHMARKS-platform.md](BENCHMARKS-platform.md).\n"
     )
 
 
