--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -302,6 +302,30 @@
         assert asked == ["near", "far"]
 
 
+async def test_entry_that_starts_again_learns_when_weights_were_named():
+    # Guards against requests on old weights for the bound after a restart.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as a,
+    ):
+        settings = make_settings("edge-b", port)
+        for _ in range(2):
+            async with running(EdgeProcess, settings) as b:
+                a.peers.learn(b.address)
+                b.peers.learn(a.address)
+                await until(lambda p=b: p.operator.target("m"))
+                named_at = a.operator.target("m").outdated_since(1)
+
+                def late(p=b, at=named_at):
+                    return p.operator.target("m").outdated_since(1) - at
+
+                await until(lambda: abs(late()) < timedelta(milliseconds=100))
+            await asyncio.sleep(0.5)
+
+
 async def test_outage_is_noticed_although_peers_confirm_each_other():
     # Guards against lapsed entries that are dropped when the store comes back.
     log = Log()
