Use one type for an entry's work, one rule for late replicas; split the tests of fleet

Change: gateway.Share goes into messages as it is (protocol 5). TopicReplica.late, near_peers and live_near_entries serve all callers. The dispatcher looks up weights and their ends once. settings.check_host_port reads upstreams' addresses. Unused: SwarmPlan.spoilt, Attempt.sent, Share's difference, a parameter of _admits.

Ruled out: counting the copies of chunks once for all requests of a plan. It counts on each wake of a full pipeline too, where nothing is counted now. Fields of the configuration that nothing reads stay where decoding checks them.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -33,7 +33,6 @@
     KeyedRecord,
     News,
     PlacedItem,
-    ShareItem,
     SuspectItem,
 )
 from ._member import MemberProcess
@@ -208,10 +207,7 @@
     def news(self) -> News:
         """Add the own work at upstreams and the suspects."""
         message = super().news()
-        message.shares.extend(
-            _encode_share(upstream, share)
-            for upstream, share in self.loads.own_shares().items()
-        )
+        message.shares.update(self.loads.own_shares())
         suspects = self.suspects.recent(self.clock.now(), SUSPECTS_PER_MESSAGE)
         message.suspects.extend(
             SuspectItem(fingerprint, ids) for fingerprint, ids in suspects.items()
@@ -220,19 +216,14 @@
 
     def relay(self, news: News, payload: bytes) -> None:
         """Pass on what concerns entries, and to mates what concerns chunks."""
-        near = [
-            peer
-            for peer in self.peers.all()
-            if self.is_near(peer) and (not peer.engine or news.chunks)
-        ]
-        self.gossip_.pass_on(payload, near)
+        told = [p for p in self.near_peers() if not p.engine or news.chunks]
+        self.gossip_.pass_on(payload, told)
 
     def heard(self, news: News) -> None:
         """Take peers' work, engines' reports and suspects."""
         now = self.clock.now()
         if not news.sender.engine:
-            shares = {item.upstream: _decode_share(item) for item in news.shares}
-            self.loads.peer_heard(news.sender.id, shares, now)
+            self.loads.peer_heard(news.sender.id, news.shares, now)
         for report in news.engines:
             self.loads.engine_heard(report, now)
         for suspect in news.suspects:
@@ -240,16 +231,13 @@
 
     def heard_placed(self, placed: PlacedItem) -> None:
         """Count a peer's request until the peer tells of all its work."""
-        share = placed.share
-        self.loads.peer_placed(placed.sender, share.upstream, _decode_share(share))
+        self.loads.peer_placed(placed.sender, placed.upstream, placed.share)
 
     def may_pull(self, topic: TopicReplica, news: News) -> bool:
         """Take upstreams from peers in the own domain, from others when late."""
         if topic is not self.upstream_topic_ or news.domain == self.settings.domain:
             return super().may_pull(topic, news)
-        age = topic.age(self.clock.now())
-        late = age is None or age > UPSTREAM_AGE
-        return late and super().may_pull(topic, news)
+        return topic.late(UPSTREAM_AGE) and super().may_pull(topic, news)
 
     def status(self) -> dict[str, object]:
         """Add upstreams and the work at them."""
@@ -277,14 +265,12 @@
 
     def _reads_upstreams(self) -> bool:
         """Tell whether it is this entry's turn to read the store for its domain."""
-        now = self.clock.now()
-        age = self.upstream_topic_.age(now)
-        if age is None or age > UPSTREAM_AGE:
+        if self.upstream_topic_.late(UPSTREAM_AGE):
             return True
         live = [
             peer.id
-            for peer in self.peers.live(now)
-            if not peer.engine and self.peers.domain(peer.id) == self.settings.domain
+            for peer in self.live_near_entries()
+            if self.peers.domain(peer.id) == self.settings.domain
         ]
         own = self.settings.node
         return rendezvous_choice("upstreams", [*live, own]) == own
@@ -303,12 +289,11 @@
         ]
         if len(peers) > MAX_TOLD_PEERS:
             peers = self.random.sample(peers, MAX_TOLD_PEERS)
-        item = PlacedItem(self.settings.node, _encode_share(upstream_id, share))
-        self.gossip_.send(item, peers)
+        self.gossip_.send(PlacedItem(self.settings.node, upstream_id, share), peers)
 
     def _tell_near_entries(self) -> None:
         """Let the entries of the region take what was read, before they look."""
-        near = [p for p in self.peers.all() if not p.engine and self.is_near(p)]
+        near = [peer for peer in self.near_peers() if not peer.engine]
         self.gossip_.send(self.news(), near)
 
     async def _answer_probe(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -318,27 +303,5 @@
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
-            near = sum(
-                not peer.engine and self.is_near(peer)
-                for peer in self.peers.live(self.clock.now())
-            )
-            self.loads.sharers = 1 + max(0, near - MAX_TOLD_PEERS)
-
-
-def _encode_share(upstream: str, share: Share) -> ShareItem:
-    return ShareItem(
-        upstream,
-        share.requests,
-        share.unread_tokens,
-        share.yielding_requests,
-        share.yielding_tokens,
-    )
-
-
-def _decode_share(item: ShareItem) -> Share:
-    return Share(
-        item.requests,
-        item.unread_tokens,
-        item.yielding_requests,
-        item.yielding_tokens,
-    )
+            untold = len(self.live_near_entries()) - MAX_TOLD_PEERS
+            self.loads.sharers = 1 + max(0, untold)
--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -318,7 +318,7 @@
         ]
 
     def _near_mates(self) -> list[PeerAddress]:
-        return [peer for peer in self.peers.all() if peer.engine and self.is_near(peer)]
+        return [peer for peer in self.near_peers() if peer.engine]
 
     @property
     def far_interval(self) -> timedelta:
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -252,7 +252,7 @@
 
     def publish(self) -> None:
         """Tell all peers what this process knows now."""
-        told = self._near_peers() + self.far_relays() + self.peers.unheard()
+        told = self.near_peers() + self.far_relays() + self.peers.unheard()
         self.gossip_.send(self.news(), told)
 
     @singledispatchmethod
@@ -385,23 +385,23 @@
         self.repeats_ = REPEATED_ROUNDS
         self.publish()
 
-    def _near_peers(self) -> list[PeerAddress]:
+    def near_peers(self) -> list[PeerAddress]:
+        """Return the peers in the own region."""
         return [peer for peer in self.peers.all() if self.is_near(peer)]
 
+    def live_near_entries(self) -> list[PeerAddress]:
+        """Return the other entries of the own region that were heard just now."""
+        live = self.peers.live(self.clock.now())
+        return [peer for peer in live if not peer.engine and self.is_near(peer)]
+
     async def _read_operator(self) -> None:
         await self.operator_topic_.poll(self._reads_operator)
 
     def _reads_operator(self) -> bool:
         """Tell whether it is this process's turn to read for its region."""
-        now = self.clock.now()
-        age = self.operator_topic_.age(now)
-        if age is None or age > self.operator_age():
+        if self.operator_topic_.late(self.operator_age()):
             return True
-        entries = [
-            peer.id
-            for peer in self.peers.live(now)
-            if not peer.engine and self.is_near(peer)
-        ]
+        entries = [p.id for p in self.live_near_entries()]
         if not self.engine:
             entries.append(self.settings.node)
         readers = rendezvous_order(OPERATOR_TOPIC, entries)[:OPERATOR_READERS]
@@ -415,16 +415,17 @@
         """Tell those that need it each round, the others less often."""
         while True:
             self.peers.tick(self.clock.now())
-            told = self._told()
+            near = self.near_peers()
+            told = self._told(near)
             if told:
                 self.gossip_.send(self.news(), told)
             self.reporter.writer.flush()
-            interval = gossip_interval(len(self._near_peers()))
+            interval = gossip_interval(len(near))
             await asyncio.sleep(
                 interval.total_seconds() * self.random.uniform(0.85, 1.0)
             )
 
-    def _told(self) -> list[PeerAddress]:
+    def _told(self, near: list[PeerAddress]) -> list[PeerAddress]:
         """Return the peers that get a message in a round.
 
         Only some entries of another region are told; they pass the message on. With
@@ -434,7 +435,7 @@
         wide, far = now >= self.wide_at_, now >= self.far_at_
         often = wide or self.repeats_ > 0
         self.repeats_ = max(0, self.repeats_ - 1)
-        told = [peer for peer in self._near_peers() if often or self.tells_often(peer)]
+        told = [peer for peer in near if often or self.tells_often(peer)]
         if far:
             self.far_at_ = now + self.far_interval
             told += self.far_relays()
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -87,6 +87,11 @@
         """Return the time since the store confirmed the replica, here or at a peer."""
         return None if self.confirmed_at_ is None else now - self.confirmed_at_
 
+    def late(self, bound: timedelta) -> bool:
+        """Tell whether the replica was not confirmed within a time."""
+        age = self.age(self.clock.now())
+        return age is None or age > bound
+
     async def poll(
         self, due: Callable[[], bool], pause: timedelta = timedelta()
     ) -> None:
--- /dev/null
+++ b/shallotpath/fleet/tests/test_topics.py
@@ -0,0 +1,244 @@
+"""Replicas of the store's topics in processes on loopback."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from shallotpath.fleet import EdgeProcess, MateProcess
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+from shallotpath.replication import PeerAddress
+
+from .processes import (
+    make_config,
+    make_server,
+    make_settings,
+    running,
+    stores,
+    until,
+)
+from .standins import HOST, Engine, Log, listen
+
+
+async def test_entry_that_the_store_turns_away_learns_from_its_peer():
+    # Guards against a revoked key that stays valid while the store refuses one VM.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready)
+        store_b.refusing = True
+        log.put(OPERATOR_TOPIC, "config", make_config(2))
+        log.put(OPERATOR_TOPIC, "evacuate/a-1", {})
+        log.put(UPSTREAM_TOPIC, "u1", make_server())
+        await until(lambda: b.operator.catalog.version == 2)
+        await until(lambda: "a-1" in b.operator.domains_out_)
+        await until(lambda: "u1" in b.upstreams.upstreams_by_id_)
+        # A removed evacuation reaches it the same way.
+        log.put(OPERATOR_TOPIC, "evacuate/a-1", None)
+        await until(lambda: "a-1" not in b.operator.domains_out_)
+        assert "store_lost" in b.reporter.writer.kinds()
+
+
+async def test_one_entry_of_a_domain_reads_the_upstreams():
+    # Guards against store calls that grow with the number of entries.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (_, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready and b.peers.live(b.clock.now()))
+        await asyncio.sleep(0.5)
+        labels = {"topic": UPSTREAM_TOPIC}
+        before = [p.reporter.metrics.value("store_reads", labels) for p in (a, b)]
+        for number in range(20):
+            log.put(UPSTREAM_TOPIC, "u1", make_server(seq=number))
+            await asyncio.sleep(0.1)
+        after = [p.reporter.metrics.value("store_reads", labels) for p in (a, b)]
+        reads = sorted(y - x for x, y in zip(before, after, strict=True))
+        assert reads[0] == 0
+        assert a.upstream_topic_.end == b.upstream_topic_.end
+
+
+@pytest.mark.timeout(60)
+async def test_some_entries_of_a_region_read_the_configuration(monkeypatch):
+    # Guards against a large configuration that fills the links between regions with a
+    # copy for each process, and against peers that wait for a reader that is cut off.
+    monkeypatch.setattr("shallotpath.fleet._member.OPERATOR_READERS", 1)
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        reached = await enter(stores(log, 3))
+        runner, engine_port = await listen(Engine().handle)
+        stack.push_async_callback(runner.cleanup)
+        settings = [
+            make_settings("edge-a", reached[0][1]),
+            make_settings("edge-b", reached[1][1]),
+            make_settings("mate-c", reached[2][1], engine_port),
+        ]
+        kinds = [EdgeProcess, EdgeProcess, MateProcess]
+        processes = [
+            await enter(running(kind, each))
+            for kind, each in zip(kinds, settings, strict=True)
+        ]
+        for process in processes[1:]:
+            processes[0].peers.learn(process.address)
+            process.peers.learn(processes[0].address)
+
+        def reads():
+            labels = {"topic": OPERATOR_TOPIC}
+            return [p.reporter.metrics.value("store_reads", labels) for p in processes]
+
+        async def change(version):
+            log.put(OPERATOR_TOPIC, "config", make_config(version))
+            await until(
+                lambda: all(
+                    p.operator.catalog and p.operator.catalog.version == version
+                    for p in processes
+                ),
+                2.0,
+            )
+
+        # The tests' settings wait for no traffic: roles are settled after a moment.
+        await asyncio.sleep(2)
+        before = reads()
+        for version in range(2, 12):
+            await change(version)
+        grown = [b - a for a, b in zip(before, reads(), strict=True)]
+        readers = [number for number, count in enumerate(grown) if count]
+        assert len(readers) == 1
+        assert kinds[readers[0]] is EdgeProcess
+        reached[readers[0]][0].refusing = True
+        await change(12)
+
+
+async def test_reader_that_the_store_turns_away_delays_nobody():
+    # Guards against weights that a region learns of seconds late.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: a.ready and b.ready and b.peers.live(b.clock.now()))
+        store_b.refusing = True
+        await asyncio.sleep(0.2)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        await until(lambda: b.operator.target("m") is not None, 0.5)
+
+
+async def test_region_that_the_store_turns_away_learns_from_another_one():
+    # Guards against a region that learns of new weights 2 s late, when its replica has
+    # grown old.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a, domain="a-1")) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b, domain="b-1")) as b,
+        running(EdgeProcess, make_settings("edge-c", port_b, domain="b-1")) as c,
+    ):
+        for process in (a, b):
+            process.peers.learn(c.address)
+        a.peers.learn(b.address)
+        processes = (a, b, c)
+        await until(
+            lambda: all(
+                p.ready and len(p.peers.live(p.clock.now())) == 2 for p in processes
+            )
+        )
+        store_b.refusing = True
+        await asyncio.sleep(0.2)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        await until(lambda: all(p.operator.target("m") for p in processes), 0.8)
+
+
+async def test_near_peers_are_asked_while_a_far_one_is_held_back():
+    # Guards against news of another region that delay those of the own one.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as a,
+    ):
+        await until(lambda: a.ready)
+        topic, asked = a.operator_topic_, []
+
+        async def pull(peer):
+            asked.append(peer.id)
+            topic.replica_.merge([], 9)
+            return False
+
+        topic._pull = pull
+        near = PeerAddress("near", HOST, 1, False)
+        far = PeerAddress("far", HOST, 2, False)
+        await asyncio.gather(
+            topic.behind(far, 9, far=True), topic.behind(near, 9, far=False)
+        )
+        assert asked == ["near"]
+        await topic.behind(far, 10, far=True)
+        assert asked == ["near", "far"]
+
+
+async def test_outage_is_noticed_although_peers_confirm_each_other():
+    # Guards against lapsed entries that are dropped when the store comes back.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 2) as ((store_a, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        a.peers.learn(b.address)
+        await until(lambda: "u1" in b.upstreams.upstreams_by_id_)
+        store_a.refusing = store_b.refusing = True
+        await asyncio.sleep(4.2)
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        store_a.refusing = store_b.refusing = False
+        for process in (a, b):
+            await until(lambda p=process: p.upstream_topic_.end == 2)
+            usable = process.upstreams.usable("llm", process.clock.now())
+            assert [u.id for u in usable] == ["u1"]
+
+
+async def test_removal_is_learnt_although_the_history_was_lost():
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 1) as ((store, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: "u1" in edge.upstreams.upstreams_by_id_)
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        log.put(UPSTREAM_TOPIC, "u2", make_server())
+        log.forget_history(UPSTREAM_TOPIC)
+        await until(lambda: set(edge.upstreams.upstreams_by_id_) == {"u2"})
+        assert "history_lost" in edge.reporter.writer.kinds()
+
+
+async def test_bad_records_keep_the_last_good_state():
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: edge.ready)
+        log.put_raw(OPERATOR_TOPIC, "config", b"\xff{")
+        log.put_raw(UPSTREAM_TOPIC, "u1", b"[]")
+        log.put(UPSTREAM_TOPIC, "u2", make_server())
+        await until(lambda: "u2" in edge.upstreams.upstreams_by_id_)
+        assert edge.operator.catalog.version == 1
+        await until(lambda: "bad_record" in edge.reporter.writer.kinds())
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -49,7 +49,6 @@
         self.placement = placement
         self.pool = pool
         self.wire = wire
-        self.sent_ = False
         self.connection_: UpstreamConnection | None = None
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
@@ -60,11 +59,6 @@
         """Return the status of the response."""
         return self.message_.code
 
-    @property
-    def sent(self) -> bool:
-        """Tell whether a byte of the request may have reached the upstream."""
-        return self.sent_
-
     async def connect(self, *, repeatable: bool) -> None:
         """Take or open a connection."""
         record = self.placement.upstream.record
@@ -77,7 +71,6 @@
 
     async def exchange(self, payload: bytes, request_id: str) -> None:
         """Send the request and read the head of its response."""
-        self.sent_ = True
         try:
             self.connection_.send(payload)
             await self._read_head(request_id)
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from aiohttp import ClientError, StreamReader
@@ -12,6 +11,7 @@
 from aiohttp.http import RawResponseMessage
 
 from ..core import Clock
+from ..settings import check_host_port
 
 # Round trips take at most some 4 ms; a lost opening packet is sent again after 1 s.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -69,20 +69,6 @@
         return await self.read()
 
 
-@dataclass(slots=True, frozen=True)
-class Address:
-    """Name where an upstream listens."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Parse `host:port`."""
-        host, _, port = text.rpartition(":")
-        return cls(host, int(port))
-
-
 class ConnectionPool:
     """Keep idle connections by upstream id and open new ones."""
 
@@ -157,10 +143,10 @@
     async def _open(self, address: str) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         try:
-            target = Address.parse(address)
+            host, port = check_host_port(address)
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop), target.host, target.port
+                    lambda: UpstreamConnection(loop), host, port
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise UnreachableError(f"{address}: {error!r}") from error
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -149,7 +149,8 @@
             for upstream in self.upstreams.usable(call.service, now)
             if self._allowed(call, upstream)
         ]
-        fit = [u for u in allowed if self._weights(call, u, now) is not None]
+        weights_by_id = {u.id: self._weights(call, u, now) for u in allowed}
+        fit = [u for u in allowed if weights_by_id[u.id] is not None]
         if not fit:
             reason = RejectReason.NO_WEIGHTS if allowed else RejectReason.NO_UPSTREAM
             return self._reject(call, reason, now, len(allowed))
@@ -166,7 +167,7 @@
             fit = [u for u in fit if self.buckets_.free(u.id, limit, entries, now)]
             if not fit:
                 return self._reject(call, RejectReason.COLD, now, len(allowed))
-        placement = self._place(call, service, fit, now)
+        placement = self._place(call, service, fit, weights_by_id, now)
         if not call.came_back and not excluded:
             refused = isinstance(placement, Rejection)
             self.overload_.first_attempt(call.service, refused=refused)
@@ -214,21 +215,22 @@
         call: GatewayCall,
         service: Service,
         fit: list[Upstream],
+        weights_by_id: Mapping[str, int | None],
         now: datetime,
     ) -> Placement | Rejection:
+        ends_by_id = {
+            u.id: self._ends_at(call.model, weights_by_id[u.id], now) for u in fit
+        }
         near = [u for u in fit if self._is_near(u)]
         far = [u for u in fit if not self._is_near(u)]
         far = self.random.sample(far, min(FAR_CANDIDATES, len(far)))
-        best = self._best(call, service, self.random.sample(near, len(near)) + far, now)
-        if not self._admits(call, service, best[1], best[2], now):
-            best = self._best(call, service, fit, now)
-        upstream, prediction, load = best
-        late = call.model and not self._begins_in_time(
-            call, upstream, prediction.first_token, now
-        )
-        if late:
+        first = self.random.sample(near, len(near)) + far
+        upstream, prediction = self._best(call, service, first, ends_by_id, now)
+        if not self._admits(call, service, prediction, now):
+            upstream, prediction = self._best(call, service, fit, ends_by_id, now)
+        if not _begins_by(ends_by_id[upstream.id], prediction, now):
             return self._reject(call, RejectReason.NO_WEIGHTS, now, len(fit))
-        if not self._admits(call, service, prediction, load, now):
+        if not self._admits(call, service, prediction, now):
             return self._reject(
                 call,
                 RejectReason.OVERLOADED,
@@ -236,7 +238,7 @@
                 len(fit),
                 predicted=prediction,
             )
-        version = self._weights(call, upstream, now) or None
+        version = weights_by_id[upstream.id] or None
         priority = LATE_PRIORITY if call.came_back else ON_TIME_PRIORITY
         return Placement(upstream, version, priority, prediction)
 
@@ -249,19 +251,20 @@
         call: GatewayCall,
         service: Service,
         upstreams: list[Upstream],
+        ends_by_id: Mapping[str, datetime],
         now: datetime,
-    ) -> tuple[Upstream, Prediction, EngineLoad]:
+    ) -> tuple[Upstream, Prediction]:
         best, best_cost = None, None
         for upstream in upstreams:
             load = self.loads.load(upstream.id, upstream.record.address, now)
             prediction = self._predict(call, service, upstream, load)
             cost = prediction.first_token
-            if call.model and not self._begins_in_time(call, upstream, cost, now):
+            if not _begins_by(ends_by_id[upstream.id], prediction, now):
                 cost += TOO_LATE
             if not self._is_near(upstream):
                 cost += REGION_PREFERENCE
             if best_cost is None or cost < best_cost:
-                best, best_cost = (upstream, prediction, load), cost
+                best, best_cost = (upstream, prediction), cost
         return best
 
     def _predict(
@@ -280,25 +283,11 @@
             call.route.target_latency * load.requests / slots, timedelta()
         )
 
-    def _begins_in_time(
-        self,
-        call: GatewayCall,
-        upstream: Upstream,
-        predicted: timedelta,
-        now: datetime,
-    ) -> bool:
-        """Tell whether a request begins before the upstream's weights are outdated."""
-        held = self._weights(call, upstream, now)
-        if held is None:
-            return False
-        return now + VERSION_FACTOR * predicted < self._ends_at(call.model, held, now)
-
     def _admits(
         self,
         call: GatewayCall,
         service: Service,
         prediction: Prediction,
-        load: EngineLoad,
         now: datetime,
     ) -> bool:
         if service.engine is None:
@@ -353,3 +342,8 @@
         """
         earliest = min(longest, call.time_to_known_return(now))
         return earliest + (longest - earliest) * self.random.random()
+
+
+def _begins_by(ends_at: datetime, prediction: Prediction, now: datetime) -> bool:
+    """Tell whether a request begins before the upstream's weights are outdated."""
+    return now + VERSION_FACTOR * prediction.first_token < ends_at
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -20,9 +20,8 @@
 REPORT_AGE = timedelta(milliseconds=1500)
 
 
-@dataclass(slots=True, frozen=True)
-class Share:
-    """Hold the work that one entry has at an upstream."""
+class Share(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the work that one entry has at an upstream, as entries tell each other."""
 
     requests: int
     unread_tokens: int
@@ -39,10 +38,6 @@
             self.yielding_tokens + other.yielding_tokens,
         )
 
-    def __sub__(self, other: Share) -> Share:
-        """Return the work that is left without some of it."""
-        return self + other * -1
-
     def __mul__(self, times: int) -> Share:
         """Return the work of several entries that do the same."""
         return Share(
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from ..core import FrameError
-from ..gateway import EngineReport
+from ..gateway import EngineReport, Share
 
-PROTOCOL = 4
+PROTOCOL = 5
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
 # Bounds what a broken peer makes a process allocate; the store keeps less in a topic.
@@ -30,16 +30,6 @@
     engine: bool
 
 
-class ShareItem(msgspec.Struct, frozen=True, array_like=True):
-    """Tell how much work an entry has at an upstream."""
-
-    upstream: str
-    requests: int
-    unread_tokens: int
-    yielding_requests: int = 0
-    yielding_tokens: int = 0
-
-
 class ChunkItem(msgspec.Struct, frozen=True, array_like=True):
     """Tell which chunks of a version a process can pass on."""
 
@@ -68,7 +58,8 @@
     """Tell peers of a request that an entry has just sent to an upstream."""
 
     sender: str
-    share: ShareItem
+    upstream: str
+    share: Share
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="news"):
@@ -80,7 +71,8 @@
     domain: str
     leaving: bool = False
     topics: list[TopicItem] = []
-    shares: list[ShareItem] = []
+    # The work of an entry at each upstream.
+    shares: dict[str, Share] = {}
     engines: list[EngineReport] = []
     chunks: list[ChunkItem] = []
     suspects: list[SuspectItem] = []
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from shallotpath.core import EPOCH, FrameError
+from shallotpath.gateway import Share
 from shallotpath.replication import (
     KeyedRecord,
     KeyedReplica,
@@ -18,7 +19,6 @@
     PlacedItem,
     RecordItem,
     RecordPage,
-    ShareItem,
     TopicItem,
     decode_datagram,
     decode_page,
@@ -77,7 +77,7 @@
 def test_messages_survive_the_wire():
     message = news(1, 2, topics=[TopicItem("t", 5, 0.25)], peers=[address(3)])
     assert decode_datagram(encode_message(message)) == message
-    placed = PlacedItem("p1", ShareItem("u1", 1, 900))
+    placed = PlacedItem("p1", "u1", Share(1, 900))
     assert decode_datagram(encode_message(placed)) == placed
     page = RecordPage(7, b"packed", 0.5)
     assert decode_page(encode_message(page)) == page
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -189,10 +189,6 @@
         self._end(fetch)
         self.sources_by_id_[fetch.source].avoid_until = now + BUSY_FOR
 
-    def spoilt(self, index: int) -> None:
-        """Forget a chunk that cannot be trusted any more."""
-        self.chunks_by_index_.pop(index, None)
-
     def _missing(self) -> list[int]:
         return [
             index
