--- /dev/null
+++ b/shallotpath/fleet/tests/test_namings.py
@@ -0,0 +1,109 @@
+"""Since when weights are outdated, at processes that start after the naming."""
+
+import asyncio
+import dataclasses
+from datetime import timedelta
+
+from shallotpath.fleet import EdgeProcess
+from shallotpath.gateway import Rejection, RejectReason
+from shallotpath.gateway.tests.helpers import make_call
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+
+from .processes import make_config, make_server, make_settings, running, stores, until
+from .standins import Log
+
+BOUND = timedelta(seconds=2)
+
+
+def make_log():
+    """Return a log with an upstream that runs version 1, and no newer version."""
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    models = [{"name": "m", "version": 1}]
+    log.put(UPSTREAM_TOPIC, "u1", make_server(models=models))
+    return log
+
+
+def name_version(log, version):
+    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": version})
+
+
+def edge_settings(name, port):
+    return dataclasses.replace(make_settings(name, port), version_bound=BOUND)
+
+
+def place(edge):
+    now = edge.clock.now()
+    return edge.dispatcher.choose(make_call(now=now), (), 1, now)
+
+
+async def until_informed(edge, version):
+    await until(lambda: edge.upstreams.upstreams_by_id_)
+    await until(lambda: edge.operator.target("m"))
+    await until(lambda: edge.operator.target("m").version == version)
+
+
+def refuses_old_weights(edge):
+    placed = place(edge)
+    return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
+
+
+async def test_entry_that_starts_after_the_bound_sends_nothing_to_old_weights():
+    # Guards against a bound of new weights that begins anew with each start of an
+    # entry: without a peer that knows the time of the naming it counts as long ago.
+    log = make_log()
+    name_version(log, 2)
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, edge_settings("edge-a", port)) as edge,
+    ):
+        await until_informed(edge, 2)
+        assert refuses_old_weights(edge)
+
+
+async def test_entry_that_starts_within_the_bound_ends_old_weights_with_its_peers():
+    # Guards against entries that are stopped and started in turn and go on with old
+    # weights for the whole bound from their own start.
+    log = make_log()
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+    ):
+        await until(lambda: a.ready)
+        name_version(log, 2)
+        await until_informed(a, 2)
+        named_at = a.clock.now()
+        await asyncio.sleep(1.0)
+        async with running(EdgeProcess, edge_settings("edge-b", port)) as b:
+            a.peers.learn(b.address)
+            b.peers.learn(a.address)
+            await until_informed(b, 2)
+            # Within the bound the peer's word lets it use the old weights.
+            await until(lambda: not refuses_old_weights(b), 1.0)
+            await until(lambda: a.clock.now() >= named_at + BOUND)
+            assert refuses_old_weights(a)
+            assert refuses_old_weights(b)
+
+
+async def test_entry_that_starts_learns_of_a_naming_that_the_store_has_no_more():
+    # Guards against the bound of the newest version where an older one is due first:
+    # the store keeps the newest record of a key only.
+    log = make_log()
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+    ):
+        await until(lambda: a.ready)
+        name_version(log, 2)
+        await until_informed(a, 2)
+        named_at = a.clock.now()
+        await asyncio.sleep(1.0)
+        name_version(log, 3)
+        await until_informed(a, 3)
+        async with running(EdgeProcess, edge_settings("edge-b", port)) as b:
+            a.peers.learn(b.address)
+            b.peers.learn(a.address)
+            await until_informed(b, 3)
+            await until(lambda: not refuses_old_weights(b), 1.0)
+            await until(lambda: a.clock.now() >= named_at + BOUND)
+            assert refuses_old_weights(b)
