--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -47,7 +47,7 @@
         predicted = milliseconds(placement.prediction.first_token)
         self.steps.append(
             f"{self._at(now)} to {upstream.id} version={placement.version} "
-            f"predicted={predicted} age={age}"
+            f"predicted={predicted} age={age}{_outdated(placement, now)}"
         )
 
     def failed(self, failure: Failure, now: datetime) -> None:
@@ -97,3 +97,10 @@
 
     def _at(self, now: datetime) -> str:
         return f"+{milliseconds(now - self.arrived_at)}ms"
+
+
+def _outdated(placement: Placement, now: datetime) -> str:
+    """Return how long the weights may still be used, if newer ones are named."""
+    if placement.begin_by is None:
+        return ""
+    return f" outdated, begin within {milliseconds(placement.begin_by - now)}"
--- /dev/null
+++ b/shallotpath/forwarding/tests/test_journal.py
@@ -0,0 +1,42 @@
+from datetime import timedelta
+
+from shallotpath.core import EPOCH
+from shallotpath.forwarding._journal import RequestJournal
+from shallotpath.gateway import WeightsNamed
+from shallotpath.gateway.tests.helpers import (
+    make_call,
+    make_dispatcher,
+    make_record,
+    ms,
+)
+
+
+class Lines:
+    """Keep the fields of the lines in place of writing them."""
+
+    def __init__(self):
+        self.fields = []
+
+    def event(self, kind, **fields):
+        self.fields.append(fields)
+
+    def count(self, name, **labels):
+        pass
+
+    def observe(self, name, duration, **labels):
+        pass
+
+
+def test_line_tells_how_long_outdated_weights_could_still_be_used():
+    # Guards against request lines that do not show which bound the entry went by.
+    dispatcher = make_dispatcher([make_record(1)])
+    lines = Lines()
+    journal = RequestJournal(lines, "q1", EPOCH)
+    journal.placed(dispatcher.choose(make_call(1), (), 1, EPOCH), EPOCH)
+    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
+    now = EPOCH + ms(2000)
+    journal.placed(dispatcher.choose(make_call(2), (), 1, now), now)
+    journal.close("served", 200, now + timedelta(seconds=1), None, 1)
+    current, outdated = lines.fields[0]["steps"]
+    assert "outdated" not in current
+    assert outdated.endswith("outdated, begin within 5650.0")
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -40,8 +40,6 @@
 VERSION_FACTOR = 2
 # Cost of an upstream at which a request would begin on outdated weights.
 TOO_LATE = timedelta(seconds=60)
-# Longer than any request lasts.
-NEVER = timedelta(days=1)
 # Engines admit urgent requests first; 5 is what a request without priority has.
 ON_TIME_PRIORITY = 4
 LATE_PRIORITY = 7
@@ -72,6 +70,8 @@
     version: int | None
     priority: int
     prediction: Prediction
+    # When the request must have begun, if the weights are outdated.
+    begin_by: datetime | None = None
 
     @property
     def yielding(self) -> bool:
@@ -198,16 +198,17 @@
             held = report.version
         else:
             held = upstream.record.versions_by_model.get(call.model, 0)
-        if not held or now >= self._ends_at(call.model, held, now):
+        if not held:
             return None
-        return held
+        begin_by = self._begin_by(call.model, held)
+        return held if begin_by is None or now < begin_by else None
 
-    def _ends_at(self, model: str, held: int, now: datetime) -> datetime:
-        """Return when requests for weights must have begun."""
+    def _begin_by(self, model: str, held: int) -> datetime | None:
+        """Return when requests must have begun on weights that are outdated."""
         target = self.operator.target(model)
         since = target.outdated_since(held) if target else None
         if since is None:
-            return now + NEVER
+            return None
         return since + self.rules.version_bound - VERSION_MARGIN
 
     def _place(
@@ -218,17 +219,17 @@
         weights_by_id: Mapping[str, int | None],
         now: datetime,
     ) -> Placement | Rejection:
-        ends_by_id = {
-            u.id: self._ends_at(call.model, weights_by_id[u.id], now) for u in fit
+        begin_by_id = {
+            u.id: self._begin_by(call.model, weights_by_id[u.id]) for u in fit
         }
         near = [u for u in fit if self._is_near(u)]
         far = [u for u in fit if not self._is_near(u)]
         far = self.random.sample(far, min(FAR_CANDIDATES, len(far)))
         first = self.random.sample(near, len(near)) + far
-        upstream, prediction = self._best(call, service, first, ends_by_id, now)
+        upstream, prediction = self._best(call, service, first, begin_by_id, now)
         if not self._admits(call, service, prediction, now):
-            upstream, prediction = self._best(call, service, fit, ends_by_id, now)
-        if not _begins_by(ends_by_id[upstream.id], prediction, now):
+            upstream, prediction = self._best(call, service, fit, begin_by_id, now)
+        if not _begins_by(begin_by_id[upstream.id], prediction, now):
             return self._reject(call, RejectReason.NO_WEIGHTS, now, len(fit))
         if not self._admits(call, service, prediction, now):
             return self._reject(
@@ -240,7 +241,8 @@
             )
         version = weights_by_id[upstream.id] or None
         priority = LATE_PRIORITY if call.came_back else ON_TIME_PRIORITY
-        return Placement(upstream, version, priority, prediction)
+        begin_by = begin_by_id[upstream.id]
+        return Placement(upstream, version, priority, prediction, begin_by)
 
     def _is_near(self, upstream: Upstream) -> bool:
         regions = self.rules.regions_by_domain
@@ -251,7 +253,7 @@
         call: GatewayCall,
         service: Service,
         upstreams: list[Upstream],
-        ends_by_id: Mapping[str, datetime],
+        begin_by_id: Mapping[str, datetime | None],
         now: datetime,
     ) -> tuple[Upstream, Prediction]:
         best, best_cost = None, None
@@ -259,7 +261,7 @@
             load = self.loads.load(upstream.id, upstream.record.address, now)
             prediction = self._predict(call, service, upstream, load)
             cost = prediction.first_token
-            if not _begins_by(ends_by_id[upstream.id], prediction, now):
+            if not _begins_by(begin_by_id[upstream.id], prediction, now):
                 cost += TOO_LATE
             if not self._is_near(upstream):
                 cost += REGION_PREFERENCE
@@ -344,6 +346,8 @@
         return earliest + (longest - earliest) * self.random.random()
 
 
-def _begins_by(ends_at: datetime, prediction: Prediction, now: datetime) -> bool:
-    """Tell whether a request begins before the upstream's weights are outdated."""
-    return now + VERSION_FACTOR * prediction.first_token < ends_at
+def _begins_by(
+    begin_by: datetime | None, prediction: Prediction, now: datetime
+) -> bool:
+    """Tell whether a request begins before the upstream's weights may not be used."""
+    return begin_by is None or now + VERSION_FACTOR * prediction.first_token < begin_by
