--- /dev/null
+++ b/shallotpath/fleet/_discovery.py
@@ -0,0 +1,81 @@
+"""How a process finds its peers: by the seeds and by the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import msgspec
+
+from ..core import Clock, PlatformError
+from ..platform import MEMBER_TOPIC, ProcessSettings, StoreClient
+from ..replication import KeyedRecord, PeerAddress, PeerTable
+from ._reporter import LineReporter
+
+# Seeds may be stale or down, so members also find each other in the store.
+MEMBERS_INTERVAL = timedelta(seconds=15)
+LONELY_INTERVAL = timedelta(seconds=1)
+
+Greet = Callable[[list[PeerAddress]], None]
+
+
+class Discovery:
+    """Register the own address and learn those of the peers."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        *,
+        address: PeerAddress,
+        peers: PeerTable,
+        store: StoreClient,
+        greet: Greet,
+        clock: Clock,
+        reporter: LineReporter,
+    ) -> None:
+        self.settings = settings
+        self.address = address
+        self.peers = peers
+        self.store = store
+        self.greet = greet
+        self.clock = clock
+        self.reporter = reporter
+
+    async def find_members(self) -> None:
+        """Greet the seeds, register, and read who else did."""
+        self._greet_seeds()
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    value = msgspec.json.encode(self.address)
+                    await self.store.put(MEMBER_TOPIC, self.settings.node, value)
+                    registered = True
+                page = await self.store.newest(MEMBER_TOPIC)
+                self._learn(page.records)
+                self.greet(self.peers.unheard())
+            except PlatformError as error:
+                self.reporter.event("members_unread", detail=error.message)
+            lonely = not self.peers.live(self.clock.now())
+            if lonely:
+                self._greet_seeds()
+            pause = LONELY_INTERVAL if lonely else MEMBERS_INTERVAL
+            await asyncio.sleep(pause.total_seconds())
+
+    def _greet_seeds(self) -> None:
+        for seed in self.settings.seeds:
+            if seed.host != self.settings.host:
+                address = PeerAddress(
+                    f"seed-{seed.host}", seed.host, self.settings.peer_port, True
+                )
+                self.greet([address])
+
+    def _learn(self, records: Iterable[KeyedRecord]) -> None:
+        for record in records:
+            try:
+                address = msgspec.json.decode(record.value or b"", type=PeerAddress)
+            except msgspec.DecodeError as error:
+                self.reporter.event("bad_member", key=record.key, detail=repr(error))
+                continue
+            self.peers.learn(address)
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -10,20 +10,17 @@
 from random import Random
 
 import aiohttp
-import msgspec
 from aiohttp import web
 
 from ..core import (
     Clock,
     MonotonicClock,
-    PlatformError,
     SettingError,
     rendezvous_order,
 )
 from ..forwarding import Listener
 from ..gateway import OperatorState
 from ..platform import (
-    MEMBER_TOPIC,
     OPERATOR_TOPIC,
     HttpCaller,
     ProcessSettings,
@@ -40,6 +37,7 @@
     PeerTable,
     PlacedItem,
 )
+from ._discovery import Discovery
 from ._gossip import GossipSocket, Received, gossip_interval, incarnation
 from ._reporter import LineReporter
 from ._topics import Apply, TopicReplica
@@ -59,9 +57,6 @@
 # Rounds of gossip that repeat a change to all peers in the region, as datagrams are
 # lost at times.
 REPEATED_ROUNDS = 3
-# Seeds may be stale or down, so members also find each other in the store.
-MEMBERS_INTERVAL = timedelta(seconds=15)
-LONELY_INTERVAL = timedelta(seconds=1)
 # Time after which all peers of the region are told and silent ones are tried.
 WIDE_INTERVAL = timedelta(milliseconds=1450)
 # Messages after which one passes on addresses.
@@ -137,7 +132,16 @@
         await self._serve_metrics()
         self.keep_running(self._read_operator)
         self.keep_running(self._gossip)
-        self.keep_running(self._find_members)
+        discovery = Discovery(
+            self.settings,
+            address=self.address,
+            peers=self.peers,
+            store=self.store_,
+            greet=lambda peers: self.gossip_.send(self.news(), peers),
+            clock=self.clock,
+            reporter=self.reporter,
+        )
+        self.keep_running(discovery.find_members)
 
     async def stop(self) -> None:
         """Close what `start` opened."""
@@ -459,41 +463,3 @@
             entries = [peer for peer in peers if not peer.engine] or peers
             relays += self.random.sample(entries, min(FAR_RELAYS, len(entries)))
         return relays
-
-    async def _find_members(self) -> None:
-        """Greet the seeds, register, and read who else did."""
-        self._greet_seeds()
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    value = msgspec.json.encode(self.address)
-                    await self.store_.put(MEMBER_TOPIC, self.settings.node, value)
-                    registered = True
-                page = await self.store_.newest(MEMBER_TOPIC)
-                self._learn(page.records)
-                self.gossip_.send(self.news(), self.peers.unheard())
-            except PlatformError as error:
-                self.reporter.event("members_unread", detail=error.message)
-            lonely = not self.peers.live(self.clock.now())
-            if lonely:
-                self._greet_seeds()
-            pause = LONELY_INTERVAL if lonely else MEMBERS_INTERVAL
-            await asyncio.sleep(pause.total_seconds())
-
-    def _greet_seeds(self) -> None:
-        for seed in self.settings.seeds:
-            if seed.host != self.settings.host:
-                address = PeerAddress(
-                    f"seed-{seed.host}", seed.host, self.settings.peer_port, True
-                )
-                self.gossip_.send(self.news(), [address])
-
-    def _learn(self, records: Iterable[KeyedRecord]) -> None:
-        for record in records:
-            try:
-                address = msgspec.json.decode(record.value or b"", type=PeerAddress)
-            except msgspec.DecodeError as error:
-                self.reporter.event("bad_member", key=record.key, detail=repr(error))
-                continue
-            self.peers.learn(address)
