--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -278,7 +278,7 @@
     @hear.register
     def _(self, news: News, received: Received) -> None:
         now = self.clock.now()
-        greet = not self.peers.has_heard(news.sender.id)
+        greet = not self.peers.has_heard(news)
         if not self.peers.hear(news, now):
             return
         if not self.is_near(news.sender) and received.is_from(news.sender):
--- a/shallotpath/fleet/tests/test_namings.py
+++ b/shallotpath/fleet/tests/test_namings.py
@@ -107,3 +107,26 @@
             await until(lambda: not refuses_old_weights(b), 1.0)
             await until(lambda: a.clock.now() >= named_at + BOUND)
             assert refuses_old_weights(b)
+
+
+async def test_entry_that_starts_again_is_answered_before_the_next_round(monkeypatch):
+    # Guards against an entry that refuses all requests for old weights until a round
+    # of gossip, as its peers greet only those that they have never heard.
+    seldom = timedelta(minutes=1)
+    monkeypatch.setattr(
+        "shallotpath.fleet._member.gossip_interval", lambda near: seldom
+    )
+    log = make_log()
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+    ):
+        await until(lambda: a.ready)
+        settings = edge_settings("edge-b", port)
+        async with running(EdgeProcess, settings) as b:
+            await until(lambda: b.ready and a.peers.domain("edge-b"))
+        name_version(log, 2)
+        await until_informed(a, 2)
+        async with running(EdgeProcess, settings) as b:
+            await until_informed(b, 2)
+            await until(lambda: not refuses_old_weights(b), 0.5)
--- a/shallotpath/replication/_peers.py
+++ b/shallotpath/replication/_peers.py
@@ -52,10 +52,12 @@
             known.address = address
         return False
 
-    def has_heard(self, peer_id: str) -> bool:
-        """Tell whether a peer has been heard before."""
-        peer = self.peers_by_id_.get(peer_id)
-        return peer is not None and peer.heard_at is not None
+    def has_heard(self, news: News) -> bool:
+        """Tell whether this start of a peer has been heard before."""
+        peer = self.peers_by_id_.get(news.sender.id)
+        if peer is None or peer.heard_at is None:
+            return False
+        return peer.incarnation == news.incarnation
 
     def hear(self, news: News, now: datetime) -> bool:
         """Take a message; tell whether it is newer than all before."""
