--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -33,8 +33,12 @@
 FAR_DELAY = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
 
-# Takes new records and when they were written; `None` for those that were there before
-# the first read.
+# A replica that was confirmed so long before a read missed nothing that its process
+# could have read: the wait of a read at the store, and an age of 1.5 s at which
+# processes that follow their peers read themselves.
+FOLLOWED_GAP = timedelta(seconds=2)
+
+# Takes new records and when they were written, `None` where this process cannot tell.
 Apply = Callable[[list[KeyedRecord], datetime | None], None]
 
 
@@ -127,13 +131,14 @@
         except PlatformError as error:
             self._store_lost(error)
             return False
+        written_at = self._written_at()
         self._store_back()
         if page.unreadable:
             self.reporter.count("records_bad", topic=self.topic)
             self.reporter.event(
                 "unreadable_records", topic=self.topic, count=page.unreadable
             )
-        self._confirm(newer, timedelta())
+        self._confirm(newer, timedelta(), written_at)
         if newer and self.after_news is not None:
             self.after_news()
         return True
@@ -141,7 +146,7 @@
     def confirmed_elsewhere(self, item: TopicItem) -> None:
         """Take that a peer with the same records had them confirmed more recently."""
         if item.end == self.end and item.age_s is not None and self.listed_:
-            self._confirm([], timedelta(seconds=item.age_s))
+            self._confirm([], timedelta(seconds=item.age_s), None)
 
     def item(self, now: datetime) -> TopicItem:
         """Return how far this replica is, for peers."""
@@ -209,20 +214,36 @@
         newer = self.replica_.merge(records, page.end)
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
-        self._confirm(newer, timedelta(seconds=page.age_s))
+        # The peer's message tells when what is new was written, if the peer knows.
+        self._confirm(newer, timedelta(seconds=page.age_s), None)
         return bool(newer)
 
-    def _confirm(self, newer: list[KeyedRecord], age: timedelta) -> None:
+    def _written_at(self) -> datetime | None:
+        """Return the time of records that a read brought just now.
+
+        What came while the store did not answer came as it answered again, as far as
+        this process can tell. What came while the process did not ask may be old.
+        """
         now = self.clock.now()
-        followed = self.confirmed_at_ is not None
-        confirmed_at = now - age
+        asked_at = self.store_lost_at_ or now
+        if self.confirmed_at_ is None or asked_at - self.confirmed_at_ > FOLLOWED_GAP:
+            return None
+        return now
+
+    def _confirm(
+        self,
+        newer: list[KeyedRecord],
+        age: timedelta,
+        written_at: datetime | None,
+    ) -> None:
+        confirmed_at = self.clock.now() - age
         if self.confirmed_at_ is None or confirmed_at > self.confirmed_at_:
             self.confirmed_at_ = confirmed_at
             if self.before_news is not None:
                 self.before_news(confirmed_at)
         if newer:
             self.packed_ = None
-            self.apply(newer, now if followed else None)
+            self.apply(newer, written_at)
 
     def _next_retry(self) -> float:
         delay = self.retry_.total_seconds() * self.random.uniform(0.5, 1.0)
--- /dev/null
+++ b/shallotpath/fleet/tests/test_namings_gaps.py
@@ -0,0 +1,139 @@
+"""Since when weights are outdated, at processes that missed the naming."""
+
+import asyncio
+import dataclasses
+from datetime import timedelta
+
+from shallotpath.core import MonotonicClock
+from shallotpath.fleet import EdgeProcess, MateProcess
+from shallotpath.gateway import Rejection, RejectReason
+from shallotpath.gateway.tests.helpers import make_call
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+
+from .processes import make_config, make_server, make_settings, running, stores, until
+from .standins import Engine, Log, listen
+
+BOUND = timedelta(seconds=2)
+
+
+def make_log():
+    """Return a log with an upstream that runs version 1, and no newer version."""
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    models = [{"name": "m", "version": 1}]
+    log.put(UPSTREAM_TOPIC, "u1", make_server(models=models))
+    return log
+
+
+def name_version(log, version):
+    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": version})
+
+
+def with_bound(settings):
+    return dataclasses.replace(settings, version_bound=BOUND)
+
+
+def refuses_old_weights(edge):
+    now = edge.clock.now()
+    placed = edge.dispatcher.choose(make_call(now=now), (), 1, now)
+    return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
+
+
+def knows(process, version):
+    target = process.operator.target("m")
+    return target is not None and target.version == version
+
+
+async def stays_refusing(edge, duration):
+    """Tell whether an entry refuses old weights at all times of a duration."""
+    ends_at = edge.clock.now() + duration
+    while edge.clock.now() < ends_at:
+        if not refuses_old_weights(edge):
+            return False
+        await asyncio.sleep(0.02)
+    return True
+
+
+async def test_naming_that_came_while_the_store_was_away_has_its_whole_bound():
+    # Guards against entries that refuse all model requests for the bound after an
+    # outage of the store at whose end weights are named.
+    log = make_log()
+    async with (
+        stores(log, 1) as ((store, port),),
+        running(EdgeProcess, with_bound(make_settings("edge-a", port))) as edge,
+    ):
+        await until(lambda: edge.ready and edge.upstreams.upstreams_by_id_)
+        store.refusing = True
+        await until(lambda: edge.operator_topic_.store_lost_at_ is not None)
+        await asyncio.sleep(BOUND.total_seconds())
+        name_version(log, 2)
+        store.refusing = False
+        await until(lambda: knows(edge, 2))
+        assert not refuses_old_weights(edge)
+
+
+async def test_entry_that_did_not_ask_the_store_knows_no_time_of_what_it_missed(
+    monkeypatch,
+):
+    # Guards against a bound that begins as an entry wakes from a suspension.
+    log = make_log()
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, with_bound(make_settings("edge-a", port))) as edge,
+    ):
+        await until(lambda: edge.ready and edge.upstreams.upstreams_by_id_)
+        now = edge.clock.now
+        suspended = timedelta(seconds=10)
+        monkeypatch.setattr(MonotonicClock, "now", lambda clock: now() + suspended)
+        name_version(log, 2)
+        await until(lambda: knows(edge, 2))
+        assert refuses_old_weights(edge)
+
+
+async def test_entry_filled_by_an_outdated_peer_does_not_begin_the_bound_anew():
+    # Guards against a first read of the store that counts as followed, since a peer
+    # with older records had filled the replica before.
+    log = make_log()
+    async with (
+        stores(log, 2) as ((store_a, port_a), (store_b, port_b)),
+        running(EdgeProcess, with_bound(make_settings("edge-a", port_a))) as a,
+    ):
+        await until(lambda: a.ready)
+        store_a.refusing = store_b.refusing = True
+        await until(lambda: a.operator_topic_.store_lost_at_ is not None)
+        name_version(log, 2)
+        await asyncio.sleep(BOUND.total_seconds())
+        settings = with_bound(make_settings("edge-b", port_b))
+        async with running(EdgeProcess, settings) as b:
+            a.peers.learn(b.address)
+            b.peers.learn(a.address)
+            await until(lambda: b.operator_topic_.end > 0)
+            store_b.refusing = False
+            await until(lambda: knows(b, 2) and b.upstreams.upstreams_by_id_)
+            assert await stays_refusing(b, timedelta(milliseconds=500))
+
+
+async def test_mate_that_missed_a_naming_tells_entries_no_time_of_its_own():
+    # Guards against entries that were all down when weights were named, and take for
+    # the naming the time at which a mate read it from them.
+    log = make_log()
+    runner, engine_port = await listen(Engine().handle)
+    async with stores(log, 1) as ((_, port),):
+        mate_settings = with_bound(make_settings("mate-a", port, engine_port))
+        async with running(MateProcess, mate_settings) as mate:
+            edge_settings = with_bound(make_settings("edge-a", port))
+            async with running(EdgeProcess, edge_settings) as first:
+                mate.peers.learn(first.address)
+                first.peers.learn(mate.address)
+                await until(lambda: first.ready)
+                await until(lambda: mate.operator.catalog is not None)
+                await until(lambda: mate.peers.domain("edge-a"))
+            name_version(log, 2)
+            await asyncio.sleep(BOUND.total_seconds())
+            assert not knows(mate, 2)
+            async with running(EdgeProcess, edge_settings) as second:
+                second.peers.learn(mate.address)
+                await until(lambda: knows(second, 2))
+                await until(lambda: second.upstreams.upstreams_by_id_)
+                assert await stays_refusing(second, timedelta(milliseconds=1500))
+    await runner.cleanup()
