--- a/shallotpath/fleet/_mate.py
+++ b/shallotpath/fleet/_mate.py
@@ -421,8 +421,7 @@
     def _may_load(self, plan: SwarmPlan) -> bool:
         """Leave the other engines to serve while this one changes."""
         held = self.held_version
-        target = self.operator.target(plan.model)
-        if not held or target is None:
+        if not held:
             return True
         return self.waves_.may_load(
             member_ids=[member.id for member in self._members()],
@@ -431,7 +430,7 @@
                 for mate, version in self.versions_by_mate_.items()
                 if version >= plan.version
             ],
-            outdated_since=target.outdated_since(held),
+            outdated_since=self.operator.outdated_since(plan.model, held),
             bound=self.settings.version_bound,
             now=self.clock.now(),
         )
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -100,7 +100,12 @@
             settings.node, settings.host, settings.peer_port, engine
         )
         self.operator = OperatorState()
-        self.namings_ = NamingExchange(self.operator, self.random, self.reporter)
+        self.namings_ = NamingExchange(
+            self.operator,
+            bound=settings.version_bound,
+            random=self.random,
+            reporter=self.reporter,
+        )
         self.peers = PeerTable(self.address, self.random)
         self.session_: aiohttp.ClientSession | None = None
         self.caller_: HttpCaller | None = None
--- a/shallotpath/fleet/_namings.py
+++ b/shallotpath/fleet/_namings.py
@@ -11,8 +11,8 @@
 
 # A process that starts, or comes back after a cut, in this time after a naming learns
 # how long it may still use the old weights. A naming of which peers say nothing counts
-# as long ago.
-TOLD_FOR = timedelta(seconds=60)
+# as long ago. With a longer bound, namings are told until it ends.
+MIN_TOLD_FOR = timedelta(seconds=60)
 # Bounds the size of a message; over a few rounds all models are told.
 MODELS_PER_MESSAGE = 8
 
@@ -21,15 +21,21 @@
     """Tell peers the times of namings and take theirs."""
 
     def __init__(
-        self, operator: OperatorState, random: Random, reporter: LineReporter
+        self,
+        operator: OperatorState,
+        *,
+        bound: timedelta,
+        random: Random,
+        reporter: LineReporter,
     ) -> None:
         self.operator = operator
+        self.told_for = max(bound, MIN_TOLD_FOR)
         self.random = random
         self.reporter = reporter
 
     def items(self, now: datetime) -> list[NamingsItem]:
         """Return what peers are to know."""
-        namings_by_model = self.operator.namings_after(now - TOLD_FOR)
+        namings_by_model = self.operator.namings_after(now - self.told_for)
         models = list(namings_by_model)
         if len(models) > MODELS_PER_MESSAGE:
             models = self.random.sample(models, MODELS_PER_MESSAGE)
--- a/shallotpath/fleet/tests/test_namings.py
+++ b/shallotpath/fleet/tests/test_namings.py
@@ -147,7 +147,7 @@
     for number in range(200):
         for version in range(2, 12):
             operator.apply(WeightsNamed(f"model-{number:0200}", version), EPOCH)
-    exchange = NamingExchange(operator, Random(1), None)
+    exchange = NamingExchange(operator, bound=BOUND, random=Random(1), reporter=None)
     told = set()
     for _ in range(200):
         items = exchange.items(EPOCH)
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -205,8 +205,7 @@
 
     def _begin_by(self, model: str, held: int) -> datetime | None:
         """Return when requests must have begun on weights that are outdated."""
-        target = self.operator.target(model)
-        since = target.outdated_since(held) if target else None
+        since = self.operator.outdated_since(model, held)
         if since is None:
             return None
         return since + self.rules.version_bound - VERSION_MARGIN
--- a/shallotpath/gateway/_namings.py
+++ b/shallotpath/gateway/_namings.py
@@ -30,30 +30,55 @@
     is never earlier than the naming itself; the earliest of all is the closest.
     """
 
-    __slots__ = ("named_at_by_version_",)
+    __slots__ = ("named_at_by_version_", "unknown_through_")
 
     def __init__(self) -> None:
         self.named_at_by_version_: dict[int, datetime | None] = {}
+        # Highest version that is no longer kept and was named at an unknown time.
+        self.unknown_through_ = 0
 
     def add(self, version: int, named_at: datetime | None) -> bool:
         """Take a time; tell whether it is news."""
         times = self.named_at_by_version_
-        if len(times) == KEPT_NAMINGS:
-            # What was merged before is not kept again.
-            version = max(version, min(times))
-        if version in times:
-            known = times[version]
-            if named_at is None:
-                return False
-            if known is not None and known - named_at < MIN_CORRECTION:
-                return False
+        if len(times) == KEPT_NAMINGS and version < min(times):
+            return self._add_merged(version, named_at)
+        if version in times and not _corrects(named_at, times[version]):
+            return False
         times[version] = named_at
         if len(times) > KEPT_NAMINGS:
             self._merge_oldest()
         return True
 
+    def _merge_oldest(self) -> None:
+        """Let the next version stand for the oldest one, with the earlier time."""
+        times = self.named_at_by_version_
+        oldest = min(times)
+        named_at = times.pop(oldest)
+        following = min(times)
+        known = times[following]
+        if named_at is None or known is None:
+            self.unknown_through_ = oldest
+        else:
+            times[following] = min(named_at, known)
+
+    def _add_merged(self, version: int, named_at: datetime | None) -> bool:
+        """Take the time of a version that the oldest kept one stands for."""
+        if named_at is None:
+            news = version > self.unknown_through_
+            self.unknown_through_ = max(version, self.unknown_through_)
+            return news
+        times = self.named_at_by_version_
+        oldest = min(times)
+        known = times[oldest]
+        if known is None or not _corrects(named_at, known):
+            return False
+        times[oldest] = named_at
+        return True
+
     def outdated_since(self, held: int) -> datetime | None:
         """Return when a version newer than the held one was first named."""
+        if held < self.unknown_through_:
+            return LONG_AGO
         times = self.named_at_by_version_.items()
         newer = [at or LONG_AGO for version, at in times if version > held]
         return min(newer, default=None)
@@ -64,12 +89,13 @@
         return any(named_at is not None and named_at > at for named_at in times)
 
     def __iter__(self) -> Iterator[tuple[int, datetime | None]]:
+        if self.unknown_through_:
+            yield self.unknown_through_, None
         yield from self.named_at_by_version_.items()
 
-    def _merge_oldest(self) -> None:
-        """Let the next version stand for the oldest one, with the earlier time."""
-        times = self.named_at_by_version_
-        oldest, following = sorted(times)[:2]
-        at = times.pop(oldest)
-        known = times[following]
-        times[following] = min(at, known) if at and known else None
+
+def _corrects(named_at: datetime | None, known: datetime | None) -> bool:
+    """Tell whether a time is better than the one that is known."""
+    if named_at is None:
+        return False
+    return known is None or known - named_at >= MIN_CORRECTION
--- a/shallotpath/gateway/_operator.py
+++ b/shallotpath/gateway/_operator.py
@@ -74,6 +74,14 @@
         """Return the named weights of a model."""
         return self.targets_by_model_.get(model)
 
+    def outdated_since(self, model: str, held: int) -> datetime | None:
+        """Return when a version newer than the held one was named, as far as known.
+
+        Peers may know of a naming whose record this process has not read yet.
+        """
+        times = self.times_by_model_.get(model)
+        return times.outdated_since(held) if times else None
+
     def namings_after(self, at: datetime) -> dict[str, list[Naming]]:
         """Return by model what is known of those that had a naming after a time."""
         return {
@@ -118,10 +126,11 @@
 
     @apply.register
     def _(self, record: WeightsNamed, written_at: datetime | None) -> bool:
-        times = self._times(record.model)
-        times.add(record.version, written_at)
         known = self.targets_by_model_.get(record.model)
+        # A version that is written again was named when it was first written.
         if known and record.version <= known.version:
             return False
+        times = self._times(record.model)
+        times.add(record.version, written_at)
         self.targets_by_model_[record.model] = Target(record.version, times)
         return True
