--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -191,10 +191,9 @@
                 for record in self.replica_.after(offset)
             ]
             self.packed_ = (offset, self.end, pack_records(records))
-        age = self.age(self.clock.now()) or timedelta()
-        return encode_message(
-            RecordPage(self.end, self.packed_[2], age.total_seconds())
-        )
+        age = self.age(self.clock.now())
+        age_s = None if age is None else age.total_seconds()
+        return encode_message(RecordPage(self.end, self.packed_[2], age_s))
 
     async def _pull(self, peer: PeerAddress) -> bool:
         url = (
@@ -210,6 +209,9 @@
                 "peer_pull_failed", peer=peer.id, topic=self.topic, detail=error.message
             )
             return False
+        if page.age_s is None:
+            # The peer has started since it told how far it was.
+            return False
         records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
         newer = self.replica_.merge(records, page.end)
         self.listed_ = True
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -102,8 +102,8 @@
     end: int
     # Records as `pack_records` writes them.
     packed: bytes
-    # Seconds since the store confirmed what the sender holds.
-    age_s: float = 0.0
+    # Seconds since the store confirmed what the sender holds; `None` if it never did.
+    age_s: float | None = 0.0
 
 
 def pack_records(records: list[RecordItem]) -> bytes:
