--- a/shallotpath/core/_clock.py
+++ b/shallotpath/core/_clock.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import time
 from datetime import UTC, datetime, timedelta
-from time import monotonic
 from typing import Protocol
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
@@ -18,21 +18,25 @@
 
 
 class MonotonicClock:
-    """Advance with the monotonic clock from the wall time at construction.
+    """Advance with a steady clock from the wall time at construction.
 
     Reducers compare and subtract these times, so a step of the wall clock must
-    not reach them.
+    not reach them. A suspension of the VM counts where the system measures it, since
+    what peers and the store say grows old meanwhile; the event loop's timers leave it
+    out.
     """
 
-    __slots__ = ("_offset", "_started")
+    __slots__ = ("_clock_id", "_offset", "_started")
 
     def __init__(self) -> None:
+        self._clock_id = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
         self._started = datetime.now(UTC)
-        self._offset = monotonic()
+        self._offset = time.clock_gettime(self._clock_id)
 
     def now(self) -> datetime:
         """Return the current time in UTC."""
-        return self._started + timedelta(seconds=monotonic() - self._offset)
+        elapsed = time.clock_gettime(self._clock_id) - self._offset
+        return self._started + timedelta(seconds=elapsed)
 
 
 class ManualClock:
