--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -88,7 +88,8 @@
         budget = RetryBudget(
             BudgetLimit(
                 settings.budget_ratio, settings.budget_extra, settings.budget_window
-            )
+            ),
+            self.clock.now(),
         )
         self.parts = ForwarderParts(
             dispatcher=self.dispatcher,
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -256,9 +256,10 @@
         breaker=Breaker(),
         random=Random(1),
     )
+    limit = BudgetLimit(0.2, budget, ms(10_000))
     parts = ForwarderParts(
         dispatcher=dispatcher,
-        retries=Retries(RetryBudget(BudgetLimit(0.2, budget, ms(10_000)))),
+        retries=Retries(RetryBudget(limit, clock.now() - limit.window)),
         suspects=CrashSuspects(),
         pool=ConnectionPool(clock),
         wire=PlatformWire(),
--- a/shallotpath/gateway/_budget.py
+++ b/shallotpath/gateway/_budget.py
@@ -26,12 +26,17 @@
 
 
 class RetryBudget:
-    """Allow repeats within a share of own requests and of the common extra."""
+    """Allow repeats within a share of own requests and of the common extra.
 
-    __slots__ = ("limit", "uses_by_service_")
+    What this entry spent before its start is not known, so it gets none of the extra
+    until that is out of the window.
+    """
 
-    def __init__(self, limit: BudgetLimit) -> None:
+    __slots__ = ("limit", "started_at", "uses_by_service_")
+
+    def __init__(self, limit: BudgetLimit, started_at: datetime) -> None:
         self.limit = limit
+        self.started_at = started_at
         self.uses_by_service_: dict[str, _Use] = {}
 
     def first(self, service: str, now: datetime) -> None:
@@ -43,7 +48,8 @@
         """Take one repeat from the budget if there is any left."""
         use = self._use(service, now)
         allowed = self.limit.ratio * len(use.firsts)
-        allowed += self.limit.extra / max(1, entries)
+        if now - self.started_at >= self.limit.window:
+            allowed += self.limit.extra / max(1, entries)
         if len(use.repeats) + 1 > PLANNED_PART * allowed:
             return False
         use.repeats.append(now)
--- a/shallotpath/gateway/tests/test_limits.py
+++ b/shallotpath/gateway/tests/test_limits.py
@@ -23,6 +23,8 @@
 from .helpers import make_call, make_route, ms
 
 WINDOW = timedelta(seconds=10)
+# Start of an entry that has all of its share at the time of a test.
+LONG_RUNNING = EPOCH - WINDOW
 
 
 @given(st.integers(1, 40), st.integers(0, 2**32))
@@ -47,7 +49,7 @@
 def test_retries_of_all_entries_stay_within_the_budget(entries, seed):
     limit = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
     random = Random(seed)
-    budgets = [RetryBudget(limit) for _ in range(entries)]
+    budgets = [RetryBudget(limit, LONG_RUNNING) for _ in range(entries)]
     firsts, repeats = [], []
     now = EPOCH
     for _ in range(1500):
@@ -65,7 +67,7 @@
 
 
 def test_request_that_may_run_once_is_never_repeated_after_it_was_sent():
-    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW)))
+    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW), LONG_RUNNING))
     call = make_call(route=make_route(kind=RouteKind.ONCE, max_attempts=3))
     for kind in FailureKind:
         allowed = retries.allows(call, Failure(kind, ""), 1, 1, EPOCH)
@@ -79,13 +81,13 @@
 
 
 def test_stream_that_may_not_resume_is_not_repeated():
-    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW)))
+    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW), LONG_RUNNING))
     call = make_call(route=make_route(resumable=False))
     assert not retries.allows(call, Failure(FailureKind.LOST, ""), 1, 1, EPOCH)
 
 
 def test_attempts_and_time_bound_retries():
-    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW)))
+    retries = Retries(RetryBudget(BudgetLimit(0.2, 102, WINDOW), LONG_RUNNING))
     lost = Failure(FailureKind.LOST, "")
     call = make_call()
     assert retries.allows(call, lost, 1, 1, EPOCH)
--- /dev/null
+++ b/shallotpath/gateway/tests/test_starts.py
@@ -0,0 +1,88 @@
+"""Limits that entries share, while entries start again."""
+
+from bisect import bisect_left
+from datetime import timedelta
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotpath.core import EPOCH
+from shallotpath.gateway import BudgetLimit, RetryBudget
+
+from .helpers import ms
+
+WINDOW = timedelta(seconds=10)
+LIMIT = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
+# Two and a half windows; the extra is used up at the beginning of each.
+REQUESTS, BETWEEN = 1250, ms(20)
+FIRST_START = EPOCH + timedelta(seconds=12)
+
+
+# The budget counts the requests of the best of three windows.
+WINDOWS_AGO = (timedelta(), WINDOW / 2, WINDOW)
+
+
+def within(times, start, span=WINDOW):
+    """Return how many of the ordered times are in a span."""
+    return bisect_left(times, start + span) - bisect_left(times, start)
+
+
+def worst_excess(entries, starts, seed):
+    """Return by how much the repeats of the worst window exceed its budget.
+
+    Load pattern: nearly all requests fail, and each is repeated as long as the budget
+    of its entry allows it. `starts` holds the times at which an entry starts again.
+    """
+    random = Random(seed)
+    pending = sorted(starts)
+    budgets = [RetryBudget(LIMIT, EPOCH - WINDOW) for _ in range(entries)]
+    firsts, repeats = [], []
+    now = EPOCH
+    for _ in range(REQUESTS):
+        now += BETWEEN * random.uniform(0, 2)
+        while pending and pending[0][0] <= now:
+            started_at, entry = pending.pop(0)
+            budgets[entry] = RetryBudget(LIMIT, started_at)
+        budget = random.choice(budgets)
+        budget.first("s", now)
+        firsts.append(now)
+        for _ in range(random.randrange(4)):
+            if budget.spend("s", entries, now):
+                repeats.append(now)
+    return max(
+        within(repeats, start)
+        - LIMIT.ratio * max(within(firsts, start - ago) for ago in WINDOWS_AGO)
+        - LIMIT.extra
+        for start in repeats[::7]
+    )
+
+
+@pytest.mark.parametrize("gap", [ms(0), ms(300), ms(1500)])
+def test_entries_that_start_again_in_series_stay_within_the_budget(gap):
+    # Guards against the whole extra share anew with each start of an entry.
+    starts = [(FIRST_START + gap * number, number) for number in range(7)]
+    assert worst_excess(7, starts, seed=1) <= 0
+
+
+@given(st.integers(1, 12), st.integers(0, 20), st.integers(0, 2**32))
+def test_starts_at_any_time_stay_within_the_budget(entries, starts, seed):
+    random = Random(seed)
+    at = [
+        (EPOCH + ms(random.uniform(5_000, 20_000)), random.randrange(entries))
+        for _ in range(starts)
+    ]
+    assert worst_excess(entries, at, seed) <= 0
+
+
+def test_entry_that_starts_repeats_within_its_own_requests_at_first():
+    # Guards against callers that get no retry at all for a window.
+    budget = RetryBudget(LIMIT, EPOCH)
+    assert not budget.spend("s", 7, EPOCH)
+    for _ in range(50):
+        budget.first("s", EPOCH + ms(100))
+    spent = sum(budget.spend("s", 7, EPOCH + ms(200)) for _ in range(100))
+    assert spent == 8
+    later = EPOCH + WINDOW
+    assert sum(budget.spend("s", 7, later) for _ in range(100)) == 11
