--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -85,6 +85,7 @@
             breaker=self.breaker,
             random=self.random,
         )
+        self.dispatcher.buckets_.started(self.clock.now())
         budget = RetryBudget(
             BudgetLimit(
                 settings.budget_ratio, settings.budget_extra, settings.budget_window
@@ -175,7 +176,7 @@
         if changed:
             known = set(self.upstreams.upstreams_by_id_)
             self.breaker.forget(known)
-            self.dispatcher.buckets_.forget(known)
+            self.dispatcher.buckets_.forget(known, self.clock.now())
             self._tell_near_entries()
 
     def _apply_upstream(self, record: KeyedRecord) -> bool:
--- a/shallotpath/gateway/_cold.py
+++ b/shallotpath/gateway/_cold.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 
 # Part of the limit over one second that the entries plan to use together; the rest
 # absorbs entries that do not know each other yet.
 PLANNED_PART = 0.85
+# Time in which an empty bucket fills, whatever its size.
+FILLED_AFTER = timedelta(seconds=1)
 
 
 @dataclass(slots=True)
@@ -38,10 +40,15 @@
     may turn cold without saying so.
     """
 
-    __slots__ = ("buckets_by_id_",)
+    __slots__ = ("buckets_by_id_", "started_at_")
 
     def __init__(self) -> None:
         self.buckets_by_id_: dict[str, _Bucket] = {}
+        self.started_at_: datetime | None = None
+
+    def started(self, now: datetime) -> None:
+        """Begin with empty buckets; what was sent before the start is not known."""
+        self.started_at_ = now
 
     def take(
         self, upstream_id: str, limit: ColdLimit, entries: int, now: datetime
@@ -59,10 +66,11 @@
         """Tell whether an upstream's bucket has room for a request."""
         return self._filled(upstream_id, limit, entries, now).tokens >= 1.0
 
-    def forget(self, known_ids: set[str]) -> None:
-        """Drop the buckets of upstreams that are gone."""
+    def forget(self, known_ids: set[str], now: datetime) -> None:
+        """Drop the full buckets of upstreams that are gone; they may come back."""
         for upstream_id in self.buckets_by_id_.keys() - known_ids:
-            del self.buckets_by_id_[upstream_id]
+            if now - self.buckets_by_id_[upstream_id].filled_at >= FILLED_AFTER:
+                del self.buckets_by_id_[upstream_id]
 
     def _filled(
         self, upstream_id: str, limit: ColdLimit, entries: int, now: datetime
@@ -70,7 +78,10 @@
         half = max(1.0, PLANNED_PART * limit.total / (2 * max(1, entries)))
         bucket = self.buckets_by_id_.get(upstream_id)
         if bucket is None:
-            bucket = self.buckets_by_id_[upstream_id] = _Bucket(half, now)
+            bucket = _Bucket(half, now)
+            if self.started_at_ is not None:
+                bucket = _Bucket(0.0, self.started_at_)
+            self.buckets_by_id_[upstream_id] = bucket
         elapsed = (now - bucket.filled_at).total_seconds()
         bucket.tokens = min(half, bucket.tokens + elapsed * half)
         bucket.filled_at = now
--- a/shallotpath/gateway/tests/test_starts.py
+++ b/shallotpath/gateway/tests/test_starts.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from shallotpath.core import EPOCH
-from shallotpath.gateway import BudgetLimit, RetryBudget
+from shallotpath.gateway import BudgetLimit, ColdBuckets, ColdLimit, RetryBudget
 
 from .helpers import ms
 
@@ -86,3 +86,49 @@
     assert spent == 8
     later = EPOCH + WINDOW
     assert sum(budget.spend("s", 7, later) for _ in range(100)) == 11
+
+
+COLD = ColdLimit(requests_per_s=26, excess=1.5, slack=5)
+SECOND = timedelta(seconds=1)
+
+
+def sent_while_starting(entries, starts, down):
+    """Return when a cold upstream got requests from entries that start again.
+
+    Load pattern: each entry sends whatever its bucket lets through; `starts` holds when
+    an entry serves again after it was down.
+    """
+    buckets = [ColdBuckets() for _ in range(entries)]
+    pending = sorted(starts)
+    up_at = [EPOCH] * entries
+    sent = []
+    for tick in range(3000):
+        now = EPOCH + ms(tick)
+        while pending and pending[0][0] - down <= now:
+            started_at, entry = pending.pop(0)
+            up_at[entry] = started_at
+            buckets[entry] = ColdBuckets()
+            buckets[entry].started(started_at)
+        for entry, bucket in enumerate(buckets):
+            if now >= up_at[entry] and bucket.take("u", COLD, entries, now):
+                sent.append(now)
+    return sent
+
+
+@pytest.mark.parametrize("gap", [ms(0), ms(40), ms(130)])
+def test_entries_that_start_again_keep_the_limit_of_a_cold_upstream(gap):
+    # Guards against a full bucket anew with each start of an entry.
+    starts = [(EPOCH + ms(700) + gap * number, number) for number in range(7)]
+    sent = sent_while_starting(7, starts, down=ms(100))
+    assert max(within(sent, at, SECOND) for at in sent) <= COLD.total
+
+
+def test_upstream_that_is_gone_and_back_keeps_its_bucket():
+    # Guards against a full bucket for an entry that lapsed for a moment.
+    buckets = ColdBuckets()
+    while buckets.take("u", COLD, 1, EPOCH):
+        pass
+    buckets.forget(set(), EPOCH + ms(5))
+    assert not buckets.free("u", COLD, 1, EPOCH + ms(10))
+    buckets.forget(set(), EPOCH + ms(10) + SECOND)
+    assert not buckets.buckets_by_id_
