--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo bench fuzz clean
+.PHONY: setup test lint format demo bench fuzz soak clean
 
 setup: $(STAMP)
 
@@ -32,5 +32,11 @@
 fuzz: $(STAMP)
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest --timeout 1800 -k "not test_entry and not test_agent"
 
+SEED ?= 1
+SECONDS ?= 30
+
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,183 @@
+"""Callers that keep their connections, and the balancer that they ask for entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import suppress
+from random import Random
+
+import aiohttp
+
+from shallotpath.core import Clock
+from shallotpath.platform import _names as names
+
+from ._content import MODEL, TEAM_KEY
+from ._ledger import Attempt, Ending, Kind, Ledger
+from ._program import CALLERS_PORT, READY_PORT, Program
+from ._standins import expected_body
+
+HOST = "soak.example"
+PATHS_BY_KIND = {
+    Kind.STREAM: "/stream/",
+    Kind.RESUMABLE: "/resumable/",
+    Kind.ORDER: "/order/",
+    Kind.LOOKUP: "/lookup/",
+}
+KIND_WEIGHTS = {
+    Kind.STREAM: 5,
+    Kind.RESUMABLE: 2,
+    Kind.ORDER: 3,
+    Kind.LOOKUP: 1,
+}
+DEADLINE_MS = 6000
+# Callers leave a silent entry after this time, and the whole answer has the deadline.
+SILENCE_S = 2.5
+CONNECT_S = 1.0
+PROBE_INTERVAL_S = 1.0
+MISSES = 2
+PAUSE_S = (0.02, 0.12)
+RETRY_PAUSE_S = (0.05, 0.3)
+
+
+class Balancer:
+    """Probe entries each second and name those that take new connections."""
+
+    def __init__(self, entries: Sequence[Program]) -> None:
+        self.entries = entries
+        self.misses_by_entry_ = dict.fromkeys(range(len(entries)), MISSES)
+
+    async def watch(self, entry: int) -> None:
+        """Probe one entry again and again."""
+        url = f"http://{self.entries[entry].host}:{READY_PORT}/ready"
+        timeout = aiohttp.ClientTimeout(total=PROBE_INTERVAL_S)
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            while True:
+                ready = False
+                with suppress(TimeoutError, aiohttp.ClientError, OSError):
+                    async with session.get(url, timeout=timeout) as response:
+                        ready = response.status == 200
+                misses = 0 if ready else self.misses_by_entry_[entry] + 1
+                self.misses_by_entry_[entry] = misses
+                await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def choices(self) -> list[int]:
+        """Return the entries in rotation, all of them if there is none."""
+        missed = self.misses_by_entry_.items()
+        return [e for e, misses in missed if misses < MISSES] or list(
+            self.misses_by_entry_
+        )
+
+
+class Caller:
+    """Send one request after the other, on one connection as long as it lasts."""
+
+    def __init__(
+        self,
+        number: int,
+        *,
+        balancer: Balancer,
+        ledger: Ledger,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.number = number
+        self.balancer = balancer
+        self.ledger = ledger
+        self.clock = clock
+        self.random = random
+        self.count_ = 0
+        self.entry_: int | None = None
+        self.session_: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        try:
+            while True:
+                served = await self._call()
+                pause = PAUSE_S if served else RETRY_PAUSE_S
+                await asyncio.sleep(self.random.uniform(*pause))
+        finally:
+            await self._leave()
+
+    async def _call(self) -> bool:
+        kind = self.random.choices(
+            list(KIND_WEIGHTS), weights=list(KIND_WEIGHTS.values())
+        )[0]
+        if self.session_ is None:
+            self.entry_ = self.random.choice(self.balancer.choices())
+            connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
+            self.session_ = aiohttp.ClientSession(connector=connector)
+        self.count_ += 1
+        attempt = Attempt(
+            id=f"{self.number:02x}{self.count_:06x}",
+            kind=kind,
+            entry=self.entry_,
+            sent_at=self.clock.now(),
+        )
+        self.ledger.attempts_by_id[attempt.id] = attempt
+        try:
+            stays = await self._send(attempt)
+        except aiohttp.ClientConnectorError as error:
+            attempt.ending, stays = Ending.UNREACHABLE, False
+            attempt.detail = repr(error)
+        except TimeoutError:
+            attempt.ending, stays = Ending.ABANDONED, False
+        except (aiohttp.ClientError, OSError) as error:
+            attempt.ending, stays = Ending.CUT, False
+            attempt.detail = repr(error)
+        attempt.ended_at = self.clock.now()
+        if not stays:
+            await self._leave()
+        return attempt.status == 200 and attempt.ending is Ending.ANSWERED
+
+    async def _send(self, attempt: Attempt) -> bool:
+        """Send a request and read its answer; tell whether the connection stays."""
+        host = self.balancer.entries[attempt.entry].host
+        url = f"http://{host}:{CALLERS_PORT}{PATHS_BY_KIND[attempt.kind]}{attempt.id}"
+        headers = {
+            "Host": HOST,
+            names.REQUEST_ID: attempt.id,
+            names.API_KEY: TEAM_KEY,
+            names.DEADLINE_MS: str(DEADLINE_MS),
+        }
+        if attempt.kind.streaming:
+            headers[names.MODEL] = MODEL
+            headers[names.TOKENS] = "50,20"
+        timeout = aiohttp.ClientTimeout(
+            total=DEADLINE_MS / 1000, sock_connect=CONNECT_S, sock_read=SILENCE_S
+        )
+        async with self.session_.post(
+            url, data=attempt.id.encode(), headers=headers, timeout=timeout
+        ) as response:
+            attempt.status = response.status
+            body = await response.read()
+        attempt.ending = Ending.ANSWERED
+        self._check(attempt, response, body)
+        return response.headers.get("Connection", "").lower() != "close"
+
+    def _check(
+        self, attempt: Attempt, response: aiohttp.ClientResponse, body: bytes
+    ) -> None:
+        """Check that an answer with success is whole, in order and the own one."""
+        if response.status >= 400:
+            attempt.detail = body[:80].decode(errors="replace")
+            return
+        owner = response.headers.get(names.REQUEST_ID)
+        expected = expected_body(attempt.id, streaming=attempt.kind.streaming)
+        if names.SEAL not in response.headers:
+            detail = "without the upstream's signature"
+        elif owner != attempt.id:
+            detail = f"of request {owner}"
+        elif body != expected:
+            detail = f"of {len(body)} bytes in place of {len(expected)}"
+        else:
+            return
+        text = f"{attempt.kind} {attempt.id} at entry {attempt.entry}: answer {detail}"
+        self.ledger.break_promise("MIXED", text)
+
+    async def _leave(self) -> None:
+        session, self.session_ = self.session_, None
+        if session is not None:
+            await session.close()
--- /dev/null
+++ b/soak/_ledger.py
@@ -0,0 +1,113 @@
+"""What callers and stand-ins saw in a run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import StrEnum
+
+from ._spans import Spans
+
+
+class Kind(StrEnum):
+    """Tell what a request is, by its route."""
+
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+    ORDER = "order"
+    LOOKUP = "lookup"
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self in (Kind.RESUMABLE, Kind.LOOKUP)
+
+    @property
+    def streaming(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return self in (Kind.STREAM, Kind.RESUMABLE)
+
+
+class Ending(StrEnum):
+    """Tell how an attempt ended for its caller."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    # The caller stopped waiting.
+    ABANDONED = "abandoned"
+    UNREACHABLE = "unreachable"
+    CUT = "cut"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold one attempt of a caller."""
+
+    id: str
+    kind: Kind
+    entry: int
+    sent_at: datetime
+    ended_at: datetime | None = None
+    ending: Ending = Ending.OPEN
+    status: int = 0
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold the work of an upstream on a request."""
+
+    request_id: str
+    upstream: str
+    domain: str
+    # Version of the weights, 0 at an upstream without a model.
+    version: int
+    began_at: datetime
+    complete: bool = False
+    # The upstream itself ended the answer early.
+    broke_off: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """Name a promise that was broken and how."""
+
+    promise: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Stop:
+    """Hold when a process was asked to stop and when it had ended."""
+
+    began_at: datetime
+    ended_at: datetime | None = None
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Collect attempts, runs, acknowledged changes and disturbances."""
+
+    attempts_by_id: dict[str, Attempt] = field(default_factory=dict)
+    runs_by_id: dict[str, list[Run]] = field(default_factory=dict)
+    named_at_by_version: dict[int, datetime] = field(default_factory=dict)
+    left_at_by_upstream: dict[str, datetime] = field(default_factory=dict)
+    outs_by_domain: dict[str, Spans] = field(default_factory=dict)
+    # Kills, freezes, stops and starts, by entry.
+    disturbed_by_entry: dict[int, Spans] = field(default_factory=dict)
+    # Kills and freezes only.
+    unplanned_by_entry: dict[int, Spans] = field(default_factory=dict)
+    stops_by_entry: dict[int, list[Stop]] = field(default_factory=dict)
+    store_disturbed: Spans = field(default_factory=Spans)
+    # The soak's own process was late, so its times and stand-ins were too.
+    soak_late: Spans = field(default_factory=Spans)
+    broken: list[Broken] = field(default_factory=list)
+
+    def begin_run(self, run: Run) -> Run:
+        """Add a run."""
+        self.runs_by_id.setdefault(run.request_id, []).append(run)
+        return run
+
+    def break_promise(self, promise: str, detail: str) -> None:
+        """Add a promise that was seen broken."""
+        self.broken.append(Broken(promise, detail))
--- /dev/null
+++ b/soak/_schedule.py
@@ -0,0 +1,143 @@
+"""Faults of a run, drawn from its seed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from ._settings import SoakSettings
+
+FIRST_CYCLE = timedelta(seconds=2)
+# Time from one naming of weights to the next one that faults are placed around.
+CYCLE = timedelta(seconds=13)
+# A cycle begins only if this much of the run is left.
+SHORTEST_CYCLE = timedelta(seconds=9)
+
+
+@dataclass(slots=True, frozen=True)
+class NameWeights:
+    """Name the next version of the weights."""
+
+
+@dataclass(slots=True, frozen=True)
+class OriginAway:
+    """Let the origin break off all connections for a time."""
+
+    duration: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class StoreRefuses:
+    """Let the store refuse one process, or all, for a time."""
+
+    duration: timedelta
+    program: int | None
+
+
+@dataclass(slots=True, frozen=True)
+class StopInTurn:
+    """Stop entries by SIGTERM one after the other and start each again."""
+
+    programs: tuple[int, ...]
+    pause: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class Kill:
+    """Kill processes at the same moment and start them again."""
+
+    programs: tuple[int, ...]
+    down: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class Freeze:
+    """Freeze processes for a time."""
+
+    programs: tuple[int, ...]
+    duration: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class ReplaceUpstream:
+    """Let an upstream leave and come back as a new one."""
+
+    upstream: int
+
+
+@dataclass(slots=True, frozen=True)
+class DomainOut:
+    """Take a failure domain out for a time."""
+
+    domain: str
+    duration: timedelta
+
+
+Fault = (
+    NameWeights
+    | OriginAway
+    | StoreRefuses
+    | StopInTurn
+    | Kill
+    | Freeze
+    | ReplaceUpstream
+    | DomainOut
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Planned:
+    """Hold a fault and when it begins, counted from the start of the run."""
+
+    at: timedelta
+    fault: Fault
+
+
+def make_schedule(settings: SoakSettings) -> list[Planned]:
+    """Return the faults of a run in order of their beginning."""
+    random = Random(settings.seed)
+    planned: list[Planned] = []
+    start = FIRST_CYCLE
+    while start + SHORTEST_CYCLE <= settings.duration:
+        planned += _cycle(settings, random, start)
+        start += CYCLE
+    return sorted(planned, key=lambda item: item.at)
+
+
+def _cycle(settings: SoakSettings, random: Random, start: timedelta) -> list[Planned]:
+    """Place faults around one naming of weights."""
+    planned: list[Planned] = []
+
+    def add(earliest: float, latest: float, fault: Fault) -> None:
+        at = start + timedelta(seconds=random.uniform(earliest, latest))
+        planned.append(Planned(at, fault))
+
+    def lasting(shortest: float, longest: float) -> timedelta:
+        return timedelta(seconds=random.uniform(shortest, longest))
+
+    def some(count: int, most: int) -> tuple[int, ...]:
+        return tuple(random.sample(range(count), random.randint(1, most)))
+
+    programs = settings.entries + settings.engines
+    add(0.5, 0.5, NameWeights())
+    if random.random() < 0.5:
+        add(1.0, 4.0, NameWeights())
+    if random.random() < 0.8:
+        add(0.0, 0.6, OriginAway(lasting(7.0, 10.5)))
+    if random.random() < 0.75:
+        turn = random.sample(range(settings.entries), random.randint(2, 4))
+        add(0.8, 3.0, StopInTurn(tuple(turn), lasting(0.7, 1.8)))
+    if random.random() < 0.35:
+        add(0.0, 7.0, Kill(some(programs, programs), lasting(0.2, 1.5)))
+    if random.random() < 0.35:
+        add(0.0, 7.0, Freeze(some(programs, 3), lasting(0.5, 4.0)))
+    if random.random() < 0.25:
+        program = random.choice([None, random.randrange(programs)])
+        add(0.0, 8.0, StoreRefuses(lasting(0.5, 3.0), program))
+    if random.random() < 0.35:
+        add(0.0, 4.0, ReplaceUpstream(random.randrange(settings.engines)))
+    if random.random() < 0.25:
+        domain = random.choice(settings.domains)
+        add(0.0, 3.0, DomainOut(domain, lasting(6.0, 9.0)))
+    return planned
--- /dev/null
+++ b/soak/_standins.py
@@ -0,0 +1,336 @@
+"""Stand-ins of the store, the origin and the upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from aiohttp import web
+
+from shallotpath.core import Clock
+from shallotpath.fleet.tests.standins import Engine, Log, Origin, StoreStandIn
+from shallotpath.platform import UPSTREAM_TOPIC
+from shallotpath.platform import _names as names
+
+from ._content import (
+    MODEL,
+    TEAM,
+    event,
+    event_count,
+    loses_answer,
+    plain_body,
+    stream_body,
+)
+from ._ledger import Ledger, Run
+
+HEARTBEAT_S = 1.0
+PLAIN_WORK_S = 0.04
+FIRST_EVENT_S = 0.03
+EVENT_STEP_S = 0.03
+LOAD_S = 0.2
+# Time for which a leaving upstream goes on serving.
+LEAVING_S = 4.0
+# Time between the end of an upstream and the start of the next one.
+AWAY_S = 0.5
+STEP_S = 0.02
+
+
+class WaitingLog(Log):
+    """Wake the readers that wait for records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.news_by_topic_: dict[str, asyncio.Event] = {}
+
+    def put_raw(self, topic: str, key: str, data: bytes) -> None:
+        """Add a record."""
+        super().put_raw(topic, key, data)
+        self.news_by_topic_.pop(topic, asyncio.Event()).set()
+
+    async def wait(self, topic: str, offset: int, timeout_s: float) -> None:
+        """Wait until a topic has a record at an offset, or for the time-out."""
+        if offset < len(self.topics.get(topic, [])):
+            return
+        news = self.news_by_topic_.setdefault(topic, asyncio.Event())
+        with suppress(TimeoutError):
+            await asyncio.wait_for(news.wait(), timeout_s)
+
+
+class SoakStore(StoreStandIn):
+    """Serve one process; hold reads that wait for records."""
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call."""
+        if request.path == "/log-read" and not self.refusing:
+            query = request.query
+            wait_s = int(query.get("waitMs", "0")) / 1000
+            await self.log.wait(query["topic"], int(query["from"]), wait_s)
+        return await super().handle(request)
+
+
+class SoakOrigin(Origin):
+    """Serve weights, or break off all connections."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.away_ = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call."""
+        if self.away_:
+            request.transport.abort()
+            return web.Response(status=503)
+        return await super().handle(request)
+
+
+class Upstream:
+    """Register in the store and serve requests of one service."""
+
+    def __init__(
+        self,
+        number: int,
+        *,
+        service: str,
+        domain: str,
+        slots: int,
+        log: WaitingLog,
+        ledger: Ledger,
+        clock: Clock,
+    ) -> None:
+        self.number = number
+        self.service = service
+        self.domain = domain
+        self.slots = slots
+        self.log = log
+        self.ledger = ledger
+        self.clock = clock
+        self.address = ""
+        self.generation_ = 1
+        self.born_ms_ = self._now_ms()
+        self.state_ = "ready"
+        self.registered_ = True
+        self.sequence_ = 0
+        self.active_ = 0
+
+    @property
+    def id(self) -> str:
+        """Return the id of the present incarnation."""
+        return f"{self.service}-{self.number}-{self.generation_}"
+
+    def _now_ms(self) -> int:
+        return int(self.clock.now().timestamp() * 1000)
+
+    def record(self) -> dict[str, object]:
+        """Return what the upstream says of itself in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "slots": self.slots,
+            "state": self.state_,
+            "seq": self.sequence_,
+            "born": self.born_ms_,
+        }
+
+    def register(self) -> None:
+        """Write the own entry."""
+        self.sequence_ += 1
+        if self.registered_:
+            self.log.put(UPSTREAM_TOPIC, self.id, self.record())
+
+    async def heartbeat(self) -> None:
+        """Write the own entry again and again."""
+        while True:
+            self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def replace(self) -> None:
+        """Leave as planned and come back as a new upstream."""
+        self.state_ = "draining"
+        self.register()
+        self.ledger.left_at_by_upstream[self.id] = self.clock.now()
+        await asyncio.sleep(LEAVING_S)
+        self.registered_ = False
+        self.log.put(UPSTREAM_TOPIC, self.id, None)
+        while self.active_:  # noqa: ASYNC110
+            await asyncio.sleep(STEP_S)
+        self.begin_anew()
+        await asyncio.sleep(AWAY_S)
+        self.state_, self.registered_ = "ready", True
+        self.register()
+
+    def begin_anew(self) -> None:
+        """Become a new incarnation that knows nothing of before."""
+        self.generation_ += 1
+        self.born_ms_ = self._now_ms()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        refusal = self.refuse(request)
+        if refusal is not None:
+            headers = {names.NOT_EXECUTED: "1", names.OWN_ID: self.id}
+            return web.Response(status=refusal, headers=headers)
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if request.headers.get(names.TEAM) != TEAM or names.API_KEY in request.headers:
+            detail = f"{self.id} got {request_id} without its team or with its key"
+            self.ledger.break_promise("UNASKED", detail)
+        self.active_ += 1
+        try:
+            await request.read()
+            run = self.ledger.begin_run(
+                Run(
+                    request_id=request_id,
+                    upstream=self.id,
+                    domain=self.domain,
+                    version=self.version,
+                    began_at=self.clock.now(),
+                )
+            )
+            first = len(self.ledger.runs_by_id[request_id]) == 1
+            run.broke_off = first and loses_answer(request_id)
+            return await self.answer(request, run)
+        except ConnectionError:
+            return web.Response(status=500)
+        finally:
+            self.active_ -= 1
+
+    @property
+    def version(self) -> int:
+        """Return the version of the weights, 0 without a model."""
+        return 0
+
+    def refuse(self, request: web.BaseRequest) -> int | None:
+        """Return the status by which a request is refused, if it is."""
+        if request.headers.get(names.EXPECT_ID) not in (None, self.id):
+            return 421
+        return 503 if self.active_ >= self.slots else None
+
+    async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
+        """Work on a request and answer it."""
+        await asyncio.sleep(PLAIN_WORK_S)
+        if run.broke_off:
+            request.transport.abort()
+        run.complete = not run.broke_off
+        return web.Response(body=plain_body(run.request_id), headers=self.headers(run))
+
+    def headers(self, run: Run) -> dict[str, str]:
+        """Return the headers of an answer."""
+        return {names.REQUEST_ID: run.request_id, names.SEAL: f"seal-{self.id}"}
+
+
+class ModelEngine(Upstream):
+    """Answer requests as streams with the weights that a mate has staged."""
+
+    def __init__(self, number: int, *, origin: SoakOrigin, **options) -> None:
+        super().__init__(number, **options)
+        self.origin = origin
+        self.staging_ = Engine()
+        self.staging_.version = 1
+        self.staging_.staged = dict(self._whole(1))
+        self.loading_ = False
+        self.orders_ = 0
+        self.tasks_: set[asyncio.Task] = set()
+
+    def _whole(self, version: int) -> dict[int, bytes]:
+        count = self.origin.count
+        return {index: self.origin.chunk(version, index) for index in range(count)}
+
+    @property
+    def version(self) -> int:
+        """Return the version of the weights."""
+        return self.staging_.version
+
+    def record(self) -> dict[str, object]:
+        """Add the weights."""
+        models = [{"name": MODEL, "version": self.version}] if self.version else []
+        return super().record() | {"models": models}
+
+    def begin_anew(self) -> None:
+        """Lose the weights and what is staged."""
+        super().begin_anew()
+        self.staging_ = Engine()
+        self.loading_, self.orders_ = False, 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a mate or a request."""
+        if request.path == "/report":
+            return web.json_response(self._report())
+        if request.path == "/order":
+            return await self._order(request)
+        if request.path.startswith("/stage-"):
+            return await self.staging_.handle(request)
+        return await super().handle(request)
+
+    def _report(self) -> dict[str, object]:
+        models = [{"name": MODEL, "version": self.version}] if self.version else []
+        return {
+            "models": models,
+            "busy": self.loading_,
+            "born": self.born_ms_,
+            "seq": self.orders_,
+            "queued": 0,
+            "active": self.active_,
+            "pace": 1.0,
+        }
+
+    async def _order(self, request: web.BaseRequest) -> web.Response:
+        version = (await request.json())["version"]
+        if version == self.version:
+            return web.Response(status=200)
+        if self.loading_:
+            return web.Response(status=409)
+        self.loading_ = True
+        self.orders_ += 1
+        if self.staging_.staged != self._whole(version):
+            detail = f"{self.id} was ordered to load {version} from other chunks"
+            self.ledger.break_promise("WHOLE", detail)
+        task = asyncio.ensure_future(self._load(version, self.staging_))
+        self.tasks_.add(task)
+        task.add_done_callback(self.tasks_.discard)
+        return web.Response(status=202)
+
+    async def _load(self, version: int, staging: Engine) -> None:
+        """Load what was staged once all running requests have ended."""
+        while self.active_:  # noqa: ASYNC110
+            await asyncio.sleep(STEP_S)
+        await asyncio.sleep(LOAD_S)
+        if staging is self.staging_:
+            staging.version, self.loading_ = version, False
+            self.register()
+
+    def refuse(self, request: web.BaseRequest) -> int | None:
+        """Refuse other weights, and everything while weights are loaded."""
+        refusal = super().refuse(request)
+        if refusal is not None:
+            return refusal
+        if self.loading_ or not self.version:
+            return 503
+        expected = request.headers.get(names.EXPECT_VERSION)
+        return 421 if expected not in (None, str(self.version)) else None
+
+    async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
+        """Write the events that follow the last one that the caller has."""
+        first = int(request.headers.get(names.LAST_EVENT_ID) or 0) + 1
+        count = event_count(run.request_id)
+        response = web.StreamResponse(
+            headers=self.headers(run) | {"Content-Type": "text/event-stream"}
+        )
+        await asyncio.sleep(FIRST_EVENT_S)
+        for number in range(first, count + 1):
+            if run.broke_off and number > count // 2:
+                request.transport.abort()
+                return response
+            if not response.prepared:
+                await response.prepare(request)
+            await response.write(event(run.request_id, number))
+            await asyncio.sleep(EVENT_STEP_S)
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write_eof()
+        run.complete = True
+        return response
+
+
+def expected_body(request_id: str, *, streaming: bool) -> bytes:
+    """Return the whole answer to a request."""
+    return stream_body(request_id) if streaming else plain_body(request_id)
