--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -58,6 +58,7 @@
                 with suppress(TimeoutError, aiohttp.ClientError, OSError):
                     async with session.get(url, timeout=timeout) as response:
                         ready = response.status == 200
+                self.entries[entry].seen_ready_ |= ready
                 misses = 0 if ready else self.misses_by_entry_[entry] + 1
                 self.misses_by_entry_[entry] = misses
                 await asyncio.sleep(PROBE_INTERVAL_S)
--- a/soak/_program.py
+++ b/soak/_program.py
@@ -46,6 +46,8 @@
         self.settings = settings
         self.workspace = workspace
         self.process_: asyncio.subprocess.Process | None = None
+        # It answered a probe since its start.
+        self.seen_ready_ = False
 
     @property
     def running(self) -> bool:
@@ -75,6 +77,7 @@
 
     async def start(self) -> None:
         """Start the process; its output is appended to a log."""
+        self.seen_ready_ = False
         path = self.workspace / f"{self.name}.conf"
         path.write_text(self.settings_text())
         environment = os.environ | {SETTINGS_VARIABLE: str(path)}
@@ -111,6 +114,9 @@
             await process.wait()
             return "outlived its grace"
         code = process.returncode
+        if code == -signal.SIGTERM and not self.seen_ready_:
+            # It was asked to stop before it could take the signal.
+            return ""
         return f"ended with {code}" if code else ""
 
     async def kill(self) -> None:
