--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 
 import aiohttp
@@ -12,24 +13,12 @@
 from shallotpath.core import Clock
 from shallotpath.platform import _names as names
 
-from ._content import MODEL, TEAM_KEY
+from ._content import MODEL, TEAM_KEY, whole_body
 from ._ledger import Attempt, Ending, Kind, Ledger
 from ._program import CALLERS_PORT, READY_PORT, Program
-from ._standins import expected_body
 
 HOST = "soak.example"
-PATHS_BY_KIND = {
-    Kind.STREAM: "/stream/",
-    Kind.RESUMABLE: "/resumable/",
-    Kind.ORDER: "/order/",
-    Kind.LOOKUP: "/lookup/",
-}
-KIND_WEIGHTS = {
-    Kind.STREAM: 5,
-    Kind.RESUMABLE: 2,
-    Kind.ORDER: 3,
-    Kind.LOOKUP: 1,
-}
+KIND_WEIGHTS = {Kind.STREAM: 5, Kind.RESUMABLE: 2, Kind.ORDER: 3, Kind.LOOKUP: 1}
 DEADLINE_MS = 6000
 # Callers leave a silent entry after this time, and the whole answer has the deadline.
 SILENCE_S = 2.5
@@ -65,32 +54,22 @@
 
     def choices(self) -> list[int]:
         """Return the entries in rotation, all of them if there is none."""
-        missed = self.misses_by_entry_.items()
-        return [e for e, misses in missed if misses < MISSES] or list(
-            self.misses_by_entry_
-        )
+        misses = self.misses_by_entry_
+        return [e for e in misses if misses[e] < MISSES] or list(misses)
 
 
+@dataclass(kw_only=True)
 class Caller:
     """Send one request after the other, on one connection as long as it lasts."""
 
-    def __init__(
-        self,
-        number: int,
-        *,
-        balancer: Balancer,
-        ledger: Ledger,
-        clock: Clock,
-        random: Random,
-    ) -> None:
-        self.number = number
-        self.balancer = balancer
-        self.ledger = ledger
-        self.clock = clock
-        self.random = random
-        self.count_ = 0
-        self.entry_: int | None = None
-        self.session_: aiohttp.ClientSession | None = None
+    number: int
+    balancer: Balancer
+    ledger: Ledger
+    clock: Clock
+    random: Random
+    count_: int = 0
+    entry_: int | None = None
+    session_: aiohttp.ClientSession | None = None
 
     async def run(self) -> None:
         """Call until cancelled."""
@@ -103,26 +82,19 @@
             await self._leave()
 
     async def _call(self) -> bool:
-        kind = self.random.choices(
-            list(KIND_WEIGHTS), weights=list(KIND_WEIGHTS.values())
-        )[0]
+        (kind,) = self.random.choices(list(KIND_WEIGHTS), KIND_WEIGHTS.values())
         if self.session_ is None:
             self.entry_ = self.random.choice(self.balancer.choices())
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
             self.session_ = aiohttp.ClientSession(connector=connector)
         self.count_ += 1
-        attempt = Attempt(
-            id=f"{self.number:02x}{self.count_:06x}",
-            kind=kind,
-            entry=self.entry_,
-            sent_at=self.clock.now(),
-        )
+        request_id = f"{self.number:02x}{self.count_:06x}"
+        attempt = Attempt(request_id, kind, self.entry_, self.clock.now())
         self.ledger.attempts_by_id[attempt.id] = attempt
         try:
             stays = await self._send(attempt)
-        except aiohttp.ClientConnectorError as error:
+        except aiohttp.ClientConnectorError:
             attempt.ending, stays = Ending.UNREACHABLE, False
-            attempt.detail = repr(error)
         except TimeoutError:
             attempt.ending, stays = Ending.ABANDONED, False
         except (aiohttp.ClientError, OSError) as error:
@@ -136,7 +108,7 @@
     async def _send(self, attempt: Attempt) -> bool:
         """Send a request and read its answer; tell whether the connection stays."""
         host = self.balancer.entries[attempt.entry].host
-        url = f"http://{host}:{CALLERS_PORT}{PATHS_BY_KIND[attempt.kind]}{attempt.id}"
+        url = f"http://{host}:{CALLERS_PORT}/{attempt.kind}/{attempt.id}"
         headers = {
             "Host": HOST,
             names.REQUEST_ID: attempt.id,
@@ -155,19 +127,15 @@
             attempt.status = response.status
             body = await response.read()
         attempt.ending = Ending.ANSWERED
-        self._check(attempt, response, body)
+        if response.status < 400:
+            self._check(attempt, response.headers, body)
         return response.headers.get("Connection", "").lower() != "close"
 
-    def _check(
-        self, attempt: Attempt, response: aiohttp.ClientResponse, body: bytes
-    ) -> None:
+    def _check(self, attempt: Attempt, headers: Mapping[str, str], body: bytes) -> None:
         """Check that an answer with success is whole, in order and the own one."""
-        if response.status >= 400:
-            attempt.detail = body[:80].decode(errors="replace")
-            return
-        owner = response.headers.get(names.REQUEST_ID)
-        expected = expected_body(attempt.id, streaming=attempt.kind.streaming)
-        if names.SEAL not in response.headers:
+        owner = headers.get(names.REQUEST_ID)
+        expected = whole_body(attempt.id, streaming=attempt.kind.streaming)
+        if names.SEAL not in headers:
             detail = "without the upstream's signature"
         elif owner != attempt.id:
             detail = f"of request {owner}"
@@ -175,8 +143,7 @@
             detail = f"of {len(body)} bytes in place of {len(expected)}"
         else:
             return
-        text = f"{attempt.kind} {attempt.id} at entry {attempt.entry}: answer {detail}"
-        self.ledger.break_promise("MIXED", text)
+        self.ledger.break_promise("MIXED", f"{attempt}: answer {detail}")
 
     async def _leave(self) -> None:
         session, self.session_ = self.session_, None
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -70,7 +70,7 @@
         """Tell whether the bounds hold for an entry at a time."""
         ledger, since = self.ledger, at - self.settings.contact
         return not (
-            ledger.disturbed_by_entry[entry].touch(since, at)
+            ledger.disturbed_by_program[entry].touch(since, at)
             or ledger.store_disturbed.touch(since, at)
             or ledger.soak_late.touch(at - LATE_MARGIN, at)
         )
@@ -83,20 +83,17 @@
     def _repeats(self, attempt: Attempt, runs: list[Run]) -> Iterator[Broken]:
         if attempt.kind.repeatable:
             return
-        where = f"{attempt.kind} {attempt.id} at entry {attempt.entry}"
         upstreams = ", ".join(run.upstream for run in runs)
         if len(runs) > 1:
-            yield Broken("TWICE", f"{where} ran at {upstreams}")
+            yield Broken("TWICE", f"{attempt} ran at {upstreams}")
         if attempt.ending is Ending.ANSWERED and attempt.status in PROMISES:
-            yield Broken("REFUSED", f"{where}: {attempt.status}, ran at {upstreams}")
+            yield Broken("REFUSED", f"{attempt}: {attempt.status}, ran at {upstreams}")
 
     def _bounds(self, attempt: Attempt, run: Run) -> Iterator[Broken]:
         at = run.began_at
         if not self._in_touch(attempt.entry, at):
             return
-        where = (
-            f"{attempt.kind} {attempt.id} of entry {attempt.entry} at {run.upstream}"
-        )
+        where = f"{attempt} at {run.upstream}"
         named = [
             (named_at, version)
             for version, named_at in self.ledger.named_at_by_version.items()
@@ -112,41 +109,32 @@
         if left_at and self._calm_since(left_at, at) > self.settings.drain_bound:
             late = (at - left_at).total_seconds()
             yield Broken("DRAIN", f"{where}: {late:.2f} s after it left")
-        out_at = self._out_at(run.domain, at)
+        out_at = self.ledger.outs_by_domain[run.domain].begin_of(at)
         if out_at and self._calm_since(out_at, at) > self.settings.domain_bound:
             late = (at - out_at).total_seconds()
             yield Broken("EVAC", f"{where}: {late:.2f} s after {run.domain} was out")
 
-    def _out_at(self, domain: str, at: datetime) -> datetime | None:
-        """Return since when a domain was out at a time."""
-        for begin, end in self.ledger.outs_by_domain[domain].spans_:
-            if begin <= at and (end is None or at < end):
-                return begin
-        return None
-
     def _lost(self, attempt: Attempt) -> Iterator[Broken]:
         """Find requests that a planned stop cut off."""
         if attempt.ending is not Ending.CUT or not self._stopping(attempt):
             return
-        since = attempt.sent_at - self.settings.contact
-        if self.ledger.unplanned_by_entry[attempt.entry].touch(since, attempt.ended_at):
-            return
-        if self.ledger.soak_late.touch(attempt.sent_at, attempt.ended_at):
-            return
+        sent_at, ended_at = attempt.sent_at, attempt.ended_at
+        unplanned = self.ledger.unplanned_by_program[attempt.entry]
         runs = self.ledger.runs_by_id.get(attempt.id, [])
-        if any(run.broke_off for run in runs):
+        if (
+            unplanned.touch(sent_at - self.settings.contact, ended_at)
+            or self.ledger.soak_late.touch(sent_at, ended_at)
+            or any(run.broke_off for run in runs)
+        ):
             return
-        lasted = attempt.ended_at - attempt.sent_at
+        lasted = ended_at - sent_at
         if runs or lasted > CROSSED:
-            where = f"{attempt.kind} {attempt.id} at entry {attempt.entry}"
             upstreams = ", ".join(run.upstream for run in runs) or "nowhere"
-            detail = f"{where}: cut after {lasted.total_seconds():.2f} s"
+            detail = f"{attempt}: cut after {lasted.total_seconds():.2f} s"
             yield Broken("LOST", f"{detail}, ran at {upstreams}: {attempt.detail}")
 
     def _stopping(self, attempt: Attempt) -> bool:
         """Tell whether an attempt ended around a planned stop of its entry."""
         longest = self.settings.stop_grace + STOP_SLACK
-        return any(
-            stop.began_at <= attempt.ended_at <= stop.began_at + longest
-            for stop in self.ledger.stops_by_entry[attempt.entry]
-        )
+        stops = self.ledger.stops_by_program[attempt.entry]
+        return stops.touch(attempt.ended_at - longest, attempt.ended_at)
--- a/soak/_content.py
+++ b/soak/_content.py
@@ -37,12 +37,9 @@
     return f"id: {number}\ndata: {request_id} {number}/{total}\n\n".encode()
 
 
-def plain_body(request_id: str) -> bytes:
-    """Return the body of a plain answer."""
-    return f"{request_id}\n".encode() * (1 + chance(request_id, "body") % 200)
-
-
-def stream_body(request_id: str) -> bytes:
-    """Return all events of a stream."""
+def whole_body(request_id: str, *, streaming: bool) -> bytes:
+    """Return the whole answer to a request."""
+    if not streaming:
+        return f"{request_id}\n".encode() * (1 + chance(request_id, "body") % 200)
     count = event_count(request_id)
     return b"".join(event(request_id, number) for number in range(1, count + 1))
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import datetime
 from enum import StrEnum
@@ -52,6 +53,9 @@
     status: int = 0
     detail: str = ""
 
+    def __str__(self) -> str:
+        return f"{self.kind} {self.id} of entry {self.entry}"
+
 
 @dataclass(slots=True)
 class Run:
@@ -63,7 +67,6 @@
     # Version of the weights, 0 at an upstream without a model.
     version: int
     began_at: datetime
-    complete: bool = False
     # The upstream itself ended the answer early.
     broke_off: bool = False
 
@@ -76,12 +79,12 @@
     detail: str
 
 
-@dataclass(slots=True)
-class Stop:
-    """Hold when a process was asked to stop and when it had ended."""
+def _lists() -> defaultdict[str, list[Run]]:
+    return defaultdict(list)
 
-    began_at: datetime
-    ended_at: datetime | None = None
+
+def _spans() -> defaultdict[object, Spans]:
+    return defaultdict(Spans)
 
 
 @dataclass(slots=True)
@@ -89,25 +92,19 @@
     """Collect attempts, runs, acknowledged changes and disturbances."""
 
     attempts_by_id: dict[str, Attempt] = field(default_factory=dict)
-    runs_by_id: dict[str, list[Run]] = field(default_factory=dict)
+    runs_by_id: dict[str, list[Run]] = field(default_factory=_lists)
     named_at_by_version: dict[int, datetime] = field(default_factory=dict)
     left_at_by_upstream: dict[str, datetime] = field(default_factory=dict)
-    outs_by_domain: dict[str, Spans] = field(default_factory=dict)
-    # Kills, freezes, stops and starts, by entry.
-    disturbed_by_entry: dict[int, Spans] = field(default_factory=dict)
-    # Kills and freezes only.
-    unplanned_by_entry: dict[int, Spans] = field(default_factory=dict)
-    stops_by_entry: dict[int, list[Stop]] = field(default_factory=dict)
+    outs_by_domain: dict[str, Spans] = field(default_factory=_spans)
+    # Starts, planned stops, kills and freezes; entries have the first numbers.
+    disturbed_by_program: dict[int, Spans] = field(default_factory=_spans)
+    unplanned_by_program: dict[int, Spans] = field(default_factory=_spans)
+    stops_by_program: dict[int, Spans] = field(default_factory=_spans)
     store_disturbed: Spans = field(default_factory=Spans)
     # The soak's own process was late, so its times and stand-ins were too.
     soak_late: Spans = field(default_factory=Spans)
     broken: list[Broken] = field(default_factory=list)
 
-    def begin_run(self, run: Run) -> Run:
-        """Add a run."""
-        self.runs_by_id.setdefault(run.request_id, []).append(run)
-        return run
-
     def break_promise(self, promise: str, detail: str) -> None:
         """Add a promise that was seen broken."""
         self.broken.append(Broken(promise, detail))
--- a/soak/_program.py
+++ b/soak/_program.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
@@ -23,31 +24,21 @@
 STOP_SLACK = timedelta(seconds=1)
 
 
+@dataclass(kw_only=True)
 class Program:
     """Start, stop, kill and freeze one process, by its own id."""
 
-    def __init__(
-        self,
-        name: str,
-        *,
-        host: str,
-        domain: str,
-        store_port: int,
-        engine: str,
-        settings: SoakSettings,
-        workspace: Path,
-    ) -> None:
-        self.name = name
-        self.host = host
-        self.domain = domain
-        self.store_port = store_port
-        # Address of the engine beside a mate, empty for an entry.
-        self.engine = engine
-        self.settings = settings
-        self.workspace = workspace
-        self.process_: asyncio.subprocess.Process | None = None
-        # It answered a probe since its start.
-        self.seen_ready_ = False
+    name: str
+    host: str
+    domain: str
+    store_port: int
+    # Address of the engine beside a mate, empty for an entry.
+    engine: str
+    settings: SoakSettings
+    workspace: Path
+    process_: asyncio.subprocess.Process | None = None
+    # It answered a probe since its start.
+    seen_ready_: bool = False
 
     @property
     def running(self) -> bool:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -16,74 +16,43 @@
 
 
 @dataclass(slots=True, frozen=True)
-class NameWeights:
-    """Name the next version of the weights."""
+class Fault:
+    """Hold the numbers of what a fault hits, and how long it lasts."""
 
+    targets: tuple[int, ...] = ()
+    duration: timedelta = timedelta()
 
-@dataclass(slots=True, frozen=True)
-class OriginAway:
-    """Let the origin break off all connections for a time."""
 
-    duration: timedelta
+class NameWeights(Fault):
+    """Name the next version of the weights."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreRefuses:
-    """Let the store refuse one process, or all, for a time."""
+class OriginAway(Fault):
+    """Let the origin break off all connections."""
 
-    duration: timedelta
-    program: int | None
 
+class StoreRefuses(Fault):
+    """Let the store refuse processes."""
 
-@dataclass(slots=True, frozen=True)
-class StopInTurn:
-    """Stop entries by SIGTERM one after the other and start each again."""
 
-    programs: tuple[int, ...]
-    pause: timedelta
+class StopInTurn(Fault):
+    """Stop entries by SIGTERM, each so long after the last, and start each again."""
 
 
-@dataclass(slots=True, frozen=True)
-class Kill:
+class Kill(Fault):
     """Kill processes at the same moment and start them again."""
 
-    programs: tuple[int, ...]
-    down: timedelta
 
+class Freeze(Fault):
+    """Freeze processes."""
 
-@dataclass(slots=True, frozen=True)
-class Freeze:
-    """Freeze processes for a time."""
-
-    programs: tuple[int, ...]
-    duration: timedelta
 
-
-@dataclass(slots=True, frozen=True)
-class ReplaceUpstream:
+class ReplaceUpstream(Fault):
     """Let an upstream leave and come back as a new one."""
 
-    upstream: int
-
-
-@dataclass(slots=True, frozen=True)
-class DomainOut:
-    """Take a failure domain out for a time."""
-
-    domain: str
-    duration: timedelta
-
 
-Fault = (
-    NameWeights
-    | OriginAway
-    | StoreRefuses
-    | StopInTurn
-    | Kill
-    | Freeze
-    | ReplaceUpstream
-    | DomainOut
-)
+class DomainOut(Fault):
+    """Take a failure domain out."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -124,7 +93,7 @@
     if random.random() < 0.5:
         add(1.0, 4.0, NameWeights())
     if random.random() < 0.8:
-        add(0.0, 0.6, OriginAway(lasting(7.0, 10.5)))
+        add(0.0, 0.6, OriginAway((), lasting(7.0, 10.5)))
     if random.random() < 0.75:
         turn = random.sample(range(settings.entries), random.randint(2, 4))
         add(0.8, 3.0, StopInTurn(tuple(turn), lasting(0.7, 1.8)))
@@ -133,11 +102,12 @@
     if random.random() < 0.35:
         add(0.0, 7.0, Freeze(some(programs, 3), lasting(0.5, 4.0)))
     if random.random() < 0.25:
-        program = random.choice([None, random.randrange(programs)])
-        add(0.0, 8.0, StoreRefuses(lasting(0.5, 3.0), program))
+        everyone = tuple(range(programs))
+        refused = random.choice([everyone, (random.randrange(programs),)])
+        add(0.0, 8.0, StoreRefuses(refused, lasting(0.5, 3.0)))
     if random.random() < 0.35:
-        add(0.0, 4.0, ReplaceUpstream(random.randrange(settings.engines)))
+        add(0.0, 4.0, ReplaceUpstream((random.randrange(settings.engines),)))
     if random.random() < 0.25:
-        domain = random.choice(settings.domains)
-        add(0.0, 3.0, DomainOut(domain, lasting(6.0, 9.0)))
+        out = (random.randrange(len(settings.domains)),)
+        add(0.0, 3.0, DomainOut(out, lasting(6.0, 9.0)))
     return planned
--- a/soak/_spans.py
+++ b/soak/_spans.py
@@ -2,25 +2,31 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import datetime, timedelta
 
+from shallotpath.core import Clock
+
 
 class Spans:
-    """Hold spans; one without an end still lasts."""
+    """Hold pairs of begin and end; the end of one that still lasts is `None`."""
 
     __slots__ = ("spans_",)
 
     def __init__(self) -> None:
         self.spans_: list[list[datetime | None]] = []
 
-    def begin(self, at: datetime) -> list[datetime | None]:
-        """Open a span and return it; its second item takes the end."""
-        span = [at, None]
+    @contextmanager
+    def lasting(self, clock: Clock) -> Iterator[None]:
+        """Add a span that lasts as long as the context."""
+        span = [clock.now(), None]
         self.spans_.append(span)
-        return span
+        yield
+        span[1] = clock.now()
 
-    def add(self, start: datetime, end: datetime) -> None:
-        """Add a span that has ended."""
+    def add(self, start: datetime, end: datetime | None = None) -> None:
+        """Add a span."""
         self.spans_.append([start, end])
 
     def touch(self, start: datetime, end: datetime) -> bool:
@@ -30,6 +36,13 @@
             for begin, finish in self.spans_
         )
 
+    def begin_of(self, at: datetime) -> datetime | None:
+        """Return when the span that a time is in began."""
+        for begin, end in self.spans_:
+            if begin <= at and (end is None or at < end):
+                return begin
+        return None
+
     def longest_calm(
         self, start: datetime, end: datetime, settling: timedelta
     ) -> timedelta:
@@ -39,6 +52,5 @@
             if begin >= end:
                 break
             longest = max(longest, begin - calm_from)
-            settled = end if finish is None else finish + settling
-            calm_from = max(calm_from, settled)
+            calm_from = max(calm_from, finish + settling if finish else end)
         return max(longest, end - calm_from)
