--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from datetime import timedelta
 from pathlib import Path
@@ -34,6 +35,8 @@
         programs=programs.resolve() if programs else None,
         workspace=workspace.resolve() if workspace else None,
     )
+    # Cancels the run, which ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     verdict = asyncio.run(run_soak(settings))
     print(verdict.text())
     return 1 if verdict.broken else 0
