--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -10,6 +10,8 @@
 
 # Statuses that promise that the request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
+# The configuration allows every request of the callers from the start to the end.
+DENIALS = frozenset({400, 401, 403, 404})
 # A request that ends sooner without an answer crossed the close of its connection.
 CROSSED = timedelta(milliseconds=200)
 # Times are not judged so soon after the soak's own process was late.
@@ -38,6 +40,8 @@
                 found += self._bounds(attempt, run)
         for attempt in self.ledger.attempts_by_id.values():
             found += self._lost(attempt)
+            if attempt.status in DENIALS:
+                found.append(Broken("DENIED", f"{attempt}: {attempt.status}"))
         return found
 
     def exposed(self) -> int:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -47,6 +47,11 @@
     assert promises(Ledger(), status=status, runs=0) == []
 
 
+def test_a_denial_of_what_is_allowed_is_found():
+    # Guards against entries that refuse routes and keys that are in force.
+    assert promises(Ledger(), status=404, runs=0) == ["DENIED"]
+
+
 def test_a_run_that_no_caller_asked_for_is_found():
     # Guards against runs that belong to no attempt being passed over.
     ledger = Ledger()
