--- /dev/null
+++ b/soak/_standins.py
@@ -0,0 +1,304 @@
+"""Stand-ins of the store, the origin and the upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from shallotpath.core import Clock
+from shallotpath.fleet.tests.processes import make_server
+from shallotpath.fleet.tests.standins import Engine, Log, Origin, StoreStandIn
+from shallotpath.platform import UPSTREAM_TOPIC
+from shallotpath.platform import _names as names
+
+from ._content import MODEL, TEAM, event, event_count, loses_answer, whole_body
+from ._ledger import Ledger, Run
+
+HEARTBEAT_S = 1.0
+PLAIN_WORK_S = 0.04
+FIRST_EVENT_S = 0.03
+EVENT_STEP_S = 0.03
+LOAD_S = 0.2
+# Time for which a leaving upstream goes on serving.
+LEAVING_S = 4.0
+# Time between the end of an upstream and the start of the next one.
+AWAY_S = 0.5
+STEP_S = 0.02
+
+
+class WaitingLog(Log):
+    """Wake the readers that wait for records."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.news_by_topic_: dict[str, asyncio.Event] = {}
+
+    def put_raw(self, topic: str, key: str, data: bytes) -> None:
+        """Add a record."""
+        super().put_raw(topic, key, data)
+        self.news_by_topic_.pop(topic, asyncio.Event()).set()
+
+    async def wait(self, topic: str, offset: int, timeout_s: float) -> None:
+        """Wait until a topic has a record at an offset, or for the time-out."""
+        if offset < len(self.topics.get(topic, [])):
+            return
+        news = self.news_by_topic_.setdefault(topic, asyncio.Event())
+        with suppress(TimeoutError):
+            await asyncio.wait_for(news.wait(), timeout_s)
+
+
+class SoakStore(StoreStandIn):
+    """Serve one process; hold reads that wait for records."""
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call."""
+        if request.path == "/log-read" and not self.refusing:
+            query = request.query
+            wait_s = int(query.get("waitMs", "0")) / 1000
+            await self.log.wait(query["topic"], int(query["from"]), wait_s)
+        return await super().handle(request)
+
+
+class SoakOrigin(Origin):
+    """Serve weights, or break off all connections."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.away = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call."""
+        if self.away:
+            request.transport.abort()
+            return web.Response(status=503)
+        return await super().handle(request)
+
+
+@dataclass(kw_only=True)
+class Upstream:
+    """Register in the store and serve requests of one service."""
+
+    number: int
+    service: str
+    domain: str
+    slots: int
+    log: WaitingLog
+    ledger: Ledger
+    clock: Clock
+    address: str = ""
+    generation_: int = 1
+    state_: str = "ready"
+    registered_: bool = True
+    sequence_: int = 0
+    active_: int = 0
+
+    born_ms_: int = 0
+
+    def __post_init__(self) -> None:
+        self.born_ms_ = self._now_ms()
+
+    @property
+    def id(self) -> str:
+        """Return the id of the present incarnation."""
+        return f"{self.service}-{self.number}-{self.generation_}"
+
+    def _now_ms(self) -> int:
+        return int(self.clock.now().timestamp() * 1000)
+
+    def record(self) -> dict[str, object]:
+        """Return what the upstream says of itself in the store."""
+        return make_server(
+            service=self.service,
+            address=self.address,
+            zone=self.domain,
+            slots=self.slots,
+            state=self.state_,
+            seq=self.sequence_,
+            born=self.born_ms_,
+        )
+
+    def register(self) -> None:
+        """Write the own entry."""
+        self.sequence_ += 1
+        if self.registered_:
+            self.log.put(UPSTREAM_TOPIC, self.id, self.record())
+
+    async def heartbeat(self) -> None:
+        """Write the own entry again and again."""
+        while True:
+            self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def replace(self) -> None:
+        """Leave as planned and come back as a new upstream."""
+        self.state_ = "draining"
+        self.register()
+        self.ledger.left_at_by_upstream[self.id] = self.clock.now()
+        await asyncio.sleep(LEAVING_S)
+        self.registered_ = False
+        self.log.put(UPSTREAM_TOPIC, self.id, None)
+        while self.active_:  # noqa: ASYNC110
+            await asyncio.sleep(STEP_S)
+        self.begin_anew()
+        await asyncio.sleep(AWAY_S)
+        self.state_, self.registered_ = "ready", True
+        self.register()
+
+    def begin_anew(self) -> None:
+        """Become a new incarnation that knows nothing of before."""
+        self.generation_ += 1
+        self.born_ms_ = self._now_ms()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        refusal = self.refuse(request)
+        if refusal is not None:
+            headers = {names.NOT_EXECUTED: "1", names.OWN_ID: self.id}
+            return web.Response(status=refusal, headers=headers)
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if request.headers.get(names.TEAM) != TEAM or names.API_KEY in request.headers:
+            detail = f"{self.id} got {request_id} without its team or with its key"
+            self.ledger.break_promise("UNASKED", detail)
+        self.active_ += 1
+        try:
+            await request.read()
+            now = self.clock.now()
+            run = Run(request_id, self.id, self.domain, self.version, now)
+            runs = self.ledger.runs_by_id[request_id]
+            run.broke_off = not runs and loses_answer(request_id)
+            runs.append(run)
+            return await self.answer(request, run)
+        except ConnectionError:
+            return web.Response(status=500)
+        finally:
+            self.active_ -= 1
+
+    @property
+    def version(self) -> int:
+        """Return the version of the weights, 0 without a model."""
+        return 0
+
+    def refuse(self, request: web.BaseRequest) -> int | None:
+        """Return the status by which a request is refused, if it is."""
+        if request.headers.get(names.EXPECT_ID) not in (None, self.id):
+            return 421
+        return 503 if self.active_ >= self.slots else None
+
+    async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
+        """Work on a request and answer it."""
+        await asyncio.sleep(PLAIN_WORK_S)
+        if run.broke_off:
+            request.transport.abort()
+        return web.Response(
+            body=whole_body(run.request_id, streaming=False), headers=self.headers(run)
+        )
+
+    def headers(self, run: Run) -> dict[str, str]:
+        """Return the headers of an answer."""
+        return {names.REQUEST_ID: run.request_id, names.SEAL: f"seal-{self.id}"}
+
+
+@dataclass(kw_only=True)
+class ModelEngine(Upstream):
+    """Answer requests as streams with the weights that a mate has staged."""
+
+    origin: SoakOrigin
+    staging_: Engine = field(default_factory=Engine)
+    loading_: bool = False
+    orders_: int = 0
+    tasks_: set[asyncio.Task] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.staging_.version, self.staging_.staged = 1, self._whole(1)
+
+    def _whole(self, version: int) -> dict[int, bytes]:
+        count = self.origin.count
+        return {index: self.origin.chunk(version, index) for index in range(count)}
+
+    @property
+    def version(self) -> int:
+        """Return the version of the weights."""
+        return self.staging_.version
+
+    @property
+    def models(self) -> list[dict[str, object]]:
+        """Return the weights as records and reports show them."""
+        return [{"name": MODEL, "version": self.version}] if self.version else []
+
+    def record(self) -> dict[str, object]:
+        """Add the weights."""
+        return super().record() | {"models": self.models}
+
+    def begin_anew(self) -> None:
+        """Lose the weights and what is staged."""
+        super().begin_anew()
+        self.staging_ = Engine()
+        self.loading_, self.orders_ = False, 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a mate or a request."""
+        if request.path == "/report":
+            report = {"models": self.models, "busy": self.loading_}
+            counts = {"seq": self.orders_, "active": self.active_}
+            return web.json_response(report | counts | {"born": self.born_ms_})
+        if request.path == "/order":
+            return await self._order(request)
+        if request.path.startswith("/stage-"):
+            return await self.staging_.handle(request)
+        return await super().handle(request)
+
+    async def _order(self, request: web.BaseRequest) -> web.Response:
+        version = (await request.json())["version"]
+        if version == self.version:
+            return web.Response(status=200)
+        if self.loading_:
+            return web.Response(status=409)
+        self.loading_ = True
+        self.orders_ += 1
+        if self.staging_.staged != self._whole(version):
+            detail = f"{self.id} was ordered to load {version} from other chunks"
+            self.ledger.break_promise("WHOLE", detail)
+        task = asyncio.ensure_future(self._load(version, self.staging_))
+        self.tasks_.add(task)
+        task.add_done_callback(self.tasks_.discard)
+        return web.Response(status=202)
+
+    async def _load(self, version: int, staging: Engine) -> None:
+        """Load what was staged once all running requests have ended."""
+        while self.active_:  # noqa: ASYNC110
+            await asyncio.sleep(STEP_S)
+        await asyncio.sleep(LOAD_S)
+        if staging is self.staging_:
+            staging.version, self.loading_ = version, False
+            self.register()
+
+    def refuse(self, request: web.BaseRequest) -> int | None:
+        """Refuse other weights, and everything while weights are loaded."""
+        refusal = super().refuse(request)
+        if refusal is not None:
+            return refusal
+        if self.loading_ or not self.version:
+            return 503
+        expected = request.headers.get(names.EXPECT_VERSION)
+        return 421 if expected not in (None, str(self.version)) else None
+
+    async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
+        """Write the events that follow the last one that the caller has."""
+        first = int(request.headers.get(names.LAST_EVENT_ID) or 0) + 1
+        count = event_count(run.request_id)
+        response = web.StreamResponse(
+            headers=self.headers(run) | {"Content-Type": "text/event-stream"}
+        )
+        await asyncio.sleep(FIRST_EVENT_S)
+        await response.prepare(request)
+        for number in range(first, count + 1):
+            if run.broke_off and number > count // 2:
+                request.transport.abort()
+                break
+            await response.write(event(run.request_id, number))
+            await asyncio.sleep(EVENT_STEP_S)
+        return response
