--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -65,8 +65,14 @@
 
     @property
     def active(self) -> int:
-        """Return the number of requests whose answer is not written yet."""
-        return self.active_
+        """Return the number of requests whose answer is not written yet.
+
+        A request counts from its arrival: its handler begins a turn of the loop later.
+        """
+        if self.server_ is None:
+            return self.active_
+        arrived = sum(connection.waiting_ for connection in self.server_.connections)
+        return max(self.active_, arrived)
 
     async def start(self, host: str, port: int) -> int:
         """Begin to accept connections; return the port."""
