--- /dev/null
+++ b/shallotpath/gateway/tests/test_breaker_time.py
@@ -0,0 +1,21 @@
+"""Failures of upstreams that lie far back."""
+
+from datetime import timedelta
+
+from shallotpath.core import EPOCH
+
+from .helpers import make_call, make_dispatcher, make_record, ms
+
+
+def test_upstream_that_failed_an_hour_ago_is_tried_again():
+    # Guards against an upstream that gets no request for good after some failures in
+    # a row: only its answers lower the share of its failures.
+    dispatcher = make_dispatcher([make_record(1), make_record(2)])
+    for step in range(4):
+        dispatcher.breaker.failed("u1", EPOCH + ms(step))
+    chosen = set()
+    for number in range(100):
+        now = EPOCH + timedelta(hours=1) + number * ms(100)
+        placement = dispatcher.choose(make_call(number, now=now), (), 1, now)
+        chosen.add(placement.upstream.id)
+    assert "u1" in chosen
