--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from aiohttp import web
 
@@ -17,6 +17,7 @@
     Dispatcher,
     LoadBook,
     PlacementRules,
+    RecordTime,
     Retries,
     RetryBudget,
     Share,
@@ -167,7 +168,7 @@
             )
 
     def apply_upstreams(
-        self, records: Iterable[KeyedRecord], written_at: datetime | None
+        self, records: Iterable[KeyedRecord], time: RecordTime | None
     ) -> None:
         """Fold new entries of upstreams."""
         changed = False
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -5,7 +5,7 @@
 import asyncio
 import traceback
 from collections.abc import Callable, Coroutine, Iterable
-from datetime import datetime, timedelta
+from datetime import timedelta
 from functools import singledispatchmethod
 from random import Random
 
@@ -19,7 +19,7 @@
     rendezvous_order,
 )
 from ..forwarding import Listener
-from ..gateway import OperatorState
+from ..gateway import OperatorState, RecordTime
 from ..platform import (
     OPERATOR_TOPIC,
     HttpCaller,
@@ -226,7 +226,7 @@
         return topic
 
     def apply_operator(
-        self, records: Iterable[KeyedRecord], written_at: datetime | None
+        self, records: Iterable[KeyedRecord], time: RecordTime | None
     ) -> None:
         """Fold new records of the operators."""
         changed = False
@@ -237,13 +237,13 @@
                 self.reporter.count("records_bad", topic=OPERATOR_TOPIC)
                 self.reporter.event("bad_record", key=record.key, detail=error.message)
                 continue
-            if decoded is not None and self.operator.apply(decoded, written_at):
+            if decoded is not None and self.operator.apply(decoded, time):
                 changed = True
                 self.reporter.event(
                     "operator_change",
                     key=record.key,
                     offset=record.offset,
-                    first_read=written_at is None,
+                    read=_how_read(time),
                 )
         if changed:
             self.operator_changed()
@@ -476,3 +476,10 @@
             entries = [peer for peer in peers if not peer.engine] or peers
             relays += self.random.sample(entries, min(FAR_RELAYS, len(entries)))
         return relays
+
+
+def _how_read(time: RecordTime | None) -> str:
+    """Return for logs how closely the time of a record is known."""
+    if time is None:
+        return "time unknown"
+    return "followed" if time.exact else f"after a gap since {time.at.isoformat()}"
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from ..core import Clock, FrameError, PlatformError
+from ..gateway import RecordTime
 from ..platform import CallError, HistoryLostError, HttpCaller, StoreClient
 from ..replication import (
     KeyedRecord,
@@ -33,13 +34,16 @@
 FAR_DELAY = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
 
-# A replica that was confirmed so long before a read missed nothing that its process
-# could have read: the wait of a read at the store, and an age of 1.5 s at which
-# processes that follow their peers read themselves.
-FOLLOWED_GAP = timedelta(seconds=2)
+# Time between two reads of a process that follows the topic by its reads.
+FOLLOWED_GAP = timedelta(milliseconds=200)
+# Age of a replica at which each process reads the topic itself, and some slack.
+ASKED_GAP = timedelta(seconds=2)
+# A store that answered none of the reads of such a time was away; one or two reads may
+# be lost on connections that fell silent while it served.
+AWAY_AFTER = timedelta(seconds=3.5)
 
 # Takes new records and when they were written, `None` where this process cannot tell.
-Apply = Callable[[list[KeyedRecord], datetime | None], None]
+Apply = Callable[[list[KeyedRecord], RecordTime | None], None]
 
 
 class TopicReplica:
@@ -116,6 +120,7 @@
 
     async def read_once(self) -> bool:
         """Read what is new from the store; tell whether it answered."""
+        asked_at = self.clock.now()
         try:
             if self.listed_:
                 page = await self.store.read(self.topic, self.end, self.wait)
@@ -131,14 +136,14 @@
         except PlatformError as error:
             self._store_lost(error)
             return False
-        written_at = self._written_at()
+        time = self._record_time(asked_at)
         self._store_back()
         if page.unreadable:
             self.reporter.count("records_bad", topic=self.topic)
             self.reporter.event(
                 "unreadable_records", topic=self.topic, count=page.unreadable
             )
-        self._confirm(newer, timedelta(), written_at)
+        self._confirm(newer, timedelta(), time)
         if newer and self.after_news is not None:
             self.after_news()
         return True
@@ -220,23 +225,33 @@
         self._confirm(newer, timedelta(seconds=page.age_s), None)
         return bool(newer)
 
-    def _written_at(self) -> datetime | None:
-        """Return the time of records that a read brought just now.
+    def _record_time(self, asked_at: datetime) -> RecordTime | None:
+        """Return when records were written that a read brought just now."""
+        if self.confirmed_at_ is None:
+            return None
+        now = self.clock.now()
+        followed = asked_at - self.confirmed_at_ <= FOLLOWED_GAP
+        # An answer may lie unread while the VM is suspended.
+        at_once = now - asked_at <= self.wait + FOLLOWED_GAP
+        if (followed and at_once) or self._store_was_away():
+            return RecordTime(now)
+        return RecordTime(self.confirmed_at_, exact=False)
+
+    def _store_was_away(self) -> bool:
+        """Tell whether nothing was written since the replica was confirmed.
 
-        What came while the store did not answer came as it answered again, as far as
-        this process can tell. What came while the process did not ask may be old.
+        What comes with the first answer after an outage was written as it ended.
         """
-        now = self.clock.now()
-        asked_at = self.store_lost_at_ or now
-        if self.confirmed_at_ is None or asked_at - self.confirmed_at_ > FOLLOWED_GAP:
-            return None
-        return now
+        lost_at = self.store_lost_at_
+        if lost_at is None or lost_at - self.confirmed_at_ > ASKED_GAP:
+            return False
+        return self.clock.now() - lost_at >= AWAY_AFTER
 
     def _confirm(
         self,
         newer: list[KeyedRecord],
         age: timedelta,
-        written_at: datetime | None,
+        time: RecordTime | None,
     ) -> None:
         confirmed_at = self.clock.now() - age
         if self.confirmed_at_ is None or confirmed_at > self.confirmed_at_:
@@ -245,7 +260,7 @@
                 self.before_news(confirmed_at)
         if newer:
             self.packed_ = None
-            self.apply(newer, written_at)
+            self.apply(newer, time)
 
     def _next_retry(self) -> float:
         delay = self.retry_.total_seconds() * self.random.uniform(0.5, 1.0)
--- a/shallotpath/fleet/tests/test_namings.py
+++ b/shallotpath/fleet/tests/test_namings.py
@@ -8,7 +8,13 @@
 from shallotpath.core import EPOCH
 from shallotpath.fleet import EdgeProcess
 from shallotpath.fleet._namings import NamingExchange
-from shallotpath.gateway import OperatorState, Rejection, RejectReason, WeightsNamed
+from shallotpath.gateway import (
+    OperatorState,
+    RecordTime,
+    Rejection,
+    RejectReason,
+    WeightsNamed,
+)
 from shallotpath.gateway.tests.helpers import make_call
 from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
 from shallotpath.replication import (
@@ -146,7 +152,9 @@
     operator = OperatorState()
     for number in range(200):
         for version in range(2, 12):
-            operator.apply(WeightsNamed(f"model-{number:0200}", version), EPOCH)
+            operator.apply(
+                WeightsNamed(f"model-{number:0200}", version), RecordTime(EPOCH)
+            )
     exchange = NamingExchange(operator, bound=BOUND, random=Random(1), reporter=None)
     told = set()
     for _ in range(200):
--- a/shallotpath/fleet/tests/test_namings_gaps.py
+++ b/shallotpath/fleet/tests/test_namings_gaps.py
@@ -54,9 +54,12 @@
     return True
 
 
-async def test_naming_that_came_while_the_store_was_away_has_its_whole_bound():
+async def test_naming_that_came_while_the_store_was_away_has_its_whole_bound(
+    monkeypatch,
+):
     # Guards against entries that refuse all model requests for the bound after an
     # outage of the store at whose end weights are named.
+    monkeypatch.setattr("shallotpath.fleet._topics.AWAY_AFTER", BOUND / 2)
     log = make_log()
     async with (
         stores(log, 1) as ((store, port),),
--- /dev/null
+++ b/shallotpath/fleet/tests/test_namings_silence.py
@@ -0,0 +1,45 @@
+"""Since when weights are outdated, where open connections to the store fell silent."""
+
+import asyncio
+
+from shallotpath.fleet import EdgeProcess
+from shallotpath.gateway._dispatcher import VERSION_MARGIN
+from shallotpath.platform import OPERATOR_TOPIC
+
+from .processes import make_config, make_settings, running, until
+from .standins import Log, StoreStandIn, listen
+
+SILENCE_S = 4
+
+
+class SilencedStore(StoreStandIn):
+    """Answer new connections only, once the open ones have fallen silent."""
+
+    def __init__(self, log):
+        super().__init__(log)
+        self.open = set()
+        self.silent = set()
+
+    async def handle(self, request):
+        if request.transport in self.silent:
+            await asyncio.sleep(SILENCE_S)
+        self.open.add(request.transport)
+        return await super().handle(request)
+
+
+async def test_bound_counts_from_the_naming_where_a_read_of_the_store_was_lost():
+    # Guards against a bound that begins with the read after a lost one: the store
+    # served all the while, and all entries may lose a read at the same time.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    store = SilencedStore(log)
+    runner, port = await listen(store.handle)
+    async with running(EdgeProcess, make_settings("edge-a", port)) as edge:
+        await until(lambda: edge.ready)
+        store.silent = set(store.open)
+        await asyncio.sleep(0.1)
+        log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 2})
+        named_at = edge.clock.now()
+        await until(lambda: edge.operator.target("m"))
+        assert edge.operator.outdated_since("m", 1) <= named_at + VERSION_MARGIN
+    await runner.cleanup()
--- a/shallotpath/fleet/tests/test_namings_told.py
+++ b/shallotpath/fleet/tests/test_namings_told.py
@@ -5,7 +5,7 @@
 
 from shallotpath.core import EPOCH, ManualClock
 from shallotpath.fleet import EdgeProcess
-from shallotpath.gateway import WeightsNamed
+from shallotpath.gateway import RecordTime, WeightsNamed
 
 from .processes import make_settings
 
@@ -16,6 +16,6 @@
     bound = timedelta(seconds=120)
     settings = dataclasses.replace(make_settings("edge-a", 1), version_bound=bound)
     edge = EdgeProcess(settings, clock=ManualClock())
-    edge.operator.apply(WeightsNamed("m", 2), EPOCH)
+    edge.operator.apply(WeightsNamed("m", 2), RecordTime(EPOCH))
     edge.clock.advance(timedelta(seconds=90))
     assert edge.news().namings
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -103,4 +103,4 @@
     """Return how long the weights may still be used, if newer ones are named."""
     if placement.begin_by is None:
         return ""
-    return f" outdated, begin within {milliseconds(placement.begin_by - now)}"
+    return f" begin_within={milliseconds(placement.begin_by - now)}"
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -27,6 +27,7 @@
     LoadBook,
     OperatorState,
     PlacementRules,
+    RecordTime,
     Retries,
     RetryBudget,
     Route,
@@ -240,7 +241,7 @@
         limits=CallerLimits(16384, 4 << 20, ms(3000), ms(15000)),
         requires_keys=True,
     )
-    operator.apply(CatalogNamed(catalog), clock.now())
+    operator.apply(CatalogNamed(catalog), RecordTime(clock.now()))
     for number, upstream in enumerate(upstreams):
         port = upstream if isinstance(upstream, int) else await upstream.start()
         address, zero = f"{HOST}:{port}", timedelta()
--- a/shallotpath/forwarding/tests/test_journal.py
+++ b/shallotpath/forwarding/tests/test_journal.py
@@ -2,7 +2,7 @@
 
 from shallotpath.core import EPOCH
 from shallotpath.forwarding._journal import RequestJournal
-from shallotpath.gateway import WeightsNamed
+from shallotpath.gateway import RecordTime, WeightsNamed
 from shallotpath.gateway.tests.helpers import (
     make_call,
     make_dispatcher,
@@ -33,10 +33,10 @@
     lines = Lines()
     journal = RequestJournal(lines, "q1", EPOCH)
     journal.placed(dispatcher.choose(make_call(1), (), 1, EPOCH), EPOCH)
-    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
+    dispatcher.operator.apply(WeightsNamed("m", 2), RecordTime(EPOCH))
     now = EPOCH + ms(2000)
     journal.placed(dispatcher.choose(make_call(2), (), 1, now), now)
     journal.close("served", 200, now + timedelta(seconds=1), None, 1)
     current, outdated = lines.fields[0]["steps"]
-    assert "outdated" not in current
-    assert outdated.endswith("outdated, begin within 5650.0")
+    assert "begin_within" not in current
+    assert outdated.endswith(" begin_within=5650.0")
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -24,7 +24,7 @@
 )
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import EngineReport, LoadBook, Share
-from ._namings import LONG_AGO, Naming
+from ._namings import LONG_AGO, Naming, RecordTime
 from ._operator import (
     CatalogNamed,
     DomainBack,
@@ -65,6 +65,7 @@
     "Origin",
     "Placement",
     "PlacementRules",
+    "RecordTime",
     "Prediction",
     "RejectReason",
     "Rejection",
--- a/shallotpath/gateway/_namings.py
+++ b/shallotpath/gateway/_namings.py
@@ -10,92 +10,109 @@
 KEPT_NAMINGS = 8
 # A difference below this is the delay of a message, not a better time.
 MIN_CORRECTION = timedelta(milliseconds=20)
-# Stands for a naming that nobody saw happen: old weights get no time.
+# Stands for a time that is not known: requests must have begun long ago.
 LONG_AGO = datetime.fromtimestamp(0, UTC)
 
 
+@dataclass(slots=True, frozen=True)
+class RecordTime:
+    """Tell when a record was written: just before the time, or not before it.
+
+    An exact time is that at which a process that followed the records got it. Another
+    one is the last time at which the record was not there.
+    """
+
+    at: datetime
+    exact: bool = True
+
+
 @dataclass(slots=True, frozen=True)
 class Naming:
     """Tell when a version of a model was named, `None` if that is not known."""
 
     model: str
     version: int
-    named_at: datetime | None
+    time: RecordTime | None
 
 
 class NamingTimes:
-    """Hold the earliest known time of each naming of one model.
-
-    A time comes from a process that followed the records when the naming came, so it
-    is never earlier than the naming itself; the earliest of all is the closest.
-    """
+    """Hold the best known time of each naming of one model."""
 
-    __slots__ = ("named_at_by_version_", "unknown_through_")
+    __slots__ = ("times_by_version_", "unknown_through_")
 
     def __init__(self) -> None:
-        self.named_at_by_version_: dict[int, datetime | None] = {}
+        self.times_by_version_: dict[int, RecordTime | None] = {}
         # Highest version that is no longer kept and was named at an unknown time.
         self.unknown_through_ = 0
 
-    def add(self, version: int, named_at: datetime | None) -> bool:
+    def add(self, version: int, time: RecordTime | None) -> bool:
         """Take a time; tell whether it is news."""
-        times = self.named_at_by_version_
+        times = self.times_by_version_
         if len(times) == KEPT_NAMINGS and version < min(times):
-            return self._add_merged(version, named_at)
-        if version in times and not _corrects(named_at, times[version]):
+            return self._add_merged(version, time)
+        if version in times and not _corrects(time, times[version]):
             return False
-        times[version] = named_at
+        times[version] = time
         if len(times) > KEPT_NAMINGS:
             self._merge_oldest()
         return True
 
+    def outdated_since(self, held: int) -> datetime | None:
+        """Return when a version newer than the held one was first named."""
+        if held < self.unknown_through_:
+            return LONG_AGO
+        newer = [
+            time.at if time else LONG_AGO
+            for version, time in self.times_by_version_.items()
+            if version > held
+        ]
+        return min(newer, default=None)
+
+    def known_after(self, at: datetime) -> bool:
+        """Tell whether one of the namings is known to have come after a time."""
+        times = self.times_by_version_.values()
+        return any(time is not None and time.at > at for time in times)
+
+    def __iter__(self) -> Iterator[tuple[int, RecordTime | None]]:
+        if self.unknown_through_:
+            yield self.unknown_through_, None
+        yield from self.times_by_version_.items()
+
     def _merge_oldest(self) -> None:
         """Let the next version stand for the oldest one, with the earlier time."""
-        times = self.named_at_by_version_
+        times = self.times_by_version_
         oldest = min(times)
-        named_at = times.pop(oldest)
+        time = times.pop(oldest)
         following = min(times)
         known = times[following]
-        if named_at is None or known is None:
+        if time is None or known is None:
             self.unknown_through_ = oldest
-        else:
-            times[following] = min(named_at, known)
+        elif time.at < known.at:
+            times[following] = time
 
-    def _add_merged(self, version: int, named_at: datetime | None) -> bool:
+    def _add_merged(self, version: int, time: RecordTime | None) -> bool:
         """Take the time of a version that the oldest kept one stands for."""
-        if named_at is None:
+        if time is None:
             news = version > self.unknown_through_
             self.unknown_through_ = max(version, self.unknown_through_)
             return news
-        times = self.named_at_by_version_
+        times = self.times_by_version_
         oldest = min(times)
         known = times[oldest]
-        if known is None or not _corrects(named_at, known):
+        if known is None or known.at - time.at < MIN_CORRECTION:
             return False
-        times[oldest] = named_at
+        times[oldest] = time
         return True
 
-    def outdated_since(self, held: int) -> datetime | None:
-        """Return when a version newer than the held one was first named."""
-        if held < self.unknown_through_:
-            return LONG_AGO
-        times = self.named_at_by_version_.items()
-        newer = [at or LONG_AGO for version, at in times if version > held]
-        return min(newer, default=None)
-
-    def known_after(self, at: datetime) -> bool:
-        """Tell whether one of the namings is known to have come after a time."""
-        times = self.named_at_by_version_.values()
-        return any(named_at is not None and named_at > at for named_at in times)
-
-    def __iter__(self) -> Iterator[tuple[int, datetime | None]]:
-        if self.unknown_through_:
-            yield self.unknown_through_, None
-        yield from self.named_at_by_version_.items()
 
-
-def _corrects(named_at: datetime | None, known: datetime | None) -> bool:
-    """Tell whether a time is better than the one that is known."""
-    if named_at is None:
+def _corrects(time: RecordTime | None, known: RecordTime | None) -> bool:
+    """Tell whether a time is closer to the naming than the known one."""
+    if time is None:
         return False
-    return known is None or known - named_at >= MIN_CORRECTION
+    if known is None:
+        return True
+    if time.exact and known.exact:
+        return known.at - time.at >= MIN_CORRECTION
+    if not time.exact and not known.exact:
+        return time.at > known.at
+    return time.exact
--- a/shallotpath/gateway/_operator.py
+++ b/shallotpath/gateway/_operator.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 
 from ._catalog import Catalog
-from ._namings import Naming, NamingTimes
+from ._namings import Naming, NamingTimes, RecordTime
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,52 +85,52 @@
     def namings_after(self, at: datetime) -> dict[str, list[Naming]]:
         """Return by model what is known of those that had a naming after a time."""
         return {
-            model: [Naming(model, version, named_at) for version, named_at in times]
+            model: [Naming(model, version, time) for version, time in times]
             for model, times in self.times_by_model_.items()
             if times.known_after(at)
         }
 
     def hear_naming(self, naming: Naming) -> bool:
         """Take the time of a naming from a peer; tell whether it is news."""
-        return self._times(naming.model).add(naming.version, naming.named_at)
+        return self._times(naming.model).add(naming.version, naming.time)
 
     def _times(self, model: str) -> NamingTimes:
         return self.times_by_model_.setdefault(model, NamingTimes())
 
     @singledispatchmethod
-    def apply(self, record: OperatorRecord, written_at: datetime | None) -> bool:
+    def apply(self, record: OperatorRecord, time: RecordTime | None) -> bool:
         """Take a record; tell whether it changed the state.
 
-        The time is `None` for a record that was there before this process looked.
+        The time is `None` if this process cannot tell when the record was written.
         """
         raise TypeError(f"{type(record).__name__} is not an operator's record")
 
     @apply.register
-    def _(self, record: CatalogNamed, written_at: datetime | None) -> bool:
+    def _(self, record: CatalogNamed, time: RecordTime | None) -> bool:
         if self.catalog_ and record.catalog.version <= self.catalog_.version:
             return False
         self.catalog_ = record.catalog
         return True
 
     @apply.register
-    def _(self, record: DomainOut, written_at: datetime | None) -> bool:
+    def _(self, record: DomainOut, time: RecordTime | None) -> bool:
         changed = record.domain not in self.domains_out_
         self.domains_out_.add(record.domain)
         return changed
 
     @apply.register
-    def _(self, record: DomainBack, written_at: datetime | None) -> bool:
+    def _(self, record: DomainBack, time: RecordTime | None) -> bool:
         changed = record.domain in self.domains_out_
         self.domains_out_.discard(record.domain)
         return changed
 
     @apply.register
-    def _(self, record: WeightsNamed, written_at: datetime | None) -> bool:
+    def _(self, record: WeightsNamed, time: RecordTime | None) -> bool:
         known = self.targets_by_model_.get(record.model)
         # A version that is written again was named when it was first written.
         if known and record.version <= known.version:
             return False
         times = self._times(record.model)
-        times.add(record.version, written_at)
+        times.add(record.version, time)
         self.targets_by_model_[record.model] = Target(record.version, times)
         return True
--- a/shallotpath/gateway/tests/helpers.py
+++ b/shallotpath/gateway/tests/helpers.py
@@ -13,6 +13,7 @@
     LoadBook,
     OperatorState,
     PlacementRules,
+    RecordTime,
     Route,
     RouteKind,
     Service,
@@ -110,7 +111,7 @@
 
 def make_dispatcher(records=(), seed=1, catalog=None, domain="a-1"):
     operator = OperatorState()
-    operator.apply(CatalogNamed(catalog or make_catalog()), EPOCH)
+    operator.apply(CatalogNamed(catalog or make_catalog()), RecordTime(EPOCH))
     upstreams = UpstreamTable()
     for record in records:
         upstreams.apply(record, EPOCH)
--- a/shallotpath/gateway/tests/test_dispatcher.py
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
     DomainOut,
     EngineReport,
     Placement,
+    RecordTime,
     Rejection,
     RejectReason,
     Share,
@@ -33,7 +34,7 @@
 
 def test_domain_that_is_out_gets_nothing():
     dispatcher = make_dispatcher([make_record(1, "a-1"), make_record(2, "b-1")])
-    dispatcher.operator.apply(DomainOut("a-1"), EPOCH)
+    dispatcher.operator.apply(DomainOut("a-1"), RecordTime(EPOCH))
     for number in range(10):
         placement = dispatcher.choose(
             make_call(number), (), 1, EPOCH + ms(600 * number)
@@ -66,8 +67,8 @@
 def test_old_weights_end_at_the_bound_of_the_first_newer_version():
     # Guards against a second naming that moves the bound of the first one.
     dispatcher = make_dispatcher([make_record(1)])
-    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
-    dispatcher.operator.apply(WeightsNamed("m", 3), EPOCH + ms(4000))
+    dispatcher.operator.apply(WeightsNamed("m", 2), RecordTime(EPOCH))
+    dispatcher.operator.apply(WeightsNamed("m", 3), RecordTime(EPOCH + ms(4000)))
     early = dispatcher.choose(make_call(1), (), 1, EPOCH + ms(7000))
     assert isinstance(early, Placement)
     assert early.version == 1
@@ -78,7 +79,7 @@
 def test_request_that_would_begin_after_the_bound_is_not_sent():
     # Guards against a request that waits at a full engine until its weights are old.
     dispatcher = make_dispatcher([make_record(1)])
-    dispatcher.operator.apply(WeightsNamed("m", 2), EPOCH)
+    dispatcher.operator.apply(WeightsNamed("m", 2), RecordTime(EPOCH))
     now = EPOCH + ms(7000)
     dispatcher.loads.engine_heard(report(1, active=10), now)
     assert isinstance(dispatcher.choose(make_call(), (), 1, now), Placement)
--- a/shallotpath/gateway/tests/test_state.py
+++ b/shallotpath/gateway/tests/test_state.py
@@ -13,6 +13,7 @@
     EngineLoad,
     Naming,
     OperatorState,
+    RecordTime,
     UpstreamTable,
     WeightedService,
     WeightsNamed,
@@ -24,16 +25,16 @@
 
 def test_configuration_never_goes_back():
     state = OperatorState()
-    assert state.apply(CatalogNamed(make_catalog(7)), EPOCH)
-    assert not state.apply(CatalogNamed(make_catalog(5)), EPOCH)
+    assert state.apply(CatalogNamed(make_catalog(7)), RecordTime(EPOCH))
+    assert not state.apply(CatalogNamed(make_catalog(5)), RecordTime(EPOCH))
     assert state.catalog.version == 7
 
 
 def test_domain_goes_out_and_comes_back():
     state = OperatorState()
-    assert state.apply(DomainOut("a-1"), EPOCH)
-    assert not state.apply(DomainOut("a-1"), EPOCH)
-    assert state.apply(DomainBack("a-1"), EPOCH)
+    assert state.apply(DomainOut("a-1"), RecordTime(EPOCH))
+    assert not state.apply(DomainOut("a-1"), RecordTime(EPOCH))
+    assert state.apply(DomainBack("a-1"), RecordTime(EPOCH))
     assert state.domains_out_ == set()
 
 
@@ -41,14 +42,14 @@
     # Guards against memory that grows with each naming, and against losing its time.
     state = OperatorState()
     for version in range(2, 40):
-        state.apply(WeightsNamed("m", version), EPOCH + ms(version))
+        state.apply(WeightsNamed("m", version), RecordTime(EPOCH + ms(version)))
     target = state.target("m")
-    assert len(state.namings_after(EPOCH)["m"]) <= 8
+    assert len(state.namings_after(EPOCH)["m"]) == 8
     assert target.outdated_since(1) == EPOCH + ms(2)
     assert target.outdated_since(38) == EPOCH + ms(39)
     assert target.outdated_since(39) is None
     # A peer that still holds one of the merged namings tells nothing new.
-    assert not state.hear_naming(Naming("m", 2, EPOCH + ms(2)))
+    assert not state.hear_naming(Naming("m", 2, RecordTime(EPOCH + ms(2))))
     assert target.outdated_since(1) == EPOCH + ms(2)
 
 
@@ -65,26 +66,42 @@
     # Guards against times that move on with each process that hands them over.
     state = OperatorState()
     state.apply(WeightsNamed("m", 3), None)
-    assert state.hear_naming(Naming("m", 3, EPOCH + ms(900)))
-    assert state.hear_naming(Naming("m", 3, EPOCH + ms(500)))
-    assert not state.hear_naming(Naming("m", 3, EPOCH + ms(600)))
+    assert state.hear_naming(Naming("m", 3, RecordTime(EPOCH + ms(900))))
+    assert state.hear_naming(Naming("m", 3, RecordTime(EPOCH + ms(500))))
+    assert not state.hear_naming(Naming("m", 3, RecordTime(EPOCH + ms(600))))
     assert not state.hear_naming(Naming("m", 3, None))
     assert state.target("m").outdated_since(1) == EPOCH + ms(500)
     # A peer that followed the records for longer knows of an earlier version.
-    assert state.hear_naming(Naming("m", 2, EPOCH))
+    assert state.hear_naming(Naming("m", 2, RecordTime(EPOCH)))
     assert state.target("m").outdated_since(1) == EPOCH
     assert state.target("m").outdated_since(2) == EPOCH + ms(500)
     assert state.namings_after(EPOCH) == {
-        "m": [Naming("m", 3, EPOCH + ms(500)), Naming("m", 2, EPOCH)]
+        "m": [
+            Naming("m", 3, RecordTime(EPOCH + ms(500))),
+            Naming("m", 2, RecordTime(EPOCH)),
+        ]
     }
 
 
+def test_last_time_without_a_naming_holds_until_an_exact_one_is_known():
+    # Guards against a bound that begins as late as the read after a gap, and against
+    # one that stays shorter than it is once a peer knows better.
+    state = OperatorState()
+    state.apply(WeightsNamed("m", 2), RecordTime(EPOCH, exact=False))
+    assert state.target("m").outdated_since(1) == EPOCH
+    later = RecordTime(EPOCH + ms(800))
+    assert state.hear_naming(Naming("m", 2, later))
+    assert state.target("m").outdated_since(1) == later.at
+    assert not state.hear_naming(Naming("m", 2, RecordTime(EPOCH, exact=False)))
+    assert state.target("m").outdated_since(1) == later.at
+
+
 def test_naming_that_a_peer_found_at_its_start_counts_as_long_ago():
     # Guards against the time of a later version where nobody saw an earlier naming.
     state = OperatorState()
     state.hear_naming(Naming("m", 2, None))
-    state.hear_naming(Naming("m", 3, EPOCH))
-    state.apply(WeightsNamed("m", 3), EPOCH)
+    state.hear_naming(Naming("m", 3, RecordTime(EPOCH)))
+    state.apply(WeightsNamed("m", 3), RecordTime(EPOCH))
     assert state.target("m").outdated_since(1) == LONG_AGO
     assert state.target("m").outdated_since(2) == EPOCH
 
