--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -20,6 +20,7 @@
     Retries,
     RetryBudget,
     Share,
+    SharerCount,
     UpstreamTable,
 )
 from ..platform import (
@@ -70,6 +71,7 @@
         self.loads = LoadBook(self._tell_placed)
         self.suspects = CrashSuspects()
         self.pool = ConnectionPool(self.clock)
+        self.sharers_ = SharerCount(self.clock.now())
         rules = PlacementRules(
             domain=settings.domain,
             regions_by_domain=settings.regions_by_domain,
@@ -156,7 +158,13 @@
         now = self.clock.now()
         age = self.operator_topic_.age(now)
         fresh = age is not None and age <= FRESH_WITHIN
-        return Beliefs(fresh, self.peers.entries(now))
+        return Beliefs(fresh, self.entries())
+
+    def entries(self) -> int:
+        """Return the number of entries that share the limits."""
+        now = self.clock.now()
+        known = 1 + sum(not peer.engine for peer in self.peers.all())
+        return self.sharers_.count(self.peers.entries(now), known, now)
 
     def operator_changed(self) -> None:
         """Take the callers' limits of a new configuration."""
@@ -261,6 +269,7 @@
         return super().status() | {
             "ready": self.ready,
             "active": self.callers_.active,
+            "entries": self.entries(),
             "upstreams": upstreams,
         }
 
@@ -306,6 +315,8 @@
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
+            # Also without requests, so that a standstill shows.
+            self.entries()
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             untold = len(self.live_near_entries()) - MAX_TOLD_PEERS
             self.loads.sharers = 1 + max(0, untold)
--- /dev/null
+++ b/shallotpath/fleet/tests/test_entries.py
@@ -0,0 +1,66 @@
+"""Number of entries that an entry shares its limits with."""
+
+from datetime import timedelta
+
+from shallotpath.core import ManualClock
+from shallotpath.fleet import EdgeProcess, LineReporter
+from shallotpath.replication import News, PeerAddress
+
+from .processes import Output, make_settings
+from .standins import HOST
+
+OTHERS = [PeerAddress(f"edge-{n}", HOST, n, False) for n in range(1, 4)]
+# The time for which a silent entry keeps its part, and some more.
+COUNTED = timedelta(seconds=13)
+
+
+def make_edge():
+    """Return an entry that has just started and knows addresses only."""
+    clock = ManualClock()
+    settings = make_settings("edge-0", 1)
+    reporter = LineReporter(settings.node, settings.domain, clock, Output())
+    edge = EdgeProcess(settings, clock=clock, reporter=reporter)
+    for address in (*OTHERS, PeerAddress("mate-0", HOST, 9, True)):
+        edge.peers.learn(address)
+    return edge, clock
+
+
+def hear(edge, address, sequence):
+    edge.peers.hear(News(address, 1, sequence, "a-1"), edge.clock.now())
+
+
+def run_for(edge, clock, span):
+    """Let time pass in which the process runs."""
+    for _ in range(int(span.total_seconds())):
+        clock.advance(timedelta(seconds=1))
+        edge.entries()
+
+
+def test_entry_that_starts_shares_with_entries_that_it_has_not_heard():
+    # Guards against the limits of all entries in the hands of each one that starts.
+    edge, clock = make_edge()
+    assert edge.entries() == 4
+    hear(edge, OTHERS[0], 1)
+    assert edge.entries() == 4
+
+
+def test_entries_that_stay_silent_after_a_start_lose_their_part():
+    # Guards against shares that are kept for VMs that are gone.
+    edge, clock = make_edge()
+    for sequence in range(13):
+        hear(edge, OTHERS[0], sequence)
+        run_for(edge, clock, timedelta(seconds=1))
+    assert edge.entries() == 2
+
+
+def test_entry_that_stood_still_keeps_sharing_with_its_peers():
+    # Guards against peers that look gone because this VM was suspended.
+    edge, clock = make_edge()
+    run_for(edge, clock, COUNTED)
+    for address in OTHERS:
+        hear(edge, address, 1)
+    assert edge.entries() == 4
+    clock.advance(COUNTED)
+    assert edge.entries() == 4
+    run_for(edge, clock, COUNTED)
+    assert edge.entries() == 1
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -36,6 +36,7 @@
 )
 from ._outcomes import Failure, FailureKind
 from ._retries import Retries
+from ._sharers import SharerCount
 from ._suspects import CrashSuspects
 from ._upstreams import Upstream, UpstreamRecord, UpstreamTable
 
@@ -74,6 +75,7 @@
     "RouteKind",
     "Service",
     "Share",
+    "SharerCount",
     "Target",
     "Team",
     "Upstream",
