--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -183,6 +183,7 @@
         )
         try:
             await attempt.connect(repeatable=self.call.route.repeatable)
+            self._check_time()
             self.sends_ += 1
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
@@ -194,6 +195,11 @@
             loads.ended(key)
             attempt.abort()
 
+    def _check_time(self) -> None:
+        """Raise `TimeoutError` if nobody waits for an answer any more."""
+        if self.call.time_left(self.parts.clock.now()) <= timedelta():
+            raise TimeoutError
+
     async def _exchange(self, attempt: Attempt, placement: Placement) -> None:
         now = self.parts.clock.now()
         stamp = Stamp(
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -172,6 +172,17 @@
 )
 
 
+class SuspendedClock(MonotonicClock):
+    """Also count suspensions, which the event loop's timers leave out."""
+
+    def __init__(self):
+        super().__init__()
+        self.suspended = timedelta()
+
+    def now(self):
+        return super().now() + self.suspended
+
+
 class World:
     """Hold a running forwarder and what it reports."""
 
@@ -227,9 +238,9 @@
 
 
 @asynccontextmanager
-async def make_world(*upstreams, fresh=True, budget=100, **route):
+async def make_world(*upstreams, fresh=True, budget=100, clock=None, **route):
     """Run a forwarder before upstreams on loopback."""
-    clock = MonotonicClock()
+    clock = clock or MonotonicClock()
     operator, table = OperatorState(), UpstreamTable()
     catalog = Catalog(
         version=3,
--- /dev/null
+++ b/shallotpath/forwarding/tests/test_suspension.py
@@ -0,0 +1,72 @@
+"""Requests that are in progress while the VM is suspended."""
+
+import asyncio
+import re
+
+from .helpers import (
+    SuspendedClock,
+    Upstream,
+    make_request,
+    make_world,
+    ms,
+    read_answer,
+    reply,
+    reset,
+)
+
+
+async def test_request_that_is_read_after_its_time_is_not_sent():
+    # Guards against work that an upstream begins for a caller who no longer waits.
+    clock = SuspendedClock()
+    upstream = Upstream(reply(extra=["Keep-Alive: timeout=30"]))
+    async with make_world(upstream, clock=clock) as world:
+        # Leaves a connection over which the next request could go at once.
+        await world.call()
+        reader, writer = await world.connect()
+        request = make_request(method="POST", body=b"order", number=2)
+        writer.write(request[:-2])
+        await asyncio.sleep(0.1)
+        clock.suspended = ms(6000)
+        writer.write(request[-2:])
+        head, _ = await asyncio.wait_for(read_answer(reader), 0.5)
+        writer.close()
+    assert "503" in head
+    assert len(upstream.requests) == 1
+
+
+async def test_deadline_that_is_handed_on_after_a_suspension_is_what_is_left():
+    # Guards against upstreams that work for a caller who no longer waits.
+    clock = SuspendedClock()
+    heads = []
+
+    async def suspend_once(reader, writer, head):
+        heads.append(head)
+        if len(heads) == 1:
+            clock.suspended = ms(1500)
+            return await reset(reader, writer, head)
+        return await reply()(reader, writer, head)
+
+    upstreams = [Upstream(suspend_once), Upstream(suspend_once)]
+    async with make_world(*upstreams, clock=clock) as world:
+        head, _ = await world.call(patience=2000)
+    assert "200 OK" in head
+    (left,) = re.findall(r"Shallotpath-Deadline-Ms: (\d+)", heads[1])
+    assert 0 < int(left) <= 500
+
+
+async def test_request_is_not_sent_on_a_connection_from_before_a_suspension():
+    # Guards against connections that look as if they had been in use just now.
+    clock = SuspendedClock()
+    upstream = Upstream(reply())
+    accepted = []
+
+    async def count(reader, writer, head):
+        accepted.append(writer)
+        return await reply()(reader, writer, head)
+
+    upstream.steps = [count]
+    async with make_world(upstream, clock=clock) as world:
+        await world.call(number=1)
+        clock.suspended = ms(6000)
+        await world.call(number=2)
+    assert accepted[0] is not accepted[1]
