--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -317,6 +317,7 @@
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             # Also without requests, so that a standstill shows.
             self.entries()
+            self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             untold = len(self.live_near_entries()) - MAX_TOLD_PEERS
             self.loads.sharers = 1 + max(0, untold)
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from aiohttp import web
@@ -23,6 +23,7 @@
 )
 from ._attempt import Attempt, AttemptError, encode_request, wait_for_head
 from ._connection import ConnectionPool
+from ._deadlines import Deadlines
 from ._events import EventSplitter
 from ._journal import RequestJournal
 from ._wire import HOP_HEADERS, Stamp, Wire
@@ -56,6 +57,7 @@
     pool: ConnectionPool
     wire: Wire
     clock: Clock
+    deadlines: Deadlines = field(default_factory=Deadlines)
     # Callers are asked to open new connections elsewhere.
     stopping: bool = False
 
@@ -109,9 +111,9 @@
 
     async def run(self) -> web.StreamResponse:
         """Return the response for the caller."""
-        left = self.call.time_left(self.parts.clock.now()) + CUT_SLACK
+        now = self.parts.clock.now()
         try:
-            async with asyncio.timeout(max(0.0, left.total_seconds())):
+            async with self.parts.deadlines.until(self.call.ends_at + CUT_SLACK, now):
                 return await self._run()
         except TimeoutError:
             return self._timed_out()
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -48,6 +48,7 @@
         """Answer one request."""
         clock = self.parts.clock
         arrived_at = clock.now()
+        self.check_deadlines(arrived_at)
         fields = self.parts.wire.read_request(request.headers)
         journal = RequestJournal(self.reporter, fields.request_id, arrived_at)
         outcome, status, call = "caller_gone", 0, None
@@ -79,6 +80,12 @@
             version = catalog.version if catalog else 0
             journal.close(outcome, status, clock.now(), call, version)
 
+    def check_deadlines(self, now: datetime) -> None:
+        """Move the ends of requests if the VM was suspended."""
+        suspended = self.parts.deadlines.check(now)
+        if suspended:
+            self.reporter.event("suspended", for_s=suspended.total_seconds())
+
     async def _prepare(
         self, request: web.BaseRequest, fields: RequestFields, arrived_at: datetime
     ) -> web.Response | tuple[GatewayCall, bytes]:
--- a/shallotpath/forwarding/tests/test_suspension.py
+++ b/shallotpath/forwarding/tests/test_suspension.py
@@ -3,6 +3,8 @@
 import asyncio
 import re
 
+from shallotpath.gateway import RouteKind
+
 from .helpers import (
     SuspendedClock,
     Upstream,
@@ -12,8 +14,29 @@
     read_answer,
     reply,
     reset,
+    silence,
 )
 
+ONCE = {"kind": RouteKind.ONCE, "max_attempts": 3}
+
+
+async def test_request_in_progress_ends_at_its_timeout_after_a_suspension():
+    # Guards against callers that are kept waiting for the time of the suspension.
+    clock = SuspendedClock()
+    upstream = Upstream(silence, reply())
+    async with make_world(upstream, clock=clock, **ONCE) as world:
+        reader, writer = await world.connect()
+        writer.write(make_request(method="POST", body=b"order"))
+        await asyncio.sleep(0.1)
+        clock.suspended = ms(1700)
+        # The next request is the first thing that the process does after waking.
+        await world.call(number=2)
+        head, _ = await asyncio.wait_for(read_answer(reader), 0.5)
+        writer.close()
+        lengths = [f["for_s"] for kind, f in world.lines.events if kind == "suspended"]
+    assert "504" in head
+    assert [round(length, 1) for length in lengths] == [1.7]
+
 
 async def test_request_that_is_read_after_its_time_is_not_sent():
     # Guards against work that an upstream begins for a caller who no longer waits.
