--- a/shallotpath/gateway/tests/test_starts.py
+++ b/shallotpath/gateway/tests/test_starts.py
@@ -9,9 +9,16 @@
 from hypothesis import strategies as st
 
 from shallotpath.core import EPOCH
-from shallotpath.gateway import BudgetLimit, ColdBuckets, ColdLimit, RetryBudget
+from shallotpath.gateway import (
+    BudgetLimit,
+    ColdBuckets,
+    ColdLimit,
+    CrashSuspects,
+    RetryBudget,
+    UpstreamTable,
+)
 
-from .helpers import ms
+from .helpers import make_record, ms
 
 WINDOW = timedelta(seconds=10)
 LIMIT = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
@@ -132,3 +139,35 @@
     assert not buckets.free("u", COLD, 1, EPOCH + ms(10))
     buckets.forget(set(), EPOCH + ms(10) + SECOND)
     assert not buckets.buckets_by_id_
+
+
+def crash(suspects, upstream_id, now):
+    suspects.lost("poison", upstream_id, now)
+    suspects.crashed(upstream_id, now)
+
+
+def test_request_that_crashes_upstreams_stays_refused_while_entries_start_in_series():
+    # Guards against upstreams that crash again for each entry that starts.
+    entries = [CrashSuspects() for _ in range(3)]
+    for upstream_id in ("u1", "u2"):
+        crash(entries[0], upstream_id, EPOCH)
+    for turn, number in enumerate((1, 2, 0)):
+        # The first message of a peer names its newest suspects.
+        now = EPOCH + timedelta(seconds=10 * turn)
+        started = entries[number] = CrashSuspects()
+        for fingerprint, upstream_ids in entries[number - 1].recent(now, 10).items():
+            started.merge(fingerprint, upstream_ids, now)
+        assert started.refuses("poison", now)
+
+
+def test_upstream_that_lapsed_stays_usable_at_an_entry_that_started_meanwhile():
+    # Guards against a grace that counts only gaps between own reads of the store.
+    table = UpstreamTable()
+    # Taken from a peer whose replica the store confirmed five seconds before.
+    table.read_succeeded(EPOCH - timedelta(seconds=5))
+    table.apply(make_record(1), EPOCH)
+    back_at = EPOCH + timedelta(seconds=1)
+    table.read_succeeded(back_at)
+    table.remove("u1", back_at)
+    assert list(table.usable("llm", back_at + ms(1900)))
+    assert not list(table.usable("llm", back_at + ms(2000)))
