--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -10,7 +10,12 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from ..gateway import Failure, FailureKind, Placement
-from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
+from ._connection import (
+    ConnectionPool,
+    EndlessAnswerError,
+    UnreachableError,
+    UpstreamConnection,
+)
 from ._wire import ResponseFields, Wire
 
 _NOT_RUN_STATUSES = frozenset({400, 429, 503})
@@ -74,7 +79,7 @@
         try:
             self.connection_.send(payload)
             await self._read_head(request_id)
-        except HttpProcessingError as error:
+        except (HttpProcessingError, EndlessAnswerError) as error:
             raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
         except (ClientError, OSError) as error:
             raise AttemptError(Failure(FailureKind.LOST, repr(error))) from error
@@ -84,6 +89,8 @@
         """Return the next bytes of the body, empty at its end."""
         try:
             chunk = await self.payload_.readany()
+        except EndlessAnswerError as error:
+            raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
         except (ClientError, HttpProcessingError, OSError) as error:
             raise AttemptError(Failure(FailureKind.LOST, repr(error))) from error
         if not chunk and self.connection_.reset_ is not None:
--- /dev/null
+++ b/shallotpath/forwarding/tests/test_endless_answers.py
@@ -0,0 +1,188 @@
+"""Upstreams that send bytes without end are left, and others are asked."""
+
+import asyncio
+import tracemalloc
+
+import pytest
+
+from shallotpath.gateway import RouteKind
+
+from .endless import (
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    ENDLESS_REST,
+    EndlessUpstream,
+    complete,
+)
+from .helpers import (
+    Upstream,
+    answer,
+    make_world,
+    ms,
+    reply,
+)
+
+ONCE = {"kind": RouteKind.ONCE, "max_attempts": 3, "timeout": ms(4000)}
+REPEATABLE = {"timeout": ms(4000)}
+STREAM = {"kind": RouteKind.STREAM, "resumable": True, "timeout": ms(6000)}
+# A flood ends long before the timeout of the route.
+SOON_S = 1.5
+# What a flooding upstream may get rid of: the limits of an answer and what the
+# kernel holds on both sides of a connection.
+MAX_TAKEN_BYTES = 12 * 1024 * 1024
+MAX_MEMORY_BYTES = 8 * 1024 * 1024
+MAX_LAG_S = 0.25
+BROKEN = (asyncio.IncompleteReadError, ConnectionError, ValueError)
+
+every_head = pytest.mark.parametrize("case", ENDLESS_HEADS)
+every_body = pytest.mark.parametrize("case", ENDLESS_BODIES)
+
+
+class Timer:
+    """Measure the time of a block and the longest pause of the event loop in it."""
+
+    async def __aenter__(self):
+        self.loop = asyncio.get_running_loop()
+        self.began = self.loop.time()
+        self.lag_s = 0.0
+        self.ticker = asyncio.ensure_future(self._tick())
+        return self
+
+    async def __aexit__(self, *_):
+        self.ticker.cancel()
+        self.took_s = self.loop.time() - self.began
+
+    async def _tick(self):
+        while True:
+            before = self.loop.time()
+            await asyncio.sleep(0.01)
+            self.lag_s = max(self.lag_s, self.loop.time() - before - 0.01)
+
+
+async def assert_left(bad, timer):
+    """Check that the connection was closed, soon and after a bounded flood."""
+    await asyncio.wait_for(bad.lost.wait(), 1)
+    assert bad.sent_bytes < MAX_TAKEN_BYTES
+    assert timer.took_s < SOON_S
+    assert timer.lag_s < MAX_LAG_S
+
+
+@every_head
+@pytest.mark.parametrize("pause", [None, 0.02])
+async def test_repeatable_request_leaves_an_endless_head(case, pause):
+    # Guards against a caller that waits for a head which never comes.
+    bad = EndlessUpstream(*ENDLESS_HEADS[case], pause=pause)
+    async with make_world(bad, Upstream(reply(b"good")), **REPEATABLE) as world:
+        async with Timer() as timer:
+            answers = await asyncio.gather(*(world.call(number=n) for n in range(4)))
+        assert [body for _, body in answers] == [b"good"] * 4
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
+@every_head
+async def test_order_that_gets_an_endless_head_fails_and_is_not_sent_again(case):
+    # Guards against an order that runs twice, or is held until its deadline.
+    bad = EndlessUpstream(*ENDLESS_HEADS[case])
+    async with make_world(bad, **ONCE) as world:
+        async with Timer() as timer:
+            head, _ = await world.call(method="POST", body=b"order")
+        assert "502" in head
+        assert "Retry-After" not in head
+        assert len(bad.requests) == 1
+        await assert_left(bad, timer)
+
+
+@every_body
+async def test_repeatable_request_leaves_an_endless_body(case):
+    # Guards against framing without end that never becomes a body.
+    bad = EndlessUpstream(*ENDLESS_BODIES[case])
+    async with make_world(bad, Upstream(reply(b"good")), **REPEATABLE) as world:
+        async with Timer() as timer:
+            answers = await asyncio.gather(*(world.call(number=n) for n in range(4)))
+        assert [body for _, body in answers] == [b"good"] * 4
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
+@every_body
+async def test_order_that_gets_an_endless_body_never_looks_complete(case):
+    # Guards against bytes without end that reach the caller as a whole answer.
+    bad = EndlessUpstream(*ENDLESS_BODIES[case])
+    async with make_world(bad, **ONCE) as world:
+        async with Timer() as timer:
+            head, _ = await world.call(method="POST", body=b"order")
+        assert "502" in head
+        assert len(bad.requests) == 1
+        await assert_left(bad, timer)
+
+
+async def test_refusal_with_an_endless_body_is_a_refusal():
+    # Guards against a refusal that is only believed when its body has ended.
+    def busy(head):
+        extra = ["Shallotpath-Not-Executed: 1"]
+        return answer(head, b"", status="503 Busy", extra=extra, length=False)
+
+    bad = EndlessUpstream(busy, b"a")
+    async with make_world(bad, Upstream(reply(b"good")), **ONCE) as world:
+        async with Timer() as timer:
+            for number in range(4):
+                _, body = await world.call(number=number, method="POST")
+                assert body == b"good"
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
+@pytest.mark.parametrize("case", ENDLESS_REST)
+async def test_answer_counts_and_what_follows_it_without_end_is_cut(case):
+    # Guards against an idle connection whose bytes fill the memory.
+    bad = EndlessUpstream(complete, ENDLESS_REST[case])
+    async with make_world(bad, **ONCE) as world:
+        async with Timer() as timer:
+            _, body = await world.call(method="POST", body=b"order")
+        assert body == b"whole"
+        await assert_left(bad, timer)
+
+
+@pytest.mark.parametrize("case", ENDLESS_REST)
+async def test_idle_connection_is_closed_by_its_first_byte(case):
+    # Guards against bytes of an idle connection that are kept, or answer the next
+    # request.
+    async def later(reader, writer, head):
+        part = ENDLESS_REST[case]
+        writer.write(complete(head))
+        await asyncio.sleep(0.1)
+        writer.write(part(head) if callable(part) else part)
+        if not await reader.read(1):
+            upstream.lost.set()
+        return False
+
+    upstream = Upstream(later, reply(b"fresh"))
+    async with make_world(upstream) as world:
+        await world.call(number=1)
+        await asyncio.wait_for(upstream.lost.wait(), 0.5)
+        _, body = await world.call(number=2)
+        assert body == b"fresh"
+
+
+@pytest.mark.parametrize("case", ["interim responses", "other answers", "blank lines"])
+async def test_floods_keep_memory_bounded_and_others_served(case):
+    # Guards against a process that ends, or stops to serve, because of an upstream.
+    bad = EndlessUpstream(*ENDLESS_HEADS[case])
+    async with make_world(bad, **ONCE) as world, make_world(Upstream(reply())) as sound:
+        tracemalloc.start()
+        try:
+            async with Timer() as timer:
+                flooded = [
+                    asyncio.ensure_future(world.call(number=n, method="POST"))
+                    for n in range(8)
+                ]
+                for number in range(20):
+                    head, _ = await sound.call(number=number)
+                    assert "200" in head
+                await asyncio.gather(*flooded)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < MAX_MEMORY_BYTES
+        assert timer.lag_s < 2 * MAX_LAG_S
