--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -23,6 +23,8 @@
 _SERVER_ERROR = 500
 # Responses to other requests that are skipped before a connection is given up.
 MAX_SURPLUS_RESPONSES = 3
+_FINAL = 200
+_SWITCHING = 101
 # Statuses that promise that a request did not run; only the upstream's own word for
 # it makes them true.
 _PROMISES = frozenset({408, 429, 503})
@@ -119,13 +121,18 @@
             connection.abort()
 
     async def _read_head(self, request_id: str) -> None:
-        for _ in range(MAX_SURPLUS_RESPONSES + 1):
+        surplus = 0
+        while surplus <= MAX_SURPLUS_RESPONSES:
             message, payload = await self.connection_.response()
+            # The connection bounds the number of interim responses.
+            if message.code < _FINAL and message.code != _SWITCHING:
+                continue
             fields = self.wire.read_response(message.headers)
             if fields.request_id in ("", request_id):
                 self.message_, self.payload_, self.fields_ = message, payload, fields
                 return
             # A late response to an earlier request of this connection.
+            surplus += 1
             self.connection_.force_close()
             while await payload.readany():
                 pass
@@ -135,6 +142,8 @@
 
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
+        if status < _FINAL:
+            raise AttemptError(Failure(FailureKind.GARBLED, f"status {status}"))
         if status == _MISDIRECTED:
             raise AttemptError(self._misdirected(fields))
         if fields.not_executed and status in _NOT_RUN_STATUSES:
--- a/shallotpath/forwarding/tests/test_endless_answers.py
+++ b/shallotpath/forwarding/tests/test_endless_answers.py
@@ -165,6 +165,30 @@
         assert body == b"fresh"
 
 
+async def test_interim_responses_before_an_answer_are_skipped():
+    # Guards against an interim response that is taken for the answer.
+    async def step(reader, writer, head):
+        interim = b"HTTP/1.1 102 Processing\r\nShallotpath-Server-Seal: s\r\n\r\n"
+        writer.write(3 * interim + answer(head, b"final"))
+        await writer.drain()
+
+    async with make_world(Upstream(step), **ONCE) as world:
+        head, body = await world.call(method="POST", body=b"order")
+    assert "200 OK" in head
+    assert body == b"final"
+
+
+async def test_change_of_protocol_is_no_answer():
+    # Guards against bytes of a protocol that nobody asked for.
+    async def step(reader, writer, head):
+        writer.write(answer(head, b"", status="101 Switching", length=False) + b"a")
+        await writer.drain()
+
+    async with make_world(Upstream(step), **ONCE) as world:
+        head, _ = await world.call(method="POST", body=b"order")
+    assert "502" in head
+
+
 @pytest.mark.parametrize("case", ["interim responses", "other answers", "blank lines"])
 async def test_floods_keep_memory_bounded_and_others_served(case):
     # Guards against a process that ends, or stops to serve, because of an upstream.
