--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -23,6 +23,8 @@
 _SERVER_ERROR = 500
 # Responses to other requests that are skipped before a connection is given up.
 MAX_SURPLUS_RESPONSES = 3
+# Bytes of such a response that are skipped.
+MAX_SURPLUS_BYTES = 256 * 1024
 _FINAL = 200
 _SWITCHING = 101
 # Statuses that promise that a request did not run; only the upstream's own word for
@@ -134,8 +136,7 @@
             # A late response to an earlier request of this connection.
             surplus += 1
             self.connection_.force_close()
-            while await payload.readany():
-                pass
+            await _skip(payload)
         raise AttemptError(
             Failure(FailureKind.GARBLED, "responses belong to other requests")
         )
@@ -166,6 +167,15 @@
         return Failure(FailureKind.MISDIRECTED, detail, fields.retry_after)
 
 
+async def _skip(payload: StreamReader) -> None:
+    """Read a body that nobody gets."""
+    skipped_bytes = 0
+    while chunk := await payload.readany():
+        skipped_bytes += len(chunk)
+        if skipped_bytes > MAX_SURPLUS_BYTES:
+            raise EndlessAnswerError("the body of a response to another request")
+
+
 async def wait_for_head(task: asyncio.Task[None], limit_s: float | None) -> bool:
     """Wait for an exchange; tell whether it ended within the limit."""
     done, _ = await asyncio.wait({task}, timeout=limit_s)
--- a/shallotpath/forwarding/tests/endless.py
+++ b/shallotpath/forwarding/tests/endless.py
@@ -45,6 +45,11 @@
     return answer(head, b"", extra=["Transfer-Encoding: chunked"], length=False)
 
 
+def foreign(head):
+    """Return the head of an unframed answer to another request."""
+    return answer(head, b"", length=False).replace(b"Request-Id: q", b"Request-Id: z")
+
+
 def complete(head):
     """Return a whole answer."""
     return answer(head, b"whole")
@@ -72,6 +77,7 @@
     "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "no protocol": (b"", b"\x00\xff\r\n"),
     "other answers": (b"", empty),
+    "body of another answer": (foreign, b"a"),
 }
 # The same for a body.
 ENDLESS_BODIES = {
