--- a/shallotpath/forwarding/_events.py
+++ b/shallotpath/forwarding/_events.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 _BOUNDARY = b"\n\n"
-# An event that is longer than this does not wait for its end.
-MAX_EVENT_BYTES = 1 << 20
+# Events hold some tokens each; the engines of the own interface have the same limit.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EndlessEventError(Exception):
+    """Report an event that is longer than events are."""
 
 
 class EventSplitter:
@@ -17,7 +21,7 @@
     __slots__ = ("last_id_", "pending_")
 
     def __init__(self) -> None:
-        self.pending_ = b""
+        self.pending_ = bytearray()
         self.last_id_ = ""
 
     @property
@@ -27,27 +31,30 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes and return those that complete events."""
-        data = self.pending_ + chunk
-        end = data.rfind(_BOUNDARY)
+        pending = self.pending_
+        # The boundary may lie across the chunks.
+        searched = max(0, len(pending) - len(_BOUNDARY) + 1)
+        pending += chunk
+        end = pending.rfind(_BOUNDARY, searched)
         if end < 0:
-            if len(data) > MAX_EVENT_BYTES:
-                self.pending_ = b""
-                return data
-            self.pending_ = data
+            if len(pending) > MAX_EVENT_BYTES:
+                raise EndlessEventError(f"event over {MAX_EVENT_BYTES} bytes")
             return b""
         end += len(_BOUNDARY)
-        complete, self.pending_ = data[:end], data[end:]
+        complete = bytes(pending[:end])
+        del pending[:end]
         self._note_id(complete)
         return complete
 
     def rest(self) -> bytes:
         """Return what follows the last complete event."""
-        rest, self.pending_ = self.pending_, b""
+        rest = bytes(self.pending_)
+        self.pending_.clear()
         return rest
 
     def restart(self) -> None:
         """Drop the incomplete event of an upstream that stopped."""
-        self.pending_ = b""
+        self.pending_.clear()
 
     def _note_id(self, complete: bytes) -> None:
         start = complete.rfind(b"id:")
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -23,7 +23,7 @@
 )
 from ._attempt import Attempt, AttemptError, encode_request, wait_for_head
 from ._connection import ConnectionPool
-from ._events import EventSplitter
+from ._events import EndlessEventError, EventSplitter
 from ._journal import RequestJournal
 from ._wire import HOP_HEADERS, Stamp, Wire
 
@@ -68,6 +68,28 @@
     body: bytes
 
 
+class Patience:
+    """Tell how long to wait for the next part of an answer."""
+
+    __slots__ = ("clock", "detail", "limit", "until_")
+
+    def __init__(self, limit: timedelta, clock: Clock, detail: str) -> None:
+        self.limit = limit
+        self.clock = clock
+        # What is missing once the time is over.
+        self.detail = detail
+        self.until_ = clock.now() + limit
+
+    @property
+    def left_s(self) -> float:
+        """Return the seconds that are left."""
+        return max(0.0, (self.until_ - self.clock.now()).total_seconds())
+
+    def renew(self) -> None:
+        """Begin to wait anew."""
+        self.until_ = self.clock.now() + self.limit
+
+
 class CallerGoneError(Exception):
     """Report that the caller closed its connection."""
 
@@ -267,23 +289,34 @@
     async def _relay_stream(self, attempt: Attempt, key: str) -> web.StreamResponse:
         self.events_.restart()
         stall = max(MIN_STALL, SILENT_GAPS * self.call.route.gap_target)
-        while chunk := await self._read_or_leave(attempt, stall):
-            complete = self.events_.feed(chunk)
+        patience = Patience(stall, self.parts.clock, "pause in the stream")
+        while chunk := await self._read_or_leave(attempt, patience):
+            complete = self._complete_events(chunk)
             if complete:
                 self.parts.dispatcher.loads.first_token(key)
                 await self._start(attempt)
                 await self._write(complete)
+                # A caller that reads slowly is no pause of the upstream.
+                patience.renew()
         await self._start(attempt)
         await self._write(self.events_.rest())
         await self._end()
         return self.response_
 
-    async def _read_or_leave(self, attempt: Attempt, stall: timedelta) -> bytes:
+    def _complete_events(self, chunk: bytes) -> bytes:
+        try:
+            return self.events_.feed(chunk)
+        except EndlessEventError as error:
+            raise AttemptError(Failure(FailureKind.GARBLED, str(error))) from error
+
+    async def _read_or_leave(self, attempt: Attempt, patience: Patience) -> bytes:
         task = asyncio.ensure_future(attempt.read())
         try:
-            limit = stall.total_seconds() if self._resumable else None
-            if not await wait_for_head(task, limit):
-                self._leave_if_possible("pause in the stream")
+            if not self.call.route.repeatable:
+                return await task
+            while not await wait_for_head(task, patience.left_s):
+                patience.renew()
+                self._leave_if_possible(patience.detail)
             return await task
         finally:
             task.cancel()
--- a/shallotpath/forwarding/tests/endless.py
+++ b/shallotpath/forwarding/tests/endless.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from .helpers import Upstream, answer
+from .helpers import Upstream, answer, stream_head
 
 # Bytes that the kernel holds for a sender; larger ones would hide a reader's bound.
 SEND_BUFFER_BYTES = 64 * 1024
@@ -65,6 +65,12 @@
     return lambda head: chunked(head) + line
 
 
+def event_begun(head):
+    """Return a stream with one event whose next one has begun."""
+    first = b"id: 1\ndata: token\n\n"
+    return stream_head(head) + b"%x\r\n%s\r\n" % (len(first), first)
+
+
 # Beginning and part of bytes that never become the head of an answer.
 ENDLESS_HEADS = {
     "status line": (b"HTTP/1.1 200 ", b"O"),
--- a/shallotpath/forwarding/tests/test_endless_answers.py
+++ b/shallotpath/forwarding/tests/test_endless_answers.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from shallotpath.forwarding import EventSplitter
+from shallotpath.forwarding._events import MAX_EVENT_BYTES
 from shallotpath.gateway import RouteKind
 
 from .endless import (
@@ -13,13 +15,18 @@
     ENDLESS_REST,
     EndlessUpstream,
     complete,
+    event_begun,
 )
 from .helpers import (
     Upstream,
     answer,
+    chunk,
+    make_request,
     make_world,
     ms,
+    read_answer,
     reply,
+    stream_head,
 )
 
 ONCE = {"kind": RouteKind.ONCE, "max_attempts": 3, "timeout": ms(4000)}
@@ -59,6 +66,26 @@
             self.lag_s = max(self.lag_s, self.loop.time() - before - 0.01)
 
 
+async def read_raw(world, number):
+    """Send a request; return the bytes of the answer up to its end or a cut."""
+    reader, writer = await world.connect()
+    writer.write(make_request(number=number))
+    received = await reader.readuntil(b"\r\n\r\n")
+    if b"chunked" not in received:
+        writer.close()
+        return received
+    try:
+        while not received.endswith(b"0\r\n\r\n"):
+            more = await reader.read(1 << 16)
+            if not more:
+                break
+            received += more
+    except ConnectionError:
+        pass
+    writer.close()
+    return received
+
+
 async def assert_left(bad, timer):
     """Check that the connection was closed, soon and after a bounded flood."""
     await asyncio.wait_for(bad.lost.wait(), 1)
@@ -189,6 +216,104 @@
     assert "502" in head
 
 
+def event(number):
+    return b"id: %d\ndata: token\n\n" % number
+
+
+async def resumes(reader, writer, head):
+    """Send the events up to the fifth that the caller does not have."""
+    start = 1
+    for line in head.split("\r\n"):
+        if line.startswith("Last-Event-Id:"):
+            start = int(line.split(":")[1]) + 1
+    body = b"".join(chunk(event(n)) for n in range(start, 6))
+    writer.write(stream_head(head) + body + b"0\r\n\r\n")
+    await writer.drain()
+
+
+# Parts of a stream that never complete an event.
+ENDLESS_EVENTS = {
+    "data": (chunk(b"a" * 1000), None),
+    "chunk extension": (b"a", None),
+    "dripping data": (chunk(b"a"), 0.02),
+    "dripping lines": (chunk(b": a\n"), 0.02),
+}
+
+
+@pytest.mark.parametrize("case", ENDLESS_EVENTS)
+async def test_stream_leaves_an_event_that_never_ends(case):
+    # Guards against a stream that stops for its caller while bytes still come.
+    part, pause = ENDLESS_EVENTS[case]
+
+    def begin(head):
+        return event_begun(head) + (b"5;" if case == "chunk extension" else b"")
+
+    bad = EndlessUpstream(begin, part, pause=pause)
+    async with make_world(bad, Upstream(resumes), **STREAM) as world:
+        async with Timer() as timer:
+            answers = await asyncio.gather(*(world.call(number=n) for n in range(3)))
+        whole = b"".join(event(n) for n in range(1, 6))
+        assert [body for _, body in answers] == [whole] * 3
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
+async def test_stream_stays_at_its_upstream_while_the_caller_reads_slowly():
+    # Guards against a sound upstream that is left because of its caller.
+    large = b"id: 1\ndata: " + b"a" * 100_000 + b"\n\n"
+    count = 120
+
+    async def step(reader, writer, head):
+        writer.write(stream_head(head) + count * chunk(large) + b"0\r\n\r\n")
+        await writer.drain()
+
+    upstreams = Upstream(step), Upstream(step)
+    async with make_world(*upstreams, **STREAM) as world:
+        reader, writer = await world.connect()
+        writer.write(make_request())
+        await asyncio.sleep(1.5)
+        _, body = await read_answer(reader)
+        writer.close()
+    assert body == count * large
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+@pytest.mark.parametrize("case", ["data", "chunk extension"])
+async def test_stream_that_may_run_once_breaks_off_at_an_endless_event(case):
+    # Guards against a part of an event that is passed on, or looks like the end.
+    part, _ = ENDLESS_EVENTS[case]
+
+    def begin(head):
+        return event_begun(head) + (b"5;" if case == "chunk extension" else b"")
+
+    bad = EndlessUpstream(begin, part)
+    route = STREAM | {"resumable": False}
+    async with make_world(bad, Upstream(resumes), **route) as world:
+        async with Timer() as timer:
+            for number in range(2):
+                world.forwarder.parts.dispatcher.breaker.answered("u0")
+                received = await read_raw(world, number)
+                if bad.requests:
+                    break
+        assert len(bad.requests) == 1
+        # The events before the endless one may be lost with it.
+        assert event(1) in received or b" 502 " in received
+        assert not received.endswith(b"0\r\n\r\n")
+        assert b"aaaa" not in received
+        await assert_left(bad, timer)
+
+
+def test_event_in_small_pieces_takes_time_in_proportion():
+    # Guards against a search of all pending bytes at each piece.
+    splitter = EventSplitter()
+    for _ in range(MAX_EVENT_BYTES // 2):
+        assert splitter.feed(b"a") == b""
+    assert splitter.feed(b"\n") == b""
+    assert len(splitter.feed(b"\nid: 7\n\nrest")) == MAX_EVENT_BYTES // 2 + 9
+    assert splitter.last_id == "7"
+    assert splitter.rest() == b"rest"
+
+
 @pytest.mark.parametrize("case", ["interim responses", "other answers", "blank lines"])
 async def test_floods_keep_memory_bounded_and_others_served(case):
     # Guards against a process that ends, or stops to serve, because of an upstream.
