--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -25,6 +25,9 @@
 MAX_SURPLUS_RESPONSES = 3
 # Bytes of such a response that are skipped.
 MAX_SURPLUS_BYTES = 256 * 1024
+# Largest body that is passed on: sixteen times the largest request that is accepted
+# by default.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 _FINAL = 200
 _SWITCHING = 101
 # Statuses that promise that a request did not run; only the upstream's own word for
@@ -62,6 +65,7 @@
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
         self.fields_: ResponseFields | None = None
+        self.body_bytes_ = 0
 
     @property
     def status(self) -> int:
@@ -101,6 +105,11 @@
             # Only a body without a length ends with its connection, and a reset
             # is no end.
             raise AttemptError(Failure(FailureKind.LOST, repr(self.connection_.reset_)))
+        self.body_bytes_ += len(chunk)
+        if self.body_bytes_ > MAX_RESPONSE_BYTES:
+            raise AttemptError(
+                Failure(FailureKind.GARBLED, f"body over {MAX_RESPONSE_BYTES} bytes")
+            )
         return chunk
 
     def finish(self) -> None:
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -260,12 +260,17 @@
     async def _relay_plain(self, attempt: Attempt) -> web.StreamResponse:
         chunks: list[bytes] = []
         size = 0
+        limit = max(MIN_STALL, SILENT_TARGETS * self.call.route.target_latency)
+        patience = Patience(limit, self.parts.clock, "body is not complete")
         while size <= MAX_BUFFERED_BYTES:
-            chunk = await attempt.read()
+            chunk = await self._read_or_leave(attempt, patience)
             if not chunk:
                 return self._buffered(attempt, b"".join(chunks))
             chunks.append(chunk)
             size += len(chunk)
+        if attempt.status >= _SERVER_ERROR and self.call.route.repeatable:
+            detail = f"status {attempt.status} with a long body"
+            raise AttemptError(Failure(FailureKind.FAILED, detail))
         await self._start(attempt)
         await self._write(b"".join(chunks))
         while chunk := await attempt.read():
--- a/shallotpath/forwarding/tests/endless.py
+++ b/shallotpath/forwarding/tests/endless.py
@@ -45,6 +45,11 @@
     return answer(head, b"", extra=["Transfer-Encoding: chunked"], length=False)
 
 
+def unframed(head):
+    """Return the head of an answer that ends with its connection."""
+    return answer(head, b"", length=False)
+
+
 def foreign(head):
     """Return the head of an unframed answer to another request."""
     return answer(head, b"", length=False).replace(b"Request-Id: q", b"Request-Id: z")
--- a/shallotpath/forwarding/tests/test_endless_answers.py
+++ b/shallotpath/forwarding/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from shallotpath.forwarding import EventSplitter
+from shallotpath.forwarding._attempt import MAX_RESPONSE_BYTES
 from shallotpath.forwarding._events import MAX_EVENT_BYTES
 from shallotpath.gateway import RouteKind
 
@@ -14,8 +15,10 @@
     ENDLESS_HEADS,
     ENDLESS_REST,
     EndlessUpstream,
+    chunked,
     complete,
     event_begun,
+    unframed,
 )
 from .helpers import (
     Upstream,
@@ -66,6 +69,13 @@
             self.lag_s = max(self.lag_s, self.loop.time() - before - 0.01)
 
 
+async def read_chunks(reader):
+    """Read an answer in chunks without keeping it; a cut raises."""
+    await reader.readuntil(b"\r\n\r\n")
+    while size := int((await reader.readuntil(b"\r\n")), 16):
+        await reader.readexactly(size + 2)
+
+
 async def read_raw(world, number):
     """Send a request; return the bytes of the answer up to its end or a cut."""
     reader, writer = await world.connect()
@@ -144,6 +154,48 @@
         await assert_left(bad, timer)
 
 
+@pytest.mark.parametrize("begin", [chunked, unframed])
+async def test_repeatable_request_leaves_a_body_that_only_drips(begin):
+    # Guards against a caller that waits for its deadline on a body that never ends.
+    part = b"1\r\nx\r\n" if begin is chunked else b"x"
+    bad = EndlessUpstream(begin, part, pause=0.02)
+    async with make_world(bad, Upstream(reply(b"good")), **REPEATABLE) as world:
+        async with Timer() as timer:
+            answers = await asyncio.gather(*(world.call(number=n) for n in range(4)))
+        assert [body for _, body in answers] == [b"good"] * 4
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
+async def test_body_without_an_end_is_cut_at_a_limit():
+    # Guards against a body without a length that fills the link until the deadline.
+    bad = EndlessUpstream(unframed, b"a")
+    async with make_world(bad, **(ONCE | {"timeout": ms(15_000)})) as world:
+        reader, writer = await world.connect()
+        writer.write(make_request(method="POST", patience=15_000))
+        with pytest.raises(asyncio.IncompleteReadError):
+            await read_chunks(reader)
+        writer.close()
+        await asyncio.wait_for(bad.lost.wait(), 1)
+        assert len(bad.requests) == 1
+        assert bad.sent_bytes < MAX_RESPONSE_BYTES + MAX_TAKEN_BYTES
+    assert world.outcomes == ["broken_off"]
+
+
+async def test_failure_with_an_endless_body_sends_the_request_elsewhere():
+    # Guards against a failure that is passed on since its body is long.
+    def failure(head):
+        return answer(head, b"", status="500 Oops", length=False)
+
+    bad = EndlessUpstream(failure, b"a")
+    async with make_world(bad, Upstream(reply(b"good")), **REPEATABLE) as world:
+        async with Timer() as timer:
+            answers = await asyncio.gather(*(world.call(number=n) for n in range(4)))
+        assert [body for _, body in answers] == [b"good"] * 4
+        assert bad.requests
+        await assert_left(bad, timer)
+
+
 async def test_refusal_with_an_endless_body_is_a_refusal():
     # Guards against a refusal that is only believed when its body has ended.
     def busy(head):
