--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -255,6 +255,9 @@
     async def _relay(self, attempt: Attempt, key: str) -> web.StreamResponse:
         if attempt.status == _OK and self.call.route.kind is RouteKind.STREAM:
             return await self._relay_stream(attempt, key)
+        if self.response_ is not None:
+            detail = f"status {attempt.status} to a resumed stream"
+            raise AttemptError(Failure(FailureKind.FAILED, detail))
         return await self._relay_plain(attempt)
 
     async def _relay_plain(self, attempt: Attempt) -> web.StreamResponse:
@@ -284,7 +287,7 @@
         )
         if whole.status >= _SERVER_ERROR:
             self.spare_ = whole
-            if self.call.route.repeatable or self.response_ is not None:
+            if self.call.route.repeatable:
                 attempt.finish()
                 detail = f"status {whole.status}"
                 raise AttemptError(Failure(FailureKind.FAILED, detail))
--- a/shallotpath/forwarding/tests/test_endless_answers.py
+++ b/shallotpath/forwarding/tests/test_endless_answers.py
@@ -355,6 +355,28 @@
         await assert_left(bad, timer)
 
 
+@pytest.mark.parametrize("size", [10, 400_000])
+async def test_answer_to_a_resumed_stream_does_not_enter_the_stream(size):
+    # Guards against the body of a denial in the middle of a stream.
+    async def step(reader, writer, head):
+        if "Last-Event-Id" in head:
+            writer.write(answer(head, b"x" * size, status="404 No"))
+            await writer.drain()
+            return True
+        writer.write(event_begun(head))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        return False
+
+    async with make_world(Upstream(step), Upstream(step), **STREAM) as world:
+        received = await read_raw(world, 1)
+    assert event(1) in received
+    assert b"404" not in received
+    assert b"xxxx" not in received
+    assert not received.endswith(b"0\r\n\r\n")
+    assert world.outcomes == ["broken_off"]
+
+
 def test_event_in_small_pieces_takes_time_in_proportion():
     # Guards against a search of all pending bytes at each piece.
     splitter = EventSplitter()
