--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -10,10 +10,15 @@
 import msgspec
 
 from ..core import PlatformError
+from ._bounded import read_body
 from ._settings import Endpoint
 
 # Calls on the own VM take milliseconds unless the VM is paused.
 LOCAL_TIMEOUT = timedelta(seconds=2)
+# Largest answer to a call: a chunk, a manifest, or a page of records.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Largest report of an engine, listing of what is staged, or answer to an order.
+MAX_REPORT_BYTES = 1024 * 1024
 _OK = 200
 _ACCEPTED = 202
 
@@ -76,6 +81,8 @@
         timeout: timedelta,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        *,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> bytes:
         """Return the body of a successful answer or raise `CallError`."""
         limit = aiohttp.ClientTimeout(total=timeout.total_seconds())
@@ -83,7 +90,7 @@
             async with self.session.request(
                 method, url, data=body, headers=headers, timeout=limit
             ) as response:
-                payload = await response.read()
+                payload = await read_body(response, max_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise CallError(
                 f"{method} {url} was not answered: {error!r}; it is tried again"
@@ -142,7 +149,8 @@
 
     async def staged(self, model: str, index: int) -> bytes:
         """Return a staged chunk."""
-        return await self._call("GET", f"/stage-get/{model}?num={index}")
+        path = f"/stage-get/{model}?num={index}"
+        return await self._call("GET", path, max_bytes=MAX_ANSWER_BYTES)
 
     async def staged_indices(self, model: str) -> list[int]:
         """Return which chunks are staged."""
@@ -173,9 +181,13 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        *,
+        max_bytes: int = MAX_REPORT_BYTES,
     ) -> bytes:
         url = f"http://{self.address}{path}"
-        return await self.caller.call(method, url, LOCAL_TIMEOUT, body, headers)
+        return await self.caller.call(
+            method, url, LOCAL_TIMEOUT, body, headers, max_bytes=max_bytes
+        )
 
 
 def decode_manifest(body: bytes) -> ChunkManifest:
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -11,6 +11,7 @@
 
 from ..core import PlatformError
 from ..replication import KeyedRecord
+from ._bounded import read_body
 from ._settings import Endpoint
 
 # A healthy store answers in some 4 ms and may take 60 times as long. Twice that, as
@@ -18,6 +19,10 @@
 CALL_TIMEOUT = timedelta(milliseconds=700)
 # Added to the time for which a read may wait for news.
 WAIT_SLACK = timedelta(milliseconds=700)
+# Largest page; the store sends 1 MB, or one record that is larger.
+MAX_PAGE_BYTES = 16 * 1024 * 1024
+# Largest listing of all pages of a topic.
+MAX_LISTING_BYTES = 64 * 1024 * 1024
 _HEADER_BYTES = 16
 _LENGTH_BYTES = 4
 _OK = 200
@@ -55,9 +60,15 @@
         """
         records: list[KeyedRecord] = []
         query = {"topic": topic, "part": "0"}
-        first_end, unreadable = None, 0
+        first_end, unreadable, listed_bytes = None, 0, 0
         while True:
             body = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
+            listed_bytes += len(body)
+            if listed_bytes > MAX_LISTING_BYTES:
+                raise PlatformError(
+                    f"listing of {topic} exceeds {MAX_LISTING_BYTES} bytes; "
+                    "check the store"
+                )
             page = _json(body)
             try:
                 if first_end is None:
@@ -113,7 +124,7 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
             ) as response:
-                payload = await response.read()
+                payload = await read_body(response, MAX_PAGE_BYTES)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PlatformError(
                 f"store did not answer {path}: {error!r}; it is asked again"
--- /dev/null
+++ b/shallotpath/platform/tests/test_endless_answers.py
@@ -0,0 +1,108 @@
+"""Engines, stores, origins and peers whose answers never end."""
+
+import asyncio
+import json
+import tracemalloc
+from datetime import timedelta
+
+import aiohttp
+import pytest
+
+from shallotpath.core import PlatformError
+from shallotpath.forwarding.tests.endless import (
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    EndlessUpstream,
+    chunked,
+    unframed,
+)
+from shallotpath.forwarding.tests.helpers import HOST, Upstream, chunk, reply
+from shallotpath.platform import (
+    CallError,
+    Endpoint,
+    EngineClient,
+    HttpCaller,
+    OriginClient,
+    StoreClient,
+)
+
+TIMEOUT = timedelta(milliseconds=500)
+# Time beyond the time-out of a call, for a busy machine.
+SLACK_S = 0.6
+# The largest answer, and what the kernel holds.
+MAX_TAKEN_BYTES = 28 * 1024 * 1024
+MAX_MEMORY_BYTES = 40 * 1024 * 1024
+
+ENDLESS_ANSWERS = {
+    "body without a length": (unframed, b"a"),
+    "body in chunks": (chunked, chunk(b"a" * 10_000)),
+}
+# Answers to calls carry no id, so the first one counts.
+ENDLESS_PARTS = ENDLESS_HEADS | ENDLESS_BODIES | ENDLESS_ANSWERS
+del ENDLESS_PARTS["other answers"]
+CALLS = {
+    "manifest": lambda c, a: OriginClient(c).manifest(a, "m", 2, TIMEOUT),
+    "chunk": lambda c, a: OriginClient(c).chunk(a, "m", 2, 0, TIMEOUT),
+    "report": lambda c, a: EngineClient(endpoint(a), c).state(),
+    "staged chunk": lambda c, a: EngineClient(endpoint(a), c).staged("m", 0),
+    "order": lambda c, a: EngineClient(endpoint(a), c).load("m", 2),
+    "read": lambda c, a: StoreClient(endpoint(a), c.session).read("t", 0),
+    "listing": lambda c, a: StoreClient(endpoint(a), c.session).newest("t"),
+    "write": lambda c, a: StoreClient(endpoint(a), c.session).put("t", "k", b"v"),
+}
+
+
+def endpoint(address):
+    host, port = address.split(":")
+    return Endpoint(host, int(port))
+
+
+async def make_call(upstream, call):
+    """Make a call to an upstream; return its error and how long it took."""
+    address = f"{HOST}:{await upstream.start()}"
+    loop = asyncio.get_running_loop()
+    async with aiohttp.ClientSession() as session:
+        began = loop.time()
+        with pytest.raises(PlatformError) as caught:
+            await call(HttpCaller(session), address)
+        took_s = loop.time() - began
+    upstream.server.close()
+    return caught.value, took_s
+
+
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("case", ENDLESS_ANSWERS)
+async def test_answer_without_an_end_is_cut_at_a_limit(case, call):
+    # Guards against an answer that fills the memory within the time-out.
+    upstream = EndlessUpstream(*ENDLESS_ANSWERS[case])
+    tracemalloc.start()
+    try:
+        await make_call(upstream, CALLS[call])
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    await asyncio.wait_for(upstream.lost.wait(), 1)
+    assert upstream.sent_bytes < MAX_TAKEN_BYTES
+    assert peak < MAX_MEMORY_BYTES
+
+
+@pytest.mark.parametrize("pause", [None, 0.05])
+@pytest.mark.parametrize("case", ENDLESS_PARTS)
+async def test_call_to_an_endless_answer_ends_at_its_timeout(case, pause):
+    # Guards against a call that goes on while any bytes come.
+    upstream = EndlessUpstream(*ENDLESS_PARTS[case], pause=pause)
+    error, took_s = await make_call(upstream, CALLS["chunk"])
+    assert isinstance(error, CallError)
+    assert took_s < TIMEOUT.total_seconds() + SLACK_S
+    await asyncio.wait_for(upstream.lost.wait(), 1)
+
+
+async def test_listing_whose_pages_never_end_is_given_up(monkeypatch):
+    # Guards against a store that says for ever that there is more.
+    monkeypatch.setattr("shallotpath.platform._store.MAX_LISTING_BYTES", 100_000)
+    item = {"key": "k", "value": "", "offset": 1}
+    page = {"end": 1, "items": [item] * 100, "hasMore": True}
+    upstream = Upstream(reply(json.dumps(page).encode()))
+    error, _ = await make_call(upstream, CALLS["listing"])
+    assert "exceeds" in error.message
+    assert len(upstream.requests) < 100
