--- a/shallotpath/platform/tests/test_endless_answers.py
+++ b/shallotpath/platform/tests/test_endless_answers.py
@@ -5,15 +5,16 @@
 import tracemalloc
 from datetime import timedelta
 
-import aiohttp
 import pytest
 
 from shallotpath.core import PlatformError
 from shallotpath.forwarding.tests.endless import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
+    ENDLESS_REST,
     EndlessUpstream,
     chunked,
+    complete,
     unframed,
 )
 from shallotpath.forwarding.tests.helpers import HOST, Upstream, chunk, reply
@@ -24,6 +25,7 @@
     HttpCaller,
     OriginClient,
     StoreClient,
+    open_session,
 )
 
 TIMEOUT = timedelta(milliseconds=500)
@@ -61,7 +63,7 @@
     """Make a call to an upstream; return its error and how long it took."""
     address = f"{HOST}:{await upstream.start()}"
     loop = asyncio.get_running_loop()
-    async with aiohttp.ClientSession() as session:
+    async with open_session() as session:
         began = loop.time()
         with pytest.raises(PlatformError) as caught:
             await call(HttpCaller(session), address)
@@ -97,6 +99,46 @@
     await asyncio.wait_for(upstream.lost.wait(), 1)
 
 
+@pytest.mark.parametrize("case", ENDLESS_PARTS)
+async def test_flood_ends_a_call_before_its_timeout(case):
+    # Guards against a flood that takes the link and the processor for a whole call.
+    upstream = EndlessUpstream(*ENDLESS_PARTS[case])
+    error, took_s = await make_call(upstream, CALLS["report"])
+    await asyncio.wait_for(upstream.lost.wait(), 1)
+    assert "Timeout" not in error.message
+    assert took_s < 1
+    assert upstream.sent_bytes < MAX_TAKEN_BYTES
+
+
+@pytest.mark.parametrize("case", ENDLESS_REST)
+async def test_bytes_after_an_answer_close_the_connection(case):
+    # Guards against a kept connection that is read for ever.
+    upstream = EndlessUpstream(complete, ENDLESS_REST[case])
+    url = f"http://{HOST}:{await upstream.start()}/"
+    async with open_session() as session:
+        assert await HttpCaller(session).call("GET", url, TIMEOUT) == b"whole"
+        await asyncio.wait_for(upstream.lost.wait(), 0.5)
+        assert upstream.sent_bytes < MAX_TAKEN_BYTES
+    upstream.server.close()
+
+
+async def test_calls_share_a_connection():
+    # Guards against a limit that counts over several answers of a connection.
+    opened = set()
+
+    async def step(reader, writer, head):
+        opened.add(writer)
+        await reply(b"a" * 1000, extra=["X-Fill: " + "b" * 4000])(reader, writer, head)
+
+    upstream = Upstream(step)
+    url = f"http://{HOST}:{await upstream.start()}/"
+    async with open_session() as session:
+        for _ in range(50):
+            await HttpCaller(session).call("GET", url, TIMEOUT)
+    upstream.server.close()
+    assert len(opened) == 1
+
+
 async def test_listing_whose_pages_never_end_is_given_up(monkeypatch):
     # Guards against a store that says for ever that there is more.
     monkeypatch.setattr("shallotpath.platform._store.MAX_LISTING_BYTES", 100_000)
