--- a/shallotpath/bench/_weights.py
+++ b/shallotpath/bench/_weights.py
@@ -197,7 +197,7 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         await asyncio.gather(
-            *(_fetch_all(world, vm, chunks) for vm in world.vms_by_id.values())
+            *(_fetch_all(world, vm, shape, chunks) for vm in world.vms_by_id.values())
         )
         seconds = loop.time() - started
     return {
@@ -208,11 +208,11 @@
     }
 
 
-async def _fetch_all(world: World, vm, chunks: int) -> None:
+async def _fetch_all(world: World, vm, shape: Shape, chunks: int) -> None:
     client = PlatformClient(world.session, world.platform_url)
     for index in range(chunks):
         with suppress(PlatformError):
-            payload = await client.chunk(MODEL, "1", index)
+            payload = await client.chunk(MODEL, "1", index, max_bytes=shape.chunk_bytes)
             await vm.incoming.send(len(payload))
 
 
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..core import PlatformError
-from ._bounded import read_body
+from ..webclient import read_body
 from ._settings import Endpoint
 
 # Calls on the own VM take milliseconds unless the VM is paused.
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -11,7 +11,7 @@
 
 from ..core import PlatformError
 from ..replication import KeyedRecord
-from ._bounded import read_body
+from ..webclient import read_body
 from ._settings import Endpoint
 
 # A healthy store answers in some 4 ms and may take 60 times as long. Twice that, as
--- a/shallotpath/runtime/_engine_client.py
+++ b/shallotpath/runtime/_engine_client.py
@@ -15,9 +15,11 @@
 )
 
 from ..core import EngineObserved, RunState, Submit
+from ..webclient import read_body
 
 STATE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
+MAX_STATE_BYTES = 1024 * 1024
 
 
 class EngineRunError(Exception):
@@ -113,7 +115,7 @@
             ) as response:
                 if response.status != 200:
                     raise EngineBusyError(f"/state answered {response.status}")
-                return _state_decoder.decode(await response.read())
+                return _state_decoder.decode(await read_body(response, MAX_STATE_BYTES))
         except TimeoutError as error:
             raise EngineBusyError("/state did not answer in time") from error
         except msgspec.DecodeError as error:
--- a/shallotpath/runtime/_platform_client.py
+++ b/shallotpath/runtime/_platform_client.py
@@ -9,10 +9,15 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ..core import ListedVm, ListUpdated, LogRecord, PlatformError
+from ..webclient import TooLongError, read_body, read_json
 
 REQUEST_TIMEOUT_S = 2.0
 LONG_POLL_MS = 5_000
 CHUNK_TIMEOUT_S = 60.0
+# Largest page of the log, VM list or manifest.
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+# Largest text beside an error status.
+MAX_ERROR_BYTES = 4 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,10 +81,12 @@
         """Return the manifest of a version."""
         return await self._json("GET", f"/versions/{model}/{version}/manifest")
 
-    async def chunk(self, model: str, version: str, index: int) -> bytes:
+    async def chunk(
+        self, model: str, version: str, index: int, *, max_bytes: int
+    ) -> bytes:
         """Return one chunk from the origin."""
         path = f"/versions/{model}/{version}/chunks/{index}"
-        return await self._bytes("GET", path, timeout=CHUNK_TIMEOUT_S)
+        return await self._bytes("GET", path, max_bytes)
 
     async def _json(
         self, method: str, path: str, *, timeout: float = REQUEST_TIMEOUT_S, **kwargs
@@ -89,23 +96,27 @@
                 method, self.url + path, timeout=ClientTimeout(timeout), **kwargs
             ) as response:
                 await self._check(response, path)
-                return await response.json()
+                return await read_json(response, MAX_PAGE_BYTES)
         except (TimeoutError, ClientError, asyncio.IncompleteReadError) as error:
             raise self._unavailable(path, error) from error
 
-    async def _bytes(self, method: str, path: str, *, timeout: float) -> bytes:
+    async def _bytes(self, method: str, path: str, max_bytes: int) -> bytes:
         try:
             async with self.session.request(
-                method, self.url + path, timeout=ClientTimeout(timeout)
+                method, self.url + path, timeout=ClientTimeout(CHUNK_TIMEOUT_S)
             ) as response:
                 await self._check(response, path)
-                return await response.read()
+                return await read_body(response, max_bytes)
         except (TimeoutError, ClientError) as error:
             raise self._unavailable(path, error) from error
 
     async def _check(self, response, path: str) -> None:
         if response.status != 200:
-            text = (await response.text()).strip()
+            try:
+                body = await read_body(response, MAX_ERROR_BYTES)
+            except TooLongError as error:
+                body = str(error).encode()
+            text = body.decode(errors="replace").strip()
             raise PlatformError(
                 f"the platform answered {response.status} to {path}: {text}; "
                 "check the platform's status and the url in [platform]"
--- a/shallotpath/runtime/_weights.py
+++ b/shallotpath/runtime/_weights.py
@@ -164,7 +164,8 @@
             self._reply(peer, message, b"")
 
     async def _upload(self, peer: str, member: str, message: ChunkRequest) -> None:
-        payload = await self.engine.get(message.digest, message.index)
+        limit = self.plan.limits.chunk_buffer
+        payload = await self.engine.get(message.digest, message.index, max_bytes=limit)
         if payload is None:
             self.plan.uploads_.end(member, message.index)
             self._reply(peer, message, b"")
@@ -235,7 +236,8 @@
             answer = await platform.manifest(model, version)
             answer.pop("digest", None)
             return encode_manifest(Manifest(**answer))
-        payload = await platform.chunk(model, version, index)
+        limit = self.plan.limits.chunk_buffer
+        payload = await platform.chunk(model, version, index, max_bytes=limit)
         if self.receive_pace is not None:
             await self.receive_pace(ORIGIN, len(payload))
         return payload
@@ -365,7 +367,9 @@
         """Read staged chunks back one by one and keep those that match."""
         good = []
         for index in range(len(manifest.chunks)):
-            payload = await self.engine.get(digest, index)
+            payload = await self.engine.get(
+                digest, index, max_bytes=manifest.chunk_size(index)
+            )
             if payload is not None and manifest.matches(index, payload):
                 good.append(index)
         self.orders.rechecked()
--- a/shallotpath/runtime/_weights_engine.py
+++ b/shallotpath/runtime/_weights_engine.py
@@ -5,6 +5,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ..core import EngineObserved, Event
+from ..webclient import read_body, read_json
 from ..weights import (
     Manifest,
     Order,
@@ -18,6 +19,8 @@
 STATE_TIMEOUT_S = 2.0
 CHUNK_TIMEOUT_S = 10.0
 ORDER_TIMEOUT_S = 20.0
+# Largest state, list of chunks, or answer to an order.
+MAX_STATE_BYTES = 1024 * 1024
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 NETWORK_ERRORS = (TimeoutError, ClientError, OSError)
@@ -40,7 +43,7 @@
             ) as response:
                 if response.status != STATUS_OK:
                     return None
-                state = await response.json()
+                state = await read_json(response, MAX_STATE_BYTES)
         except NETWORK_ERRORS:
             return None
         return EngineObserved(
@@ -65,7 +68,7 @@
             ) as response:
                 if response.status != STATUS_OK:
                     return None
-                return (await response.json())["present"]
+                return (await read_json(response, MAX_STATE_BYTES))["present"]
         except NETWORK_ERRORS:
             return None
 
@@ -81,14 +84,16 @@
         except NETWORK_ERRORS:
             return False
 
-    async def get(self, digest: str, index: int) -> bytes | None:
+    async def get(self, digest: str, index: int, *, max_bytes: int) -> bytes | None:
         """Read one chunk."""
         try:
             async with self.session.get(
                 f"{self.url}/weights/{digest}/{index}",
                 timeout=ClientTimeout(CHUNK_TIMEOUT_S),
             ) as response:
-                return await response.read() if response.status == STATUS_OK else None
+                if response.status != STATUS_OK:
+                    return None
+                return await read_body(response, max_bytes)
         except NETWORK_ERRORS:
             return None
 
@@ -104,7 +109,7 @@
                 f"{self.url}/orders", json=body, timeout=ClientTimeout(ORDER_TIMEOUT_S)
             ) as response:
                 if response.status == STATUS_OK:
-                    answer = await response.json()
+                    answer = await read_json(response, MAX_STATE_BYTES)
                     return OrderDone(order, answer["digest"], answer["incarnation"])
                 if response.status == STATUS_CONFLICT:
                     return OrderFenced(order)
--- a/shallotpath/platform/_bounded.py
+++ b/shallotpath/webclient.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
+import msgspec
 
 
 class TooLongError(aiohttp.ClientError):
@@ -20,3 +23,12 @@
             raise TooLongError(f"body over {limit_bytes} bytes")
         parts.append(part)
     return b"".join(parts)
+
+
+async def read_json(response: aiohttp.ClientResponse, limit_bytes: int) -> Any:
+    """Return the decoded body; one that does not decode is a broken answer."""
+    body = await read_body(response, limit_bytes)
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise aiohttp.ClientPayloadError(f"body does not decode: {error}") from error
