--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -10,6 +10,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from ..gateway import Failure, FailureKind, Placement
+from ._bounded import EndlessAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._wire import ResponseFields, Wire
 
@@ -18,6 +19,13 @@
 _SERVER_ERROR = 500
 # Responses to other requests that are skipped before a connection is given up.
 MAX_SURPLUS_RESPONSES = 3
+# Bytes of such a response that are skipped.
+MAX_SURPLUS_BYTES = 256 * 1024
+# Largest body that is passed on: sixteen times the largest request that is accepted
+# by default.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+_FINAL = 200
+_SWITCHING = 101
 # Statuses that promise that a request did not run; only the upstream's own word for
 # it makes them true.
 _PROMISES = frozenset({408, 429, 503})
@@ -53,6 +61,7 @@
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
         self.fields_: ResponseFields | None = None
+        self.body_bytes_ = 0
 
     @property
     def status(self) -> int:
@@ -74,7 +83,7 @@
         try:
             self.connection_.send(payload)
             await self._read_head(request_id)
-        except HttpProcessingError as error:
+        except (HttpProcessingError, EndlessAnswerError) as error:
             raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
         except (ClientError, OSError) as error:
             raise AttemptError(Failure(FailureKind.LOST, repr(error))) from error
@@ -84,12 +93,19 @@
         """Return the next bytes of the body, empty at its end."""
         try:
             chunk = await self.payload_.readany()
+        except EndlessAnswerError as error:
+            raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
         except (ClientError, HttpProcessingError, OSError) as error:
             raise AttemptError(Failure(FailureKind.LOST, repr(error))) from error
         if not chunk and self.connection_.reset_ is not None:
             # Only a body without a length ends with its connection, and a reset
             # is no end.
             raise AttemptError(Failure(FailureKind.LOST, repr(self.connection_.reset_)))
+        self.body_bytes_ += len(chunk)
+        if self.body_bytes_ > MAX_RESPONSE_BYTES:
+            raise AttemptError(
+                Failure(FailureKind.GARBLED, f"body over {MAX_RESPONSE_BYTES} bytes")
+            )
         return chunk
 
     def finish(self) -> None:
@@ -112,22 +128,28 @@
             connection.abort()
 
     async def _read_head(self, request_id: str) -> None:
-        for _ in range(MAX_SURPLUS_RESPONSES + 1):
+        surplus = 0
+        while surplus <= MAX_SURPLUS_RESPONSES:
             message, payload = await self.connection_.response()
+            # The connection bounds the number of interim responses.
+            if message.code < _FINAL and message.code != _SWITCHING:
+                continue
             fields = self.wire.read_response(message.headers)
             if fields.request_id in ("", request_id):
                 self.message_, self.payload_, self.fields_ = message, payload, fields
                 return
             # A late response to an earlier request of this connection.
+            surplus += 1
             self.connection_.force_close()
-            while await payload.readany():
-                pass
+            await _skip(payload)
         raise AttemptError(
             Failure(FailureKind.GARBLED, "responses belong to other requests")
         )
 
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
+        if status < _FINAL:
+            raise AttemptError(Failure(FailureKind.GARBLED, f"status {status}"))
         if status == _MISDIRECTED:
             raise AttemptError(self._misdirected(fields))
         if fields.not_executed and status in _NOT_RUN_STATUSES:
@@ -150,6 +172,15 @@
         return Failure(FailureKind.MISDIRECTED, detail, fields.retry_after)
 
 
+async def _skip(payload: StreamReader) -> None:
+    """Read a body that nobody gets."""
+    skipped_bytes = 0
+    while chunk := await payload.readany():
+        skipped_bytes += len(chunk)
+        if skipped_bytes > MAX_SURPLUS_BYTES:
+            raise EndlessAnswerError("the body of a response to another request")
+
+
 async def wait_for_head(task: asyncio.Task[None], limit_s: float | None) -> bool:
     """Wait for an exchange; tell whether it ended within the limit."""
     done, _ = await asyncio.wait({task}, timeout=limit_s)
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -7,11 +7,11 @@
 from datetime import datetime, timedelta
 
 from aiohttp import ClientError, StreamReader
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
 from ..core import Clock
 from ..settings import check_host_port
+from ._bounded import MAX_HEADER_BYTES, BoundedConnection
 
 # Round trips take at most some 4 ms; a lost opening packet is sent again after 1 s.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -24,15 +24,13 @@
 # in use so short a time ago; opening one costs an upstream 1 ms.
 TRUSTED_IDLE = timedelta(milliseconds=200)
 MAX_IDLE_PER_UPSTREAM = 16
-# Largest response header that an upstream may send.
-MAX_HEADER_BYTES = 32768
 
 
 class UnreachableError(Exception):
     """Report that no connection to an upstream was established."""
 
 
-class UpstreamConnection(ResponseHandler):
+class UpstreamConnection(BoundedConnection):
     """Carry one request at a time to an upstream."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -52,10 +50,19 @@
         self.reset_ = exc
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the answer; nothing may come while the connection is idle."""
+        if data and self.idle_until_ is not None:
+            self.abort()
+            return
+        super().data_received(data)
+
     def send(self, payload: bytes) -> None:
         """Write a whole request."""
         if self.transport is None:
             raise ClientError("connection closed before the request was sent")
+        self.restart()
+        self.idle_until_ = None
         self.transport.write(payload)
 
     @property
--- /dev/null
+++ b/shallotpath/webclient.py
@@ -0,0 +1,34 @@
+"""Bodies of answers up to a limit."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+
+class TooLongError(aiohttp.ClientError):
+    """Report a body beyond its limit."""
+
+
+async def read_body(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+    """Return the body; close the connection once it is longer than the limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > limit_bytes:
+            response.close()
+            raise TooLongError(f"body over {limit_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def read_json(response: aiohttp.ClientResponse, limit_bytes: int) -> Any:
+    """Return the decoded body; one that does not decode is a broken answer."""
+    body = await read_body(response, limit_bytes)
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise aiohttp.ClientPayloadError(f"body does not decode: {error}") from error
