--- /dev/null
+++ b/shallotpath/fleet/tests/namings.py
@@ -0,0 +1,45 @@
+"""A model whose weights are named, for tests."""
+
+import dataclasses
+from datetime import timedelta
+
+from shallotpath.gateway import Rejection, RejectReason
+from shallotpath.gateway.tests.helpers import make_call
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+
+from .processes import make_config, make_server, make_settings, until
+from .standins import Log
+
+BOUND = timedelta(seconds=2)
+
+
+def make_log():
+    """Return a log with an upstream that runs version 1, and no newer version."""
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    models = [{"name": "m", "version": 1}]
+    log.put(UPSTREAM_TOPIC, "u1", make_server(models=models))
+    return log
+
+
+def name_version(log, version):
+    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": version})
+
+
+def make_bound_settings(*args, bound=BOUND):
+    return dataclasses.replace(make_settings(*args), version_bound=bound)
+
+
+def knows(process, version):
+    target = process.operator.target("m")
+    return target is not None and target.version == version
+
+
+async def until_informed(edge, version):
+    await until(lambda: edge.upstreams.upstreams_by_id_ and knows(edge, version))
+
+
+def refuses_old_weights(edge):
+    now = edge.clock.now()
+    placed = edge.dispatcher.choose(make_call(now=now), (), 1, now)
+    return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
--- a/shallotpath/fleet/tests/test_namings.py
+++ b/shallotpath/fleet/tests/test_namings.py
@@ -1,22 +1,13 @@
 """Since when weights are outdated, at processes that start after the naming."""
 
 import asyncio
-import dataclasses
 from datetime import timedelta
 from random import Random
 
 from shallotpath.core import EPOCH
 from shallotpath.fleet import EdgeProcess
 from shallotpath.fleet._namings import NamingExchange
-from shallotpath.gateway import (
-    OperatorState,
-    RecordTime,
-    Rejection,
-    RejectReason,
-    WeightsNamed,
-)
-from shallotpath.gateway.tests.helpers import make_call
-from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+from shallotpath.gateway import OperatorState, RecordTime, WeightsNamed
 from shallotpath.replication import (
     MAX_DATAGRAM_BYTES,
     News,
@@ -24,43 +15,16 @@
     encode_message,
 )
 
-from .processes import make_config, make_server, make_settings, running, stores, until
-from .standins import HOST, Log
-
-BOUND = timedelta(seconds=2)
-
-
-def make_log():
-    """Return a log with an upstream that runs version 1, and no newer version."""
-    log = Log()
-    log.put(OPERATOR_TOPIC, "config", make_config(1))
-    models = [{"name": "m", "version": 1}]
-    log.put(UPSTREAM_TOPIC, "u1", make_server(models=models))
-    return log
-
-
-def name_version(log, version):
-    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": version})
-
-
-def edge_settings(name, port):
-    return dataclasses.replace(make_settings(name, port), version_bound=BOUND)
-
-
-def place(edge):
-    now = edge.clock.now()
-    return edge.dispatcher.choose(make_call(now=now), (), 1, now)
-
-
-async def until_informed(edge, version):
-    await until(lambda: edge.upstreams.upstreams_by_id_)
-    await until(lambda: edge.operator.target("m"))
-    await until(lambda: edge.operator.target("m").version == version)
-
-
-def refuses_old_weights(edge):
-    placed = place(edge)
-    return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
+from .namings import (
+    BOUND,
+    make_bound_settings,
+    make_log,
+    name_version,
+    refuses_old_weights,
+    until_informed,
+)
+from .processes import running, stores, until
+from .standins import HOST
 
 
 async def test_entry_that_starts_after_the_bound_sends_nothing_to_old_weights():
@@ -70,7 +34,7 @@
     name_version(log, 2)
     async with (
         stores(log, 1) as ((_, port),),
-        running(EdgeProcess, edge_settings("edge-a", port)) as edge,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as edge,
     ):
         await until_informed(edge, 2)
         assert refuses_old_weights(edge)
@@ -82,14 +46,14 @@
     log = make_log()
     async with (
         stores(log, 1) as ((_, port),),
-        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as a,
     ):
         await until(lambda: a.ready)
         name_version(log, 2)
         await until_informed(a, 2)
         named_at = a.clock.now()
         await asyncio.sleep(1.0)
-        async with running(EdgeProcess, edge_settings("edge-b", port)) as b:
+        async with running(EdgeProcess, make_bound_settings("edge-b", port)) as b:
             a.peers.learn(b.address)
             b.peers.learn(a.address)
             await until_informed(b, 2)
@@ -106,7 +70,7 @@
     log = make_log()
     async with (
         stores(log, 1) as ((_, port),),
-        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as a,
     ):
         await until(lambda: a.ready)
         name_version(log, 2)
@@ -115,7 +79,7 @@
         await asyncio.sleep(1.0)
         name_version(log, 3)
         await until_informed(a, 3)
-        async with running(EdgeProcess, edge_settings("edge-b", port)) as b:
+        async with running(EdgeProcess, make_bound_settings("edge-b", port)) as b:
             a.peers.learn(b.address)
             b.peers.learn(a.address)
             await until_informed(b, 3)
@@ -134,10 +98,10 @@
     log = make_log()
     async with (
         stores(log, 1) as ((_, port),),
-        running(EdgeProcess, edge_settings("edge-a", port)) as a,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as a,
     ):
         await until(lambda: a.ready)
-        settings = edge_settings("edge-b", port)
+        settings = make_bound_settings("edge-b", port)
         async with running(EdgeProcess, settings) as b:
             await until(lambda: b.ready and a.peers.domain("edge-b"))
         name_version(log, 2)
--- a/shallotpath/fleet/tests/test_namings_gaps.py
+++ b/shallotpath/fleet/tests/test_namings_gaps.py
@@ -1,47 +1,21 @@
 """Since when weights are outdated, at processes that missed the naming."""
 
 import asyncio
-import dataclasses
 from datetime import timedelta
 
 from shallotpath.core import MonotonicClock
 from shallotpath.fleet import EdgeProcess, MateProcess
-from shallotpath.gateway import Rejection, RejectReason
-from shallotpath.gateway.tests.helpers import make_call
-from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
 
-from .processes import make_config, make_server, make_settings, running, stores, until
-from .standins import Engine, Log, listen
-
-BOUND = timedelta(seconds=2)
-
-
-def make_log():
-    """Return a log with an upstream that runs version 1, and no newer version."""
-    log = Log()
-    log.put(OPERATOR_TOPIC, "config", make_config(1))
-    models = [{"name": "m", "version": 1}]
-    log.put(UPSTREAM_TOPIC, "u1", make_server(models=models))
-    return log
-
-
-def name_version(log, version):
-    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": version})
-
-
-def with_bound(settings):
-    return dataclasses.replace(settings, version_bound=BOUND)
-
-
-def refuses_old_weights(edge):
-    now = edge.clock.now()
-    placed = edge.dispatcher.choose(make_call(now=now), (), 1, now)
-    return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
-
-
-def knows(process, version):
-    target = process.operator.target("m")
-    return target is not None and target.version == version
+from .namings import (
+    BOUND,
+    knows,
+    make_bound_settings,
+    make_log,
+    name_version,
+    refuses_old_weights,
+)
+from .processes import running, stores, until
+from .standins import Engine, listen
 
 
 async def stays_refusing(edge, duration):
@@ -63,7 +37,7 @@
     log = make_log()
     async with (
         stores(log, 1) as ((store, port),),
-        running(EdgeProcess, with_bound(make_settings("edge-a", port))) as edge,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as edge,
     ):
         await until(lambda: edge.ready and edge.upstreams.upstreams_by_id_)
         store.refusing = True
@@ -82,7 +56,7 @@
     log = make_log()
     async with (
         stores(log, 1) as ((_, port),),
-        running(EdgeProcess, with_bound(make_settings("edge-a", port))) as edge,
+        running(EdgeProcess, make_bound_settings("edge-a", port)) as edge,
     ):
         await until(lambda: edge.ready and edge.upstreams.upstreams_by_id_)
         now = edge.clock.now
@@ -99,14 +73,14 @@
     log = make_log()
     async with (
         stores(log, 2) as ((store_a, port_a), (store_b, port_b)),
-        running(EdgeProcess, with_bound(make_settings("edge-a", port_a))) as a,
+        running(EdgeProcess, make_bound_settings("edge-a", port_a)) as a,
     ):
         await until(lambda: a.ready)
         store_a.refusing = store_b.refusing = True
         await until(lambda: a.operator_topic_.store_lost_at_ is not None)
         name_version(log, 2)
         await asyncio.sleep(BOUND.total_seconds())
-        settings = with_bound(make_settings("edge-b", port_b))
+        settings = make_bound_settings("edge-b", port_b)
         async with running(EdgeProcess, settings) as b:
             a.peers.learn(b.address)
             b.peers.learn(a.address)
@@ -122,9 +96,9 @@
     log = make_log()
     runner, engine_port = await listen(Engine().handle)
     async with stores(log, 1) as ((_, port),):
-        mate_settings = with_bound(make_settings("mate-a", port, engine_port))
+        mate_settings = make_bound_settings("mate-a", port, engine_port)
         async with running(MateProcess, mate_settings) as mate:
-            edge_settings = with_bound(make_settings("edge-a", port))
+            edge_settings = make_bound_settings("edge-a", port)
             async with running(EdgeProcess, edge_settings) as first:
                 mate.peers.learn(first.address)
                 first.peers.learn(mate.address)
