--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -28,6 +28,7 @@
     StoreClient,
     decode_operator_record,
     load_process_settings,
+    open_session,
 )
 from ..replication import (
     Datagram,
@@ -125,8 +126,7 @@
     async def start(self) -> None:
         """Open sockets and start to follow the operators' records."""
         self.reporter.event("start", role="mate" if self.engine else "edge")
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
-        self.session_ = aiohttp.ClientSession(connector=connector)
+        self.session_ = open_session()
         self.caller_ = HttpCaller(self.session_)
         self.store_ = StoreClient(self.settings.store, self.session_)
         self.operator_topic_ = self.add_topic(
