--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -95,8 +95,9 @@
             stays = await self._send(attempt)
         except aiohttp.ClientConnectorError:
             attempt.ending, stays = Ending.UNREACHABLE, False
-        except TimeoutError:
+        except TimeoutError as error:
             attempt.ending, stays = Ending.ABANDONED, False
+            attempt.detail = repr(error)
         except (aiohttp.ClientError, OSError) as error:
             attempt.ending, stays = Ending.CUT, False
             attempt.detail = repr(error)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
+
 from shallotpath.core import Clock, MonotonicClock
 from shallotpath.fleet.tests.processes import ENGINE, make_config
 from shallotpath.fleet.tests.standins import HOST as LOOPBACK
@@ -57,6 +59,8 @@
 # Time between the end of a stopped process and its next start.
 RESTART_S = (0.1, 0.6)
 LATE_STEP_S = 0.02
+# Attempts and runs by request id, beside the logs of the processes.
+LEDGER_FILE = "ledger.json"
 # The soak's own process is late if a step takes so much longer.
 LATE_S = 0.1
 
@@ -339,6 +343,8 @@
 
     def _verdict(self) -> Verdict:
         ledger, checks = self.ledger, Checks(self.ledger, self.settings)
+        seen = [ledger.attempts_by_id, ledger.runs_by_id]
+        (self.workspace / LEDGER_FILE).write_bytes(msgspec.json.encode(seen))
         attempts = ledger.attempts_by_id.values()
         counts = Counter(
             str(a.ending) if a.ending is not Ending.ANSWERED else f"status {a.status}"
