--- a/soak/_content.py
+++ b/soak/_content.py
@@ -11,7 +11,8 @@
 LOST_ANSWERS = 40
 # One in so many streams is long.
 LONG_STREAMS = 12
-LONG_EVENTS = 60
+# Longer than an entry serves before it closes its listener in a planned stop.
+LONG_EVENTS = 120
 
 
 def chance(request_id: str, purpose: str) -> int:
