--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -14,6 +14,10 @@
 DENIALS = frozenset({400, 401, 403, 404})
 # A request that ends sooner without an answer crossed the close of its connection.
 CROSSED = timedelta(milliseconds=200)
+# Work that lasts into this part of the grace may be cut off, on a request that was sent
+# no later than this after the stop began.
+LAST_PART = 1 / 6
+EARLY = timedelta(seconds=3)
 # Times are not judged so soon after the soak's own process was late.
 LATE_MARGIN = timedelta(milliseconds=500)
 # After its grace a stopped process is killed.
@@ -129,6 +133,7 @@
             unplanned.touch(sent_at - self.settings.contact, ended_at)
             or self.ledger.soak_late.touch(sent_at, ended_at)
             or any(run.broke_off for run in runs)
+            or self._outlasts_grace(attempt, runs)
         ):
             return
         lasted = ended_at - sent_at
@@ -137,6 +142,16 @@
             detail = f"{attempt}: cut after {lasted.total_seconds():.2f} s"
             yield Broken("LOST", f"{detail}, ran at {upstreams}: {attempt.detail}")
 
+    def _outlasts_grace(self, attempt: Attempt, runs: list[Run]) -> bool:
+        """Tell whether the work on an early request lasted to the end of the grace."""
+        early = attempt.sent_at - EARLY
+        last_part = self.settings.stop_grace * (1 - LAST_PART)
+        return any(
+            begin >= early
+            and any(not r.ended_at or r.ended_at >= begin + last_part for r in runs)
+            for begin, _ in self.ledger.stops_by_program[attempt.entry].spans_
+        )
+
     def _stopping(self, attempt: Attempt) -> bool:
         """Tell whether an attempt ended around a planned stop of its entry."""
         longest = self.settings.stop_grace + STOP_SLACK
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -67,6 +67,7 @@
     # Version of the weights, 0 at an upstream without a model.
     version: int
     began_at: datetime
+    ended_at: datetime | None = None
     # The upstream itself ended the answer early.
     broke_off: bool = False
 
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -170,7 +170,10 @@
             runs = self.ledger.runs_by_id[request_id]
             run.broke_off = not runs and loses_answer(request_id)
             runs.append(run)
-            return await self.answer(request, run)
+            try:
+                return await self.answer(request, run)
+            finally:
+                run.ended_at = self.clock.now()
         except ConnectionError:
             return web.Response(status=500)
         finally:
