--- a/soak/_program.py
+++ b/soak/_program.py
@@ -39,6 +39,8 @@
     process_: asyncio.subprocess.Process | None = None
     # It answered a probe since its start.
     seen_ready_: bool = False
+    # Stops after which it was killed.
+    outlived_grace_: int = 0
 
     @property
     def running(self) -> bool:
@@ -94,7 +96,7 @@
                 self.process_.send_signal(number)
 
     async def stop(self) -> str:
-        """Ask the process to stop; return what was wrong with how it ended."""
+        """Ask the process to stop, kill it after its grace; return a wrong code."""
         process = self.process_
         self.signal(signal.SIGTERM)
         limit = self.settings.stop_grace + STOP_SLACK
@@ -103,7 +105,8 @@
         except TimeoutError:
             self.signal(signal.SIGKILL)
             await process.wait()
-            return "outlived its grace"
+            self.outlived_grace_ += 1
+            return ""
         code = process.returncode
         if code == -signal.SIGTERM and not self.seen_ready_:
             # It was asked to stop before it could take the signal.
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -355,6 +355,7 @@
         counts["named"] = len(ledger.named_at_by_version)
         stops = ledger.stops_by_program.values()
         counts["stops"] = sum(len(spans.spans_) for spans in stops)
+        counts["outlived grace"] = sum(p.outlived_grace_ for p in self.programs_)
         counts["exposed"] = checks.exposed()
         counts["own lateness"] = len(ledger.soak_late.spans_)
         counts["faults skipped"] = self.skipped_
