--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -159,6 +159,7 @@
         now = self.clock.now()
         age = self.operator_topic_.age(now)
         fresh = age is not None and age <= FRESH_WITHIN
+        fresh = fresh and not self.operator_topic_.stood_still()
         return Beliefs(fresh, self.entries())
 
     def entries(self) -> int:
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -41,6 +41,11 @@
 # A store that answered none of the reads of such a time was away; one or two reads may
 # be lost on connections that fell silent while it served.
 AWAY_AFTER = timedelta(seconds=3.5)
+# A process that looks at a replica so much later than its read may wait stood still,
+# or its VM did.
+STANDSTILL = timedelta(seconds=2)
+# Time after a standstill in which messages from before its end are still taken.
+MESSAGES_WAIT = timedelta(seconds=1)
 
 # Takes new records and when they were written, `None` where this process cannot tell.
 Apply = Callable[[list[KeyedRecord], RecordTime | None], None]
@@ -77,6 +82,9 @@
         self.listed_ = False
         self.confirmed_at_: datetime | None = None
         self.store_lost_at_: datetime | None = None
+        # When this replica was looked at, and first again after a standstill.
+        self.looked_at_ = self.resumed_at_ = clock.now()
+        self.stood_still_ = False
         self.pulling_ = False
         self.waiting_ = False
         self.retry_ = FIRST_RETRY
@@ -102,6 +110,11 @@
         age = self.age(self.clock.now())
         return age is None or age > bound
 
+    def stood_still(self) -> bool:
+        """Tell whether the process stood still after the last confirmation."""
+        self._look()
+        return self.stood_still_
+
     async def poll(
         self, due: Callable[[], bool], pause: timedelta = timedelta()
     ) -> None:
@@ -110,6 +123,7 @@
         Reads that wait for news follow each other after the pause.
         """
         while True:
+            self._look()
             if not due():
                 delay = DUE_STEP.total_seconds() * self.random.uniform(0.8, 1.0)
             elif await self.read_once():
@@ -120,7 +134,7 @@
 
     async def read_once(self) -> bool:
         """Read what is new from the store; tell whether it answered."""
-        asked_at = self.clock.now()
+        asked_at = self._look()
         try:
             if self.listed_:
                 page = await self.store.read(self.topic, self.end, self.wait)
@@ -143,13 +157,16 @@
             self.reporter.event(
                 "unreadable_records", topic=self.topic, count=page.unreadable
             )
-        self._confirm(newer, timedelta(), time)
+        self._confirm(newer, self._waited(asked_at), time)
         if newer and self.after_news is not None:
             self.after_news()
         return True
 
     def confirmed_elsewhere(self, item: TopicItem) -> None:
         """Take that a peer with the same records had them confirmed more recently."""
+        now = self._look()
+        if self.stood_still_ and now - self.resumed_at_ < MESSAGES_WAIT:
+            return
         if item.end == self.end and item.age_s is not None and self.listed_:
             self._confirm([], timedelta(seconds=item.age_s), None)
 
@@ -205,6 +222,7 @@
             f"http://{peer.host}:{peer.port}/records"
             f"?topic={self.topic}&after={self.end}"
         )
+        asked_at = self._look()
         try:
             page = decode_page(await self.caller.call("GET", url, PULL_TIMEOUT))
             items = unpack_records(page.packed)
@@ -222,14 +240,15 @@
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
         # The peer's message tells when what is new was written, if the peer knows.
-        self._confirm(newer, timedelta(seconds=page.age_s), None)
+        age = timedelta(seconds=page.age_s) + self._waited(asked_at)
+        self._confirm(newer, age, None)
         return bool(newer)
 
     def _record_time(self, asked_at: datetime) -> RecordTime | None:
         """Return when records were written that a read brought just now."""
         if self.confirmed_at_ is None:
             return None
-        now = self.clock.now()
+        now = self._look()
         followed = asked_at - self.confirmed_at_ <= FOLLOWED_GAP
         # An answer may lie unread while the VM is suspended.
         at_once = now - asked_at <= self.wait + FOLLOWED_GAP
@@ -243,7 +262,11 @@
         What comes with the first answer after an outage was written as it ended.
         """
         lost_at = self.store_lost_at_
-        if lost_at is None or lost_at - self.confirmed_at_ > ASKED_GAP:
+        if (
+            self.stood_still_
+            or lost_at is None
+            or lost_at - self.confirmed_at_ > ASKED_GAP
+        ):
             return False
         return self.clock.now() - lost_at >= AWAY_AFTER
 
@@ -253,15 +276,31 @@
         age: timedelta,
         time: RecordTime | None,
     ) -> None:
-        confirmed_at = self.clock.now() - age
+        confirmed_at = self._look() - age
         if self.confirmed_at_ is None or confirmed_at > self.confirmed_at_:
             self.confirmed_at_ = confirmed_at
             if self.before_news is not None:
                 self.before_news(confirmed_at)
+        if confirmed_at >= self.resumed_at_:
+            self.stood_still_ = False
         if newer:
             self.packed_ = None
             self.apply(newer, time)
 
+    def _look(self) -> datetime:
+        """Return the time, and note if the process stood still before."""
+        now = self.clock.now()
+        if now - self.looked_at_ > self.wait + STANDSTILL:
+            self.resumed_at_ = now
+            self.stood_still_ = True
+        self.looked_at_ = now
+        return now
+
+    def _waited(self, asked_at: datetime) -> timedelta:
+        """Return for how long an answer may have waited for this process."""
+        now = self._look()
+        return now - asked_at if asked_at < self.resumed_at_ else timedelta()
+
     def _next_retry(self) -> float:
         delay = self.retry_.total_seconds() * self.random.uniform(0.5, 1.0)
         self.retry_ = min(2 * self.retry_, MAX_RETRY)
--- /dev/null
+++ b/shallotpath/fleet/tests/test_standstill.py
@@ -0,0 +1,98 @@
+"""Replicas of a process that stands still while its answers wait."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from shallotpath.core import ManualClock
+from shallotpath.fleet import LineReporter
+from shallotpath.fleet._topics import TopicReplica
+from shallotpath.platform import TopicPage
+from shallotpath.replication import KeyedRecord, TopicItem
+
+from .processes import Output
+
+WAIT = timedelta(seconds=1)
+STANDSTILL = timedelta(seconds=6)
+
+
+class Store:
+    """Answer reads with the given pages, each after some time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.answers = []
+
+    def answer(self, after, *keys, end):
+        records = [KeyedRecord(key, b"{}", end - 1) for key in keys]
+        self.answers.append((after, TopicPage(records, end)))
+
+    async def newest(self, topic):
+        return await self.read(topic, 0, WAIT)
+
+    async def read(self, topic, offset, wait):
+        after, page = self.answers.pop(0)
+        self.clock.advance(after)
+        return page
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return Store(clock)
+
+
+@pytest.fixture
+def written():
+    """Return the times at which keys were written, as the replica tells them."""
+    return {}
+
+
+@pytest.fixture
+def topic(clock, store, written):
+    return TopicReplica(
+        "t",
+        store=store,
+        caller=None,
+        clock=clock,
+        random=Random(1),
+        reporter=LineReporter("n", "d", clock, Output()),
+        apply=lambda records, at: written.update({r.key: at for r in records}),
+        wait=WAIT,
+    )
+
+
+async def test_answer_that_waited_for_the_process_confirms_nothing_newer(
+    topic, store, clock
+):
+    # Guards against an entry that wakes and trusts what the store said before.
+    store.answer(timedelta(), "k", end=1)
+    await topic.read_once()
+    store.answer(WAIT, end=1)
+    await topic.read_once()
+    assert topic.age(clock.now()) == timedelta()
+    store.answer(STANDSTILL, end=1)
+    await topic.read_once()
+    assert topic.age(clock.now()) == STANDSTILL
+
+
+async def test_message_that_waited_for_the_process_confirms_nothing(
+    topic, store, clock
+):
+    # Guards against ages in messages that do not count the time in which they waited.
+    store.answer(timedelta(), "k", end=1)
+    await topic.read_once()
+    clock.advance(STANDSTILL)
+    topic.confirmed_elsewhere(TopicItem("t", 1, 0.1))
+    assert topic.age(clock.now()) == STANDSTILL
+    assert topic.stood_still()
+    # A process that the store turns away goes on with what its peers say.
+    clock.advance(timedelta(seconds=1.5))
+    topic.confirmed_elsewhere(TopicItem("t", 1, 0.1))
+    assert topic.age(clock.now()) == timedelta(seconds=0.1)
+    assert not topic.stood_still()
