--- a/shallotpath/fleet/tests/test_standstill.py
+++ b/shallotpath/fleet/tests/test_standstill.py
@@ -5,9 +5,10 @@
 
 import pytest
 
-from shallotpath.core import ManualClock
+from shallotpath.core import ManualClock, PlatformError
 from shallotpath.fleet import LineReporter
 from shallotpath.fleet._topics import TopicReplica
+from shallotpath.gateway import RecordTime
 from shallotpath.platform import TopicPage
 from shallotpath.replication import KeyedRecord, TopicItem
 
@@ -32,6 +33,8 @@
         return await self.read(topic, 0, WAIT)
 
     async def read(self, topic, offset, wait):
+        if not self.answers:
+            raise PlatformError("no answer")
         after, page = self.answers.pop(0)
         self.clock.advance(after)
         return page
@@ -81,6 +84,18 @@
     assert topic.age(clock.now()) == STANDSTILL
 
 
+async def test_standstill_is_no_outage_of_the_store(topic, store, clock, written):
+    # Guards against new weights that look named at the waking after one lost read.
+    store.answer(timedelta(), "k", end=1)
+    await topic.read_once()
+    confirmed_at = clock.now()
+    assert not await topic.read_once()
+    clock.advance(STANDSTILL)
+    store.answer(timedelta(), "missed", end=2)
+    await topic.read_once()
+    assert written["missed"] == RecordTime(confirmed_at, exact=False)
+
+
 async def test_message_that_waited_for_the_process_confirms_nothing(
     topic, store, clock
 ):
