--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -72,7 +72,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a call."""
         if self.away:
-            request.transport.abort()
+            break_off(request)
             return web.Response(status=503)
         return await super().handle(request)
 
@@ -194,7 +194,7 @@
         """Work on a request and answer it."""
         await asyncio.sleep(PLAIN_WORK_S)
         if run.broke_off:
-            request.transport.abort()
+            break_off(request)
         return web.Response(
             body=whole_body(run.request_id, streaming=False), headers=self.headers(run)
         )
@@ -300,8 +300,14 @@
         await response.prepare(request)
         for number in range(first, count + 1):
             if run.broke_off and number > count // 2:
-                request.transport.abort()
+                break_off(request)
                 break
             await response.write(event(run.request_id, number))
             await asyncio.sleep(EVENT_STEP_S)
         return response
+
+
+def break_off(request: web.BaseRequest) -> None:
+    """Reset the connection of a request unless its sender has left."""
+    if request.transport is not None:
+        request.transport.abort()
