--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from aiohttp import web
 
@@ -85,10 +85,12 @@
             breaker=self.breaker,
             random=self.random,
         )
+        self.dispatcher.buckets_.started(self.clock.now())
         budget = RetryBudget(
             BudgetLimit(
                 settings.budget_ratio, settings.budget_extra, settings.budget_window
-            )
+            ),
+            self.clock.now(),
         )
         self.parts = ForwarderParts(
             dispatcher=self.dispatcher,
@@ -164,7 +166,9 @@
                 catalog.limits.idle_timeout, catalog.limits.body_bytes
             )
 
-    def apply_upstreams(self, records: Iterable[KeyedRecord]) -> None:
+    def apply_upstreams(
+        self, records: Iterable[KeyedRecord], written_at: datetime | None
+    ) -> None:
         """Fold new entries of upstreams."""
         changed = False
         for record in records:
@@ -172,7 +176,7 @@
         if changed:
             known = set(self.upstreams.upstreams_by_id_)
             self.breaker.forget(known)
-            self.dispatcher.buckets_.forget(known)
+            self.dispatcher.buckets_.forget(known, self.clock.now())
             self._tell_near_entries()
 
     def _apply_upstream(self, record: KeyedRecord) -> bool:
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -5,25 +5,22 @@
 import asyncio
 import traceback
 from collections.abc import Callable, Coroutine, Iterable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatchmethod
 from random import Random
 
 import aiohttp
-import msgspec
 from aiohttp import web
 
 from ..core import (
     Clock,
     MonotonicClock,
-    PlatformError,
     SettingError,
     rendezvous_order,
 )
 from ..forwarding import Listener
 from ..gateway import OperatorState
 from ..platform import (
-    MEMBER_TOPIC,
     OPERATOR_TOPIC,
     HttpCaller,
     ProcessSettings,
@@ -40,7 +37,9 @@
     PeerTable,
     PlacedItem,
 )
+from ._discovery import Discovery
 from ._gossip import GossipSocket, Received, gossip_interval, incarnation
+from ._namings import NamingExchange
 from ._reporter import LineReporter
 from ._topics import Apply, TopicReplica
 
@@ -59,9 +58,6 @@
 # Rounds of gossip that repeat a change to all peers in the region, as datagrams are
 # lost at times.
 REPEATED_ROUNDS = 3
-# Seeds may be stale or down, so members also find each other in the store.
-MEMBERS_INTERVAL = timedelta(seconds=15)
-LONELY_INTERVAL = timedelta(seconds=1)
 # Time after which all peers of the region are told and silent ones are tried.
 WIDE_INTERVAL = timedelta(milliseconds=1450)
 # Messages after which one passes on addresses.
@@ -104,6 +100,12 @@
             settings.node, settings.host, settings.peer_port, engine
         )
         self.operator = OperatorState()
+        self.namings_ = NamingExchange(
+            self.operator,
+            bound=settings.version_bound,
+            random=self.random,
+            reporter=self.reporter,
+        )
         self.peers = PeerTable(self.address, self.random)
         self.session_: aiohttp.ClientSession | None = None
         self.caller_: HttpCaller | None = None
@@ -137,7 +139,16 @@
         await self._serve_metrics()
         self.keep_running(self._read_operator)
         self.keep_running(self._gossip)
-        self.keep_running(self._find_members)
+        discovery = Discovery(
+            self.settings,
+            address=self.address,
+            peers=self.peers,
+            store=self.store_,
+            greet=lambda peers: self.gossip_.send(self.news(), peers),
+            clock=self.clock,
+            reporter=self.reporter,
+        )
+        self.keep_running(discovery.find_members)
 
     async def stop(self) -> None:
         """Close what `start` opened."""
@@ -214,9 +225,10 @@
         self.topics_by_name_[name] = topic
         return topic
 
-    def apply_operator(self, records: Iterable[KeyedRecord]) -> None:
+    def apply_operator(
+        self, records: Iterable[KeyedRecord], written_at: datetime | None
+    ) -> None:
         """Fold new records of the operators."""
-        now = self.clock.now()
         changed = False
         for record in records:
             try:
@@ -225,10 +237,13 @@
                 self.reporter.count("records_bad", topic=OPERATOR_TOPIC)
                 self.reporter.event("bad_record", key=record.key, detail=error.message)
                 continue
-            if decoded is not None and self.operator.apply(decoded, now):
+            if decoded is not None and self.operator.apply(decoded, written_at):
                 changed = True
                 self.reporter.event(
-                    "operator_change", key=record.key, offset=record.offset
+                    "operator_change",
+                    key=record.key,
+                    offset=record.offset,
+                    first_read=written_at is None,
                 )
         if changed:
             self.operator_changed()
@@ -248,6 +263,7 @@
             leaving=self.leaving_,
             topics=[topic.item(now) for topic in self.topics_by_name_.values()],
             peers=self.peers.sample() if self.sequence_ % ADDRESSES_EVERY == 0 else [],
+            namings=self.namings_.items(now),
         )
 
     def publish(self) -> None:
@@ -267,7 +283,7 @@
     @hear.register
     def _(self, news: News, received: Received) -> None:
         now = self.clock.now()
-        greet = not self.peers.has_heard(news.sender.id)
+        greet = not self.peers.has_heard(news)
         if not self.peers.hear(news, now):
             return
         if not self.is_near(news.sender) and received.is_from(news.sender):
@@ -275,6 +291,7 @@
         if greet:
             # A process that has just started learns at once what this one knows.
             self.gossip_.send(self.news(), [news.sender])
+        self.namings_.hear(news, now)
         for item in news.topics:
             topic = self.topics_by_name_.get(item.name)
             if topic is None:
@@ -459,41 +476,3 @@
             entries = [peer for peer in peers if not peer.engine] or peers
             relays += self.random.sample(entries, min(FAR_RELAYS, len(entries)))
         return relays
-
-    async def _find_members(self) -> None:
-        """Greet the seeds, register, and read who else did."""
-        self._greet_seeds()
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    value = msgspec.json.encode(self.address)
-                    await self.store_.put(MEMBER_TOPIC, self.settings.node, value)
-                    registered = True
-                page = await self.store_.newest(MEMBER_TOPIC)
-                self._learn(page.records)
-                self.gossip_.send(self.news(), self.peers.unheard())
-            except PlatformError as error:
-                self.reporter.event("members_unread", detail=error.message)
-            lonely = not self.peers.live(self.clock.now())
-            if lonely:
-                self._greet_seeds()
-            pause = LONELY_INTERVAL if lonely else MEMBERS_INTERVAL
-            await asyncio.sleep(pause.total_seconds())
-
-    def _greet_seeds(self) -> None:
-        for seed in self.settings.seeds:
-            if seed.host != self.settings.host:
-                address = PeerAddress(
-                    f"seed-{seed.host}", seed.host, self.settings.peer_port, True
-                )
-                self.gossip_.send(self.news(), [address])
-
-    def _learn(self, records: Iterable[KeyedRecord]) -> None:
-        for record in records:
-            try:
-                address = msgspec.json.decode(record.value or b"", type=PeerAddress)
-            except msgspec.DecodeError as error:
-                self.reporter.event("bad_member", key=record.key, detail=repr(error))
-                continue
-            self.peers.learn(address)
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -13,7 +13,7 @@
 from ..core import FrameError
 from ..gateway import EngineReport, Share
 
-PROTOCOL = 5
+PROTOCOL = 6
 # A datagram above this size would be split and lost as a whole more often.
 MAX_DATAGRAM_BYTES = 8192
 # Bounds what a broken peer makes a process allocate; the store keeps less in a topic.
@@ -47,6 +47,14 @@
     age_s: float | None
 
 
+class NamingsItem(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how long ago the versions of a model's weights were named."""
+
+    model: str
+    # `None` if the sender does not know, which counts as long ago.
+    age_s_by_version: dict[int, float | None]
+
+
 class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
     """Name a request that was running when upstreams crashed."""
 
@@ -77,6 +85,7 @@
     chunks: list[ChunkItem] = []
     suspects: list[SuspectItem] = []
     peers: list[PeerAddress] = []
+    namings: list[NamingsItem] = []
 
 
 class RecordItem(msgspec.Struct, frozen=True, array_like=True):
@@ -93,8 +102,8 @@
     end: int
     # Records as `pack_records` writes them.
     packed: bytes
-    # Seconds since the store confirmed what the sender holds.
-    age_s: float = 0.0
+    # Seconds since the store confirmed what the sender holds; `None` if it never did.
+    age_s: float | None = 0.0
 
 
 def pack_records(records: list[RecordItem]) -> bytes:
