--- a/shallotpath/gateway/tests/test_limits.py
+++ b/shallotpath/gateway/tests/test_limits.py
@@ -45,6 +45,16 @@
         assert within <= max(limit.total, 2 * entries)
 
 
+def test_cold_upstream_keeps_its_limit_with_more_entries_than_it_has_requests():
+    # Guards against the one request a second that each entry may send at least, which
+    # together exceed the limit of a cold upstream in a large fleet.
+    entries = 33
+    limit = ColdLimit(requests_per_s=14, excess=1.5, slack=5)
+    buckets = [ColdBuckets() for _ in range(entries)]
+    taken = sum(bucket.take("u", limit, entries, EPOCH) for bucket in buckets)
+    assert taken <= limit.total
+
+
 @given(st.integers(1, 12), st.integers(0, 2**32))
 def test_retries_of_all_entries_stay_within_the_budget(entries, seed):
     limit = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
