--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -14,15 +14,15 @@
     Forwarder,
     ForwarderParts,
     Listener,
-    ReplicaStatus,
 )
 from ..gateway import (
     Breaker,
     BudgetLimit,
     CrashSuspects,
+    DiscoveryPeriod,
     Dispatcher,
-    EntryCounter,
     EntryLoad,
+    EntrySubsets,
     LoadTracker,
     PlacementRules,
     Retries,
@@ -59,10 +59,6 @@
 SOCKET_CLOSE_RESERVE = timedelta(milliseconds=700)
 DRAIN_POLL_INTERVAL_S = 0.05
 SUSPECTS_PER_MESSAGE = 10
-# Peers that are notified of each request at once. Bounds the datagrams of an entry,
-# which would grow with the fleet. The load tracker assumes that the other entries send
-# at this entry's rate.
-MAX_PLACEMENT_PEERS = 6
 
 
 class EdgeProcess(MemberProcess):
@@ -75,7 +71,8 @@
         self.loads = LoadTracker(self._send_placement)
         self.suspects = CrashSuspects()
         self.pool = ConnectionPool(self.clock)
-        self.entry_counter_ = EntryCounter(self.clock.now())
+        self.subsets = EntrySubsets(settings.node, settings.region)
+        self.discovery_period_ = DiscoveryPeriod(self.clock.now())
         rules = PlacementRules(
             domain=settings.domain,
             regions_by_domain=settings.regions_by_domain,
@@ -89,13 +86,15 @@
             upstreams=self.upstreams,
             loads=self.loads,
             breaker=self.breaker,
+            subsets=self.subsets,
             random=self.random,
         )
-        self.dispatcher.cold_buckets_.started(self.clock.now())
+        self.dispatcher.cold_limiter.started(self.clock.now())
         budget = RetryBudget(
             BudgetLimit(
                 settings.budget_ratio, settings.budget_extra, settings.budget_window
             ),
+            self.subsets,
             self.clock.now(),
         )
         self.parts = ForwarderParts(
@@ -107,7 +106,7 @@
             clock=self.clock,
         )
         self.forwarder = Forwarder(
-            self.parts, self.operator, self.replica_status, self.reporter
+            self.parts, self.operator, self.is_configuration_fresh, self.reporter
         )
         self.caller_listener_: Listener | None = None
         self.readiness_listener_ = Listener(self._answer_probe)
@@ -158,19 +157,23 @@
         """Check whether the balancer may send callers to this entry."""
         return self.operator.catalog is not None and not self.leaving_
 
-    def replica_status(self) -> ReplicaStatus:
-        """Return whether the configuration is fresh, and the number of entries."""
-        now = self.clock.now()
-        age = self.operator_topic_.age(now)
+    def is_configuration_fresh(self) -> bool:
+        """Check whether the store or a peer confirmed the configuration recently."""
+        age = self.operator_topic_.age(self.clock.now())
         fresh = age is not None and age <= MAX_FRESH_AGE
-        fresh = fresh and not self.operator_topic_.was_suspended()
-        return ReplicaStatus(fresh, self.entries())
+        return fresh and not self.operator_topic_.was_suspended()
 
-    def entries(self) -> int:
-        """Return the number of entries that share the limits."""
+    def update_entries(self) -> int:
+        """Update the entries that share the limits and return their number."""
         now = self.clock.now()
-        known = 1 + sum(not peer.engine for peer in self.peers.all())
-        return self.entry_counter_.count(self.peers.entries(now), known, now)
+        entries = self.peers.active_entries(now)
+        if self.discovery_period_.active(now):
+            entries = [peer for peer in self.peers.all() if not peer.engine]
+        regions = self.settings.regions_by_domain
+        self.subsets.update(
+            {peer.id: regions.get(self.peers.domain(peer.id), "") for peer in entries}
+        )
+        return self.subsets.count
 
     def operator_changed(self) -> None:
         """Apply the connection limits of a new configuration to the listener."""
@@ -190,7 +193,7 @@
         if changed:
             known = set(self.upstreams.upstreams_by_id_)
             self.breaker.prune(known)
-            self.dispatcher.cold_buckets_.prune(known, self.clock.now())
+            self.dispatcher.cold_limiter.prune(known, self.clock.now())
             self._notify_region_entries()
 
     def _apply_upstream(self, record: KeyedRecord) -> bool:
@@ -241,6 +244,8 @@
         """Record a peer's loads, engine reports and crash suspects."""
         now = self.clock.now()
         if not message.sender.engine:
+            if not self.subsets.knows(message.sender.id):
+                self.update_entries()
             self.loads.update_peer_loads(message.sender.id, message.shares, now)
         for report in message.engines:
             self.loads.update_engine_report(report, now)
@@ -249,7 +254,8 @@
 
     def handle_placement(self, placed: PlacementItem) -> None:
         """Count a peer's request until its next gossip message has its loads."""
-        self.loads.add_peer_placement(placed.sender, placed.upstream, placed.share)
+        now = self.clock.now()
+        self.loads.add_peer_placement(placed.sender, placed.upstream, placed.share, now)
 
     def may_pull(self, topic: TopicReplica, message: GossipMessage) -> bool:
         """Check whether to pull; from other domains, upstreams only when stale."""
@@ -275,7 +281,7 @@
         return super().status() | {
             "ready": self.ready,
             "active": self.caller_listener_.active,
-            "entries": self.entries(),
+            "entries": self.update_entries(),
             "upstreams": upstreams,
         }
 
@@ -295,20 +301,14 @@
         return rendezvous_choice("upstreams", [*live, own]) == own
 
     def _send_placement(self, upstream_id: str, share: EntryLoad) -> None:
-        """Notify the entries that are likely to choose the same upstream next."""
+        """Notify the other primary entries of an upstream, which prefer it too."""
         upstream = self.upstreams.upstreams_by_id_.get(upstream_id)
         if upstream is None:
             return
-        regions = self.settings.regions_by_domain
-        target_regions = {self.settings.region, regions.get(upstream.record.domain)}
-        peers = [
-            peer
-            for peer in self.peers.all()
-            if not peer.engine
-            and regions.get(self.peers.domain(peer.id)) in target_regions
-        ]
-        if len(peers) > MAX_PLACEMENT_PEERS:
-            peers = self.random.sample(peers, MAX_PLACEMENT_PEERS)
+        domain = upstream.record.domain
+        region = self.settings.regions_by_domain.get(domain, "")
+        addresses = map(self.peers.address, self.subsets.primaries(upstream_id, region))
+        peers = [address for address in addresses if address is not None]
         self.gossip_.send(PlacementItem(self.settings.node, upstream_id, share), peers)
 
     def _notify_region_entries(self) -> None:
@@ -322,10 +322,6 @@
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
-            # Called even without requests, so that the entry counter detects a
-            # suspension of the process.
-            self.entries()
+            self.update_entries()
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
-            not_notified = len(self.live_region_entries()) - MAX_PLACEMENT_PEERS
-            self.loads.entry_count = 1 + max(0, not_notified)
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -257,7 +257,7 @@
             domain=self.settings.domain,
             leaving=self.leaving_,
             topics=[topic.item(now) for topic in self.topics_by_name_.values()],
-            peers=self.peers.sample()
+            peers=self.peers.sample(now)
             if self.sequence_ % MESSAGES_PER_ADDRESS_SAMPLE == 0
             else [],
             announcements=self.announcements_.items(now),
--- a/shallotpath/fleet/tests/announcements.py
+++ b/shallotpath/fleet/tests/announcements.py
@@ -43,5 +43,5 @@
 
 def refuses_old_weights(edge):
     now = edge.clock.now()
-    placed = edge.dispatcher.choose(make_call(now=now), (), 1, now)
+    placed = edge.dispatcher.choose(make_call(now=now), (), now)
     return isinstance(placed, Rejection) and placed.reason is RejectReason.NO_WEIGHTS
--- a/shallotpath/fleet/tests/test_entries.py
+++ b/shallotpath/fleet/tests/test_entries.py
@@ -33,16 +33,16 @@
     """Advance the clock second by second while the process runs."""
     for _ in range(int(span.total_seconds())):
         clock.advance(timedelta(seconds=1))
-        edge.entries()
+        edge.update_entries()
 
 
 def test_entry_that_starts_counts_entries_that_it_has_not_heard():
     # Guards against a starting entry that uses the whole limit by itself, because it
     # has heard no other entry yet.
     edge, clock = make_edge()
-    assert edge.entries() == 4
+    assert edge.update_entries() == 4
     receive_gossip(edge, OTHERS[0], 1)
-    assert edge.entries() == 4
+    assert edge.update_entries() == 4
 
 
 def test_entries_that_stay_silent_after_a_start_are_no_longer_counted():
@@ -51,7 +51,7 @@
     for sequence in range(13):
         receive_gossip(edge, OTHERS[0], sequence)
         run_for(edge, clock, timedelta(seconds=1))
-    assert edge.entries() == 2
+    assert edge.update_entries() == 2
 
 
 def test_suspended_entry_keeps_counting_its_peers():
@@ -60,8 +60,8 @@
     run_for(edge, clock, COUNTED)
     for address in OTHERS:
         receive_gossip(edge, address, 1)
-    assert edge.entries() == 4
+    assert edge.update_entries() == 4
     clock.advance(COUNTED)
-    assert edge.entries() == 4
+    assert edge.update_entries() == 4
     run_for(edge, clock, COUNTED)
-    assert edge.entries() == 1
+    assert edge.update_entries() == 1
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -4,7 +4,7 @@
 from ._connection import ConnectionPool
 from ._events import EventSplitter
 from ._exchange import ForwarderParts, refusal
-from ._forwarder import Forwarder, ReplicaStatus
+from ._forwarder import Forwarder
 from ._ingress import Listener
 from ._journal import Reporter, RequestJournal, milliseconds
 from ._wire import (
@@ -17,7 +17,6 @@
 
 __all__ = [
     "HOP_BY_HOP_HEADERS",
-    "ReplicaStatus",
     "BoundedConnection",
     "ConnectionPool",
     "EndlessAnswerError",
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -110,14 +110,12 @@
         request: web.BaseRequest,
         call: GatewayCall,
         body: bytes,
-        entries: int,
         journal: RequestJournal,
     ) -> None:
         self.parts = parts
         self.request = request
         self.call = call
         self.body = body
-        self.entries = entries
         self.journal = journal
         self.send_count_ = 0
         self.failed_connects_ = 0
@@ -168,7 +166,7 @@
 
     def _choose_upstream(self) -> Placement | Rejection:
         return self.parts.dispatcher.choose(
-            self.call, self.tried_ids_, self.entries, self.parts.clock.now()
+            self.call, self.tried_ids_, self.parts.clock.now()
         )
 
     def _choose_retry(self, failure: Failure) -> Placement | None:
@@ -188,7 +186,7 @@
             return next_placement
         now = self.parts.clock.now()
         allowed = self.parts.retries.try_acquire(
-            self.call, failure, self.send_count_, self.entries, now
+            self.call, failure, self.send_count_, now
         )
         return next_placement if allowed else None
 
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from hashlib import blake2b
 
@@ -20,15 +19,6 @@
 FINGERPRINT_BYTES = 12
 
 
-@dataclass(slots=True, frozen=True)
-class ReplicaStatus:
-    """Describe this entry's replica of the configuration."""
-
-    # Whether the store or a peer confirmed the configuration recently.
-    fresh: bool
-    entries: int
-
-
 class Forwarder:
     """Serve the requests of callers."""
 
@@ -36,12 +26,13 @@
         self,
         parts: ForwarderParts,
         operator: OperatorState,
-        replica_status: Callable[[], ReplicaStatus],
+        is_fresh: Callable[[], bool],
         reporter: Reporter,
     ) -> None:
         self.parts = parts
         self.operator = operator
-        self.replica_status = replica_status
+        # Whether the store or a peer confirmed the configuration recently.
+        self.is_fresh = is_fresh
         self.reporter = reporter
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -63,7 +54,6 @@
                     request=request,
                     call=call,
                     body=body,
-                    entries=self.replica_status().entries,
                     journal=journal,
                 )
                 response = await exchange.run()
@@ -118,7 +108,7 @@
 
     def _deny_unknown(self, status: int, detail: str) -> web.Response:
         """Return a denial, or 503 if the configuration may be outdated."""
-        if self.replica_status().fresh:
+        if self.is_fresh():
             return refusal(status, detail)
         return refusal(
             503, "the configuration may be outdated", CONFIGURATION_RETRY_AFTER
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -14,7 +14,6 @@
     Forwarder,
     ForwarderParts,
     Listener,
-    ReplicaStatus,
 )
 from shallotpath.gateway import (
     Breaker,
@@ -24,6 +23,7 @@
     CatalogAnnounced,
     CrashSuspects,
     Dispatcher,
+    EntrySubsets,
     LoadTracker,
     OperatorState,
     PlacementRules,
@@ -260,25 +260,27 @@
             f"u{number}", "s", address, "a-1", 6, False, zero, 1, {}
         )
         table.apply(record, clock.now())
+    subsets = EntrySubsets("e", "a")
     dispatcher = Dispatcher(
         rules=PlacementRules("a-1", {"a-1": "a"}, ms(8000), 1.5, 5.0),
         operator=operator,
         upstreams=table,
         loads=LoadTracker(),
         breaker=Breaker(),
+        subsets=subsets,
         random=Random(1),
     )
     limit = BudgetLimit(0.2, budget, ms(10_000))
     parts = ForwarderParts(
         dispatcher=dispatcher,
-        retries=Retries(RetryBudget(limit, clock.now() - limit.window)),
+        retries=Retries(RetryBudget(limit, subsets, clock.now() - limit.window)),
         suspects=CrashSuspects(),
         pool=ConnectionPool(clock),
         header_codec=PlatformHeaderCodec(),
         clock=clock,
     )
     reporter = RecordingReporter()
-    forwarder = Forwarder(parts, operator, lambda: ReplicaStatus(fresh, 1), reporter)
+    forwarder = Forwarder(parts, operator, lambda: fresh, reporter)
     listener = Listener(forwarder.handle)
     port = await listener.start(HOST, 0)
     try:
--- a/shallotpath/forwarding/tests/test_journal.py
+++ b/shallotpath/forwarding/tests/test_journal.py
@@ -33,10 +33,10 @@
     dispatcher = make_dispatcher([make_record(1)])
     reporter = RecordingReporter()
     journal = RequestJournal(reporter, "q1", EPOCH)
-    journal.placed(dispatcher.choose(make_call(1), (), 1, EPOCH), EPOCH)
+    journal.placed(dispatcher.choose(make_call(1), (), EPOCH), EPOCH)
     dispatcher.operator.apply(WeightsAnnounced("m", 2), WriteTime(EPOCH))
     now = EPOCH + ms(2000)
-    journal.placed(dispatcher.choose(make_call(2), (), 1, now), now)
+    journal.placed(dispatcher.choose(make_call(2), (), now), now)
     journal.close("served", 200, now + timedelta(seconds=1), None, 1)
     current, outdated = reporter.fields[0]["steps"]
     assert "begin_within" not in current
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -18,7 +18,8 @@
     Team,
     WeightedService,
 )
-from ._cold import ColdBuckets, ColdLimit
+from ._cold import ColdLimit, ColdLimiter
+from ._discovery_period import DiscoveryPeriod
 from ._dispatcher import (
     Dispatcher,
     Placement,
@@ -27,7 +28,6 @@
     RejectReason,
 )
 from ._engine_model import EngineLoad, Prediction, predict_first_token
-from ._entry_counter import EntryCounter
 from ._loads import EngineReport, EntryLoad, LoadTracker
 from ._operator import (
     CatalogAnnounced,
@@ -40,6 +40,7 @@
 )
 from ._outcomes import Failure, FailureKind
 from ._retries import Retries
+from ._subsets import EntrySubsets
 from ._suspects import CrashSuspects
 from ._upstreams import Upstream, UpstreamRecord, UpstreamTable
 
@@ -49,9 +50,10 @@
     "CallerLimits",
     "Catalog",
     "CatalogAnnounced",
-    "ColdBuckets",
     "ColdLimit",
+    "ColdLimiter",
     "CrashSuspects",
+    "DiscoveryPeriod",
     "Dispatcher",
     "DomainEnabled",
     "DomainDisabled",
@@ -79,7 +81,7 @@
     "RouteKind",
     "Service",
     "EntryLoad",
-    "EntryCounter",
+    "EntrySubsets",
     "ModelTarget",
     "Team",
     "Upstream",
--- a/shallotpath/gateway/_budget.py
+++ b/shallotpath/gateway/_budget.py
@@ -5,6 +5,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from math import floor
+
+from ._subsets import EntrySubsets
 
 # Share of the budget that is spent; the rest covers entries that are not known yet.
 PLANNED_SHARE = 0.8
@@ -31,14 +34,18 @@
 class RetryBudget:
     """Allow retries within a ratio of this entry's requests and its share of the extra.
 
-    What this entry spent before a restart is not known, so it gets none of the extra
-    until one window after its start.
+    The extra is divided into whole retries, so that none is lost to rounding. What this
+    entry spent before a restart is not known, so it gets none of the extra until one
+    window after its start.
     """
 
-    __slots__ = ("limit", "started_at", "uses_by_service_")
+    __slots__ = ("limit", "started_at", "subsets", "uses_by_service_")
 
-    def __init__(self, limit: BudgetLimit, started_at: datetime) -> None:
+    def __init__(
+        self, limit: BudgetLimit, subsets: EntrySubsets, started_at: datetime
+    ) -> None:
         self.limit = limit
+        self.subsets = subsets
         self.started_at = started_at
         self.uses_by_service_: dict[str, _Usage] = {}
 
@@ -47,13 +54,14 @@
         usage = self._recent_usage(service, now)
         usage.requests.append(now)
 
-    def try_spend(self, service: str, entries: int, now: datetime) -> bool:
+    def try_spend(self, service: str, now: datetime) -> bool:
         """Spend one retry if the budget allows it, and return whether it did."""
         usage = self._recent_usage(service, now)
-        allowed = self.limit.ratio * len(usage.requests)
+        allowed = PLANNED_SHARE * self.limit.ratio * len(usage.requests)
         if now - self.started_at >= self.limit.window:
-            allowed += self.limit.extra / max(1, entries)
-        if len(usage.retries) + 1 > PLANNED_SHARE * allowed:
+            extra = floor(PLANNED_SHARE * self.limit.extra)
+            allowed += self.subsets.share(service, extra)
+        if len(usage.retries) + 1 > allowed:
             return False
         usage.retries.append(now)
         return True
--- a/shallotpath/gateway/_cold.py
+++ b/shallotpath/gateway/_cold.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from math import floor
 
 # Share of the limit that the entries use together; the rest covers entries that do not
 # know of each other yet.
-PLANNED_SHARE = 0.85
-# Time in which an empty bucket of any size fills up.
-REFILL_TIME = timedelta(seconds=1)
+PLANNED_SHARE = 0.75
+# The limit holds for each second in which requests are sent. The slack covers the time
+# from a decision until its request is sent.
+WINDOW = timedelta(milliseconds=1050)
 
 
 @dataclass(slots=True)
@@ -25,67 +28,54 @@
         """Return the requests that may arrive within any second."""
         return self.requests_per_s * self.excess + self.slack
 
-
-@dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    refilled_at: datetime
+    @property
+    def planned(self) -> int:
+        """Return the requests that the entries divide among each other."""
+        return floor(PLANNED_SHARE * self.total)
 
 
-class ColdBuckets:
+class ColdLimiter:
     """Limit the requests that one entry sends to each upstream in a second.
 
-    Within any second a token bucket passes its burst plus one second of its rate, so
-    each of the two is half of the entry's share. The limit applies to all upstreams
-    because one may become cold without reporting it.
+    The limit applies to all upstreams because one may become cold without reporting it.
     """
 
-    __slots__ = ("buckets_by_id_", "started_at_")
+    __slots__ = ("sent_by_id_", "started_at_")
 
     def __init__(self) -> None:
-        self.buckets_by_id_: dict[str, _Bucket] = {}
+        self.sent_by_id_: dict[str, deque[datetime]] = {}
         self.started_at_: datetime | None = None
 
     def started(self, now: datetime) -> None:
-        """Start with empty buckets, as requests sent before a restart are not known."""
+        """Send nothing for one window, as requests before a restart are not known."""
         self.started_at_ = now
 
-    def try_take(
-        self, upstream_id: str, limit: ColdLimit, entries: int, now: datetime
-    ) -> bool:
-        """Take a token from an upstream's bucket and return whether there was one."""
-        bucket = self._refilled_bucket(upstream_id, limit, entries, now)
-        if bucket.tokens < 1.0:
+    def try_acquire(self, upstream_id: str, share: int, now: datetime) -> bool:
+        """Count a request to an upstream and return whether its share allowed it."""
+        if not self.has_capacity(upstream_id, share, now):
             return False
-        bucket.tokens -= 1.0
+        self.sent_by_id_.setdefault(upstream_id, deque()).append(now)
         return True
 
-    def has_token(
-        self, upstream_id: str, limit: ColdLimit, entries: int, now: datetime
-    ) -> bool:
-        """Check whether an upstream's bucket has a token left."""
-        return self._refilled_bucket(upstream_id, limit, entries, now).tokens >= 1.0
+    def has_capacity(self, upstream_id: str, share: int, now: datetime) -> bool:
+        """Check whether this entry may send an upstream one more request."""
+        if self.started_at_ is not None and now - self.started_at_ < WINDOW:
+            return False
+        return self._recent(upstream_id, now) < share
 
     def prune(self, known_ids: set[str], now: datetime) -> None:
-        """Drop the full buckets of upstreams that are gone.
+        """Forget upstreams that are gone once their last window has passed.
 
-        A bucket that is not full is kept, since its upstream may register again.
+        Until then a window is kept, since its upstream may register again.
         """
-        for upstream_id in self.buckets_by_id_.keys() - known_ids:
-            if now - self.buckets_by_id_[upstream_id].refilled_at >= REFILL_TIME:
-                del self.buckets_by_id_[upstream_id]
-
-    def _refilled_bucket(
-        self, upstream_id: str, limit: ColdLimit, entries: int, now: datetime
-    ) -> _Bucket:
-        burst = max(1.0, PLANNED_SHARE * limit.total / (2 * max(1, entries)))
-        bucket = self.buckets_by_id_.get(upstream_id)
-        if bucket is None:
-            bucket = _Bucket(burst, now)
-            if self.started_at_ is not None:
-                bucket = _Bucket(0.0, self.started_at_)
-            self.buckets_by_id_[upstream_id] = bucket
-        elapsed = (now - bucket.refilled_at).total_seconds()
-        bucket.tokens = min(burst, bucket.tokens + elapsed * burst)
-        bucket.refilled_at = now
-        return bucket
+        for upstream_id in self.sent_by_id_.keys() - known_ids:
+            if not self._recent(upstream_id, now):
+                del self.sent_by_id_[upstream_id]
+
+    def _recent(self, upstream_id: str, now: datetime) -> int:
+        sent = self.sent_by_id_.get(upstream_id)
+        if sent is None:
+            return 0
+        while sent and now - sent[0] >= WINDOW:
+            sent.popleft()
+        return len(sent)
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import StrEnum
@@ -10,17 +10,25 @@
 
 from ._breaker import Breaker
 from ._call import GatewayCall
+from ._candidates import CandidateTable, sample_fit
 from ._catalog import Service
-from ._cold import ColdBuckets, ColdLimit
+from ._cold import WINDOW as COLD_WINDOW
+from ._cold import ColdLimit, ColdLimiter
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import LoadTracker
 from ._operator import OperatorState
-from ._overload import OverloadDetector
+from ._overload import OverloadDetector, SpillBudget
+from ._subsets import EntrySubsets
 from ._upstreams import Upstream, UpstreamTable
 
-# Random upstreams of other regions that are compared with those of the own region. If
-# all were compared, every entry would choose the same one until the next gossip round.
+# Preferred upstreams that are compared for a request.
+PREFERRED_CANDIDATES = 8
+# Preferred upstreams of other regions that are compared with those of the own region.
 REMOTE_CANDIDATES = 2
+# Random other upstreams of the own and of other regions that are compared if all
+# preferred ones are too busy. The loads known of them are those of the last gossip
+# round, and with a wider choice more entries take the same one.
+OTHER_CANDIDATES = 1
 # Share of the target latency that a prediction may use; the rest covers its error.
 ADMISSION_TARGET_SHARE = 0.9
 # A retry has already missed its target latency, so it may wait behind first attempts.
@@ -105,12 +113,15 @@
 
     __slots__ = (
         "breaker",
-        "cold_buckets_",
+        "candidates_",
+        "cold_limiter",
         "loads",
         "operator",
         "overload_detector_",
         "random",
         "rules",
+        "spill_budget_",
+        "subsets",
         "upstreams",
     )
 
@@ -122,6 +133,7 @@
         upstreams: UpstreamTable,
         loads: LoadTracker,
         breaker: Breaker,
+        subsets: EntrySubsets,
         random: Random,
     ) -> None:
         self.rules = rules
@@ -129,63 +141,150 @@
         self.upstreams = upstreams
         self.loads = loads
         self.breaker = breaker
+        self.subsets = subsets
         self.random = random
-        self.cold_buckets_ = ColdBuckets()
+        self.cold_limiter = ColdLimiter()
         self.overload_detector_ = OverloadDetector()
+        self.spill_budget_ = SpillBudget()
+        self.candidates_ = CandidateTable(
+            upstreams=upstreams,
+            subsets=subsets,
+            own_region=rules.regions_by_domain.get(rules.domain, ""),
+            region_of=self._region_of,
+        )
 
     def choose(
-        self,
-        call: GatewayCall,
-        excluded: Collection[str],
-        entries: int,
-        now: datetime,
+        self, call: GatewayCall, excluded: Collection[str], now: datetime
     ) -> Placement | Rejection:
         """Return the upstream for a request, or why there is none."""
         service = self.operator.catalog.services_by_id.get(call.service)
         if service is None:
             return self._reject(call, RejectReason.NO_UPSTREAM, now)
+        decision = self._choose_candidate(call, service, excluded, now)
+        if decision is None:
+            # None of the sampled upstreams is fit, but others may be.
+            decision = self._choose_from_all(call, service, excluded, now)
+        placed = isinstance(decision, Placement)
+        overloaded = not placed and decision.reason is RejectReason.OVERLOADED
+        if (placed or overloaded) and not call.is_retry and not excluded:
+            self.overload_detector_.record_first_attempt(
+                call.service, rejected=overloaded
+            )
+        limit = self._cold_limit(service)
+        if placed and limit is not None:
+            share = self._cold_share(decision.upstream, limit)
+            self.cold_limiter.try_acquire(decision.upstream.id, share, now)
+        return decision
+
+    def _choose_candidate(
+        self,
+        call: GatewayCall,
+        service: Service,
+        excluded: Collection[str],
+        now: datetime,
+    ) -> Placement | Rejection | None:
+        """Choose among the preferred upstreams, then among a few others.
+
+        Return `None` if none of those is fit.
+        """
+        limit = self._cold_limit(service)
+        self.spill_budget_.record_request(call.service)
+
+        def is_fit(upstream: Upstream) -> bool:
+            return (
+                upstream.id not in excluded
+                and self.upstreams.is_usable(upstream, now)
+                and self._is_allowed(call, upstream)
+                and self._is_sound(upstream, now)
+                and self._usable_version(call, upstream, now) is not None
+                and self._has_cold_capacity(upstream, limit, now)
+            )
+
+        def sample(upstreams: Sequence[Upstream], count: int) -> list[Upstream]:
+            return sample_fit(upstreams, count, is_fit, self.random)
+
+        groups = self.candidates_.get(call.service)
+        known = sample(groups.preferred, PREFERRED_CANDIDATES)
+        known += sample(groups.remote_preferred, REMOTE_CANDIDATES)
+        first = self._place(call, service, known, now) if known else None
+        if isinstance(first, Placement):
+            return first
+        more = sample(groups.remote_preferred, PREFERRED_CANDIDATES)
+        second = self._place(call, service, more, now) if more else None
+        if isinstance(second, Placement):
+            return second
+        rejection = first or second
+        # A retry within this entry has lost time and goes wherever it can.
+        if (
+            rejection
+            and not excluded
+            and not self.spill_budget_.available(call.service)
+        ):
+            return rejection
+        others = sample(groups.regional, OTHER_CANDIDATES)
+        others += sample(groups.remote, OTHER_CANDIDATES)
+        third = self._place(call, service, others, now) if others else None
+        if rejection and isinstance(third, Placement):
+            self.spill_budget_.spend(call.service)
+        return third if isinstance(third, Placement) else rejection or third
+
+    def _choose_from_all(
+        self,
+        call: GatewayCall,
+        service: Service,
+        excluded: Collection[str],
+        now: datetime,
+    ) -> Placement | Rejection:
+        """Choose among all upstreams, or return the reason why none can be used."""
         allowed = [
             upstream
             for upstream in self.upstreams.usable(call.service, now)
             if self._is_allowed(call, upstream)
         ]
-        versions_by_id = {u.id: self._usable_version(call, u, now) for u in allowed}
-        eligible = [u for u in allowed if versions_by_id[u.id] is not None]
-        if not eligible:
+        loaded = [u for u in allowed if self._usable_version(call, u, now) is not None]
+        if not loaded:
             reason = RejectReason.NO_WEIGHTS if allowed else RejectReason.NO_UPSTREAM
             return self._reject(call, reason, now, len(allowed))
-        eligible = [u for u in eligible if u.id not in excluded]
+        eligible = [u for u in loaded if u.id not in excluded]
         reachable = [u for u in eligible if self.breaker.is_available(u.id, now)]
         # Without another upstream, one that has just failed is tried again.
         eligible = reachable or eligible
-        healthy = [u for u in eligible if not self.breaker.faulty(u.id)]
+        healthy = [u for u in eligible if not self.breaker.faulty(u.id, now)]
         eligible = healthy or eligible
         if not eligible:
             return self._reject(call, RejectReason.NO_UPSTREAM, now, len(allowed))
         limit = self._cold_limit(service)
-        if limit is not None:
-            eligible = [
-                u
-                for u in eligible
-                if self.cold_buckets_.has_token(u.id, limit, entries, now)
-            ]
-            if not eligible:
-                return self._reject(call, RejectReason.COLD, now, len(allowed))
-        placement = self._place(call, service, eligible, versions_by_id, now)
-        if not call.is_retry and not excluded:
-            rejected = isinstance(placement, Rejection)
-            self.overload_detector_.record_first_attempt(
-                call.service, rejected=rejected
-            )
-        if isinstance(placement, Placement) and limit is not None:
-            self.cold_buckets_.try_take(placement.upstream.id, limit, entries, now)
-        return placement
+        eligible = [u for u in eligible if self._has_cold_capacity(u, limit, now)]
+        if not eligible:
+            return self._reject(call, RejectReason.COLD, now, len(allowed))
+        count = min(len(eligible), PREFERRED_CANDIDATES)
+        return self._place(call, service, self.random.sample(eligible, count), now)
+
+    def _is_sound(self, upstream: Upstream, now: datetime) -> bool:
+        """Check whether an upstream answered its last requests."""
+        breaker = self.breaker
+        return breaker.is_available(upstream.id, now) and not breaker.faulty(
+            upstream.id, now
+        )
+
+    def _has_cold_capacity(
+        self, upstream: Upstream, limit: ColdLimit | None, now: datetime
+    ) -> bool:
+        """Check whether the own share of an upstream's cold limit is not used up."""
+        if limit is None:
+            return True
+        share = self._cold_share(upstream, limit)
+        return self.cold_limiter.has_capacity(upstream.id, share, now)
+
+    def _cold_share(self, upstream: Upstream, limit: ColdLimit) -> int:
+        region = self._region_of(upstream)
+        return self.subsets.upstream_share(upstream.id, region, limit.planned)
 
     def _is_allowed(self, call: GatewayCall, upstream: Upstream) -> bool:
         domain = upstream.record.domain
         if domain in self.operator.disabled_domains_:
             return False
-        region = self.rules.regions_by_domain.get(domain, "")
+        region = self._region_of(upstream)
         for regions in (call.route.regions, call.regions):
             if regions and region not in regions:
                 return False
@@ -220,43 +319,38 @@
         self,
         call: GatewayCall,
         service: Service,
-        eligible: list[Upstream],
-        versions_by_id: Mapping[str, int | None],
+        upstreams: list[Upstream],
         now: datetime,
     ) -> Placement | Rejection:
+        """Choose the best of some upstreams, or reject if it is too busy."""
+        versions_by_id = {u.id: self._usable_version(call, u, now) for u in upstreams}
         start_deadlines_by_id = {
             u.id: self._start_deadline(call.model, versions_by_id[u.id])
-            for u in eligible
+            for u in upstreams
         }
-        same_region = [u for u in eligible if self._is_same_region(u)]
-        remote = [u for u in eligible if not self._is_same_region(u)]
-        remote = self.random.sample(remote, min(REMOTE_CANDIDATES, len(remote)))
-        preferred = self.random.sample(same_region, len(same_region)) + remote
         upstream, prediction = self._best_upstream(
-            call, service, preferred, start_deadlines_by_id, now
+            call, service, upstreams, start_deadlines_by_id, now
         )
-        if not self._is_admissible(call, service, prediction, now):
-            upstream, prediction = self._best_upstream(
-                call, service, eligible, start_deadlines_by_id, now
-            )
-        if not _starts_in_time(start_deadlines_by_id[upstream.id], prediction, now):
-            return self._reject(call, RejectReason.NO_WEIGHTS, now, len(eligible))
+        start_deadline = start_deadlines_by_id[upstream.id]
+        if not _starts_in_time(start_deadline, prediction, now):
+            return self._reject(call, RejectReason.NO_WEIGHTS, now, len(upstreams))
         if not self._is_admissible(call, service, prediction, now):
             return self._reject(
                 call,
                 RejectReason.OVERLOADED,
                 now,
-                len(eligible),
+                len(upstreams),
                 predicted=prediction,
             )
         version = versions_by_id[upstream.id] or None
         priority = RETRY_PRIORITY if call.is_retry else FIRST_ATTEMPT_PRIORITY
-        start_deadline = start_deadlines_by_id[upstream.id]
         return Placement(upstream, version, priority, prediction, start_deadline)
 
+    def _region_of(self, upstream: Upstream) -> str:
+        return self.rules.regions_by_domain.get(upstream.record.domain, "")
+
     def _is_same_region(self, upstream: Upstream) -> bool:
-        regions = self.rules.regions_by_domain
-        return regions.get(upstream.record.domain) == regions.get(self.rules.domain)
+        return self._region_of(upstream) == self.candidates_.own_region
 
     def _best_upstream(
         self,
@@ -338,7 +432,9 @@
         max_retry_after = max(
             MIN_RETRY_AFTER, call.time_left(now) * MAX_RETRY_AFTER_SHARE
         )
-        if reason is not RejectReason.OVERLOADED:
+        if reason is RejectReason.COLD:
+            wait = COLD_WINDOW * self.random.uniform(*RETRY_AFTER_JITTER)
+        elif reason is not RejectReason.OVERLOADED:
             wait = NO_UPSTREAM_RETRY_AFTER * self.random.uniform(*RETRY_AFTER_JITTER)
         elif call.model:
             wait = self._overload_retry_after(call, max_retry_after, now)
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -14,9 +15,9 @@
 # such intervals are dropped.
 MAX_PEER_AGE = timedelta(milliseconds=2000)
 EXPIRY_INTERVAL = timedelta(milliseconds=100)
-# Half of the gossip interval of 300 ms: the mean age of the loads of an entry in the
-# same region.
-MEAN_PEER_DELAY = timedelta(milliseconds=150)
+# Time after which the prompt of a peer's request counts as read. Its first token comes
+# within the target latency, but the peer may report it only with its next message.
+UNREAD_MAX_AGE = timedelta(milliseconds=300)
 # Reports lag some 200 ms behind the engine, and its VM publishes them every 300 ms.
 MAX_REPORT_AGE = timedelta(milliseconds=1500)
 
@@ -40,7 +41,7 @@
         )
 
     def __mul__(self, factor: int) -> EntryLoad:
-        """Return the load of several entries with the same load."""
+        """Return a multiple of the load."""
         return EntryLoad(
             self.requests * factor,
             self.unread_tokens * factor,
@@ -75,6 +76,17 @@
 class _PeerLoads:
     received_at: datetime
     shares_by_id: dict[str, EntryLoad]
+    replaced: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class _UnreadTokens:
+    """Prompt tokens of a peer that count as read after some time."""
+
+    expires_at: datetime
+    loads: _PeerLoads
+    upstream_id: str
+    tokens: EntryLoad
 
 
 @dataclass(slots=True)
@@ -93,22 +105,20 @@
         "peer_loads_by_upstream_",
         "reports_by_address_",
         "sent_by_upstream_",
-        "entry_count",
+        "unread_",
         "upstream_ids_by_key_",
     )
 
     def __init__(self, on_sent: SentCallback | None = None) -> None:
         # Called for each request sent to an upstream, to notify peers.
         self.on_sent = on_sent
-        # Entries that prefer the same upstreams and do not notify this one of each
-        # request, plus this entry itself.
-        self.entry_count = 1
         self.upstream_ids_by_key_: dict[str, str] = {}
         self.sent_by_upstream_: dict[str, dict[str, _SentRequest]] = {}
         self.peers_by_id_: dict[str, _PeerLoads] = {}
         # Sums over all peers, so that a decision need not iterate over the peers for
         # each upstream.
         self.peer_loads_by_upstream_: dict[str, EntryLoad] = {}
+        self.unread_: deque[_UnreadTokens] = deque()
         self.last_expiry_at_: datetime | None = None
         self.reports_by_address_: dict[str, _ReceivedReport] = {}
 
@@ -155,17 +165,18 @@
     ) -> None:
         """Replace the loads of another entry."""
         self._remove_peer(peer)
-        self.peers_by_id_[peer] = _PeerLoads(now, dict(shares_by_id))
+        loads = _PeerLoads(now, dict.fromkeys(shares_by_id, NO_LOAD))
+        self.peers_by_id_[peer] = loads
         for upstream_id, share in shares_by_id.items():
-            self._add_peer_load(upstream_id, share)
+            self._add_share(loads, upstream_id, share, now)
 
-    def add_peer_placement(self, peer: str, upstream_id: str, share: EntryLoad) -> None:
+    def add_peer_placement(
+        self, peer: str, upstream_id: str, share: EntryLoad, now: datetime
+    ) -> None:
         """Add a request that another entry has just sent to an upstream."""
         known = self.peers_by_id_.get(peer)
         if known is not None:
-            shares = known.shares_by_id
-            shares[upstream_id] = shares.get(upstream_id, NO_LOAD) + share
-            self._add_peer_load(upstream_id, share)
+            self._add_share(known, upstream_id, share, now)
 
     def update_engine_report(self, report: EngineReport, now: datetime) -> None:
         """Replace the report of an engine."""
@@ -189,10 +200,7 @@
         """Return the estimated load of an upstream."""
         own = self.sent_by_upstream_.get(upstream_id, {}).values()
         total = sum((sent.share for sent in own), NO_LOAD)
-        # What other entries have sent since their last message is not known; it is
-        # assumed to equal what this entry has sent.
-        recent = (sent.share for sent in own if now - sent.sent_at < MEAN_PEER_DELAY)
-        total += sum(recent, NO_LOAD) * (self.entry_count - 1)
+        self._expire_unread(now)
         self._expire_peers(now)
         total += self.peer_loads_by_upstream_.get(upstream_id, NO_LOAD)
         received = self.reports_by_address_.get(address)
@@ -210,6 +218,26 @@
             total.yielding_tokens,
         )
 
+    def _add_share(
+        self, loads: _PeerLoads, upstream_id: str, share: EntryLoad, now: datetime
+    ) -> None:
+        shares = loads.shares_by_id
+        shares[upstream_id] = shares.get(upstream_id, NO_LOAD) + share
+        self._add_peer_load(upstream_id, share)
+        if share.unread_tokens:
+            tokens = EntryLoad(0, share.unread_tokens, 0, share.yielding_tokens)
+            expires_at = now + UNREAD_MAX_AGE
+            self.unread_.append(_UnreadTokens(expires_at, loads, upstream_id, tokens))
+
+    def _expire_unread(self, now: datetime) -> None:
+        while self.unread_ and now >= self.unread_[0].expires_at:
+            expired = self.unread_.popleft()
+            # The loads of a peer that has reported since are not used any more.
+            if not expired.loads.replaced:
+                shares = expired.loads.shares_by_id
+                shares[expired.upstream_id] += expired.tokens * -1
+                self._add_peer_load(expired.upstream_id, expired.tokens * -1)
+
     def _expire_peers(self, now: datetime) -> None:
         if (
             self.last_expiry_at_ is not None
@@ -224,6 +252,7 @@
     def _remove_peer(self, peer: str) -> None:
         known = self.peers_by_id_.pop(peer, None)
         if known is not None:
+            known.replaced = True
             for upstream_id, share in known.shares_by_id.items():
                 self._add_peer_load(upstream_id, share * -1)
 
--- a/shallotpath/gateway/_retries.py
+++ b/shallotpath/gateway/_retries.py
@@ -26,7 +26,6 @@
         call: GatewayCall,
         failure: Failure,
         attempts: int,
-        entries: int,
         now: datetime,
     ) -> bool:
         """Return whether to retry; if so, spend a retry of the budget."""
@@ -36,4 +35,4 @@
             return False
         if call.time_left(now) < MIN_TIME_LEFT:
             return False
-        return self.budget.try_spend(call.service, entries, now)
+        return self.budget.try_spend(call.service, now)
--- a/shallotpath/gateway/_upstreams.py
+++ b/shallotpath/gateway/_upstreams.py
@@ -52,10 +52,12 @@
 class UpstreamTable:
     """Hold the upstreams that are registered, built from their records."""
 
-    __slots__ = ("last_read_at_", "store_recovered_at_", "upstreams_by_id_")
+    __slots__ = ("last_read_at_", "revision", "store_recovered_at_", "upstreams_by_id_")
 
     def __init__(self) -> None:
         self.upstreams_by_id_: dict[str, Upstream] = {}
+        # Changes with the set of upstreams, their services and their domains.
+        self.revision = 0
         self.last_read_at_: datetime | None = None
         self.store_recovered_at_: datetime | None = None
 
@@ -71,7 +73,13 @@
         cold_until = now + record.cold_remaining
         if known is None or known.record.started_ms != record.started_ms:
             self.upstreams_by_id_[record.id] = Upstream(record, now, now, cold_until)
+            self.revision += 1
             return True
+        if (known.record.service, known.record.domain) != (
+            record.service,
+            record.domain,
+        ):
+            self.revision += 1
         changed = known.record != record or known.remove_at is not None
         known.record = record
         known.received_at = now
@@ -96,17 +104,27 @@
         if may_have_expired and not known.record.draining:
             known.remove_at = recovered_at + LEASE_EXPIRY_GRACE
         else:
-            del self.upstreams_by_id_[upstream_id]
+            self.drop(upstream_id)
         return True
 
     def drop(self, upstream_id: str) -> None:
-        """Remove an upstream whose address now belongs to another one."""
-        self.upstreams_by_id_.pop(upstream_id, None)
+        """Remove an upstream, such as one whose address now belongs to another."""
+        if self.upstreams_by_id_.pop(upstream_id, None) is not None:
+            self.revision += 1
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return all upstreams of a service, usable or not."""
+        return [
+            u for u in self.upstreams_by_id_.values() if u.record.service == service
+        ]
+
+    def is_usable(self, upstream: Upstream, now: datetime) -> bool:
+        """Check whether an upstream is registered and not draining."""
+        if upstream.remove_at is not None and now >= upstream.remove_at:
+            self.drop(upstream.id)
+            return False
+        return not upstream.record.draining
 
     def usable(self, service: str, now: datetime) -> Iterable[Upstream]:
         """Return the upstreams of a service that are not draining."""
-        for upstream in list(self.upstreams_by_id_.values()):
-            if upstream.remove_at is not None and now >= upstream.remove_at:
-                del self.upstreams_by_id_[upstream.id]
-            elif upstream.record.service == service and not upstream.record.draining:
-                yield upstream
+        return [u for u in self.of_service(service) if self.is_usable(u, now)]
--- a/shallotpath/gateway/tests/helpers.py
+++ b/shallotpath/gateway/tests/helpers.py
@@ -9,6 +9,7 @@
     CatalogAnnounced,
     Dispatcher,
     EngineRates,
+    EntrySubsets,
     GatewayCall,
     LoadTracker,
     OperatorState,
@@ -109,7 +110,20 @@
     return GatewayCall(**(values | changes))
 
 
-def make_dispatcher(records=(), seed=1, catalog=None, domain="a-1"):
+def make_regions(entries):
+    """Return the regions of some entries, spread over three."""
+    return {f"e{number}": "abc"[number % 3] for number in range(entries)}
+
+
+def make_subsets(number=0, entries=1):
+    """Return the subsets as one of some entries knows them."""
+    regions = make_regions(entries)
+    subsets = EntrySubsets(f"e{number}", regions[f"e{number}"])
+    subsets.update(regions)
+    return subsets
+
+
+def make_dispatcher(records=(), seed=1, catalog=None, domain="a-1", subsets=None):
     operator = OperatorState()
     operator.apply(CatalogAnnounced(catalog or make_catalog()), WriteTime(EPOCH))
     upstreams = UpstreamTable()
@@ -121,5 +135,6 @@
         upstreams=upstreams,
         loads=LoadTracker(),
         breaker=Breaker(),
+        subsets=subsets or make_subsets(),
         random=Random(seed),
     )
--- a/shallotpath/gateway/tests/load_simulation.py
+++ b/shallotpath/gateway/tests/load_simulation.py
@@ -20,11 +20,22 @@
     Placement,
 )
 
-from .helpers import RATES, make_call, make_dispatcher, make_record, make_route, ms
+from .helpers import (
+    RATES,
+    REGIONS,
+    make_call,
+    make_dispatcher,
+    make_record,
+    make_route,
+    make_subsets,
+    ms,
+)
 
 GOSSIP_INTERVAL = ms(300)
-# Entries in other regions get only each third gossip message.
-REMOTE_GOSSIP_ROUNDS = 3
+# With more peers in its region, an entry sends messages less often.
+PEERS_AT_FULL_RATE = 8
+MAX_GOSSIP_INTERVAL = ms(650)
+REMOTE_GOSSIP_INTERVAL = ms(850)
 DOMAINS = ("a-1", "b-1", "c-1")
 REPORT_LAG = ms(200)
 NETWORK_DELAY = ms(3)
@@ -151,14 +162,18 @@
             make_record(number, DOMAINS[number % len(DOMAINS)])
             for number in range(engines)
         ]
-        self.entries = [self._entry(seed, number) for number in range(entries)]
+        self.entries = [self._entry(seed, n, entries) for n in range(entries)]
+        self.entries_by_id = {entry.subsets.own: entry for entry in self.entries}
         self.work_by_key: dict[str, tuple[Dispatcher, _Work]] = {}
         self.callers: list[_Caller] = []
 
-    def _entry(self, seed: int, number: int) -> Dispatcher:
+    def _entry(self, seed: int, number: int, entries: int) -> Dispatcher:
         domain = DOMAINS[number % len(DOMAINS)]
         seed = 1000 * seed + number
-        dispatcher = make_dispatcher(self.records, seed=seed, domain=domain)
+        subsets = make_subsets(number, entries)
+        dispatcher = make_dispatcher(
+            self.records, seed=seed, domain=domain, subsets=subsets
+        )
         dispatcher.loads.on_sent = lambda upstream, share: self._send_placement(
             dispatcher, upstream, share
         )
@@ -167,14 +182,19 @@
     def _send_placement(
         self, sender: Dispatcher, upstream_id: str, share: EntryLoad
     ) -> None:
-        upstream = sender.upstreams.upstreams_by_id_[upstream_id]
-        notified_domains = {sender.rules.domain, upstream.record.domain}
-        for other in self.entries:
-            if other is not sender and other.rules.domain in notified_domains:
+        domain = sender.upstreams.upstreams_by_id_[upstream_id].record.domain
+        for entry_id in sender.subsets.primaries(upstream_id, REGIONS[domain]):
+            other = self.entries_by_id[entry_id]
+            if other is not sender:
+                arrives_at = self.now + NETWORK_DELAY
                 deliver = partial(
-                    other.loads.add_peer_placement, str(id(sender)), upstream_id, share
+                    other.loads.add_peer_placement,
+                    str(id(sender)),
+                    upstream_id,
+                    share,
+                    arrives_at,
                 )
-                self.at(self.now + NETWORK_DELAY, deliver)
+                self.at(arrives_at, deliver)
 
     def _same_domain(self, dispatcher: Dispatcher) -> list[Dispatcher]:
         domain = dispatcher.rules.domain
@@ -189,7 +209,11 @@
         for dispatcher in self.entries:
             self.at(
                 self.now + self.random.random() * GOSSIP_INTERVAL,
-                self._gossip(dispatcher),
+                partial(self._gossip, dispatcher),
+            )
+            self.at(
+                self.now + self.random.random() * REMOTE_GOSSIP_INTERVAL,
+                partial(self._gossip_to_other_regions, dispatcher),
             )
         for engine in self.engines:
             self.at(
@@ -222,7 +246,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
         )
-        decision = dispatcher.choose(call, (), len(self.entries), self.now)
+        decision = dispatcher.choose(call, (), self.now)
         if isinstance(decision, Placement):
             self._send(dispatcher, call, caller, decision)
         elif caller.retried:
@@ -272,20 +296,29 @@
     def _key(self, work: _Work) -> str:
         return f"q{work.caller.number}-{int(work.caller.retried)}"
 
-    def _gossip(self, dispatcher: Dispatcher) -> Callable[[], None]:
-        rounds = count()
+    def _gossip(self, dispatcher: Dispatcher) -> None:
+        peers = self._same_domain(dispatcher)
+        self._send_loads(dispatcher, peers)
+        interval = GOSSIP_INTERVAL * max(1.0, len(peers) / PEERS_AT_FULL_RATE)
+        self.at(
+            self.now + min(interval, MAX_GOSSIP_INTERVAL),
+            partial(self._gossip, dispatcher),
+        )
 
-        def deliver() -> None:
-            shares = dispatcher.loads.own_loads()
-            to_all_regions = next(rounds) % REMOTE_GOSSIP_ROUNDS == 0
-            for other in (
-                self.entries if to_all_regions else self._same_domain(dispatcher)
-            ):
-                if other is not dispatcher:
-                    other.loads.update_peer_loads(str(id(dispatcher)), shares, self.now)
-            self.at(self.now + GOSSIP_INTERVAL, deliver)
+    def _gossip_to_other_regions(self, dispatcher: Dispatcher) -> None:
+        domain = dispatcher.rules.domain
+        others = [other for other in self.entries if other.rules.domain != domain]
+        self._send_loads(dispatcher, others)
+        self.at(
+            self.now + REMOTE_GOSSIP_INTERVAL,
+            partial(self._gossip_to_other_regions, dispatcher),
+        )
 
-        return deliver
+    def _send_loads(self, sender: Dispatcher, others: list[Dispatcher]) -> None:
+        shares = sender.loads.own_loads()
+        for other in others:
+            if other is not sender:
+                other.loads.update_peer_loads(str(id(sender)), shares, self.now)
 
     def _report(self, engine: _Engine) -> Callable[[], None]:
         def take() -> None:
--- a/shallotpath/gateway/tests/test_announcements_gaps.py
+++ b/shallotpath/gateway/tests/test_announcements_gaps.py
@@ -38,5 +38,5 @@
         VersionAnnouncement("m", 2, WriteTime(EPOCH))
     )
     now = EPOCH + ms(9000)
-    placed = dispatcher.choose(make_call(1, now=now), (), 1, now)
+    placed = dispatcher.choose(make_call(1, now=now), (), now)
     assert isinstance(placed, Rejection)
--- a/shallotpath/gateway/tests/test_dispatcher.py
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -15,8 +15,16 @@
     WeightsAnnounced,
     WriteTime,
 )
-
-from .helpers import make_call, make_dispatcher, make_record, make_route, ms
+from shallotpath.gateway._loads import UNREAD_MAX_AGE
+
+from .helpers import (
+    make_call,
+    make_dispatcher,
+    make_record,
+    make_route,
+    make_subsets,
+    ms,
+)
 
 
 def report(number, **changes):
@@ -37,9 +45,7 @@
     dispatcher = make_dispatcher([make_record(1, "a-1"), make_record(2, "b-1")])
     dispatcher.operator.apply(DomainDisabled("a-1"), WriteTime(EPOCH))
     for number in range(10):
-        placement = dispatcher.choose(
-            make_call(number), (), 1, EPOCH + ms(600 * number)
-        )
+        placement = dispatcher.choose(make_call(number), (), EPOCH + ms(600 * number))
         assert placement.upstream.id == "u2"
 
 
@@ -53,7 +59,7 @@
         if restricted_by == "route"
         else make_call(regions=allowed)
     )
-    rejection = dispatcher.choose(call, (), 1, EPOCH)
+    rejection = dispatcher.choose(call, (), EPOCH)
     assert rejection.reason is RejectReason.NO_UPSTREAM
 
 
@@ -63,7 +69,7 @@
     call = make_call(
         route=make_route(regions=frozenset({"a", "b"})), regions=frozenset({"b"})
     )
-    assert dispatcher.choose(call, (), 1, EPOCH).upstream.id == "u2"
+    assert dispatcher.choose(call, (), EPOCH).upstream.id == "u2"
 
 
 def test_outdated_weights_are_used_until_the_bound_of_the_first_newer_version():
@@ -71,10 +77,10 @@
     dispatcher = make_dispatcher([make_record(1)])
     dispatcher.operator.apply(WeightsAnnounced("m", 2), WriteTime(EPOCH))
     dispatcher.operator.apply(WeightsAnnounced("m", 3), WriteTime(EPOCH + ms(4000)))
-    early = dispatcher.choose(make_call(1), (), 1, EPOCH + ms(7000))
+    early = dispatcher.choose(make_call(1), (), EPOCH + ms(7000))
     assert isinstance(early, Placement)
     assert early.version == 1
-    late = dispatcher.choose(make_call(2), (), 1, EPOCH + ms(7700))
+    late = dispatcher.choose(make_call(2), (), EPOCH + ms(7700))
     assert late.reason is RejectReason.NO_WEIGHTS
 
 
@@ -84,10 +90,10 @@
     dispatcher.operator.apply(WeightsAnnounced("m", 2), WriteTime(EPOCH))
     now = EPOCH + ms(7000)
     dispatcher.loads.update_engine_report(report(1, active=10), now)
-    assert isinstance(dispatcher.choose(make_call(), (), 1, now), Placement)
+    assert isinstance(dispatcher.choose(make_call(), (), now), Placement)
     dispatcher.loads.update_engine_report(report(1, active=16, queued=4), now)
     retry = make_call(caller_timeout=ms(4000), now=now)
-    rejection = dispatcher.choose(retry, (), 1, now)
+    rejection = dispatcher.choose(retry, (), now)
     assert rejection.reason is RejectReason.NO_WEIGHTS
 
 
@@ -96,13 +102,13 @@
     dispatcher = make_dispatcher([make_record(1), make_record(2)])
     dispatcher.loads.update_engine_report(report(1, accepting=False), EPOCH)
     for number in range(3):
-        assert dispatcher.choose(make_call(number), (), 1, EPOCH).upstream.id == "u2"
+        assert dispatcher.choose(make_call(number), (), EPOCH).upstream.id == "u2"
 
 
 def test_upstream_without_weights_gets_no_model_request():
     # Guards against requests that an upstream can't serve yet.
     dispatcher = make_dispatcher([make_record(1, version=0)])
-    rejection = dispatcher.choose(make_call(), (), 1, EPOCH)
+    rejection = dispatcher.choose(make_call(), (), EPOCH)
     assert rejection.reason is RejectReason.NO_WEIGHTS
 
 
@@ -111,17 +117,17 @@
     # it is the only one.
     dispatcher = make_dispatcher([make_record(1), make_record(2)])
     dispatcher.breaker.record_unreachable("u1", EPOCH)
-    assert dispatcher.choose(make_call(), (), 1, EPOCH).upstream.id == "u2"
-    assert dispatcher.choose(make_call(), {"u2"}, 1, EPOCH).upstream.id == "u1"
+    assert dispatcher.choose(make_call(), (), EPOCH).upstream.id == "u2"
+    assert dispatcher.choose(make_call(), {"u2"}, EPOCH).upstream.id == "u1"
 
 
-def offer(dispatcher, calls, per_s, now=EPOCH, entries=1):
+def offer(dispatcher, calls, per_s, now=EPOCH):
     """Offer calls that never end at a constant rate and return the decisions."""
     decisions = []
     for number in range(calls):
         at = now + ms(1000 * number / per_s)
         call = make_call(number, at)
-        decision = dispatcher.choose(call, (), entries, at)
+        decision = dispatcher.choose(call, (), at)
         if isinstance(decision, Placement):
             dispatcher.loads.sent(call.request_id, decision.upstream.id, 979, at)
         decisions.append(decision)
@@ -148,7 +154,7 @@
         dispatcher = make_dispatcher([make_record(1)])
         dispatcher.loads.update_engine_report(report(1, active=17), EPOCH)
         call = make_call(prompt_tokens=tokens)
-        admitted[tokens] = isinstance(dispatcher.choose(call, (), 1, EPOCH), Placement)
+        admitted[tokens] = isinstance(dispatcher.choose(call, (), EPOCH), Placement)
     assert admitted[300] == admitted[3800]
 
 
@@ -157,9 +163,9 @@
     # rejected although it can be served before its timeout.
     dispatcher = make_dispatcher([make_record(1)])
     dispatcher.loads.update_engine_report(report(1, active=16, queued=4), EPOCH)
-    first = dispatcher.choose(make_call(1), (), 1, EPOCH)
+    first = dispatcher.choose(make_call(1), (), EPOCH)
     assert first.reason is RejectReason.OVERLOADED
-    retry = dispatcher.choose(make_call(2, caller_timeout=ms(4000)), (), 1, EPOCH)
+    retry = dispatcher.choose(make_call(2, caller_timeout=ms(4000)), (), EPOCH)
     assert isinstance(retry, Placement)
     assert retry.priority > 5
 
@@ -171,16 +177,16 @@
     retry = make_call(1000, caller_timeout=ms(4000))
     dispatcher.loads.update_engine_report(report(1, active=16, queued=4), EPOCH)
     for number in range(20):
-        dispatcher.choose(make_call(number), (), 1, EPOCH)
-    assert isinstance(dispatcher.choose(retry, (), 1, EPOCH), Rejection)
+        dispatcher.choose(make_call(number), (), EPOCH)
+    assert isinstance(dispatcher.choose(retry, (), EPOCH), Rejection)
     dispatcher.loads.update_engine_report(report(1, active=12), EPOCH)
-    assert dispatcher.choose(retry, (), 1, EPOCH).yielding
+    assert dispatcher.choose(retry, (), EPOCH).yielding
     # Once first attempts are served again, retries may wait again.
     for number in range(28):
-        dispatcher.choose(make_call(number), (), 1, EPOCH + ms(50 * number))
+        dispatcher.choose(make_call(number), (), EPOCH + ms(50 * number))
     later = EPOCH + ms(1400)
     dispatcher.loads.update_engine_report(report(1, active=16, queued=4), later)
-    assert dispatcher.choose(retry, (), 1, later).yielding
+    assert dispatcher.choose(retry, (), later).yielding
 
 
 def test_first_attempts_do_not_wait_for_queued_retries():
@@ -192,9 +198,9 @@
         dispatcher.loads.first_token(f"r{number}")
     dispatcher.loads.update_peer_loads("e2", {"u1": EntryLoad(6, 6000, 6, 6000)}, EPOCH)
     later = EPOCH + ms(500)
-    assert isinstance(dispatcher.choose(make_call(1), (), 2, later), Placement)
+    assert isinstance(dispatcher.choose(make_call(1), (), later), Placement)
     dispatcher.loads.update_peer_loads("e2", {"u1": EntryLoad(6, 6000)}, later)
-    assert isinstance(dispatcher.choose(make_call(1), (), 2, later), Rejection)
+    assert isinstance(dispatcher.choose(make_call(1), (), later), Rejection)
 
 
 def test_overload_delays_retries_until_they_are_recognizable():
@@ -203,7 +209,7 @@
     dispatcher.loads.update_engine_report(report(1, active=16, queued=20), EPOCH)
     for number in range(50):
         call = make_call(number)
-        rejection = dispatcher.choose(call, (), 1, EPOCH)
+        rejection = dispatcher.choose(call, (), EPOCH)
         assert rejection.reason is RejectReason.OVERLOADED
         assert rejection.retry_after <= call.caller_timeout / 3
         retry = make_call(
@@ -217,10 +223,10 @@
     # requests of peers that go unnoticed until the next round, or count twice after it.
     loads = make_dispatcher().loads
     address = "10.0.0.1:80"
-    loads.add_peer_placement("e2", "u1", EntryLoad(1, 979))
+    loads.add_peer_placement("e2", "u1", EntryLoad(1, 979), EPOCH)
     assert loads.load("u1", address, EPOCH).requests == 0
     loads.update_peer_loads("e2", {"u1": EntryLoad(2, 979)}, EPOCH)
-    loads.add_peer_placement("e2", "u1", EntryLoad(1, 979))
+    loads.add_peer_placement("e2", "u1", EntryLoad(1, 979), EPOCH)
     assert loads.load("u1", address, EPOCH).requests == 3
     # The next message of the peer contains its whole load.
     loads.update_peer_loads("e2", {"u1": EntryLoad(2, 0)}, EPOCH)
@@ -233,6 +239,7 @@
     loads = make_dispatcher().loads
     shares = st.builds(EntryLoad, *[st.integers(0, 5)] * 4)
     ids = st.sampled_from(["u1", "u2"])
+    # For each peer, when it reported its loads, and what it sent up to then and since.
     now, reports_by_peer = EPOCH, {}
     for _ in range(data.draw(st.integers(0, 12))):
         now += ms(data.draw(st.integers(0, 900)))
@@ -240,28 +247,26 @@
         if data.draw(st.booleans()):
             reported = data.draw(st.dictionaries(ids, shares))
             loads.update_peer_loads(peer, reported, now)
-            reports_by_peer[peer] = (now, dict(reported))
+            sent = [(now, upstream, share) for upstream, share in reported.items()]
+            reports_by_peer[peer] = (now, sent)
         else:
             upstream, share = data.draw(ids), data.draw(shares)
-            loads.add_peer_placement(peer, upstream, share)
+            loads.add_peer_placement(peer, upstream, share, now)
             if peer in loads.peers_by_id_:
-                reported = reports_by_peer[peer][1]
-                reported[upstream] = reported.get(upstream, EntryLoad(0, 0)) + share
+                reports_by_peer[peer][1].append((now, upstream, share))
     now += ms(200)
     for upstream in ("u1", "u2"):
         load = loads.load(upstream, "10.0.0.9:80", now)
         fresh = [
-            reported
-            for at, reported in reports_by_peer.values()
-            if now - at <= ms(2000)
+            (sent_at, share)
+            for at, sent in reports_by_peer.values()
+            for sent_at, id_, share in sent
+            if now - at <= ms(2000) and id_ == upstream
         ]
-        expected = sum(
-            (t.get(upstream, EntryLoad(0, 0)) for t in fresh), EntryLoad(0, 0)
-        )
-        assert (load.requests, load.unread_tokens) == (
-            expected.requests,
-            expected.unread_tokens,
-        )
+        requests = sum(share.requests for _, share in fresh)
+        # Prompts count as read after a while without another message.
+        unread = sum(s.unread_tokens for at, s in fresh if now - at < UNREAD_MAX_AGE)
+        assert (load.requests, load.unread_tokens) == (requests, unread)
 
 
 def test_peers_are_notified_of_each_sent_request():
@@ -278,14 +283,19 @@
     # Load pattern: a burst within one gossip interval, in which each entry knows only
     # its own requests. Guards against entries that all choose the same engine.
     dispatchers = [
-        make_dispatcher([make_record(n) for n in range(10)], seed=n)
+        make_dispatcher(
+            [make_record(n) for n in range(10)],
+            seed=n,
+            subsets=make_subsets(n, entries),
+            domain=f"{'abc'[n % 3]}-1",
+        )
         for n in range(entries)
     ]
     counts = dict.fromkeys((f"u{n}" for n in range(10)), 0)
     for number in range(80):
         dispatcher = dispatchers[number % entries]
         call = make_call(number)
-        placement = dispatcher.choose(call, (), entries, EPOCH)
+        placement = dispatcher.choose(call, (), EPOCH)
         if isinstance(placement, Placement):
             counts[placement.upstream.id] += 1
             dispatcher.loads.sent(call.request_id, placement.upstream.id, 979, EPOCH)
@@ -293,17 +303,6 @@
     assert max(counts.values()) <= 16
 
 
-def test_recent_requests_are_counted_for_entries_not_heard_since():
-    # Load pattern: entries of a region send to the same engine between two messages.
-    # Guards against an engine that looks idle to each of them.
-    loads = make_dispatcher().loads
-    loads.entry_count = 3
-    loads.sent("q", "u1", 1000, EPOCH)
-    address = "10.0.0.1:80"
-    assert loads.load("u1", address, EPOCH + ms(100)).requests == 3
-    assert loads.load("u1", address, EPOCH + ms(200)).requests == 1
-
-
 def test_first_attempt_with_a_shorter_timeout_is_not_taken_for_a_retry():
     # Guards against first attempts that wait behind others because their timeout is a
     # little shorter than the route's.
@@ -316,8 +315,8 @@
     dispatcher = make_dispatcher([make_record(1), make_record(2)])
     dispatcher.loads.update_peer_loads("e2", {"u1": EntryLoad(16, 4000)}, EPOCH)
     for number in range(5):
-        assert dispatcher.choose(make_call(number), (), 1, EPOCH).upstream.id == "u2"
+        assert dispatcher.choose(make_call(number), (), EPOCH).upstream.id == "u2"
     # Expired loads are ignored.
     later = EPOCH + ms(5000)
-    ids = {dispatcher.choose(make_call(n), (), 1, later).upstream.id for n in range(10)}
+    ids = {dispatcher.choose(make_call(n), (), later).upstream.id for n in range(10)}
     assert ids == {"u1", "u2"}
--- a/shallotpath/gateway/tests/test_starts.py
+++ b/shallotpath/gateway/tests/test_starts.py
@@ -11,14 +11,14 @@
 from shallotpath.core import EPOCH
 from shallotpath.gateway import (
     BudgetLimit,
-    ColdBuckets,
     ColdLimit,
+    ColdLimiter,
     CrashSuspects,
     RetryBudget,
     UpstreamTable,
 )
 
-from .helpers import make_record, ms
+from .helpers import make_record, make_subsets, ms
 
 WINDOW = timedelta(seconds=10)
 LIMIT = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
@@ -45,19 +45,23 @@
     """
     random = Random(seed)
     pending = sorted(starts)
-    budgets = [RetryBudget(LIMIT, EPOCH - WINDOW) for _ in range(entries)]
+    budgets = [
+        RetryBudget(LIMIT, make_subsets(number, entries), EPOCH - WINDOW)
+        for number in range(entries)
+    ]
     requests, retries = [], []
     now = EPOCH
     for _ in range(REQUEST_COUNT):
         now += REQUEST_INTERVAL * random.uniform(0, 2)
         while pending and pending[0][0] <= now:
             started_at, entry = pending.pop(0)
-            budgets[entry] = RetryBudget(LIMIT, started_at)
+            subsets = make_subsets(entry, entries)
+            budgets[entry] = RetryBudget(LIMIT, subsets, started_at)
         budget = random.choice(budgets)
         budget.record_request("s", now)
         requests.append(now)
         for _ in range(random.randrange(4)):
-            if budget.try_spend("s", entries, now):
+            if budget.try_spend("s", now):
                 retries.append(now)
     return max(
         within(retries, start)
@@ -87,14 +91,18 @@
 
 def test_started_entry_may_retry_by_the_ratio_of_its_own_requests():
     # Guards against a started entry that can't retry at all for a window.
-    budget = RetryBudget(LIMIT, EPOCH)
-    assert not budget.try_spend("s", 7, EPOCH)
-    for _ in range(50):
-        budget.record_request("s", EPOCH + ms(100))
-    spent = sum(budget.try_spend("s", 7, EPOCH + ms(200)) for _ in range(100))
-    assert spent == 8
+    budgets = [RetryBudget(LIMIT, make_subsets(n, 7), EPOCH) for n in range(7)]
     later = EPOCH + WINDOW
-    assert sum(budget.try_spend("s", 7, later) for _ in range(100)) == 11
+    extra = 0
+    for budget in budgets:
+        assert not budget.try_spend("s", EPOCH)
+        for _ in range(50):
+            budget.record_request("s", EPOCH + ms(100))
+        spent = sum(budget.try_spend("s", EPOCH + ms(200)) for _ in range(100))
+        assert spent == 8
+        extra += sum(budget.try_spend("s", later) for _ in range(100))
+    # Four fifths of the extra, of which nothing is lost to rounding.
+    assert extra == 81
 
 
 COLD_LIMIT = ColdLimit(requests_per_s=26, excess=1.5, slack=5)
@@ -104,10 +112,14 @@
 def sent_while_starting(entries, starts, down):
     """Return when a cold upstream got requests from entries that restart.
 
-    Load pattern: each entry sends whatever its bucket allows; `starts` holds when an
+    Load pattern: each entry sends whatever its share allows; `starts` holds when an
     entry serves again after it was down.
     """
-    buckets = [ColdBuckets() for _ in range(entries)]
+    limiters = [ColdLimiter() for _ in range(entries)]
+    shares = [
+        make_subsets(number, entries).upstream_share("u", "a", COLD_LIMIT.planned)
+        for number in range(entries)
+    ]
     pending = sorted(starts)
     up_at = [EPOCH] * entries
     sent = []
@@ -116,31 +128,31 @@
         while pending and pending[0][0] - down <= now:
             started_at, entry = pending.pop(0)
             up_at[entry] = started_at
-            buckets[entry] = ColdBuckets()
-            buckets[entry].started(started_at)
-        for entry, bucket in enumerate(buckets):
-            if now >= up_at[entry] and bucket.try_take("u", COLD_LIMIT, entries, now):
+            limiters[entry] = ColdLimiter()
+            limiters[entry].started(started_at)
+        for entry, limiter in enumerate(limiters):
+            if now >= up_at[entry] and limiter.try_acquire("u", shares[entry], now):
                 sent.append(now)
     return sent
 
 
 @pytest.mark.parametrize("gap", [ms(0), ms(40), ms(130)])
 def test_entries_that_restart_keep_the_limit_of_a_cold_upstream(gap):
-    # Guards against an entry that gets a full bucket with each restart.
+    # Guards against an entry that gets its whole share with each restart.
     starts = [(EPOCH + ms(700) + gap * number, number) for number in range(7)]
     sent = sent_while_starting(7, starts, down=ms(100))
     assert max(within(sent, at, SECOND) for at in sent) <= COLD_LIMIT.total
 
 
-def test_upstream_that_registers_again_keeps_its_bucket():
-    # Guards against a full bucket for an upstream whose lease expired for a moment.
-    buckets = ColdBuckets()
-    while buckets.try_take("u", COLD_LIMIT, 1, EPOCH):
+def test_upstream_that_registers_again_keeps_its_window():
+    # Guards against a second share of an upstream whose lease expired for a moment.
+    limiter, share = ColdLimiter(), 10
+    while limiter.try_acquire("u", share, EPOCH):
         pass
-    buckets.prune(set(), EPOCH + ms(5))
-    assert not buckets.has_token("u", COLD_LIMIT, 1, EPOCH + ms(10))
-    buckets.prune(set(), EPOCH + ms(10) + SECOND)
-    assert not buckets.buckets_by_id_
+    limiter.prune(set(), EPOCH + ms(5))
+    assert not limiter.has_capacity("u", share, EPOCH + ms(10))
+    limiter.prune(set(), EPOCH + ms(100) + SECOND)
+    assert not limiter.sent_by_id_
 
 
 def crash(suspects, upstream_id, now):
--- a/shallotpath/replication/_peers.py
+++ b/shallotpath/replication/_peers.py
@@ -28,8 +28,15 @@
     sequence: int = 0
     domain: str = ""
     received_at: datetime | None = None
+    # When another peer last reported to have heard from this one.
+    reported_at: datetime | None = None
     leaving: bool = False
 
+    def seen_since(self, start: datetime) -> bool:
+        """Check whether this peer was heard or reported since a time."""
+        times = (self.received_at, self.reported_at)
+        return any(at is not None and at >= start for at in times)
+
 
 class PeerTable:
     """Track the peers of a process and when each was last heard from."""
@@ -74,6 +81,8 @@
         peer.leaving = message.leaving
         for address in message.peers:
             self.learn(address)
+            if address.id != self.own.id:
+                self.peers_by_id_[address.id].reported_at = now
         return True
 
     @staticmethod
@@ -88,18 +97,24 @@
     def tick(self, now: datetime) -> None:
         """Remove peers that have been silent for longer than `FORGOTTEN_AFTER`."""
         for peer_id, peer in list(self.peers_by_id_.items()):
-            if peer.received_at and now - peer.received_at > FORGOTTEN_AFTER:
+            if peer.received_at and not peer.seen_since(now - FORGOTTEN_AFTER):
                 del self.peers_by_id_[peer_id]
 
     def entries(self, now: datetime) -> int:
         """Return the number of entries that may send requests, including this one."""
-        others = sum(
-            not peer.address.engine
-            and peer.received_at is not None
-            and now - peer.received_at <= ENTRY_COUNTED_FOR
+        return len(self.active_entries(now)) + (not self.own.engine)
+
+    def active_entries(self, now: datetime) -> list[PeerAddress]:
+        """Return the other entries that may send requests.
+
+        An entry that only other peers hear counts too, as it may send requests to the
+        same upstreams.
+        """
+        return [
+            peer.address
             for peer in self.peers_by_id_.values()
-        )
-        return others + (not self.own.engine)
+            if not peer.address.engine and peer.seen_since(now - ENTRY_COUNTED_FOR)
+        ]
 
     def live(self, now: datetime) -> list[PeerAddress]:
         """Return the addresses of peers heard from within `SILENT_AFTER`."""
@@ -131,7 +146,7 @@
             if peer.received_at is None
         ]
 
-    def sample(self) -> list[PeerAddress]:
-        """Return a random sample of addresses to include in a message."""
-        known = self.all()
+    def sample(self, now: datetime) -> list[PeerAddress]:
+        """Return a random sample of live peers to include in a message."""
+        known = self.live(now)
         return self.random.sample(known, min(ADDRESSES_PER_MESSAGE, len(known)))
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -129,6 +129,31 @@
     assert [p.id for p in table.live(EPOCH + timedelta(seconds=4))] == []
 
 
+def test_entry_that_only_a_third_one_hears_keeps_its_share_of_the_limits():
+    # Guards against two entries that cannot reach each other, but the same upstreams,
+    # and that each take the share of the other.
+    table = PeerTable(address(0), Random(1))
+    table.update(make_message(2, 1), EPOCH)
+    for second in range(0, 40, 2):
+        now = EPOCH + timedelta(seconds=second)
+        table.update(make_message(1, second + 1, peers=[address(2)]), now)
+        table.tick(now)
+        assert table.entries(now) == 3
+
+
+def test_silent_process_is_not_passed_on():
+    # Guards against addresses of VMs that are gone and that peers keep alive by telling
+    # each other.
+    table = PeerTable(address(0), Random(1))
+    table.update(make_message(1, 1), EPOCH)
+    table.update(make_message(2, 1, peers=[address(3)]), EPOCH)
+    assert {peer.id for peer in table.sample(EPOCH)} == {"p1", "p2"}
+    later = EPOCH + timedelta(seconds=20)
+    table.update(make_message(1, 2), later)
+    assert {peer.id for peer in table.sample(later)} == {"p1"}
+    assert table.entries(later) == 2
+
+
 def test_addresses_are_passed_on():
     # Guards against peers that never learn of a process which they have not heard from.
     table = PeerTable(address(0), Random(1))
