Withdraw requests that do not start on old weights in time, and orders given twice

An attempt on outdated weights ends at the latest start that its placement allows; it counts as possibly run, so only repeatable requests go elsewhere. A placement that is older than 0.8 s when its request could be sent, or past that start, is decided anew: a process that was paused between decision and send acted on what it knew before. A sidecar's order names the number of orders that the engine has accepted (`expect`), so that one without an answer, or one by a process that starts while another order is under way, does not begin a second load. The recorded order changes by that field of the platform. The sidecar's task no longer loses a cancellation (asyncio.wait_for of 3.11), which kept processes from ending within their grace.

--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -198,8 +198,10 @@
 
     async def _keep_weights(self) -> None:
         while True:
+            # `asyncio.wait_for` of Python 3.11 may swallow a cancellation.
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.wake_.wait(), IDLE_INTERVAL.total_seconds())
+                async with asyncio.timeout(IDLE_INTERVAL.total_seconds()):
+                    await self.wake_.wait()
             self.wake_.clear()
             try:
                 await self._step()
@@ -414,8 +416,8 @@
         try:
             self.publish()
             await asyncio.sleep(LOAD_NOTICE.total_seconds())
-            await self.engine_.load(plan.model, plan.version)
-        except CallError:
+            await self.engine_.load(plan.model, plan.version, state.orders_accepted)
+        except BaseException:
             self.load_in_progress_ = False
             raise
         self.ordered_version_ = plan.version
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -114,16 +114,21 @@
         self.orders = []
         self.corrupts_once = set()
         self.loses_once = set()
+        # The next order is accepted, but its answer does not arrive.
+        self.loses_answer_once = False
+        # Reports show the state before any order.
+        self.reports_late = False
+        self.refused_orders = 0
 
     async def handle(self, request):
         if request.path == "/report":
-            models = [{"name": "m", "version": self.version}] if self.version else []
-            return web.json_response({"models": models, "busy": False, "born": 1})
+            shown = self.version and not self.reports_late
+            models = [{"name": "m", "version": self.version}] if shown else []
+            seq = 0 if self.reports_late else len(self.orders)
+            report = {"models": models, "busy": False, "born": 1, "seq": seq}
+            return web.json_response(report)
         if request.path == "/order":
-            order = await request.json()
-            self.orders.append(order["version"])
-            self.version, self.loaded = order["version"], dict(self.staged)
-            return web.Response(status=202)
+            return await self._take_order(request)
         if request.path.startswith("/stage-put/"):
             self.staged[int(request.query["num"])] = await request.read()
             return web.Response()
@@ -139,3 +144,15 @@
             self.corrupts_once.discard(index)
             self.staged[index] = b"corrupt"
         return web.Response(body=self.staged[index])
+
+    async def _take_order(self, request):
+        order = await request.json()
+        if order.get("expect", len(self.orders)) != len(self.orders):
+            self.refused_orders += 1
+            return web.Response(status=409)
+        self.orders.append(order["version"])
+        self.version, self.loaded = order["version"], dict(self.staged)
+        if self.loses_answer_once:
+            self.loses_answer_once = False
+            request.transport.abort()
+        return web.Response(status=202)
--- a/shallotpath/fleet/tests/test_sidecars.py
+++ b/shallotpath/fleet/tests/test_sidecars.py
@@ -1,5 +1,6 @@
 """Transfer and loading of weights by sidecars, on loopback."""
 
+import asyncio
 from datetime import timedelta
 
 import pytest
@@ -81,3 +82,28 @@
     async with sidecars(log, origin, engine):
         await until(lambda: engine.version == 1)
     assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
+
+
+async def test_order_without_an_answer_is_not_given_twice():
+    # Guards against a second order by a sidecar that does not know whether the first
+    # one was accepted, or that acts on a report from before it.
+    log, origin, engine = Log(), Origin(), Engine()
+    engine.loses_answer_once = True
+    engine.reports_late = True
+    async with sidecars(log, origin, engine):
+        await until(lambda: engine.refused_orders)
+    assert engine.orders == [1]
+
+
+async def test_sidecar_ends_when_it_is_cancelled_as_it_wakes():
+    # Guards against a task that goes on after a stop, so that the process is killed.
+    log, origin, engine = Log(), Origin(), Engine()
+    async with sidecars(log, origin, engine) as (sidecar,):
+        task = asyncio.ensure_future(sidecar._keep_weights())
+        for _ in range(30):
+            await asyncio.sleep(0.003)
+            sidecar.wake_.set()
+        sidecar.wake_.set()
+        task.cancel()
+        await asyncio.wait({task}, timeout=1)
+        assert task.cancelled()
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -25,6 +27,7 @@
 from ._connection import ConnectionPool
 from ._deadlines import Deadlines
 from ._events import EndlessEventError, EventSplitter
+from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
 from ._wire import HOP_BY_HOP_HEADERS, HeaderCodec, OutgoingFields
 
@@ -44,9 +47,12 @@
 # Retry-After of a request that ran nowhere; short, as another upstream can take it at
 # once.
 REFUSED_RETRY_AFTER = timedelta(milliseconds=100)
-# Upstreams that are tried after a failed connect. They do not count as attempts, as the
-# request reached no upstream.
-MAX_CONNECT_RETRIES = 4
+# Upstreams that are tried after a failed connect or an expired placement. They do not
+# count as attempts, as the request reached no upstream.
+MAX_UNSENT_RETRIES = 4
+# A connect takes up to 400 ms. A placement that is older when its request could be sent
+# was delayed, and its upstream may have left meanwhile.
+MAX_PLACEMENT_AGE = timedelta(milliseconds=800)
 _OK = 200
 _SERVER_ERROR = 500
 
@@ -74,28 +80,6 @@
     body: bytes
 
 
-class IdleLimit:
-    """Limit the wait for the next part of a response."""
-
-    __slots__ = ("clock", "detail", "limit", "expires_at_")
-
-    def __init__(self, limit: timedelta, clock: Clock, detail: str) -> None:
-        self.limit = limit
-        self.clock = clock
-        # Reported as the failure when the time is over.
-        self.detail = detail
-        self.expires_at_ = clock.now() + limit
-
-    @property
-    def remaining_s(self) -> float:
-        """Return the seconds until the limit."""
-        return max(0.0, (self.expires_at_ - self.clock.now()).total_seconds())
-
-    def renew(self) -> None:
-        """Restart the wait."""
-        self.expires_at_ = self.clock.now() + self.limit
-
-
 class CallerDisconnectedError(Exception):
     """Report that the caller closed its connection."""
 
@@ -118,7 +102,7 @@
         self.body = body
         self.journal = journal
         self.send_count_ = 0
-        self.failed_connects_ = 0
+        self.unsent_attempts_ = 0
         self.tried_ids_: set[str] = set()
         self.response_: web.StreamResponse | None = None
         self.events_ = EventSplitter()
@@ -173,9 +157,9 @@
         """Return where to retry, charged to the retry budget; None if not allowed."""
         if self.response_ is not None and not self._resumable:
             return None
-        if failure.kind is FailureKind.UNREACHABLE:
-            self.failed_connects_ += 1
-            if self.failed_connects_ > MAX_CONNECT_RETRIES:
+        if failure.kind in (FailureKind.UNREACHABLE, FailureKind.EXPIRED):
+            self.unsent_attempts_ += 1
+            if self.unsent_attempts_ > MAX_UNSENT_RETRIES:
                 return None
         next_placement = self._choose_upstream()
         if isinstance(next_placement, Rejection):
@@ -212,6 +196,7 @@
         try:
             await attempt.connect(repeatable=self.call.route.repeatable)
             self._check_deadline()
+            self._check_placement(placement, now)
             self.send_count_ += 1
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
@@ -228,6 +213,16 @@
         if self.call.time_left(self.parts.clock.now()) <= timedelta():
             raise TimeoutError
 
+    def _check_placement(self, placement: Placement, placed_at: datetime) -> None:
+        """Raise `AttemptError` if the decision to send does not hold any more."""
+        now = self.parts.clock.now()
+        start_deadline = placement.start_deadline
+        outdated = start_deadline is not None and now >= start_deadline
+        if outdated or now - placed_at > MAX_PLACEMENT_AGE:
+            raise AttemptError(
+                Failure(FailureKind.EXPIRED, f"placed {now - placed_at} ago")
+            )
+
     async def _exchange(self, attempt: Attempt, placement: Placement) -> None:
         now = self.parts.clock.now()
         outgoing_fields = OutgoingFields(
@@ -246,12 +241,28 @@
         )
         task = asyncio.ensure_future(attempt.exchange(payload, self.call.request_id))
         try:
-            if not await wait_for_task(task, self._head_limit(placement)):
-                self._retry_elsewhere_if_possible("no response")
-            await task
+            async with self._start_timeout(placement, now):
+                if not await wait_for_task(task, self._head_limit(placement)):
+                    self._retry_elsewhere_if_possible("no response")
+                await task
         finally:
             task.cancel()
 
+    @asynccontextmanager
+    async def _start_timeout(
+        self, placement: Placement, now: datetime
+    ) -> AsyncIterator[None]:
+        """Raise `AttemptError` if a request on outdated weights starts too late."""
+        if placement.start_deadline is None:
+            yield
+            return
+        try:
+            async with self.parts.deadlines.until(placement.start_deadline, now):
+                yield
+        except TimeoutError as error:
+            detail = "not started before its weights were outdated"
+            raise AttemptError(Failure(FailureKind.OUTDATED, detail)) from error
+
     def _head_limit(self, placement: Placement) -> float | None:
         if not self.call.route.repeatable:
             return None
--- a/shallotpath/gateway/_outcomes.py
+++ b/shallotpath/gateway/_outcomes.py
@@ -18,6 +18,10 @@
     REPLACED = "replaced"
     # The upstream has other weights than the request asks for.
     MISDIRECTED = "misdirected"
+    # The placement became invalid before the request was sent.
+    EXPIRED = "expired"
+    # The request did not start while the weights of its upstream were allowed.
+    OUTDATED = "outdated"
     LOST = "lost"
     SILENT = "silent"
     GARBLED = "garbled"
@@ -29,6 +33,8 @@
     FailureKind.REFUSED: RunState.NO,
     FailureKind.REPLACED: RunState.NO,
     FailureKind.MISDIRECTED: RunState.NO,
+    FailureKind.EXPIRED: RunState.NO,
+    FailureKind.OUTDATED: RunState.UNKNOWN,
     FailureKind.LOST: RunState.UNKNOWN,
     FailureKind.SILENT: RunState.UNKNOWN,
     FailureKind.GARBLED: RunState.UNKNOWN,
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -169,14 +169,19 @@
                 "all chunks will be staged again"
             ) from error
 
-    async def load(self, model: str, version: int) -> None:
-        """Order the engine to load the staged weights once its requests have ended."""
+    async def load(self, model: str, version: int, orders_accepted: int) -> None:
+        """Order the engine to load the staged weights once its requests have ended.
+
+        The engine refuses the order with status 409 if it has begun another one since
+        it reported the number of orders.
+        """
         order = {
             # `start` loads the staged weights; `wait` lets running requests end.
             "operation": "start",
             "model": model,
             "version": version,
             "mode": "wait",
+            "expect": orders_accepted,
         }
         headers = {"Content-Type": "application/json"}
         await self._call("POST", "/order", msgspec.json.encode(order), headers)
--- a/shallotpath/platform/tests/test_endless_answers.py
+++ b/shallotpath/platform/tests/test_endless_answers.py
@@ -55,7 +55,7 @@
         endpoint(address), caller
     ).staged("m", 0),
     "order": lambda caller, address: EngineClient(endpoint(address), caller).load(
-        "m", 2
+        "m", 2, 0
     ),
     "read": lambda caller, address: StoreClient(endpoint(address), caller.session).read(
         "t", 0
--- a/shallotpath/platform/tests/test_recorded_calls.py
+++ b/shallotpath/platform/tests/test_recorded_calls.py
@@ -27,7 +27,7 @@
     ),
     "engine_staged": lambda engine, origin, store: engine.staged("fold", 3),
     "engine_listing": lambda engine, origin, store: engine.staged_indices("fold"),
-    "engine_load": lambda engine, origin, store: engine.load("fold", 7),
+    "engine_load": lambda engine, origin, store: engine.load("fold", 7, 3),
     "origin_newest_manifest": lambda engine, origin, store: origin.manifest(
         ORIGIN, "fold", None, SECOND
     ),
