--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from contextlib import suppress
 from datetime import timedelta
 
 from aiohttp import web
@@ -50,6 +51,10 @@
 # Age at which an entry reads the upstreams itself, without its domain's reader.
 MAX_UPSTREAM_AGE = timedelta(milliseconds=1500)
 PRUNE_INTERVAL = timedelta(seconds=1)
+# Time between updates of the list of entries. An entry sends nothing that could exceed
+# the limit of a cold upstream in the first second after its start.
+MIN_ENTRIES_INTERVAL = timedelta(milliseconds=300)
+MAX_ENTRIES_INTERVAL = timedelta(seconds=1)
 # A request is not denied on the basis of an older configuration.
 MAX_FRESH_AGE = timedelta(seconds=10)
 # The balancer removes an entry after two failed probes, one second apart; the rest is
@@ -73,6 +78,7 @@
         self.pool = ConnectionPool(self.clock)
         self.subsets = EntrySubsets(settings.node, settings.region)
         self.discovery_period_ = DiscoveryPeriod(self.clock.now())
+        self.entries_changed_ = asyncio.Event()
         rules = PlacementRules(
             domain=settings.domain,
             regions_by_domain=settings.regions_by_domain,
@@ -122,6 +128,7 @@
         self.upstream_topic_.before_apply = self.upstreams.record_read
         self.keep_running(self._read_upstreams)
         self.keep_running(self._prune)
+        self.keep_running(self._follow_entries)
         readiness, callers = self.settings.readiness, self.settings.callers
         self.caller_listener_ = Listener(self.forwarder.handle)
         await self.caller_listener_.start(callers.host, callers.port)
@@ -245,7 +252,7 @@
         now = self.clock.now()
         if not message.sender.engine:
             if not self.subsets.knows(message.sender.id):
-                self.update_entries()
+                self.entries_changed_.set()
             self.loads.update_peer_loads(message.sender.id, message.shares, now)
         for report in message.engines:
             self.loads.update_engine_report(report, now)
@@ -276,6 +283,9 @@
                 "draining": record.draining,
                 "requests": load.requests,
                 "age_s": (now - upstream.received_at).total_seconds(),
+                "preferred": self.subsets.is_primary(
+                    record.id, self.settings.regions_by_domain.get(record.domain, "")
+                ),
                 "available": self.breaker.is_available(record.id, now),
             }
         return super().status() | {
@@ -319,9 +329,20 @@
     async def _answer_probe(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if self.ready else 503)
 
+    async def _follow_entries(self) -> None:
+        """Update the list of entries when one is new, and from time to time."""
+        while True:
+            self.entries_changed_.clear()
+            self.update_entries()
+            # After a start all entries are new, and each change costs time.
+            await asyncio.sleep(MIN_ENTRIES_INTERVAL.total_seconds())
+            remaining = MAX_ENTRIES_INTERVAL - MIN_ENTRIES_INTERVAL
+            with suppress(TimeoutError):
+                async with asyncio.timeout(remaining.total_seconds()):
+                    await self.entries_changed_.wait()
+
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
-            self.update_entries()
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
--- a/shallotpath/fleet/tests/test_fleet.py
+++ b/shallotpath/fleet/tests/test_fleet.py
@@ -135,6 +135,7 @@
         a.peers.learn(b.address)
         await until(lambda: a.peers.domain("edge-b") and b.peers.domain("edge-a"))
         await until(lambda: a.upstreams.upstreams_by_id_)
+        await until(lambda: a.subsets.knows("edge-b"))
         heard = []
         b.handle_placement = heard.append
         a.loads.sent("q", "u1", 700, a.clock.now(), yielding=True)
--- a/shallotpath/gateway/tests/test_limits.py
+++ b/shallotpath/gateway/tests/test_limits.py
@@ -113,6 +113,7 @@
             FailureKind.REFUSED,
             FailureKind.REPLACED,
             FailureKind.MISDIRECTED,
+            FailureKind.EXPIRED,
         )
         assert allowed == not_run
 
