Send loads to other regions less often from large regions, in messages that fit

Each entry sent its message to each other region every 850 ms, and all entries there got it: with 20 entries and 9 sidecars in each of five regions an entry receives 136 messages a second from other regions (derived). A message with shares at more than some 350 upstreams was larger than a datagram and was not sent, so that the busiest entry fell silent.

With more than 8 entries in its region an entry sends to other regions less often, every 1.7 s at most; the 200 largest shares are sent.

Tests fail without the change: the rate grows 2.5 times from 8 to 20 entries; the message of 900 upstreams has more than 8192 bytes.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from datetime import timedelta
+from heapq import nlargest
 
 from aiohttp import web
 
@@ -39,6 +40,7 @@
     decode_upstream,
 )
 from ..replication import GossipMessage, KeyedRecord, PlacementItem, SuspectItem
+from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._topics import TopicReplica
 
@@ -64,6 +66,9 @@
 SOCKET_CLOSE_RESERVE = timedelta(milliseconds=700)
 DRAIN_POLL_INTERVAL_S = 0.05
 SUSPECTS_PER_MESSAGE = 10
+# Keeps messages within the size of a datagram. A larger one is not sent, so that peers
+# would hear nothing of the busiest entries.
+MAX_SHARES_PER_MESSAGE = 200
 
 
 class EdgeProcess(MemberProcess):
@@ -159,6 +164,11 @@
         self.pool.close()
         await super().stop()
 
+    @property
+    def remote_interval(self) -> timedelta:
+        """Return the time between messages to other regions."""
+        return remote_interval(1 + len(self.live_region_entries()))
+
     @property
     def ready(self) -> bool:
         """Check whether the balancer may send callers to this entry."""
@@ -235,7 +245,11 @@
     def gossip_message(self) -> GossipMessage:
         """Add this entry's loads at upstreams and the crash suspects."""
         message = super().gossip_message()
-        message.shares.update(self.loads.own_loads())
+        loads = self.loads.own_loads()
+        largest = nlargest(
+            MAX_SHARES_PER_MESSAGE, loads, key=lambda id_: loads[id_].requests
+        )
+        message.shares.update((id_, loads[id_]) for id_ in largest)
         suspects = self.suspects.recent(self.clock.now(), SUSPECTS_PER_MESSAGE)
         message.suspects.extend(
             SuspectItem(fingerprint, ids) for fingerprint, ids in suspects.items()
--- a/shallotpath/fleet/_gossip.py
+++ b/shallotpath/fleet/_gossip.py
@@ -24,6 +24,12 @@
 PEERS_AT_FULL_RATE = 8
 # Three such rounds fit in the age at which a peer's loads are discarded.
 MAX_GOSSIP_INTERVAL = timedelta(milliseconds=650)
+# Links between regions have little bandwidth and are billed. Two intervals fit in the
+# age at which a peer's loads are discarded.
+REMOTE_REGION_INTERVAL = timedelta(milliseconds=850)
+# Each message to another region is passed on to all entries there, so with more entries
+# in a region each of them sends less often. One interval fits in that age.
+MAX_REMOTE_INTERVAL = timedelta(milliseconds=1700)
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,6 +105,12 @@
     return min(interval, MAX_GOSSIP_INTERVAL)
 
 
+def remote_interval(region_entries: int) -> timedelta:
+    """Return the time between messages of an entry to other regions."""
+    interval = REMOTE_REGION_INTERVAL * max(1.0, region_entries / PEERS_AT_FULL_RATE)
+    return min(interval, MAX_REMOTE_INTERVAL)
+
+
 def incarnation(now: datetime) -> int:
     """Return a number that is higher for a later start of the process."""
     return int(now.timestamp() * 1000)
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -35,7 +35,13 @@
 )
 from ._announcements import AnnouncementExchange
 from ._discovery import Discovery
-from ._gossip import GossipSocket, Received, gossip_interval, incarnation
+from ._gossip import (
+    REMOTE_REGION_INTERVAL,
+    GossipSocket,
+    Received,
+    gossip_interval,
+    incarnation,
+)
 from ._reporter import LineReporter
 from ._topics import Apply, TopicReplica
 
@@ -59,9 +65,6 @@
 # Entries of each other region that get a message and relay it there. A lost datagram
 # delays that region by a round.
 RELAYS_PER_REMOTE_REGION = 1
-# Links between regions have little bandwidth and are billed. Two intervals fit in the
-# age at which a peer's loads are discarded.
-REMOTE_REGION_INTERVAL = timedelta(milliseconds=850)
 # Silent peers that get a message in a full round, so that regions find each other again
 # after a network partition.
 SILENT_PEERS_PER_ROUND = 8
--- a/shallotpath/fleet/tests/test_entries.py
+++ b/shallotpath/fleet/tests/test_entries.py
@@ -2,9 +2,17 @@
 
 from datetime import timedelta
 
+import pytest
+
 from shallotpath.core import ManualClock
 from shallotpath.fleet import EdgeProcess, LineReporter
-from shallotpath.replication import GossipMessage, PeerAddress
+from shallotpath.gateway._loads import MAX_PEER_AGE
+from shallotpath.replication import (
+    MAX_DATAGRAM_BYTES,
+    GossipMessage,
+    PeerAddress,
+    encode_message,
+)
 
 from .processes import Output, make_settings
 from .standins import HOST
@@ -65,3 +73,32 @@
     assert edge.update_entries() == 4
     run_for(edge, clock, COUNTED)
     assert edge.update_entries() == 1
+
+
+def test_messages_to_other_regions_grow_slowly_with_the_entries_of_a_region():
+    # Guards against links between regions, and entries behind them, that are filled by
+    # the loads of ever more entries.
+    rates = []
+    for entries in (2, 8, 16, 20, 175):
+        edge, _ = make_edge()
+        for number in range(1, entries):
+            address = PeerAddress(f"edge-{number}", HOST, number, False)
+            receive_gossip(edge, address, 1)
+        assert edge.remote_interval <= MAX_PEER_AGE
+        rates.append(entries / edge.remote_interval.total_seconds())
+    assert rates[1] == pytest.approx(rates[2])
+    assert edge.remote_interval == timedelta(milliseconds=1700)
+
+
+def test_busiest_entry_of_a_large_fleet_is_still_heard():
+    # Load pattern: an entry with requests at each of 900 upstreams, as when many callers
+    # read slowly. Guards against a message that is larger than a datagram and is not
+    # sent at all.
+    edge, clock = make_edge()
+    for number in range(1800):
+        edge.loads.sent(f"q{number}", f"i-{number % 900:010x}", 3800, clock.now())
+    for number in range(10):
+        edge.loads.sent(f"busy{number}", "i-busy", 3800, clock.now())
+    message = edge.gossip_message()
+    assert len(encode_message(message)) <= MAX_DATAGRAM_BYTES
+    assert message.shares["i-busy"].requests == 10
