Refuse settings that are not finite numbers

float() takes nan and inf, with which a limit passes or fails every comparison. They are named as faults like other values that are no numbers. Test: fails before for all three values.

--- a/shallotpath/fleet/tests/test_entries.py
+++ b/shallotpath/fleet/tests/test_entries.py
@@ -91,9 +91,8 @@
 
 
 def test_busiest_entry_of_a_large_fleet_is_still_heard():
-    # Load pattern: an entry with requests at each of 900 upstreams, as when many callers
-    # read slowly. Guards against a message that is larger than a datagram and is not
-    # sent at all.
+    # Load pattern: requests of one entry at each of 900 upstreams, whose callers read
+    # slowly. Guards against a message that is larger than a datagram and is not sent.
     edge, clock = make_edge()
     for number in range(1800):
         edge.loads.sent(f"q{number}", f"i-{number % 900:010x}", 3800, clock.now())
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from math import isfinite, nan
 from pathlib import Path
 
 from ..core import SettingError
@@ -155,10 +156,13 @@
         if not value:
             return float(default)
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
+            number = nan
+        if not isfinite(number):
             self.faults_.append(f"{key}={value} is not a number; use one such as 2.5")
             return float(default)
+        return number
 
     def endpoint(self, key: str) -> Endpoint | None:
         value = self.values.get(key, "")
--- a/shallotpath/platform/tests/test_platform.py
+++ b/shallotpath/platform/tests/test_platform.py
@@ -111,6 +111,14 @@
     assert "budgetExtra=many is not a number" in message
 
 
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf"])
+def test_setting_that_is_no_finite_number_is_a_fault(value):
+    # Guards against a limit that every comparison passes or fails.
+    text = SETTINGS.replace("budgetExtra=102", f"budgetExtra={value}")
+    with pytest.raises(SettingError, match="budgetExtra=.* is not a number"):
+        parse_process_settings(text)
+
+
 def test_port_of_the_metrics_comes_from_the_environment():
     # Guards against metrics that are missing at the port that the deployment declares.
     assert parse_process_settings(SETTINGS).metrics_port is None
