--- a/shallotpath/gateway/_subsets.py
+++ b/shallotpath/gateway/_subsets.py
@@ -14,7 +14,7 @@
 
 # Entries that prefer the same upstream and notify each other of each request to it.
 # More of them share the traffic of an upstream more evenly, but need more messages.
-PRIMARY_ENTRIES = 8
+PRIMARY_ENTRIES = 10
 # Multiplicative hashing (Knuth): a digest for each pair of an entry and an upstream
 # would take most of a second in a large fleet.
 MULTIPLIER = 0x9E3779B97F4A7C15
