Look at all upstreams where the sampled ones have old weights, expire prompts

Found by reading the change: an entry whose sampled candidates could not start in time on old weights rejected the request although another engine had loaded the new ones. Prompts of peers expired only with the next decision, so an entry without requests kept those of each message.

A rejection for weights leads to the search of all upstreams, which prefers those with the announced version. Prompts expire with each message too. Tests of both fail without the change.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -305,7 +305,7 @@
         return super().status() | {
             "ready": self.ready,
             "active": self.caller_listener_.active,
-            "entries": self.update_entries(),
+            "entries": self.subsets.count,
             "upstreams": upstreams,
         }
 
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -161,7 +161,7 @@
         if service is None:
             return self._reject(call, RejectReason.NO_UPSTREAM, now)
         decision = self._choose_candidate(call, service, excluded, now)
-        if decision is None:
+        if decision is None or _lacks_weights(decision):
             # None of the sampled upstreams is fit, but others may be.
             decision = self._choose_from_all(call, service, excluded, now)
         placed = isinstance(decision, Placement)
@@ -257,9 +257,18 @@
         eligible = [u for u in eligible if self._has_cold_capacity(u, limit, now)]
         if not eligible:
             return self._reject(call, RejectReason.COLD, now, len(allowed))
+        current = [u for u in eligible if not self._is_outdated(call, u, now)]
+        eligible = current or eligible
         count = min(len(eligible), PREFERRED_CANDIDATES)
         return self._place(call, service, self.random.sample(eligible, count), now)
 
+    def _is_outdated(
+        self, call: GatewayCall, upstream: Upstream, now: datetime
+    ) -> bool:
+        """Check whether newer weights than those of an upstream are announced."""
+        version = self._usable_version(call, upstream, now)
+        return self._start_deadline(call.model, version) is not None
+
     def _is_sound(self, upstream: Upstream, now: datetime) -> bool:
         """Check whether an upstream answered its last requests."""
         breaker = self.breaker
@@ -457,6 +466,13 @@
         return earliest + (max_retry_after - earliest) * self.random.random()
 
 
+def _lacks_weights(decision: Placement | Rejection) -> bool:
+    """Check whether a request was rejected for the weights of its candidates."""
+    return (
+        isinstance(decision, Rejection) and decision.reason is RejectReason.NO_WEIGHTS
+    )
+
+
 def _starts_in_time(
     start_deadline: datetime | None, prediction: Prediction, now: datetime
 ) -> bool:
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -164,6 +164,7 @@
         self, peer: str, shares_by_id: Mapping[str, EntryLoad], now: datetime
     ) -> None:
         """Replace the loads of another entry."""
+        self._expire_unread(now)
         self._remove_peer(peer)
         loads = _PeerLoads(now, dict.fromkeys(shares_by_id, NO_LOAD))
         self.peers_by_id_[peer] = loads
--- a/shallotpath/gateway/tests/test_dispatcher.py
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -19,6 +19,7 @@
 
 from .helpers import (
     make_call,
+    make_catalog,
     make_dispatcher,
     make_record,
     make_route,
@@ -105,6 +106,32 @@
         assert dispatcher.choose(make_call(number), (), EPOCH).upstream.id == "u2"
 
 
+@pytest.mark.parametrize("number", range(12))
+def test_only_engine_with_new_weights_is_found_among_many(number):
+    # Load pattern: new weights reach the first of 45 engines as the bound of the old
+    # ones ends. Guards against a rejection by an entry that does not prefer it.
+    records = [make_record(n, version=2 if n == 7 else 1) for n in range(45)]
+    dispatcher = make_dispatcher(
+        records,
+        catalog=make_catalog(cold_per_s=0.0),
+        subsets=make_subsets(number, 100),
+        domain=f"{'abc'[number % 3]}-1",
+    )
+    dispatcher.operator.apply(WeightsAnnounced("m", 2), WriteTime(EPOCH))
+    now = EPOCH + ms(7600)
+    placement = dispatcher.choose(make_call(now=now), (), now)
+    assert placement.upstream.id == "u7"
+    assert placement.version == 2
+
+
+def test_loads_of_peers_take_no_memory_while_no_request_arrives():
+    # Guards against prompts of peers that are only forgotten with the next decision.
+    loads = make_dispatcher().loads
+    for step in range(200):
+        loads.update_peer_loads("e2", {"u1": EntryLoad(1, 979)}, EPOCH + ms(300 * step))
+    assert len(loads.unread_) <= 2
+
+
 def test_upstream_without_weights_gets_no_model_request():
     # Guards against requests that an upstream can't serve yet.
     dispatcher = make_dispatcher([make_record(1, version=0)])
