Let all members of a swarm choose the same of two versions

The time between the announcements decides, which all members know, against half of the time that a transfer takes over the link.

--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -18,7 +18,14 @@
     ProcessSettings,
 )
 from ..replication import ChunkItem, GossipMessage, PeerAddress
-from ..swarm import ORIGIN, Fetch, RollingUpdate, SwarmMember, SwarmPlan
+from ..swarm import (
+    ORIGIN,
+    Fetch,
+    RollingUpdate,
+    SwarmMember,
+    SwarmPlan,
+    abandons_transfer,
+)
 from ._chunks import BUSY_STATUS, CHUNK_PATH, ChunkFetcher, ChunkServer
 from ._member import MemberProcess
 
@@ -32,8 +39,6 @@
 MANIFEST_PAUSE = timedelta(milliseconds=300)
 # Time for the gossip message that tells entries to stop sending, before a load.
 LOAD_NOTICE = timedelta(milliseconds=30)
-# A transfer at or beyond this share is finished before a newer version is started.
-FINISH_FIRST_PROGRESS = 0.5
 NOT_FOUND_STATUS = 404
 LOAD_RETRY_PAUSE = timedelta(milliseconds=300)
 # The load is ordered again if the engine shows neither the order nor its result by
@@ -250,9 +255,13 @@
         plan = self.plan_
         if wanted is None or plan.version >= wanted:
             return False
-        # The older version is loaded first if most of it is already fetched.
-        done = max(self.held_version, self.ordered_version_) >= plan.version
-        return plan.progress < FINISH_FIRST_PROGRESS or plan.stalled or done
+        if plan.stalled or plan.version <= max(
+            self.held_version, self.ordered_version_
+        ):
+            return True
+        target = self.operator.target(plan.model)
+        gap = target.times.time_between(plan.version, wanted) if target else None
+        return abandons_transfer(plan, gap, self.settings.link_bytes_per_s)
 
     async def _begin_transfer(self, wanted: int | None) -> None:
         plan = self._new_plan(await self.fetcher_.manifest(self.model_, wanted))
--- a/shallotpath/gateway/_announcements.py
+++ b/shallotpath/gateway/_announcements.py
@@ -69,6 +69,13 @@
         ]
         return min(newer, default=None)
 
+    def time_between(self, older: int, newer: int) -> timedelta | None:
+        """Return the time between two announcements, `None` if it is not known."""
+        first, second = map(self.times_by_version_.get, (older, newer))
+        if first is None or second is None:
+            return None
+        return second.at - first.at
+
     def has_time_after(self, at: datetime) -> bool:
         """Check whether an announcement is known to be later than a time."""
         times = self.times_by_version_.values()
--- a/shallotpath/swarm/__init__.py
+++ b/shallotpath/swarm/__init__.py
@@ -1,5 +1,6 @@
 """Peer-to-peer transfer of weights between the VMs that run the same model."""
 
+from ._newer_version import abandons_transfer
 from ._pacer import UploadPacer
 from ._plan import ORIGIN, Fetch, SwarmMember, SwarmPlan
 from ._rolling_update import RollingUpdate
@@ -11,4 +12,5 @@
     "SwarmMember",
     "SwarmPlan",
     "UploadPacer",
+    "abandons_transfer",
 ]
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -121,6 +121,12 @@
         """Return the fraction of the chunks that are held."""
         return len(self.chunks_by_index_) / max(1, len(self.digests))
 
+    @property
+    def size_bytes(self) -> float:
+        """Return the size of the version, estimated from the chunks that are held."""
+        held = self.chunks_by_index_.values()
+        return sum(map(len, held)) * len(self.digests) / max(1, len(held))
+
     @property
     def bitmap(self) -> int:
         """Return the held chunks, one bit each."""
