--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -255,9 +255,8 @@
         plan = self.plan_
         if wanted is None or plan.version >= wanted:
             return False
-        if plan.stalled or plan.version <= max(
-            self.held_version, self.ordered_version_
-        ):
+        newest = max(self.held_version, self.ordered_version_)
+        if plan.stalled or plan.version <= newest:
             return True
         target = self.operator.target(plan.model)
         gap = target.times.time_between(plan.version, wanted) if target else None
