--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -255,8 +255,7 @@
         plan = self.plan_
         if wanted is None or plan.version >= wanted:
             return False
-        newest = max(self.held_version, self.ordered_version_)
-        if plan.stalled or plan.version <= newest:
+        if plan.version <= max(self.held_version, self.ordered_version_):
             return True
         target = self.operator.target(plan.model)
         gap = target.times.time_between(plan.version, wanted) if target else None
@@ -267,7 +266,6 @@
         old = self.plan_
         if old is not None:
             self.previous_plans_by_model_[old.model] = old
-        if old is not None:
             reused = plan.reuse(old.chunks_by_index_.values())
         else:
             reused = await self._recover_staged(plan)
--- a/shallotpath/swarm/_newer_version.py
+++ b/shallotpath/swarm/_newer_version.py
@@ -24,7 +24,7 @@
     plan: SwarmPlan, gap: timedelta | None, link_bytes_per_s: float
 ) -> bool:
     """Check whether to abandon a transfer for a version announced a gap later."""
-    if plan.progress < MIN_PROGRESS_TO_FINISH:
+    if plan.stalled or plan.progress < MIN_PROGRESS_TO_FINISH:
         return True
     if plan.progress >= NEARLY_COMPLETE_PROGRESS:
         return False
