Finish a version that has been under way for a quarter of its transfer

A transfer is left only if the newer version was announced within a quarter of the time that a transfer takes. Version 2 then serves until the bound of version 3, and versions named every two seconds can't keep all of them from completing. The cost where the origin works is a later version 3 (derived: 2.5 s without weights in place of 1 s).

--- a/shallotpath/swarm/_newer_version.py
+++ b/shallotpath/swarm/_newer_version.py
@@ -6,16 +6,17 @@
 
 from ._plan import SwarmPlan
 
-# A transfer is finished first if the newer version was announced later than this share
-# of the time that a transfer takes: the older version then serves until the newer one
-# is loaded. Members decide by the announcements rather than by their progress, since a
-# swarm that transfers two versions at once completes both late.
-FINISH_FIRST_SHARE = 0.5
+# A transfer is finished first unless the newer version was announced within this share
+# of the time that a transfer takes. The older version then serves until the bound of
+# the newer one, also if the origin fails meanwhile, and a version completes even if
+# newer ones are announced all the time. Members decide by the announcements rather than
+# by their progress, since a swarm that transfers two versions at once completes both
+# late.
+FINISH_FIRST_SHARE = 0.25
 # Without the times of the announcements the progress decides.
-FINISH_FIRST_PROGRESS = 0.5
-# Below this progress nothing is lost, and above the other hardly anything is gained.
-MIN_PROGRESS_TO_FINISH = 0.25
-NEARLY_COMPLETE_PROGRESS = 0.8
+FINISH_FIRST_PROGRESS = 0.25
+# Below this progress nothing is lost by a change.
+MIN_PROGRESS_TO_FINISH = 0.1
 # Time of a transfer in times of one copy over the link of a VM.
 TRANSFER_COPIES = 1.3
 
@@ -26,8 +27,6 @@
     """Check whether to abandon a transfer for a version announced a gap later."""
     if plan.stalled or plan.progress < MIN_PROGRESS_TO_FINISH:
         return True
-    if plan.progress >= NEARLY_COMPLETE_PROGRESS:
-        return False
     if gap is None:
         return plan.progress < FINISH_FIRST_PROGRESS
     copy_time = timedelta(seconds=plan.size_bytes / link_bytes_per_s)
