--- a/shallotpath/gateway/_cold.py
+++ b/shallotpath/gateway/_cold.py
@@ -12,7 +12,7 @@
 PLANNED_SHARE = 0.75
 # The limit holds for each second in which requests are sent. The slack covers the time
 # from a decision until its request is sent.
-WINDOW = timedelta(milliseconds=1050)
+COLD_WINDOW = timedelta(milliseconds=1050)
 
 
 @dataclass(slots=True)
@@ -59,7 +59,7 @@
 
     def has_capacity(self, upstream_id: str, share: int, now: datetime) -> bool:
         """Check whether this entry may send an upstream one more request."""
-        if self.started_at_ is not None and now - self.started_at_ < WINDOW:
+        if self.started_at_ is not None and now - self.started_at_ < COLD_WINDOW:
             return False
         return self._recent(upstream_id, now) < share
 
@@ -76,6 +76,6 @@
         sent = self.sent_by_id_.get(upstream_id)
         if sent is None:
             return 0
-        while sent and now - sent[0] >= WINDOW:
+        while sent and now - sent[0] >= COLD_WINDOW:
             sent.popleft()
         return len(sent)
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -12,8 +12,7 @@
 from ._call import GatewayCall
 from ._candidates import CandidateTable, sample_fit
 from ._catalog import Service
-from ._cold import WINDOW as COLD_WINDOW
-from ._cold import ColdLimit, ColdLimiter
+from ._cold import COLD_WINDOW, ColdLimit, ColdLimiter
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import LoadTracker
 from ._operator import OperatorState
