Log the parts of prompts and each crash of an upstream

The line of a request has prompt_parts, the step of a failed attempt the number of events that it had passed on, and upstream_crashed names the evidence of a crash and how many requests it cost. No decision changes.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -16,6 +16,7 @@
     Forwarder,
     ForwarderParts,
     Listener,
+    report_crash,
 )
 from ..gateway import (
     Breaker,
@@ -218,7 +219,9 @@
         if record.value is None:
             removed = self.upstreams.remove(record.key, now)
             if removed:
-                self.suspects.record_crash(record.key, now)
+                losses = self.suspects.record_crash(record.key, now)
+                if losses:
+                    report_crash(self.reporter, record.key, "record removed", losses)
                 self.reporter.event("upstream_gone", upstream=record.key)
             return removed
         try:
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -6,7 +6,7 @@
 from ._exchange import ForwarderParts, refusal
 from ._forwarder import Forwarder
 from ._ingress import Listener
-from ._journal import Reporter, RequestJournal, milliseconds
+from ._journal import Reporter, RequestJournal, milliseconds, report_crash
 from ._wire import (
     HOP_BY_HOP_HEADERS,
     HeaderCodec,
@@ -32,4 +32,5 @@
     "HeaderCodec",
     "milliseconds",
     "refusal",
+    "report_crash",
 ]
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -12,6 +12,7 @@
 from ..gateway import Failure, FailureKind, Placement
 from ._bounded import EndlessAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
+from ._events import count_events
 from ._wire import HeaderCodec, ResponseFields
 
 # Statuses that mean a refusal if the upstream also marks the request as not executed.
@@ -64,6 +65,13 @@
         self.payload_: StreamReader | None = None
         self.fields_: ResponseFields | None = None
         self.body_bytes_ = 0
+        # Complete events of a stream that this attempt has relayed.
+        self.events_ = 0
+
+    @property
+    def events(self) -> int:
+        """Return the number of complete events received."""
+        return self.events_
 
     @property
     def status(self) -> int:
@@ -112,6 +120,10 @@
             )
         return chunk
 
+    def count_events(self, complete: bytes) -> None:
+        """Count the complete events of a stream."""
+        self.events_ += count_events(complete)
+
     def finish(self) -> None:
         """Return the connection to the pool after the whole body was read."""
         connection, self.connection_ = self.connection_, None
--- a/shallotpath/forwarding/_events.py
+++ b/shallotpath/forwarding/_events.py
@@ -8,6 +8,11 @@
 MAX_EVENT_BYTES = 256 * 1024
 
 
+def count_events(complete: bytes) -> int:
+    """Return the number of events in a whole number of them."""
+    return complete.count(_EVENT_END)
+
+
 class EndlessEventError(Exception):
     """Report an event that is longer than `MAX_EVENT_BYTES`."""
 
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -28,7 +28,7 @@
 from ._deadlines import Deadlines
 from ._events import EndlessEventError, EventSplitter
 from ._idle_limit import IdleLimit
-from ._journal import RequestJournal
+from ._journal import RequestJournal, report_crash
 from ._wire import HOP_BY_HOP_HEADERS, HeaderCodec, OutgoingFields
 
 # The upstream stops work at the deadline; this leaves time for its response to arrive.
@@ -104,6 +104,7 @@
         self.send_count_ = 0
         self.unsent_attempts_ = 0
         self.tried_ids_: set[str] = set()
+        self.attempt_: Attempt | None = None
         self.response_: web.StreamResponse | None = None
         self.events_ = EventSplitter()
         self.error_response_: _BufferedResponse | None = None
@@ -183,6 +184,7 @@
         upstream = placement.upstream
         self.tried_ids_.add(upstream.id)
         attempt = Attempt(placement, self.parts.pool, self.parts.header_codec)
+        self.attempt_ = attempt
         loads = self.parts.dispatcher.loads
         key = f"{self.call.request_id}/{len(self.tried_ids_)}"
         now = self.parts.clock.now()
@@ -332,6 +334,7 @@
         while chunk := await self._read_or_retry(attempt, idle_limit):
             complete = self._complete_events(chunk)
             if complete:
+                attempt.count_events(complete)
                 self.parts.dispatcher.loads.first_token(key)
                 await self._start_response(attempt)
                 await self._write_to_caller(complete)
@@ -413,20 +416,20 @@
         now = self.parts.clock.now()
         upstream_id = placement.upstream.id
         breaker = self.parts.dispatcher.breaker
-        self.journal.failed(failure, now)
+        self.journal.failed(failure, self.attempt_.events, now)
         if failure.run is not RunState.NO:
             self.may_have_run_ = True
         match failure.kind:
             case FailureKind.UNREACHABLE:
                 breaker.record_unreachable(upstream_id, now)
                 self.parts.pool.drop(upstream_id)
-                self.parts.suspects.record_crash(upstream_id, now)
+                self._record_crash(upstream_id, failure, now)
             case FailureKind.REPLACED:
                 # The old upstream's record expires only seconds later; until then
                 # requests sent to its address would waste time.
                 self.parts.dispatcher.upstreams.drop(upstream_id)
                 self.parts.pool.drop(upstream_id)
-                self.parts.suspects.record_crash(upstream_id, now)
+                self._record_crash(upstream_id, failure, now)
             case FailureKind.SILENT:
                 breaker.record_unreachable(upstream_id, now)
                 self.parts.pool.drop(upstream_id)
@@ -440,6 +443,11 @@
             case _:
                 pass
 
+    def _record_crash(self, upstream_id: str, evidence: Failure, now: datetime) -> None:
+        losses = self.parts.suspects.record_crash(upstream_id, now)
+        if losses:
+            report_crash(self.journal.reporter, upstream_id, evidence.kind, losses)
+
     async def _final_failure_response(self, failure: Failure) -> web.StreamResponse:
         """Return the response for a request that is not retried any more."""
         if self.response_ is not None:
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -149,4 +149,5 @@
             model=fields.model,
             prompt_tokens=fields.prompt_tokens,
             output_tokens=fields.output_tokens,
+            prompt_parts=fields.prompt_parts,
         )
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -30,6 +30,16 @@
     return round(duration / timedelta(milliseconds=1), 1)
 
 
+def report_crash(
+    reporter: Reporter, upstream_id: str, evidence: str, losses: int
+) -> None:
+    """Log and count an upstream that is gone after it lost requests of this entry."""
+    reporter.count("upstream_crashes", evidence=evidence)
+    reporter.event(
+        "upstream_crashed", upstream=upstream_id, evidence=evidence, losses=losses
+    )
+
+
 @dataclass(slots=True)
 class RequestJournal:
     """Collect the decisions about one request and the reasons for them."""
@@ -50,9 +60,12 @@
             f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
         )
 
-    def failed(self, failure: Failure, now: datetime) -> None:
-        """Record how an attempt failed."""
-        self.steps.append(f"{self._elapsed(now)} {failure.kind} {failure.detail}")
+    def failed(self, failure: Failure, events: int, now: datetime) -> None:
+        """Record how an attempt failed and how many events it had relayed."""
+        relayed = f" events={events}" if events else ""
+        self.steps.append(
+            f"{self._elapsed(now)} {failure.kind}{relayed} {failure.detail}"
+        )
 
     def rejected(self, rejection: Rejection, now: datetime) -> None:
         """Record why no upstream was chosen."""
@@ -89,6 +102,7 @@
             patience_ms=milliseconds(call.caller_timeout) if call else None,
             prompt_tokens=call.prompt_tokens if call else 0,
             output_tokens=call.output_tokens if call else 0,
+            prompt_parts=call.prompt_parts if call else (),
             first_ms=milliseconds(first - self.arrived_at) if first else None,
             total_ms=milliseconds(now - self.arrived_at),
             configuration=version,
--- a/shallotpath/forwarding/_wire.py
+++ b/shallotpath/forwarding/_wire.py
@@ -35,6 +35,8 @@
     model: str
     prompt_tokens: int
     output_tokens: int
+    # Ids of the parts of the prompt in order.
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/gateway/_call.py
+++ b/shallotpath/gateway/_call.py
@@ -29,6 +29,8 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    # Ids of the parts of the prompt in order; requests share all but the last one.
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def ends_at(self) -> datetime:
--- a/shallotpath/gateway/_suspects.py
+++ b/shallotpath/gateway/_suspects.py
@@ -47,11 +47,16 @@
         ]
         losses.append(_LostConnection(fingerprint, now))
 
-    def record_crash(self, upstream_id: str, now: datetime) -> None:
-        """Record that an upstream crashed and suspect the requests that it lost."""
-        for loss in self.losses_by_upstream_id_.pop(upstream_id, ()):
-            if now - loss.lost_at <= CRASH_CONFIRMATION_TIME:
-                self.merge(loss.fingerprint, [upstream_id], now)
+    def record_crash(self, upstream_id: str, now: datetime) -> int:
+        """Suspect the requests lost in an upstream's crash; return their number."""
+        losses = [
+            loss
+            for loss in self.losses_by_upstream_id_.pop(upstream_id, ())
+            if now - loss.lost_at <= CRASH_CONFIRMATION_TIME
+        ]
+        for loss in losses:
+            self.merge(loss.fingerprint, [upstream_id], now)
+        return len(losses)
 
     def merge(
         self, fingerprint: str, upstream_ids: Collection[str], now: datetime
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -16,6 +16,8 @@
 )
 from . import _names as names
 
+# Bounds what a single request can add to logs and crash suspects.
+MAX_PROMPT_PARTS = 32
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 # Headers that are not forwarded: hop-by-hop headers, the caller's key and headers
 # that only this system may set.
@@ -55,6 +57,7 @@
             model=headers.get(names.MODEL, ""),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            prompt_parts=_parse_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
         )
 
     def read_response(self, headers: CIMultiDictProxy[str]) -> ResponseFields:
@@ -109,6 +112,14 @@
         return 0, 0
 
 
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the first parts in order, without their token counts."""
+    if not text:
+        return ()
+    parts = text.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
 def _parse_milliseconds(text: str | None) -> timedelta | None:
     try:
         return timedelta(milliseconds=float(text)) if text else None
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -22,6 +22,9 @@
 MODEL = "Shallotpath-Model"
 # Number of prompt tokens and limit of output tokens, separated by a comma.
 TOKENS = "Shallotpath-Token-Counts"
+# Parts of the prompt in order, as `ID:TOKENS,ID:TOKENS`; requests share parts, except
+# the last one.
+PROMPT_PARTS = "Shallotpath-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 
 OPERATOR_TOPIC = "keyed.op"
