--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -211,7 +211,14 @@
 
 
 def make_request(
-    *, method="GET", target="/a/x", key="k", number=1, body=b"", caller_timeout=3000
+    *,
+    method="GET",
+    target="/a/x",
+    key="k",
+    number=1,
+    body=b"",
+    caller_timeout=3000,
+    parts=(),
 ):
     lines = [
         f"{method} {target} HTTP/1.1",
@@ -221,6 +228,9 @@
         f"X-Api-Key: {key}",
         f"Content-Length: {len(body)}",
     ]
+    if parts:
+        prompt = ",".join(f"{part}:40" for part in parts)
+        lines.append(f"Shallotpath-Prompt-Prefix: {prompt}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
