Refuse the part of a prompt that crashes upstreams, not only equal requests

What callers saw: engines crashed one after the other, and sound requests were refused for as long as such requests came.

Suspects of crashes were whole requests, by the digest of method, path, key and body. Requests that share one deadly part are never alike, so none came twice.

An entry charges the shared parts of each request that it lost before the answer had begun, once a connect shows that the upstream is gone. Three crashes refuse a part, five if answers have begun on it before. Crashes are attributed to the part with the most first and then not held against others; parts that cannot be told apart are refused only together; an answer that begins anywhere clears its parts. Messages between entries carry eight parts at most, at once after a crash; releases before ignore them. A refused part is tried by one entry after two minutes. A request is not sent again if a part on which no answer has begun had a crash before. Crashes count by start of the upstream, so one that keeps its id counts each time.

The recorded datagrams gained the new field; those of the release before are kept and still read.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from contextlib import suppress
 from datetime import timedelta
 from heapq import nlargest
@@ -27,6 +27,8 @@
     EntryLoad,
     EntrySubsets,
     LoadTracker,
+    PartEvidence,
+    PartSuspects,
     PlacementRules,
     Retries,
     RetryBudget,
@@ -40,7 +42,13 @@
     RecordError,
     decode_upstream,
 )
-from ..replication import GossipMessage, KeyedRecord, PlacementItem, SuspectItem
+from ..replication import (
+    GossipMessage,
+    KeyedRecord,
+    PartItem,
+    PlacementItem,
+    SuspectItem,
+)
 from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._topics import TopicReplica
@@ -67,6 +75,9 @@
 SOCKET_CLOSE_RESERVE = timedelta(milliseconds=700)
 DRAIN_POLL_INTERVAL_S = 0.05
 SUSPECTS_PER_MESSAGE = 10
+PARTS_PER_MESSAGE = 8
+# Many requests are lost in one crash; one message tells peers of all of them.
+EVIDENCE_PAUSE = timedelta(milliseconds=50)
 # Keeps messages within the size of a datagram. A larger one is not sent, so that peers
 # would hear nothing of the busiest entries.
 MAX_SHARES_PER_MESSAGE = 200
@@ -80,7 +91,12 @@
         self.upstreams = UpstreamTable()
         self.breaker = Breaker()
         self.loads = LoadTracker(self._send_placement)
-        self.suspects = CrashSuspects()
+        self.evidence_found_ = asyncio.Event()
+        self.suspects = CrashSuspects(
+            PartSuspects(
+                self._report_part, self.evidence_found_.set, self._is_trial_entry
+            )
+        )
         self.pool = ConnectionPool(self.clock)
         self.subsets = EntrySubsets(settings.node, settings.region)
         self.discovery_period_ = DiscoveryPeriod(self.clock.now())
@@ -135,6 +151,7 @@
         self.keep_running(self._read_upstreams)
         self.keep_running(self._prune)
         self.keep_running(self._follow_entries)
+        self.keep_running(self._send_evidence)
         readiness, callers = self.settings.readiness, self.settings.callers
         self.caller_listener_ = Listener(self.forwarder.handle)
         await self.caller_listener_.start(callers.host, callers.port)
@@ -257,6 +274,8 @@
         message.suspects.extend(
             SuspectItem(fingerprint, ids) for fingerprint, ids in suspects.items()
         )
+        parts = self.suspects.parts.recent(self.clock.now(), PARTS_PER_MESSAGE)
+        message.parts.extend(map(_encode_evidence, parts))
         return message
 
     def relay(self, message: GossipMessage, payload: bytes) -> None:
@@ -275,6 +294,7 @@
             self.loads.update_engine_report(report, now)
         for suspect in message.suspects:
             self.suspects.merge(suspect.fingerprint, suspect.upstreams, now)
+        self.suspects.parts.merge(map(_decode_evidence, message.parts), now)
 
     def handle_placement(self, placed: PlacementItem) -> None:
         """Count a peer's request until its next gossip message has its loads."""
@@ -358,8 +378,55 @@
                 async with asyncio.timeout(remaining.total_seconds()):
                     await self.entries_changed_.wait()
 
+    async def _send_evidence(self) -> None:
+        """Tell peers at once of a crash that may be due to a part of a prompt."""
+        while True:
+            await self.evidence_found_.wait()
+            await asyncio.sleep(EVIDENCE_PAUSE.total_seconds())
+            self.evidence_found_.clear()
+            self.publish()
+
+    def _report_part(
+        self, part: str, crash_ids: Collection[str], refused: bool
+    ) -> None:
+        self.reporter.gauge("refused_parts", len(self.suspects.parts.refused_))
+        self.reporter.event(
+            "part_refused" if refused else "part_allowed",
+            part=part,
+            crashes=sorted(crash_ids),
+        )
+
+    def _is_trial_entry(self, turn: str) -> bool:
+        """Check whether this entry tries a refused part in a turn."""
+        live = [p.id for p in self.peers.live(self.clock.now()) if not p.engine]
+        own = self.settings.node
+        return rendezvous_choice(turn, [*live, own]) == own
+
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
+            self.suspects.parts.expire(self.clock.now())
+
+
+def _encode_evidence(evidence: PartEvidence) -> PartItem:
+    return PartItem(
+        evidence.part,
+        list(evidence.crash_ids),
+        list(evidence.cleared_ids),
+        list(evidence.companions),
+        evidence.answered,
+        evidence.age.total_seconds(),
+    )
+
+
+def _decode_evidence(item: PartItem) -> PartEvidence:
+    return PartEvidence(
+        item.part,
+        tuple(item.crash_ids),
+        tuple(item.cleared_ids),
+        tuple(item.companions),
+        item.answered,
+        timedelta(seconds=item.age_s),
+    )
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -25,6 +25,7 @@
 MAX_MISMATCHED_BODY_BYTES = 256 * 1024
 # Largest response body that is relayed: 16 times the default limit for request bodies.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MIN_EVENTS_OF_ANSWER = 2
 _MIN_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
 # Statuses that tell a caller that its request did not run. Unless the upstream marks
@@ -67,12 +68,21 @@
         self.body_bytes_ = 0
         # Complete events of a stream that this attempt has relayed.
         self.events_ = 0
+        self.answer_recorded = False
 
     @property
     def events(self) -> int:
         """Return the number of complete events received."""
         return self.events_
 
+    @property
+    def answer_begun(self) -> bool:
+        """Check whether the upstream has begun to answer without crashing.
+
+        An upstream may still send an event while it crashes.
+        """
+        return self.events_ >= MIN_EVENTS_OF_ANSWER
+
     @property
     def status(self) -> int:
         """Return the status of the response."""
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -100,7 +100,7 @@
             if self._usable(connection, now):
                 return connection
             connection.close()
-        return await self._open(address)
+        return await self.open(address)
 
     def release(
         self,
@@ -149,7 +149,8 @@
             and now < connection.idle_until_
         )
 
-    async def _open(self, address: str) -> UpstreamConnection:
+    async def open(self, address: str) -> UpstreamConnection:
+        """Open a connection or raise `UnreachableError`."""
         loop = asyncio.get_running_loop()
         try:
             host, port = check_host_port(address)
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -27,8 +27,9 @@
 from ._connection import ConnectionPool
 from ._deadlines import Deadlines
 from ._events import EndlessEventError, EventSplitter
+from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
-from ._journal import RequestJournal, report_crash
+from ._journal import RequestJournal
 from ._wire import HOP_BY_HOP_HEADERS, HeaderCodec, OutgoingFields
 
 # The upstream stops work at the deadline; this leaves time for its response to arrive.
@@ -95,12 +96,14 @@
         call: GatewayCall,
         body: bytes,
         journal: RequestJournal,
+        failures: FailureRecorder,
     ) -> None:
         self.parts = parts
         self.request = request
         self.call = call
         self.body = body
         self.journal = journal
+        self.failures = failures
         self.send_count_ = 0
         self.unsent_attempts_ = 0
         self.tried_ids_: set[str] = set()
@@ -142,7 +145,7 @@
                 return await self._attempt(decision)
             except AttemptError as error:
                 failure = error.failure
-            self._note_failure(decision, failure)
+            self._note_failure(failure)
             next_placement, self.next_placement_ = self.next_placement_, None
             next_placement = next_placement or self._choose_retry(failure)
             if next_placement is None:
@@ -158,6 +161,8 @@
         """Return where to retry, charged to the retry budget; None if not allowed."""
         if self.response_ is not None and not self._resumable:
             return None
+        if self._crashes_upstreams(failure):
+            return None
         if failure.kind in (FailureKind.UNREACHABLE, FailureKind.EXPIRED):
             self.unsent_attempts_ += 1
             if self.unsent_attempts_ > MAX_UNSENT_RETRIES:
@@ -175,6 +180,16 @@
         )
         return next_placement if allowed else None
 
+    def _crashes_upstreams(self, failure: Failure) -> bool:
+        """Check whether a part of the prompt may crash the next upstream too."""
+        suspects, shared_parts = self.parts.suspects.parts, self.call.shared_parts
+        if suspects.find_refused(shared_parts, self.parts.clock.now()):
+            return True
+        lost_unanswered = (
+            failure.kind is FailureKind.LOST and not self.attempt_.answer_begun
+        )
+        return lost_unanswered and suspects.is_suspected(shared_parts)
+
     @property
     def _resumable(self) -> bool:
         route = self.call.route
@@ -202,6 +217,7 @@
             self.send_count_ += 1
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
+            self._record_answer(attempt)
             attempt.finish()
             self.parts.dispatcher.breaker.record_success(upstream.id)
             self.parts.suspects.completed(self.call.fingerprint)
@@ -335,6 +351,8 @@
             complete = self._complete_events(chunk)
             if complete:
                 attempt.count_events(complete)
+                if attempt.answer_begun:
+                    self._record_answer(attempt)
                 self.parts.dispatcher.loads.first_token(key)
                 await self._start_response(attempt)
                 await self._write_to_caller(complete)
@@ -345,6 +363,13 @@
         await self._end_response()
         return self.response_
 
+    def _record_answer(self, attempt: Attempt) -> None:
+        """Record once that the upstream of an attempt did not crash."""
+        if not attempt.answer_recorded and attempt.status < _SERVER_ERROR:
+            attempt.answer_recorded = True
+            now = self.parts.clock.now()
+            self.parts.suspects.parts.record_answer(self.call.shared_parts, now)
+
     def _complete_events(self, chunk: bytes) -> bytes:
         try:
             return self.events_.feed(chunk)
@@ -412,41 +437,12 @@
             body=buffered.body,
         )
 
-    def _note_failure(self, placement: Placement, failure: Failure) -> None:
+    def _note_failure(self, failure: Failure) -> None:
         now = self.parts.clock.now()
-        upstream_id = placement.upstream.id
-        breaker = self.parts.dispatcher.breaker
         self.journal.failed(failure, self.attempt_.events, now)
         if failure.run is not RunState.NO:
             self.may_have_run_ = True
-        match failure.kind:
-            case FailureKind.UNREACHABLE:
-                breaker.record_unreachable(upstream_id, now)
-                self.parts.pool.drop(upstream_id)
-                self._record_crash(upstream_id, failure, now)
-            case FailureKind.REPLACED:
-                # The old upstream's record expires only seconds later; until then
-                # requests sent to its address would waste time.
-                self.parts.dispatcher.upstreams.drop(upstream_id)
-                self.parts.pool.drop(upstream_id)
-                self._record_crash(upstream_id, failure, now)
-            case FailureKind.SILENT:
-                breaker.record_unreachable(upstream_id, now)
-                self.parts.pool.drop(upstream_id)
-            case FailureKind.LOST:
-                breaker.record_failure(upstream_id, now)
-                self.parts.suspects.record_lost_connection(
-                    self.call.fingerprint, upstream_id, now
-                )
-            case FailureKind.GARBLED | FailureKind.FAILED:
-                breaker.record_failure(upstream_id, now)
-            case _:
-                pass
-
-    def _record_crash(self, upstream_id: str, evidence: Failure, now: datetime) -> None:
-        losses = self.parts.suspects.record_crash(upstream_id, now)
-        if losses:
-            report_crash(self.journal.reporter, upstream_id, evidence.kind, losses)
+        self.failures.record(self.call, self.attempt_, failure, now)
 
     async def _final_failure_response(self, failure: Failure) -> web.StreamResponse:
         """Return the response for a request that is not retried any more."""
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -9,13 +9,16 @@
 
 from aiohttp import web
 
-from ..gateway import Catalog, GatewayCall, OperatorState, Route, Team
+from ..gateway import Catalog, GatewayCall, OperatorState, Route, Team, shared_parts
 from ._exchange import Exchange, ForwarderParts, refusal
+from ._failures import FailureRecorder
 from ._journal import Reporter, RequestJournal
 from ._wire import RequestFields
 
 # Retry-After while this entry has no configuration or one that may be outdated.
 CONFIGURATION_RETRY_AFTER = timedelta(milliseconds=500)
+# A refused part is tried again at one entry only.
+MIN_SUSPECT_RETRY_AFTER = timedelta(seconds=10)
 FINGERPRINT_BYTES = 12
 
 
@@ -34,6 +37,14 @@
         # Whether the store or a peer confirmed the configuration recently.
         self.is_fresh = is_fresh
         self.reporter = reporter
+        self.failures = FailureRecorder(
+            upstreams=parts.dispatcher.upstreams,
+            breaker=parts.dispatcher.breaker,
+            pool=parts.pool,
+            suspects=parts.suspects,
+            clock=parts.clock,
+            reporter=reporter,
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request and write its log line."""
@@ -49,15 +60,12 @@
                 outcome, response = "denied", prepared
             else:
                 call, body = prepared
-                exchange = Exchange(
-                    parts=self.parts,
-                    request=request,
-                    call=call,
-                    body=body,
-                    journal=journal,
-                )
-                response = await exchange.run()
-                outcome = exchange.outcome
+                response = self._refuse_suspect(call, journal, arrived_at)
+                outcome = "refused"
+                if response is None:
+                    exchange = self._build_exchange(request, call, body, journal)
+                    response = await exchange.run()
+                    outcome = exchange.outcome
             status = response.status
             if self.parts.stopping and not response.prepared:
                 response.force_close()
@@ -101,11 +109,44 @@
             body=body,
             arrived_at=arrived_at,
         )
-        if self.parts.suspects.is_refused(call.fingerprint, arrived_at):
-            return refusal(503, "requests like this one crashed their upstreams")
-        self.parts.retries.budget.record_request(call.service, arrived_at)
         return call, body
 
+    def _refuse_suspect(
+        self, call: GatewayCall, journal: RequestJournal, now: datetime
+    ) -> web.Response | None:
+        """Return a refusal for a request that would crash its upstream."""
+        suspects = self.parts.suspects
+        if suspects.is_refused(call.fingerprint, now):
+            journal.suspected("the same request", now)
+            return refusal(503, "requests like this one crashed their upstreams")
+        part = suspects.parts.find_refused(call.shared_parts, now)
+        if part is None:
+            return None
+        journal.suspected(f"part {part}", now)
+        self.reporter.count("requests_with_refused_part")
+        return refusal(
+            503,
+            "requests with a part of this prompt crashed their upstreams",
+            max(MIN_SUSPECT_RETRY_AFTER, suspects.parts.time_to_trial(part, now)),
+        )
+
+    def _build_exchange(
+        self,
+        request: web.BaseRequest,
+        call: GatewayCall,
+        body: bytes,
+        journal: RequestJournal,
+    ) -> Exchange:
+        self.parts.retries.budget.record_request(call.service, call.arrived_at)
+        return Exchange(
+            parts=self.parts,
+            request=request,
+            call=call,
+            body=body,
+            journal=journal,
+            failures=self.failures,
+        )
+
     def _deny_unknown(self, status: int, detail: str) -> web.Response:
         """Return a denial, or 503 if the configuration may be outdated."""
         if self.is_fresh():
@@ -150,4 +191,5 @@
             prompt_tokens=fields.prompt_tokens,
             output_tokens=fields.output_tokens,
             prompt_parts=fields.prompt_parts,
+            shared_parts=shared_parts(fields.model, fields.prompt_parts),
         )
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -6,7 +6,7 @@
 from ._announcements import UNIX_EPOCH, VersionAnnouncement, WriteTime
 from ._breaker import Breaker
 from ._budget import BudgetLimit, RetryBudget
-from ._call import GatewayCall
+from ._call import GatewayCall, shared_parts
 from ._catalog import (
     CallerLimits,
     Catalog,
@@ -39,9 +39,10 @@
     WeightsAnnounced,
 )
 from ._outcomes import Failure, FailureKind
+from ._part_suspects import PartEvidence, PartSuspects
 from ._retries import Retries
 from ._subsets import EntrySubsets
-from ._suspects import CrashSuspects
+from ._suspects import CrashSuspects, LostRequest
 from ._upstreams import Upstream, UpstreamRecord, UpstreamTable
 
 __all__ = [
@@ -65,6 +66,9 @@
     "GatewayCall",
     "UNIX_EPOCH",
     "LoadTracker",
+    "LostRequest",
+    "PartEvidence",
+    "PartSuspects",
     "VersionAnnouncement",
     "OperatorRecord",
     "OperatorState",
@@ -90,4 +94,5 @@
     "WeightedService",
     "WeightsAnnounced",
     "predict_first_token",
+    "shared_parts",
 ]
--- a/shallotpath/gateway/_call.py
+++ b/shallotpath/gateway/_call.py
@@ -2,14 +2,32 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from hashlib import blake2b
 
 from ._catalog import Route
 
 # A caller that arrives with less than this share of the route's timeout left is
 # retrying after a rejection. The timeouts of first attempts vary by a seventh.
 FIRST_ATTEMPT_TIMEOUT_SHARE = 0.85
+# Other names are replaced by a digest, as names are kept and sent to peers.
+MAX_PART_NAME_LENGTH = 40
+PART_DIGEST_BYTES = 16
+
+
+def shared_parts(model: str, prompt_parts: Sequence[str]) -> tuple[str, ...]:
+    """Return the names of a prompt's parts except the last, which is its own."""
+    names = (f"{model}/{part}" for part in prompt_parts[:-1])
+    return tuple(dict.fromkeys(map(_limit_name, names)))
+
+
+def _limit_name(name: str) -> str:
+    if len(name) <= MAX_PART_NAME_LENGTH and name.isascii():
+        return name
+    encoded = name.encode("utf-8", "surrogateescape")
+    return blake2b(encoded, digest_size=PART_DIGEST_BYTES).hexdigest()
 
 
 @dataclass(slots=True)
@@ -29,8 +47,10 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
-    # Ids of the parts of the prompt in order; requests share all but the last one.
+    # Ids of the parts of the prompt in order.
     prompt_parts: tuple[str, ...] = ()
+    # Names of the parts that other requests to the model may have too.
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def ends_at(self) -> datetime:
--- a/shallotpath/gateway/_suspects.py
+++ b/shallotpath/gateway/_suspects.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
+from ._part_suspects import PartSuspects
+
 # Crashes at different upstreams after which a request is refused. One crash also breaks
 # unrelated requests; an unrelated one is unlikely to be part of two crashes.
 REFUSAL_CRASHES = 2
@@ -22,30 +24,45 @@
     upstream_ids: set[str] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class _LostConnection:
+@dataclass(slots=True, frozen=True)
+class LostRequest:
+    """Describe a request that lost its connection to an upstream."""
+
     fingerprint: str
+    upstream_id: str
+    # Identifies this start of the upstream, which may keep its id over a crash.
+    crash_id: str
     lost_at: datetime
+    # Parts of the prompt; empty if the upstream had begun to answer.
+    unanswered_parts: tuple[str, ...] = ()
 
 
 class CrashSuspects:
-    """Track crashes by request fingerprint, including those reported by peers."""
+    """Track crashes by request fingerprint and by part of a prompt, also of peers."""
 
-    __slots__ = ("losses_by_upstream_id_", "suspects_by_fingerprint_")
+    __slots__ = ("losses_by_upstream_id_", "parts", "suspects_by_fingerprint_")
 
-    def __init__(self) -> None:
+    def __init__(self, parts: PartSuspects | None = None) -> None:
+        self.parts = parts or PartSuspects()
         self.suspects_by_fingerprint_: dict[str, _Suspect] = {}
-        self.losses_by_upstream_id_: dict[str, list[_LostConnection]] = {}
+        self.losses_by_upstream_id_: dict[str, list[LostRequest]] = {}
 
-    def record_lost_connection(
-        self, fingerprint: str, upstream_id: str, now: datetime
-    ) -> None:
+    def record_lost_connection(self, lost: LostRequest) -> None:
         """Record that a request lost its connection to an upstream."""
-        losses = self.losses_by_upstream_id_.setdefault(upstream_id, [])
+        losses = self.losses_by_upstream_id_.setdefault(lost.upstream_id, [])
         losses[:] = [
-            loss for loss in losses if now - loss.lost_at <= CRASH_CONFIRMATION_TIME
+            loss
+            for loss in losses
+            if lost.lost_at - loss.lost_at <= CRASH_CONFIRMATION_TIME
         ]
-        losses.append(_LostConnection(fingerprint, now))
+        losses.append(lost)
+
+    def clear_losses(self, upstream_id: str, until: datetime) -> None:
+        """Forget losses up to a time at which the upstream was found alive."""
+        losses = self.losses_by_upstream_id_.get(upstream_id, [])
+        losses[:] = [loss for loss in losses if loss.lost_at > until]
+        if not losses:
+            self.losses_by_upstream_id_.pop(upstream_id, None)
 
     def record_crash(self, upstream_id: str, now: datetime) -> int:
         """Suspect the requests lost in an upstream's crash; return their number."""
@@ -54,8 +71,13 @@
             for loss in self.losses_by_upstream_id_.pop(upstream_id, ())
             if now - loss.lost_at <= CRASH_CONFIRMATION_TIME
         ]
+        prompts_by_crash: dict[str, list[tuple[str, ...]]] = {}
         for loss in losses:
-            self.merge(loss.fingerprint, [upstream_id], now)
+            self.merge(loss.fingerprint, [loss.crash_id], now)
+            prompts = prompts_by_crash.setdefault(loss.crash_id, [])
+            prompts.append(loss.unanswered_parts)
+        for crash_id, prompts in prompts_by_crash.items():
+            self.parts.record_crash(crash_id, prompts, now)
         return len(losses)
 
     def merge(
--- a/shallotpath/gateway/tests/helpers.py
+++ b/shallotpath/gateway/tests/helpers.py
@@ -12,6 +12,7 @@
     EntrySubsets,
     GatewayCall,
     LoadTracker,
+    LostRequest,
     OperatorState,
     PlacementRules,
     Route,
@@ -41,6 +42,12 @@
     usual_prompt_tokens=979,
     usual_output_tokens=92,
 )
+
+
+def lost_request(fingerprint, upstream_id, now, parts=()):
+    return LostRequest(fingerprint, upstream_id, upstream_id, now, parts)
+
+
 REGIONS = {"a-1": "a", "b-1": "b", "c-1": "c"}
 
 
--- a/shallotpath/gateway/tests/test_limits.py
+++ b/shallotpath/gateway/tests/test_limits.py
@@ -21,7 +21,7 @@
     RouteKind,
 )
 
-from .helpers import make_call, make_route, make_subsets, ms
+from .helpers import lost_request, make_call, make_route, make_subsets, ms
 
 WINDOW = timedelta(seconds=10)
 # Start time of an entry that has its full share of the budget when a test begins.
@@ -166,8 +166,10 @@
     # and against refusing requests that were only running there.
     reporting, receiving = CrashSuspects(), CrashSuspects()
     for upstream in ("u1", "u2"):
-        reporting.record_lost_connection("poison", upstream, EPOCH)
-        reporting.record_lost_connection(f"unrelated at {upstream}", upstream, EPOCH)
+        reporting.record_lost_connection(lost_request("poison", upstream, EPOCH))
+        reporting.record_lost_connection(
+            lost_request(f"unrelated at {upstream}", upstream, EPOCH)
+        )
         reporting.record_crash(upstream, EPOCH + ms(100))
     for fingerprint, upstreams in reporting.recent(EPOCH, 10).items():
         receiving.merge(fingerprint, upstreams, EPOCH)
@@ -180,6 +182,6 @@
     # Guards against refusing a request because connections broke for other reasons.
     suspects = CrashSuspects()
     for upstream in ("u1", "u2", "u3"):
-        suspects.record_lost_connection("f", upstream, EPOCH)
+        suspects.record_lost_connection(lost_request("f", upstream, EPOCH))
         suspects.record_crash(upstream, EPOCH + timedelta(seconds=10))
     assert not suspects.is_refused("f", EPOCH)
--- a/shallotpath/gateway/tests/test_starts.py
+++ b/shallotpath/gateway/tests/test_starts.py
@@ -18,7 +18,7 @@
     UpstreamTable,
 )
 
-from .helpers import make_record, make_subsets, ms
+from .helpers import lost_request, make_record, make_subsets, ms
 
 WINDOW = timedelta(seconds=10)
 LIMIT = BudgetLimit(ratio=0.2, extra=102, window=WINDOW)
@@ -156,7 +156,7 @@
 
 
 def crash(suspects, upstream_id, now):
-    suspects.record_lost_connection("poison", upstream_id, now)
+    suspects.record_lost_connection(lost_request("poison", upstream_id, now))
     suspects.record_crash(upstream_id, now)
 
 
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -17,7 +17,7 @@
 from . import _names as names
 
 # Bounds what a single request can add to logs and crash suspects.
-MAX_PROMPT_PARTS = 32
+MAX_PROMPT_PARTS = 64
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 # Headers that are not forwarded: hop-by-hop headers, the caller's key and headers
 # that only this system may set.
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -64,6 +64,21 @@
     upstreams: list[str]
 
 
+class PartItem(msgspec.Struct, frozen=True, array_like=True):
+    """Report crashes of upstreams that may be due to a part of a prompt."""
+
+    part: str
+    crash_ids: list[str]
+    # Crashes after which an answer with the part has begun.
+    cleared_ids: list[str]
+    # Parts that all requests lost in these crashes had too.
+    companions: list[str]
+    # Whether any answer with the part has ever begun.
+    answered: bool
+    # Seconds since the last crash.
+    age_s: float
+
+
 class PlacementItem(msgspec.Struct, frozen=True, array_like=True, tag="placed"):
     """Tell peers that an entry has just sent a request to an upstream."""
 
@@ -88,6 +103,8 @@
     suspects: list[SuspectItem] = []
     peers: list[PeerAddress] = []
     announcements: list[AnnouncementsItem] = []
+    # Releases before this field ignore it.
+    parts: list[PartItem] = []
 
 
 class RecordItem(msgspec.Struct, frozen=True, array_like=True):
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -13,6 +13,7 @@
     ChunkItem,
     Datagram,
     GossipMessage,
+    PartItem,
     PeerAddress,
     PlacementItem,
     RecordItem,
@@ -32,6 +33,11 @@
     for kind, variants in RECORDED["datagrams"].items()
     for variant, datagram in variants.items()
 }
+# Recorded from the release before messages had crashes by part of a prompt.
+NEWS_WITHOUT_PARTS = {
+    variant: bytes.fromhex(datagram)
+    for variant, datagram in RECORDED["news_without_parts"].items()
+}
 PAGES = {name: bytes.fromhex(page) for name, page in RECORDED["pages"].items()}
 PACKED = bytes.fromhex(RECORDED["records"])
 
@@ -97,7 +103,7 @@
     _, (_, sender, incarnation, sequence, domain, leaving, *lists) = (
         msgspec.msgpack.decode(payload, strict=False)
     )
-    topics, shares, engines, chunks, suspects, peers, announcements = lists
+    topics, shares, engines, chunks, suspects, peers, announcements, parts = lists
     expected = GossipMessage(
         sender=make_address(sender),
         incarnation=incarnation,
@@ -114,11 +120,37 @@
             AnnouncementsItem(model=m, age_s_by_version=ages)
             for m, ages in announcements
         ],
+        parts=[
+            PartItem(
+                part=part,
+                crash_ids=crashes,
+                cleared_ids=cleared,
+                companions=companions,
+                answered=answered,
+                age_s=age,
+            )
+            for part, crashes, cleared, companions, answered, age in parts
+        ],
     )
     assert decode_datagram(payload) == expected
     assert encode_message(expected) == payload
 
 
+@pytest.mark.parametrize("variant", NEWS_WITHOUT_PARTS)
+def test_messages_with_and_without_parts_are_read_by_both_releases(variant):
+    # Guards against peers that drop each other's messages in a rolling update.
+    before = NEWS_WITHOUT_PARTS[variant]
+    decoded = decode_datagram(before)
+    assert decoded.parts == []
+    expected = msgspec.structs.replace(decode_datagram(DATAGRAMS["news", variant]))
+    expected.parts.clear()
+    assert decoded == expected
+    # The release before reads the items that it knows and ignores the rest.
+    _, sent = msgspec.msgpack.decode(DATAGRAMS["news", variant], strict=False)
+    _, known = msgspec.msgpack.decode(before, strict=False)
+    assert sent[: len(known)] == known
+
+
 def test_items_of_a_placed_request_keep_their_positions():
     # Guards against sender and upstream, or two load figures, that swap positions.
     payload = DATAGRAMS["placed", "full"]
