Do not take an unlabelled response on a used connection for the next request's

A response without a request id was taken for the current request's. A copy with the earlier id was already skipped.

Only the first response on a connection may lack the id; others are skipped like those of other requests, within the same limits.

The test with labelled=False failed before (503 for a request that the upstream answered 50 ms later); labelled=True passed before and after.

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -164,7 +164,10 @@
             ):
                 continue
             fields = self.header_codec.read_response(message.headers)
-            if fields.request_id in ("", request_id):
+            # Without an id, only the first response on a connection is certain to
+            # belong to its request.
+            is_unlabelled = not fields.request_id and not self.connection_.reused
+            if fields.request_id == request_id or is_unlabelled:
                 self.message_, self.payload_, self.fields_ = message, payload, fields
                 return
             # A late response to an earlier request on this connection.
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -67,6 +67,11 @@
         self.idle_until_ = None
         self.transport.write(payload)
 
+    @property
+    def reused(self) -> bool:
+        """Check whether the connection carried a request before."""
+        return self.idle_since_ is not None
+
     @property
     def request_written(self) -> bool:
         """Check whether the whole request was handed to the kernel."""
