Break off a stream whose upstream stopped inside an event or answers with an error

At the end of a body the rest after the last complete event was written to the caller and the response ended as whole; a 200 that is no event stream was relayed as one, also into a stream that had begun.

Such an end is a lost connection: the stream goes on at another upstream or is broken off. So is the close of a stream without framing before its first event. A response of another content type is relayed as a plain one, and fails the attempt if the stream has begun.

Not detected: an upstream that closes a stream without framing between two events looks like its end.

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -19,6 +19,7 @@
 _REFUSAL_STATUSES = frozenset({400, 429, 503})
 _MISDIRECTED_REQUEST = 421
 _SERVER_ERROR = 500
+_EVENT_STREAM = "text/event-stream"
 # Responses to other requests that are discarded before the attempt fails.
 MAX_MISMATCHED_RESPONSES = 3
 # Body bytes of such a response that are discarded before the attempt fails.
@@ -134,6 +135,24 @@
         """Count the complete events of a stream."""
         self.events_ += count_events(complete)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Check whether the response is a stream of events; assume so by default."""
+        content_type = self.message_.headers.get("Content-Type", _EVENT_STREAM)
+        return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
+
+    def check_stream_end(self, pending: bytes) -> None:
+        """Raise `AttemptError` if a stream ended before its last event was complete."""
+        headers = self.message_.headers
+        is_framed = self.message_.chunked or "Content-Length" in headers
+        if pending.strip():
+            detail = "stream ended inside an event"
+        elif not self.events_ and not is_framed:
+            detail = "stream ended before its first event"
+        else:
+            return
+        raise AttemptError(Failure(FailureKind.LOST, detail))
+
     def finish(self) -> None:
         """Return the connection to the pool after the whole body was read."""
         connection, self.connection_ = self.connection_, None
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -296,10 +296,11 @@
             raise AttemptError(failure)
 
     async def _relay(self, attempt: Attempt, key: str) -> web.StreamResponse:
-        if attempt.status == _OK and self.call.route.kind is RouteKind.STREAM:
+        is_stream = self.call.route.kind is RouteKind.STREAM and attempt.is_event_stream
+        if attempt.status == _OK and is_stream:
             return await self._relay_stream(attempt, key)
         if self.response_ is not None:
-            detail = f"status {attempt.status} to a resumed stream"
+            detail = f"status {attempt.status}, no events, to a resumed stream"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
         return await self._relay_plain(attempt)
 
@@ -358,8 +359,10 @@
                 await self._write_to_caller(complete)
                 # The time in which a slow caller blocked the write does not count.
                 idle_limit.renew()
+        rest = self.events_.take_pending()
+        attempt.check_stream_end(rest)
         await self._start_response(attempt)
-        await self._write_to_caller(self.events_.take_pending())
+        await self._write_to_caller(rest)
         await self._end_response()
         return self.response_
 
