--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -114,7 +114,8 @@
         self.active_ += 1
         try:
             response = await self.handler(request)
-            if request.transport is not None:
+            transport = request.transport
+            if transport is not None and not transport.is_closing():
                 await response.prepare(request)
                 await response.write_eof()
             return response
--- a/shallotpath/forwarding/tests/test_faulty_answers.py
+++ b/shallotpath/forwarding/tests/test_faulty_answers.py
@@ -168,3 +168,12 @@
     async with make_world(Upstream(stop_after_head), **route) as world:
         head, _ = await world.call()
     assert "502" in head
+
+
+async def test_broken_off_stream_leaves_no_traceback(caplog):
+    # Guards against unlimited tracebacks on the output while upstreams crash.
+    route = STREAM | {"resumable": False}
+    async with make_world(Upstream(break_off), **route) as world:
+        with pytest.raises(BROKEN):
+            await world.call()
+    assert not caplog.records
