Match the routes of an IPv6 host that has no port

The name was cut at the last colon, which is part of the address where no port follows. The test failed before for [::1].

--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -144,7 +144,9 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path."""
-        name = host.rsplit(":", 1)[0].lower()
+        # An IPv6 address has colons, but none after its bracket.
+        name = host.rpartition(":")[0] if ":" in host.rpartition("]")[2] else host
+        name = name.lower()
         for route in self.routes_by_host_.get(name, ()):
             if path.startswith(route.prefix):
                 return route
--- a/shallotpath/gateway/tests/test_state.py
+++ b/shallotpath/gateway/tests/test_state.py
@@ -121,6 +121,13 @@
     assert state.target("m").outdated_since(2) == EPOCH
 
 
+@pytest.mark.parametrize("host", ["[::1]", "[::1]:80", "[::1]:"])
+def test_route_of_an_ipv6_host_matches_with_and_without_a_port(host):
+    # Guards against an address cut at its last colon when no port follows.
+    catalog = make_catalog(routes=[make_route(host="[::1]", prefix="/")])
+    assert catalog.match(host, "/a/") is not None
+
+
 def test_route_with_the_longest_prefix_matches():
     # Guards against requests sent to the service of a less specific route.
     routes = [
