--- a/shallotpath/telemetry/_admin.py
+++ b/shallotpath/telemetry/_admin.py
@@ -30,7 +30,10 @@
         return web.json_response(status())
 
     async def events(request: web.Request) -> web.Response:
-        after = int(request.query.get("after", "0"))
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError:
+            return web.Response(status=400, text="after must be an integer\n")
         selected = telemetry.events_after(after)
         return web.json_response({"events": [asdict(event) for event in selected]})
 
--- a/shallotpath/telemetry/tests/test_telemetry.py
+++ b/shallotpath/telemetry/tests/test_telemetry.py
@@ -85,6 +85,13 @@
     assert telemetry.metrics.value("never_set") == 0
 
 
+async def test_events_after_what_is_no_number_are_refused():
+    # Guards against a 500 and a traceback for a mistyped query.
+    app = make_admin_app(make_telemetry("agent-1", ManualClock()), dict)
+    async with serve(app) as url, ClientSession() as session:
+        assert (await session.get(f"{url}/events?after=x")).status == 400
+
+
 def test_libraries_write_no_line_for_each_request(monkeypatch):
     # Guards against a log that is flooded with lines about no change of state.
     monkeypatch.setattr(logging.getLogger(), "handlers", [])
