--- a/shallotpath/fleet/tests/test_entries.py
+++ b/shallotpath/fleet/tests/test_entries.py
@@ -11,6 +11,7 @@
     MAX_DATAGRAM_BYTES,
     GossipMessage,
     PeerAddress,
+    decode_datagram,
     encode_message,
 )
 
@@ -98,6 +99,27 @@
         edge.loads.sent(f"q{number}", f"i-{number % 900:010x}", 3800, clock.now())
     for number in range(10):
         edge.loads.sent(f"busy{number}", "i-busy", 3800, clock.now())
+    for number in range(6):
+        parts = [f"{part:040}" for part in range(64)]
+        crash_id = f"i-{number:010x}/1791471554357"
+        edge.suspects.parts.record_crash(crash_id, [parts], clock.now())
     message = edge.gossip_message()
+    assert len(message.parts) == 8
     assert len(encode_message(message)) <= MAX_DATAGRAM_BYTES
     assert message.shares["i-busy"].requests == 10
+
+
+def test_message_of_a_peer_refuses_a_part_that_crashed_upstreams():
+    # Guards against a part that crashes upstreams again through each other entry.
+    reporting, clock = make_edge()
+    for number in range(3):
+        lost = [("model/head", "model/dead")]
+        reporting.suspects.parts.record_crash(f"u{number}", lost, clock.now())
+    assert reporting.evidence_found_.is_set()
+    encoded = encode_message(reporting.gossip_message())
+    receiving, _ = make_edge()
+    receiving.handle_message(decode_datagram(encoded))
+    now = receiving.clock.now()
+    suspects = receiving.suspects.parts
+    assert suspects.find_refused(["model/head", "model/dead"], now)
+    assert suspects.find_refused(["model/head"], now) is None
