Keep the newest crashes of a part at all entries, and clear parts by successes only

Entries that knew more than six crashes of a part between them sent each other old ones without end, and a merge could drop newer ones for older ones; the new test failed before. A response of status 400 counted as an answer and cleared a part; its test failed before. A third test shows that resets by upstreams that live charge no part; it passed before.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -55,6 +55,7 @@
 # was delayed, and its upstream may have left meanwhile.
 MAX_PLACEMENT_AGE = timedelta(milliseconds=800)
 _OK = 200
+_REDIRECT = 300
 _SERVER_ERROR = 500
 
 
@@ -368,7 +369,7 @@
 
     def _record_answer(self, attempt: Attempt) -> None:
         """Record once that the upstream of an attempt did not crash."""
-        if not attempt.answer_recorded and attempt.status < _SERVER_ERROR:
+        if not attempt.answer_recorded and _OK <= attempt.status < _REDIRECT:
             attempt.answer_recorded = True
             now = self.parts.clock.now()
             self.parts.suspects.parts.record_answer(self.call.shared_parts, now)
--- a/shallotpath/forwarding/tests/test_crashing_parts.py
+++ b/shallotpath/forwarding/tests/test_crashing_parts.py
@@ -6,7 +6,15 @@
 
 from shallotpath.gateway import RouteKind
 
-from .helpers import Upstream, chunk, make_world, ms, reset_connection, stream_head
+from .helpers import (
+    Upstream,
+    answer,
+    chunk,
+    make_world,
+    ms,
+    reset_connection,
+    stream_head,
+)
 
 ROUTE = {
     "kind": RouteKind.STREAM,
@@ -78,3 +86,40 @@
             sound = await call(world, number + 1, "shared")
             assert sound == ("200", b"".join(EVENTS))
     assert sum(upstream.crashed for upstream in upstreams) <= 3
+
+
+async def test_refusal_of_an_upstream_does_not_clear_a_deadly_part():
+    # Guards against a part that crashes upstreams again because one of them refused a
+    # request with it.
+    async def reject(reader, writer, head):
+        writer.write(answer(head, b"too large", status="400 Too large"))
+        await writer.drain()
+
+    async with make_world(Upstream(reject), **ROUTE) as world:
+        suspects = world.forwarder.parts.suspects.parts
+        now = world.forwarder.parts.clock.now()
+        for number in range(2):
+            suspects.record_crash(f"gone{number}", [("/dead",)], now)
+        status, _ = await call(world, 1, "dead")
+        assert status == "400"
+        suspects.record_crash("gone2", [("/dead",)], now)
+        status, _ = await call(world, 2, "dead")
+    assert status == "503"
+
+
+async def test_lost_connection_to_an_upstream_that_lives_charges_no_part():
+    # Guards against parts refused because upstreams reset connections.
+    async def reset_after_head(reader, writer, head):
+        writer.write(stream_head(head))
+        await writer.drain()
+        reset_connection(writer)
+        return False
+
+    upstreams = [Upstream(reset_after_head) for _ in range(6)]
+    async with make_world(*upstreams, **ROUTE) as world:
+        for number in range(8):
+            await call(world, number, "part")
+            await asyncio.sleep(0.02)
+        suspects = world.forwarder.parts.suspects
+    assert not suspects.parts.suspects_by_part_
+    assert not suspects.losses_by_upstream_id_
--- a/shallotpath/gateway/_part_suspects.py
+++ b/shallotpath/gateway/_part_suspects.py
@@ -59,9 +59,14 @@
         """Return the crashes after which no answer with the part has begun."""
         return self.crash_ids.keys() - self.cleared_ids
 
-    def add_crashes(self, crash_ids: Iterable[str]) -> None:
-        """Add crashes and keep the newest."""
-        self.crash_ids.update(dict.fromkeys(crash_ids))
+    def add_crashes(self, crash_ids: Iterable[str], crashed_at: datetime) -> None:
+        """Add crashes, the last of them at a given time, and keep the newest."""
+        added = dict.fromkeys(crash_ids)
+        if crashed_at < self.crashed_at:
+            self.crash_ids = added | self.crash_ids
+        else:
+            self.crash_ids |= added
+            self.crashed_at = crashed_at
         while len(self.crash_ids) > MAX_CRASHES_PER_PART:
             oldest = next(iter(self.crash_ids))
             del self.crash_ids[oldest]
@@ -228,9 +233,12 @@
         known_ids = suspect.crash_ids.keys() if suspect else set()
         cleared_ids = suspect.cleared_ids if suspect else set()
         new_ids = [id_ for id_ in item.crash_ids if id_ not in known_ids]
-        if not new_ids and cleared_ids.issuperset(item.cleared_ids):
-            return is_sound_news
         crashed_at = now - max(timedelta(), item.age)
+        if len(known_ids) == MAX_CRASHES_PER_PART and crashed_at < suspect.crashed_at:
+            # These are older than the crashes that are kept here.
+            new_ids = []
+        if not new_ids and cleared_ids.issuperset(known_ids & {*item.cleared_ids}):
+            return is_sound_news
         companions = frozenset(item.companions)
         suspect = self._charge(item.part, new_ids, companions, crashed_at, now)
         suspect.cleared_ids.update(
@@ -258,8 +266,7 @@
             self.suspects_by_part_[part] = suspect
         elif crash_ids:
             suspect.companions &= frozenset(companions)
-            suspect.crashed_at = max(suspect.crashed_at, crashed_at)
-        suspect.add_crashes(crash_ids)
+        suspect.add_crashes(crash_ids, crashed_at)
         suspect.updated_at = now
         return suspect
 
--- a/shallotpath/gateway/tests/test_part_suspects.py
+++ b/shallotpath/gateway/tests/test_part_suspects.py
@@ -158,6 +158,21 @@
     assert not wrong
 
 
+def test_entries_agree_on_the_crashes_that_they_keep():
+    # Guards against entries that send each other old crashes for ever.
+    entries = [PartSuspects() for _ in range(2)]
+    for number in range(9):
+        now = EPOCH + number * SECOND
+        entries[number > 5].record_crash(f"u{number}", [("dead",)], now)
+    for _ in range(3):
+        exchange(entries, now + SECOND)
+    later = now + 5 * SECOND
+    exchange(entries, later)
+    kept = [entry.recent(later, MESSAGE_ITEMS)[0].crash_ids for entry in entries]
+    assert {"u6", "u7", "u8"} <= set(kept[0]) == set(kept[1])
+    assert all(e.suspects_by_part_["dead"].updated_at < later for e in entries)
+
+
 def test_flood_of_parts_is_bounded():
     # Guards against a caller whose requests fill memory and messages with parts.
     entry = PartSuspects()
