Do not log a request that ends with an unexpected error as refused

Found by reading the change: the outcome was set before the exchange ran. The tests of forwarding pass before and after; no test, as no such error is known.

--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -61,8 +61,9 @@
             else:
                 call, body = prepared
                 response = self._refuse_suspect(call, journal, arrived_at)
-                outcome = "refused"
-                if response is None:
+                if response is not None:
+                    outcome = "refused"
+                else:
                     exchange = self._build_exchange(request, call, body, journal)
                     response = await exchange.run()
                     outcome = exchange.outcome
