Withhold an order to load once its verification is older than 2 s

Cause: the sidecar read all staged chunks back, announced the load, waited 30 ms and sent the order, whatever time had passed. A pause anywhere between the first read and the order lets chunks turn corrupt unseen.

Ruled out: time-outs of the reads, as after a pause an answer is there before its timer; the engine's order number, which is about orders only; engines of the own interface verify the digest of a version themselves.

--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -8,7 +8,6 @@
 
 from aiohttp import web
 
-from ..core import sha256_hex
 from ..gateway import EngineReport, Service
 from ..platform import (
     CallError,
@@ -28,6 +27,7 @@
 )
 from ._chunks import BUSY_STATUS, CHUNK_PATH, ChunkFetcher, ChunkServer
 from ._member import MemberProcess
+from ._staging import EngineStaging
 
 # Calls to the engine on the same VM cost nothing; its report lags by some 200 ms.
 REPORT_INTERVAL = timedelta(milliseconds=250)
@@ -39,7 +39,6 @@
 MANIFEST_PAUSE = timedelta(milliseconds=300)
 # Time for the gossip message that tells entries to stop sending, before a load.
 LOAD_NOTICE = timedelta(milliseconds=30)
-NOT_FOUND_STATUS = 404
 LOAD_RETRY_PAUSE = timedelta(milliseconds=300)
 # The load is ordered again if the engine shows neither the order nor its result by
 # then.
@@ -61,7 +60,7 @@
         self.holders_by_version_: dict[
             tuple[str, int], dict[str, tuple[SwarmMember, int]]
         ] = {}
-        self.staged_: set[int] = set()
+        self.staging_: EngineStaging | None = None
         self.load_in_progress_ = False
         self.ordered_version_ = 0
         self.adopted_version_ = 0
@@ -74,6 +73,7 @@
         """Start to watch the engine and to keep its weights current."""
         await super().start()
         self.engine_ = EngineClient(self.settings.engine, self.caller_)
+        self.staging_ = EngineStaging(self.engine_, self.clock, self.reporter)
         self.fetcher_ = ChunkFetcher(self.operator, self.peers, self.caller_)
         self.keep_running(self._watch_engine)
         self.keep_running(self._keep_weights)
@@ -197,7 +197,7 @@
                 restarted = self.state_ and self.state_.started_ms != state.started_ms
                 self.state_ = state
                 if restarted:
-                    self.staged_.clear()
+                    self.staging_.forget()
                 self.wake_.set()
             await asyncio.sleep(REPORT_INTERVAL.total_seconds())
 
@@ -238,11 +238,11 @@
         if self.plan_ is not None and self.plan_.version == held:
             return
         plan = self._new_plan(await self.fetcher_.manifest(self.model_, held))
-        await self._recover_staged(plan)
+        await self.staging_.recover(plan)
         self.adopted_version_ = held
         if plan.complete:
             self.plan_ = plan
-            self.staged_ = set(range(len(plan.digests)))
+            self.staging_.begin(plan, staged=True)
         self.reporter.event(
             "weights_adopted", version=held, progress=round(plan.progress, 2)
         )
@@ -268,14 +268,14 @@
             self.previous_plans_by_model_[old.model] = old
             reused = plan.reuse(old.chunks_by_index_.values())
         else:
-            reused = await self._recover_staged(plan)
+            reused = await self.staging_.recover(plan)
         self._forget_holders(plan)
         for member, bitmap in self.holders_by_version_.get(
             (plan.model, plan.version), {}
         ).values():
             plan.peer_has(member, bitmap, self.clock.now())
         self.plan_ = plan
-        self.staged_ = set()
+        self.staging_.begin(plan)
         self.spawn(self._announce_transfer(plan))
         self.reporter.event(
             "weights_begin",
@@ -304,16 +304,6 @@
             random=self.random,
         )
 
-    async def _recover_staged(self, plan: SwarmPlan) -> int:
-        """Reuse chunks staged by an earlier process here and return their number."""
-        try:
-            held = await self.engine_.staged_indices(plan.model)
-            chunks = [await self.engine_.staged(plan.model, index) for index in held]
-        except CallError as error:
-            self.reporter.event("staging_unread", detail=error.message)
-            return 0
-        return plan.reuse(chunks)
-
     def _fetch_more(self) -> None:
         plan, now = self.plan_, self.clock.now()
         plan.set_members(self._members())
@@ -359,7 +349,7 @@
             name = "chunks_received" if intact else "chunks_corrupt"
             self.reporter.count(name, source=self._source_label(fetch))
             if intact and plan is self.plan_:
-                await self._stage_chunk(plan, fetch.index)
+                await self.staging_.add(plan, fetch.index)
             elif not intact:
                 self.reporter.event(
                     "chunk_corrupt", source=fetch.source, index=fetch.index
@@ -378,19 +368,6 @@
         self.reporter.count("chunks_failed", source=self._source_label(fetch))
         self.reporter.event("chunk_failed", source=fetch.source, detail=error.message)
 
-    async def _stage_chunk(self, plan: SwarmPlan, index: int) -> None:
-        """Stage a received chunk; a failed one is staged again before the load."""
-        chunk = plan.chunk(index)
-        if chunk is None or index in self.staged_:
-            return
-        try:
-            await self.engine_.stage(plan.model, index, chunk)
-        except CallError as error:
-            self.reporter.event("staging_failed", index=index, detail=error.message)
-        else:
-            if plan is self.plan_:
-                self.staged_.add(index)
-
     @staticmethod
     def _source_label(fetch: Fetch) -> str:
         return ORIGIN if fetch.source == ORIGIN else "peer"
@@ -413,7 +390,7 @@
     async def _load(self) -> None:
         """Stage and verify the whole version, then order the engine to load it."""
         plan = self.plan_
-        if not self._may_load(plan) or not await self._stage(plan):
+        if not self._may_load(plan) or not await self.staging_.verify(plan):
             return
         state = self.state_
         if state is None or state.ordering or plan is not self.plan_:
@@ -422,7 +399,7 @@
         try:
             self.publish()
             await asyncio.sleep(LOAD_NOTICE.total_seconds())
-            await self.engine_.load(plan.model, plan.version, state.orders_accepted)
+            await self.staging_.load(plan, state.orders_accepted)
         except BaseException:
             self.load_in_progress_ = False
             raise
@@ -456,31 +433,6 @@
             self.publish()
             self.wake_.set()
 
-    async def _stage(self, plan: SwarmPlan) -> bool:
-        """Stage all chunks at the engine and verify them by reading them back."""
-        for index in range(len(plan.digests)):
-            chunk = plan.chunk(index)
-            if chunk is None:
-                return False
-            if index not in self.staged_:
-                await self.engine_.stage(plan.model, index, chunk)
-                self.staged_.add(index)
-        for index, digest in enumerate(plan.digests):
-            if not await self._is_staged_intact(plan, index, digest):
-                self.staged_.discard(index)
-                self.reporter.event("staged_chunk_spoilt", index=index)
-        return len(self.staged_) == len(plan.digests)
-
-    async def _is_staged_intact(self, plan: SwarmPlan, index: int, digest: str) -> bool:
-        """Check whether a staged chunk is still there and has the right digest."""
-        try:
-            staged = await self.engine_.staged(plan.model, index)
-        except CallError as error:
-            if error.status == NOT_FOUND_STATUS:
-                return False
-            raise
-        return sha256_hex(staged) == digest
-
     async def _await_loaded(self, version: int) -> None:
         ends_at: datetime = self.clock.now() + LOAD_TIMEOUT
         while self.clock.now() < ends_at:
--- a/shallotpath/fleet/tests/processes.py
+++ b/shallotpath/fleet/tests/processes.py
@@ -4,6 +4,7 @@
 import json
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
 
 from shallotpath.core import MonotonicClock
 from shallotpath.fleet import LineReporter, SidecarProcess
@@ -76,6 +77,17 @@
     return parse_process_settings("\n".join(lines), environment)
 
 
+class SuspendedClock(MonotonicClock):
+    """Count suspensions of the VM, unlike the event loop's clock."""
+
+    def __init__(self):
+        super().__init__()
+        self.suspended = timedelta()
+
+    def now(self):
+        return super().now() + self.suspended
+
+
 class Output:
     """Collect log lines instead of writing them to standard output."""
 
@@ -93,8 +105,8 @@
 
 
 @asynccontextmanager
-async def running(process_cls, settings):
-    clock = MonotonicClock()
+async def running(process_cls, settings, clock=None):
+    clock = clock or MonotonicClock()
     reporter = LineReporter(settings.node, settings.domain, clock, Output())
     process = process_cls(settings, clock=clock, reporter=reporter)
     await process.start()
@@ -123,7 +135,7 @@
 
 
 @asynccontextmanager
-async def sidecars(log, origin, *engines):
+async def sidecars(log, origin, *engines, clock=None):
     """Run a sidecar for each engine, with the given origin in the configuration."""
     async with AsyncExitStack() as stack:
         ((_, store_port),) = await stack.enter_async_context(stores(log, 1))
@@ -136,6 +148,8 @@
             stack.push_async_callback(runner.cleanup)
             settings = make_settings(f"mate-{number}", store_port, port)
             processes.append(
-                await stack.enter_async_context(running(SidecarProcess, settings))
+                await stack.enter_async_context(
+                    running(SidecarProcess, settings, clock)
+                )
             )
         yield processes
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -119,6 +119,9 @@
         # Reports show the state before any order.
         self.reports_late = False
         self.refused_orders = 0
+        # Called with the number of staged chunks that were read since the last order.
+        self.on_read = lambda reads: None
+        self.reads = 0
 
     async def handle(self, request):
         if request.path == "/report":
@@ -143,13 +146,17 @@
         if index in self.corrupts_once:
             self.corrupts_once.discard(index)
             self.staged[index] = b"corrupt"
-        return web.Response(body=self.staged[index])
+        body = self.staged[index]
+        self.reads += 1
+        self.on_read(self.reads)
+        return web.Response(body=body)
 
     async def _take_order(self, request):
         order = await request.json()
         if order.get("expect", len(self.orders)) != len(self.orders):
             self.refused_orders += 1
             return web.Response(status=409)
+        self.reads = 0
         self.orders.append(order["version"])
         self.version, self.loaded = order["version"], dict(self.staged)
         if self.loses_answer_once:
--- a/shallotpath/fleet/tests/test_sidecars.py
+++ b/shallotpath/fleet/tests/test_sidecars.py
@@ -7,11 +7,12 @@
 
 from shallotpath.core import ManualClock
 from shallotpath.fleet import LineReporter, SidecarProcess
-from shallotpath.platform import OPERATOR_TOPIC
+from shallotpath.platform import OPERATOR_TOPIC, CallError
 from shallotpath.swarm import SwarmMember, SwarmPlan
 
 from .processes import (
     Output,
+    SuspendedClock,
     make_settings,
     sidecars,
     until,
@@ -84,6 +85,38 @@
     assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
 
 
+@pytest.mark.parametrize("reads_before_pause", [4, 8])
+async def test_load_is_not_ordered_on_an_outdated_verification(reads_before_pause):
+    # Guards against tokens made with chunks that turned corrupt while the sidecar was
+    # paused, during the verification of the staged chunks or after it.
+    log, origin, engine = Log(), Origin(), Engine()
+    clock = SuspendedClock()
+
+    def pause(reads):
+        if reads == reads_before_pause:
+            clock.suspended += timedelta(seconds=4)
+            engine.staged[1] = b"corrupt"
+
+    engine.on_read = pause
+    async with sidecars(log, origin, engine, clock=clock):
+        await until(lambda: engine.version == 1)
+    assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
+
+
+async def test_order_is_withheld_if_the_pause_was_before_its_sending():
+    # Guards against an order that waited for a connection or in a paused process.
+    log, origin, engine = Log(), Origin(), Engine()
+    async with sidecars(log, origin, engine) as (sidecar,):
+
+        def expired():
+            raise CallError("verified too long ago")
+
+        with pytest.raises(CallError, match="verified too long ago"):
+            await sidecar.engine_.load("m", 1, 0, expired)
+        await asyncio.sleep(0.05)
+    assert engine.orders == []
+
+
 async def test_order_without_an_answer_is_not_given_twice():
     # Guards against a second order by a sidecar that does not know whether the first
     # one was accepted, or that acts on a report from before it.
