Look at the age of a verification before the call of the order, not inside it

The age is now looked at just before the call; a connection to the engine is in the pool from the reads before.

--- a/shallotpath/fleet/_staging.py
+++ b/shallotpath/fleet/_staging.py
@@ -90,9 +90,8 @@
 
     async def load(self, plan: SwarmPlan, orders_accepted: int) -> None:
         """Order the load of verified chunks or raise `CallError`."""
-        await self.engine.load(
-            plan.model, plan.version, orders_accepted, self._check_verification
-        )
+        self._check_verification()
+        await self.engine.load(plan.model, plan.version, orders_accepted)
 
     def _check_verification(self) -> None:
         """Raise `VerificationExpiredError` if the chunks were read too long ago.
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -83,7 +82,7 @@
         method: str,
         url: str,
         timeout: timedelta,
-        body: bytes | AsyncIterator[bytes] | None = None,
+        body: bytes | None = None,
         headers: dict[str, str] | None = None,
         *,
         max_bytes: int = MAX_RESPONSE_BYTES,
@@ -170,18 +169,11 @@
                 "all chunks will be staged again"
             ) from error
 
-    async def load(
-        self,
-        model: str,
-        version: int,
-        orders_accepted: int,
-        check: Callable[[], None],
-    ) -> None:
+    async def load(self, model: str, version: int, orders_accepted: int) -> None:
         """Order the engine to load the staged weights once its requests have ended.
 
         The engine refuses the order with status 409 if it has begun another one since
-        it reported the number of orders. `check` is called as the order is sent, after
-        any wait for a connection; the order is withheld if it raises a `CallError`.
+        it reported the number of orders.
         """
         order = {
             # `start` loads the staged weights; `wait` lets running requests end.
@@ -191,31 +183,14 @@
             "mode": "wait",
             "expect": orders_accepted,
         }
-        body = msgspec.json.encode(order)
-        headers = {
-            "Content-Type": "application/json",
-            "Content-Length": str(len(body)),
-        }
-        refusals: list[CallError] = []
-
-        async def checked_body() -> AsyncIterator[bytes]:
-            try:
-                check()
-            except CallError as error:
-                refusals.append(error)
-                raise
-            yield body
-
-        try:
-            await self._call("POST", "/order", checked_body(), headers)
-        except CallError as error:
-            raise (refusals or [error])[0] from error
+        headers = {"Content-Type": "application/json"}
+        await self._call("POST", "/order", msgspec.json.encode(order), headers)
 
     async def _call(
         self,
         method: str,
         path: str,
-        body: bytes | AsyncIterator[bytes] | None = None,
+        body: bytes | None = None,
         headers: dict[str, str] | None = None,
         *,
         max_bytes: int = MAX_REPORT_BYTES,
