Tell peers of a restarted reader which keys are left, not only what changed

Cause: a process that starts lists the newest record of each key, without removed ones. It then answered pulls with "all records from an offset on" out of a replica that never had the removals before its listing, and the peer moved its offset past them for good. Evidence: logs of the case (no upstream_gone at the peer, which has the reader's offset), and a test in which the peer can only pull.

Change: a replica knows from which offset on it holds the removals. A page for an earlier offset names all keys that are left, so that the peer removes the others and counts its own removals from there. Both topics of all processes use it: also an evacuation that was withdrawn would have stayed in force at peers. Pages without keys keep their bytes; a process of an earlier release, which says nothing of listings in its pull, gets a page that it ignores and reads the store.

Ruled out: removals lost in the store's log (a read from an offset has them), stale confirmations (the peer's age is right, its content is not).

--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -43,7 +43,7 @@
     incarnation,
 )
 from ._reporter import LineReporter
-from ._topics import Apply, TopicReplica
+from ._topics import LISTINGS_QUERY, Apply, TopicReplica
 
 # Entries of a region that read the operators' records for their peers. A large
 # configuration read by each process would fill the links between regions for seconds;
@@ -378,7 +378,8 @@
             return web.Response(status=400, text="after must be an integer offset\n")
         if topic is None:
             return web.Response(status=404, text="unknown topic\n")
-        return web.Response(body=topic.page_after(after))
+        takes_listings = LISTINGS_QUERY in request.query
+        return web.Response(body=topic.page_after(after, takes_listings=takes_listings))
 
     def _task_ended(self, task: asyncio.Task) -> None:
         self.tasks_.discard(task)
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -8,15 +8,19 @@
 from math import ceil
 from random import Random
 
+from msgspec import structs
+
 from ..core import Clock, FrameError, PlatformError
 from ..gateway import WriteTime
 from ..platform import CallError, HistoryLostError, HttpCaller, StoreClient
 from ..replication import (
     KeyedRecord,
     KeyedReplica,
+    ListingPage,
     PeerAddress,
     RecordItem,
     RecordPage,
+    ReplicaPage,
     TopicItem,
     decode_page,
     encode_message,
@@ -48,6 +52,10 @@
 # Time after a suspension in which messages that were queued during it still arrive.
 RESUME_MESSAGE_DELAY = timedelta(seconds=1)
 
+# Query field of a pull by a process that takes a listing in place of removals.
+# Releases before this field take no listings.
+LISTINGS_QUERY = "listings"
+
 # Takes new records and their write time, `None` if this process cannot tell it.
 Apply = Callable[[list[KeyedRecord], WriteTime | None], None]
 
@@ -89,8 +97,8 @@
         self.pulling_ = False
         self.waiting_ = False
         self.retry_ = FIRST_RETRY
-        # The last page sent to peers (start, end, records): most ask for the same one.
-        self.page_cache_: tuple[int, int, bytes] | None = None
+        # The last page sent to peers and its start: most ask for the same one.
+        self.page_cache_: tuple[int, RecordPage] | None = None
         # Called after new records came from the store or from another region.
         self.on_update: Callable[[], None] | None = None
         # Called with the time of a newer confirmation by the store, before its records
@@ -205,22 +213,38 @@
             self.waiting_ = False
         return end > self.end
 
-    def page_after(self, offset: int) -> bytes:
-        """Return the encoded records after an offset, for a peer."""
-        if self.page_cache_ is None or self.page_cache_[:2] != (offset, self.end):
-            records = [
-                RecordItem(record.key, record.value, record.offset)
-                for record in self.replica_.after(offset)
-            ]
-            self.page_cache_ = (offset, self.end, pack_records(records))
+    def page_after(self, offset: int, *, takes_listings: bool = True) -> bytes:
+        """Return the encoded records after an offset, for a peer.
+
+        A peer that does not take listings gets a page that it ignores where only a
+        listing would tell it of all removals.
+        """
+        page = self._page_after(offset)
+        if isinstance(page, ListingPage) and not takes_listings:
+            return encode_message(RecordPage(page.end, pack_records([]), None))
         age = self.age(self.clock.now())
         age_s = None if age is None else age.total_seconds()
-        return encode_message(RecordPage(self.end, self.page_cache_[2], age_s))
+        return encode_message(structs.replace(page, age_s=age_s))
+
+    def _page_after(self, offset: int) -> RecordPage:
+        cached = self.page_cache_
+        if cached is not None and (cached[0], cached[1].end) == (offset, self.end):
+            return cached[1]
+        missing = self.replica_.page_after(offset)
+        packed = pack_records(
+            [RecordItem(r.key, r.value, r.offset) for r in missing.records]
+        )
+        if missing.kept_keys is None:
+            page = RecordPage(missing.end, packed)
+        else:
+            page = ListingPage(missing.end, packed, kept_keys=missing.kept_keys)
+        self.page_cache_ = (offset, page)
+        return page
 
     async def _pull(self, peer: PeerAddress) -> bool:
         url = (
             f"http://{peer.host}:{peer.port}/records"
-            f"?topic={self.topic}&after={self.end}"
+            f"?topic={self.topic}&after={self.end}&{LISTINGS_QUERY}=1"
         )
         asked_at = self._look()
         try:
@@ -236,7 +260,8 @@
             # The peer has restarted since it sent its offset.
             return False
         records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
-        newer = self.replica_.merge(records, page.end)
+        kept_keys = page.kept_keys if isinstance(page, ListingPage) else None
+        newer = self.replica_.apply_page(ReplicaPage(records, page.end, kept_keys))
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
         # Write times come with the peer's gossip message, if the peer knows them.
--- a/shallotpath/fleet/tests/test_topics.py
+++ b/shallotpath/fleet/tests/test_topics.py
@@ -7,7 +7,12 @@
 
 from shallotpath.fleet import EdgeProcess, SidecarProcess
 from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
-from shallotpath.replication import PeerAddress
+from shallotpath.replication import (
+    PeerAddress,
+    RecordItem,
+    decode_page,
+    unpack_records,
+)
 
 from .processes import (
     make_config,
@@ -236,6 +241,50 @@
         assert "history_lost" in edge.reporter.writer.kinds()
 
 
+async def test_peer_of_a_restarted_reader_learns_of_removals_before_its_start():
+    # Guards against requests to an upstream that was removed while the entry that reads
+    # the list for its domain restarted.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    for key in ("u1", "u2"):
+        log.put(UPSTREAM_TOPIC, key, make_server())
+    log.put(OPERATOR_TOPIC, "evacuate/b-1", {})
+    async with (
+        stores(log, 2) as ((_, port_a), (store_b, port_b)),
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        await until(lambda: len(b.upstreams.upstreams_by_id_) == 2)
+        await until(lambda: "b-1" in b.operator.disabled_domains_)
+        store_b.refusing = True
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        log.put(OPERATOR_TOPIC, "evacuate/b-1", None)
+        async with running(EdgeProcess, make_settings("edge-a", port_a)) as a:
+            a.peers.learn(b.address)
+            log.put(UPSTREAM_TOPIC, "u3", make_server())
+            await until(lambda: "u3" in b.upstreams.upstreams_by_id_)
+            assert set(b.upstreams.upstreams_by_id_) == {"u2", "u3"}
+            await until(lambda: not b.operator.disabled_domains_)
+
+
+async def test_page_for_an_earlier_release_hides_no_removals():
+    # Guards against processes of an earlier release, which take no listings, that miss
+    # removals because a peer of this release has restarted.
+    log = Log()
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        topic = edge.upstream_topic_
+        await until(lambda: topic.listed_)
+        page = decode_page(topic.page_after(0, takes_listings=False))
+        assert page.age_s is None
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        await until(lambda: topic.end == 2)
+        page = decode_page(topic.page_after(1, takes_listings=False))
+        assert unpack_records(page.packed) == [RecordItem("u1", None, 1)]
+
+
 async def test_bad_records_keep_the_last_good_state():
     # Guards against one invalid record that clears the configuration or stops the
     # reading of later ones.
--- a/shallotpath/replication/__init__.py
+++ b/shallotpath/replication/__init__.py
@@ -6,6 +6,7 @@
     ChunkItem,
     Datagram,
     GossipMessage,
+    ListingPage,
     PartItem,
     PeerAddress,
     PlacementItem,
@@ -20,7 +21,7 @@
     unpack_records,
 )
 from ._peers import PeerTable
-from ._replica import KeyedRecord, KeyedReplica
+from ._replica import KeyedRecord, KeyedReplica, ReplicaPage
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -30,12 +31,14 @@
     "KeyedReplica",
     "AnnouncementsItem",
     "GossipMessage",
+    "ListingPage",
     "PlacementItem",
     "PartItem",
     "PeerAddress",
     "PeerTable",
     "RecordItem",
     "RecordPage",
+    "ReplicaPage",
     "SuspectItem",
     "TopicItem",
     "decode_datagram",
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -125,6 +125,15 @@
     age_s: float | None = 0.0
 
 
+class ListingPage(RecordPage, frozen=True, array_like=True):
+    """Carry records together with the keys of the older ones; others were removed.
+
+    It takes the place of the removals where the sender does not know all of them.
+    """
+
+    kept_keys: list[str] | None = None
+
+
 def pack_records(records: list[RecordItem]) -> bytes:
     """Encode and compress records; large configurations shrink to a tenth."""
     return zlib.compress(msgspec.msgpack.encode(records), FASTEST_ZLIB_LEVEL)
@@ -160,9 +169,12 @@
     return _decode(payload, Datagram)
 
 
-def decode_page(payload: bytes) -> RecordPage:
+def decode_page(payload: bytes) -> RecordPage | ListingPage:
     """Decode a page of records or raise `FrameError`."""
-    return _decode(payload, RecordPage)
+    page = _decode(payload, ListingPage)
+    if page.kept_keys is None:
+        return RecordPage(page.end, page.packed, page.age_s)
+    return page
 
 
 def _decode(payload: bytes, expected):
--- a/shallotpath/replication/tests/test_replication.py
+++ b/shallotpath/replication/tests/test_replication.py
@@ -14,6 +14,7 @@
     GossipMessage,
     KeyedRecord,
     KeyedReplica,
+    ListingPage,
     PeerAddress,
     PeerTable,
     PlacementItem,
@@ -69,6 +70,64 @@
     assert replica.records_by_key_["a"].value == b"1"
 
 
+def live_at(log, end):
+    """Return the value of each key that is present below an offset of a log."""
+    newest = {record.key: record.value for record in log[:end]}
+    return {key: value for key, value in newest.items() if value is not None}
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), max_size=30),
+    st.lists(
+        st.tuples(
+            st.sampled_from(["read", "restart", "relist", "pull"]),
+            st.integers(0, 2),
+            st.integers(0, 2),
+            st.integers(1, 8),
+        ),
+        max_size=40,
+    ),
+)
+def test_pulls_pass_on_removals_that_the_peer_never_read(writes, steps):
+    # Guards against requests to an upstream whose removal was written before the peer
+    # that reads the store for others started and listed the records.
+    log = [
+        KeyedRecord(key, b"%d" % n if present else None, n)
+        for n, (key, present) in enumerate(writes)
+    ]
+    replicas = [KeyedReplica() for _ in range(3)]
+    end = 0
+    for action, own, other, count in steps:
+        end = min(len(log), end + count)
+        replica = replicas[own]
+        if action == "read":
+            replica.merge(log[replica.end : end], end)
+        elif action == "pull":
+            replica.apply_page(replicas[other].page_after(replica.end))
+        else:
+            if action == "restart":
+                replica = replicas[own] = KeyedReplica()
+            present = {r.key: r for r in log[:end]}.values()
+            replica.replace([r for r in present if r.value is not None], end)
+        held = {r.key: r.value for r in replica.records_by_key_.values()}
+        held = {key: value for key, value in held.items() if value is not None}
+        assert held == live_at(log, replica.end)
+
+
+def test_page_has_older_records_as_keys_only():
+    # Guards against a whole configuration that crosses the link between regions because
+    # a peer has restarted.
+    reader, follower = KeyedReplica(), KeyedReplica()
+    old = KeyedRecord("config", b"x" * 1000, 1)
+    follower.merge([KeyedRecord("a", b"1", 0), old], 2)
+    reader.replace([old, KeyedRecord("b", b"2", 3)], 4)
+    page = reader.page_after(follower.end)
+    assert [record.key for record in page.records] == ["b"]
+    assert page.kept_keys == ["config"]
+    assert {r.key: r.value for r in follower.apply_page(page)} == {"a": None, "b": b"2"}
+    assert reader.page_after(4).kept_keys is None
+
+
 def address(number, *, engine=False):
     return PeerAddress(f"p{number}", f"10.0.0.{number}", 7700, engine)
 
@@ -83,8 +142,8 @@
     assert decode_datagram(encode_message(message)) == message
     placed = PlacementItem("p1", "u1", EntryLoad(1, 900))
     assert decode_datagram(encode_message(placed)) == placed
-    page = RecordPage(7, b"packed", 0.5)
-    assert decode_page(encode_message(page)) == page
+    for page in (RecordPage(7, b"packed", 0.5), ListingPage(7, b"p", 0.5, ["a"])):
+        assert decode_page(encode_message(page)) == page
     records = [RecordItem("a", b"1", 3), RecordItem("b", None, 4)]
     assert unpack_records(pack_records(records)) == records
 
