Apply records one by one, and turn all errors of decoders into the handled one

Cause: deeply nested JSON raises RecursionError, which no decoder expected. It left the loop over a batch that the replica had already counted as applied, so the removals behind it were lost. A cold period of 1e16 ms decodes and overflows where it is applied, with the same effect. Evidence: task_restarted in the logs of the case, the replica's offset past the batch, and a test for each kind of odd record.

Change: one list of decoding errors for all decoders of the adapter; ranges for address and cold period; records applied one by one, an unforeseen error costs its record only (record_failed). Same class: a member with a port over 65535 closed the gossip socket for good, as asyncio takes the send's OverflowError for fatal; reports of engines and manifests with odd fields ended a sidecar's loops. Texts of errors in logs are limited, as an unknown state may be 100 KB long.

Tried and reverted: checking a peer's address in its message type, which refuses recorded datagrams that name hosts.

--- a/shallotpath/fleet/_discovery.py
+++ b/shallotpath/fleet/_discovery.py
@@ -11,6 +11,7 @@
 from ..core import Clock, PlatformError
 from ..platform import MEMBER_TOPIC, ProcessSettings, StoreClient
 from ..replication import KeyedRecord, PeerAddress, PeerTable
+from ..settings import check_host_port
 from ._reporter import LineReporter
 
 # Seeds may be outdated or down, so members also find each other through the store.
@@ -75,7 +76,8 @@
         for record in records:
             try:
                 address = msgspec.json.decode(record.value or b"", type=PeerAddress)
-            except msgspec.DecodeError as error:
+                check_host_port(f"{address.host}:{address.port}")
+            except (msgspec.DecodeError, RecursionError, ValueError) as error:
                 self.reporter.event("bad_member", key=record.key, detail=repr(error))
                 continue
             self.peers.learn(address)
--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -39,7 +39,6 @@
     UPSTREAM_TOPIC,
     PlatformHeaderCodec,
     ProcessSettings,
-    RecordError,
     decode_upstream,
 )
 from ..replication import (
@@ -51,6 +50,7 @@
 )
 from ._gossip import remote_interval
 from ._member import MemberProcess
+from ._records import apply_each
 from ._topics import TopicReplica
 
 # Long-poll time of a read of the upstreams. An upstream that leaves must get no request
@@ -222,9 +222,12 @@
         self, records: Iterable[KeyedRecord], time: WriteTime | None
     ) -> None:
         """Apply new records of upstreams."""
-        changed = False
-        for record in records:
-            changed |= self._apply_upstream(record)
+        changed = apply_each(
+            records,
+            self._apply_upstream,
+            topic=UPSTREAM_TOPIC,
+            reporter=self.reporter,
+        )
         if changed:
             known = set(self.upstreams.upstreams_by_id_)
             self.breaker.prune(known)
@@ -241,12 +244,7 @@
                     report_crash(self.reporter, record.key, "record removed", losses)
                 self.reporter.event("upstream_gone", upstream=record.key)
             return removed
-        try:
-            decoded = decode_upstream(record.key, record.value)
-        except RecordError as error:
-            self.reporter.count("records_bad", topic=UPSTREAM_TOPIC)
-            self.reporter.event("bad_record", key=record.key, detail=error.message)
-            return False
+        decoded = decode_upstream(record.key, record.value)
         before = self.upstreams.upstreams_by_id_.get(record.key)
         changed = self.upstreams.apply(decoded, now)
         if before is None or before.record.draining != decoded.draining:
--- a/shallotpath/fleet/_gossip.py
+++ b/shallotpath/fleet/_gossip.py
@@ -15,6 +15,7 @@
     decode_datagram,
     encode_message,
 )
+from ..settings import MAX_PORT
 from ._reporter import LineReporter
 
 GOSSIP_INTERVAL = timedelta(milliseconds=300)
@@ -91,6 +92,10 @@
     def forward(self, payload: bytes, peers: Iterable[PeerAddress]) -> None:
         """Send a message that is already encoded to peers."""
         for peer in peers:
+            # The transport takes the error for such a port as fatal and closes.
+            if not 0 < peer.port <= MAX_PORT:
+                self.reporter.count("datagrams_failed")
+                continue
             self.transport_.sendto(payload, (peer.host, peer.port))
 
     def close(self) -> None:
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -19,7 +19,6 @@
     OPERATOR_TOPIC,
     HttpCaller,
     ProcessSettings,
-    RecordError,
     StoreClient,
     decode_operator_record,
     load_process_settings,
@@ -42,6 +41,7 @@
     gossip_interval,
     incarnation,
 )
+from ._records import apply_each
 from ._reporter import LineReporter
 from ._topics import LISTINGS_QUERY, Apply, TopicReplica
 
@@ -227,25 +227,27 @@
         self, records: Iterable[KeyedRecord], time: WriteTime | None
     ) -> None:
         """Apply new records of the operators."""
-        changed = False
-        for record in records:
-            try:
-                decoded = decode_operator_record(record.key, record.value)
-            except RecordError as error:
-                self.reporter.count("records_bad", topic=OPERATOR_TOPIC)
-                self.reporter.event("bad_record", key=record.key, detail=error.message)
-                continue
-            if decoded is not None and self.operator.apply(decoded, time):
-                changed = True
-                self.reporter.event(
-                    "operator_change",
-                    key=record.key,
-                    offset=record.offset,
-                    read=_describe_time(time),
-                )
+        changed = apply_each(
+            records,
+            lambda record: self._apply_operator(record, time),
+            topic=OPERATOR_TOPIC,
+            reporter=self.reporter,
+        )
         if changed:
             self.operator_changed()
 
+    def _apply_operator(self, record: KeyedRecord, time: WriteTime | None) -> bool:
+        decoded = decode_operator_record(record.key, record.value)
+        if decoded is None or not self.operator.apply(decoded, time):
+            return False
+        self.reporter.event(
+            "operator_change",
+            key=record.key,
+            offset=record.offset,
+            read=_describe_time(time),
+        )
+        return True
+
     def operator_changed(self) -> None:
         """Handle a change of the operators' records."""
 
--- a/shallotpath/fleet/tests/test_topics.py
+++ b/shallotpath/fleet/tests/test_topics.py
@@ -1,12 +1,14 @@
 """Replicas of the store's topics, in processes on loopback."""
 
 import asyncio
+import json
 from contextlib import AsyncExitStack
 
 import pytest
 
 from shallotpath.fleet import EdgeProcess, SidecarProcess
-from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
+from shallotpath.gateway import UpstreamTable
+from shallotpath.platform import MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
 from shallotpath.replication import (
     PeerAddress,
     RecordItem,
@@ -285,6 +287,94 @@
         assert unpack_records(page.packed) == [RecordItem("u1", None, 1)]
 
 
+NESTED = b"[" * 100_000
+ODD_UPSTREAMS = {
+    "nested": NESTED,
+    "number too large": json.dumps(make_server(coldLeftMs=1e16)).encode(),
+    "number beyond all types": b'{"coldLeftMs": 1' + b"0" * 5000 + b"}",
+    "port out of range": json.dumps(make_server(address="127.0.0.1:70000")).encode(),
+    "unknown state": json.dumps(make_server(state="s" * 100_000)).encode(),
+    "models of another type": json.dumps(make_server(models=[5])).encode(),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_UPSTREAMS.values(), ids=ODD_UPSTREAMS)
+async def test_odd_upstream_does_not_hide_the_records_after_it(odd):
+    # Guards against requests to upstreams that were removed, because another writer's
+    # record ended the handling of the records that were read together with it.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put(UPSTREAM_TOPIC, "u1", make_server())
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: "u1" in edge.upstreams.upstreams_by_id_)
+        log.put_raw(UPSTREAM_TOPIC, "foreign", odd)
+        log.put(UPSTREAM_TOPIC, "u1", None)
+        log.put(UPSTREAM_TOPIC, "u2", make_server())
+        await until(lambda: "u2" in edge.upstreams.upstreams_by_id_)
+        assert set(edge.upstreams.upstreams_by_id_) == {"u2"}
+        kinds = edge.reporter.writer.kinds()
+        assert "bad_record" in kinds
+        assert "task_restarted" not in kinds
+        assert all(len(str(line)) < 2000 for line in edge.reporter.writer.lines)
+
+
+async def test_record_that_cannot_be_applied_does_not_hide_the_ones_after_it(
+    monkeypatch,
+):
+    # Guards against an error that no decoder foresees.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    async with (
+        stores(log, 1) as ((_, port),),
+        running(EdgeProcess, make_settings("edge-a", port)) as edge,
+    ):
+        await until(lambda: edge.ready)
+        monkeypatch.setattr(UpstreamTable, "apply", fail_once(UpstreamTable.apply))
+        for key in ("u1", "u2"):
+            log.put(UPSTREAM_TOPIC, key, make_server())
+        await until(lambda: "u2" in edge.upstreams.upstreams_by_id_)
+        assert "record_failed" in edge.reporter.writer.kinds()
+
+
+def fail_once(apply):
+    """Return a function that raises at its first call."""
+    failed = []
+
+    def call(*args):
+        if not failed:
+            failed.append(True)
+            raise RuntimeError("unforeseen")
+        return apply(*args)
+
+    return call
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [NESTED, b'["x", "127.0.0.1", 70000, false]', b'["x", "no.example", 7, false]'],
+    ids=["nested", "port out of range", "name for an address"],
+)
+async def test_odd_member_does_not_end_the_messages_to_peers(odd):
+    # Guards against a closed gossip socket, and against peers that are never learnt
+    # because another writer's record comes before theirs.
+    log = Log()
+    log.put(OPERATOR_TOPIC, "config", make_config(1))
+    log.put_raw(MEMBER_TOPIC, "a-foreign", odd)
+    async with (
+        stores(log, 2) as ((_, port_a), (_, port_b)),
+        running(EdgeProcess, make_settings("edge-a", port_a)) as a,
+        running(EdgeProcess, make_settings("edge-b", port_b)) as b,
+    ):
+        await until(lambda: a.peers.live(a.clock.now()) and b.peers.live(b.clock.now()))
+        await asyncio.sleep(0.5)
+        assert a.peers.live(a.clock.now())
+        assert "task_restarted" not in a.reporter.writer.kinds()
+        assert not a.gossip_.transport_.is_closing()
+
+
 async def test_bad_records_keep_the_last_good_state():
     # Guards against one invalid record that clears the configuration or stops the
     # reading of later ones.
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -11,6 +11,7 @@
 
 from ..core import PlatformError
 from ..webclient import read_body
+from ._decoding import DECODING_ERRORS, describe_error
 from ._settings import Endpoint
 
 # Calls within a VM take milliseconds unless the VM is paused.
@@ -163,9 +164,9 @@
             # `held` lists the indices of the staged chunks.
             indices = msgspec.json.decode(body, type=dict).get("held") or []
             return [int(index) for index in indices]
-        except (msgspec.DecodeError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             raise CallError(
-                f"list of staged chunks cannot be decoded: {error!r}; "
+                f"list of staged chunks cannot be decoded: {describe_error(error)}; "
                 "all chunks will be staged again"
             ) from error
 
@@ -211,9 +212,10 @@
             layers=int(fields.get("layers") or 0),
             digests=[str(digest) for digest in fields["digests"]],
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise CallError(
-            f"manifest cannot be decoded: {error!r}; it will be fetched again"
+            f"manifest cannot be decoded: {describe_error(error)}; it will be fetched "
+            "again"
         ) from error
 
 
@@ -237,9 +239,10 @@
             # `born` is the start time of the engine.
             started_ms=int(fields.get("born") or 0),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise CallError(
-            f"engine report cannot be decoded: {error!r}; it will be requested again"
+            f"engine report cannot be decoded: {describe_error(error)}; it will be "
+            "requested again"
         ) from error
 
 
--- a/shallotpath/platform/_records.py
+++ b/shallotpath/platform/_records.py
@@ -25,10 +25,14 @@
     WeightedService,
     WeightsAnnounced,
 )
+from ..settings import check_host_port
+from ._decoding import DECODING_ERRORS, describe_error
 
 CONFIGURATION_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
 VERSION_PREFIX = "version/"
+# Longer than any upstream stays cold; a larger number is an error of its writer.
+MAX_COLD_REMAINING = timedelta(days=1)
 _ROUTE_KINDS_BY_NAME = {
     "idempotent": RouteKind.REPEATABLE,
     "non_idempotent": RouteKind.ONCE,
@@ -71,17 +75,10 @@
         if not isinstance(fields, dict):
             raise TypeError("record is not a JSON object")
         return build(fields)
-    except (
-        msgspec.DecodeError,
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        OverflowError,
-    ) as error:
+    except DECODING_ERRORS as error:
         raise RecordError(
-            f"record {key!r} cannot be decoded: {error!r}; the last valid record "
-            "stays in force; correct the record and write it again"
+            f"record {key!r} cannot be decoded: {describe_error(error)}; the last "
+            "valid record stays in force; correct the record and write it again"
         ) from error
 
 
@@ -215,14 +212,19 @@
     if state not in ("ready", "draining"):
         raise ValueError(f"state {state!r} is not known")
     models = fields.get("models") or []
+    address = _text(fields["address"])
+    check_host_port(address)
+    cold_remaining = _ms(fields.get("coldLeftMs") or 0)
+    if cold_remaining > MAX_COLD_REMAINING:
+        raise ValueError(f"cold for another {cold_remaining}")
     return UpstreamRecord(
         id=key,
         service=_text(fields["service"]),
-        address=_text(fields["address"]),
+        address=address,
         domain=_text(fields["zone"]),
         slots=int(_number(fields["slots"])),
         draining=state == "draining",
-        cold_remaining=_ms(fields.get("coldLeftMs") or 0),
+        cold_remaining=cold_remaining,
         # `born` is the start time of the process. A process that restarts keeps its
         # id but none of its state.
         started_ms=int(_number(fields.get("born") or 0)),
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -12,6 +12,7 @@
 from ..core import PlatformError
 from ..replication import KeyedRecord
 from ..webclient import read_body
+from ._decoding import DECODING_ERRORS, describe_error
 from ._settings import Endpoint
 
 # A healthy store responds in about 4 ms and may take 60 times as long. The limit is
@@ -84,9 +85,10 @@
                 if not page.get("hasMore"):
                     return TopicPage(records, first_end, unreadable)
                 query["after"] = page["items"][-1]["key"]
-            except (KeyError, TypeError, ValueError, IndexError) as error:
+            except DECODING_ERRORS as error:
                 raise PlatformError(
-                    f"listing of {topic} cannot be decoded: {error!r}; check the store"
+                    f"listing of {topic} cannot be decoded: {describe_error(error)}; "
+                    "check the store"
                 ) from error
 
     async def read(
@@ -147,9 +149,10 @@
 def _decode_json(body: bytes) -> dict:
     try:
         return msgspec.json.decode(body, type=dict)
-    except msgspec.DecodeError as error:
+    except DECODING_ERRORS as error:
         raise PlatformError(
-            f"response of the store cannot be decoded: {error}; check the store"
+            f"response of the store cannot be decoded: {describe_error(error)}; "
+            "check the store"
         ) from error
 
 
@@ -157,7 +160,7 @@
     try:
         value = base64.b64decode(item["value"])
         return KeyedRecord(str(item["key"]), value, int(item["offset"]))
-    except (KeyError, TypeError, ValueError):
+    except DECODING_ERRORS:
         return None
 
 
--- a/shallotpath/platform/tests/test_platform.py
+++ b/shallotpath/platform/tests/test_platform.py
@@ -11,13 +11,14 @@
 from shallotpath.gateway import DomainDisabled, DomainEnabled, RouteKind
 from shallotpath.platform import (
     METRICS_PORT_VARIABLE,
+    CallError,
     PlatformHeaderCodec,
     RecordError,
     decode_operator_record,
     decode_upstream,
     parse_process_settings,
 )
-from shallotpath.platform._engine_calls import decode_engine_state
+from shallotpath.platform._engine_calls import decode_engine_state, decode_manifest
 from shallotpath.platform._store import _decode_page
 
 SETTINGS = """
@@ -259,3 +260,20 @@
     fields = PlatformHeaderCodec().read_request(CIMultiDictProxy(headers))
     assert fields.caller_timeout is None
     assert (fields.prompt_tokens, fields.output_tokens) == (0, 0)
+
+
+ODD_BODIES = (
+    b"[" * 100_000,
+    b'{"a": ' * 100_000,
+    b'{"models": [], "pace": 1' + b"0" * 400 + b"}",
+    b'{"models": [{"name": "m", "layers": "0-16"}], "digests": 5}',
+    b'{"models": 7, "digests": null, "held": [1e300, "x"]}',
+)
+
+
+@pytest.mark.parametrize("body", ODD_BODIES)
+@pytest.mark.parametrize("decode", [decode_engine_state, decode_manifest])
+def test_odd_bodies_raise_the_error_that_callers_handle(decode, body):
+    # Guards against a loop of a sidecar that ends because of one odd answer.
+    with pytest.raises(CallError, match="cannot be decoded"):
+        decode(body)
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -150,7 +150,7 @@
                 "run the same release on all VMs"
             )
         return msgspec.msgpack.decode(encoded, type=list[RecordItem])
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise FrameError(
             f"page of records does not decode: {error}; run the same release on all VMs"
         ) from error
@@ -180,7 +180,7 @@
 def _decode(payload: bytes, expected):
     try:
         protocol, message = msgspec.msgpack.decode(payload, type=tuple[int, expected])
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise FrameError(
             f"message of {len(payload)} bytes does not decode: {error}; "
             "run the same release on all VMs"
--- a/shallotpath/settings/__init__.py
+++ b/shallotpath/settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings of the programs, read from INI files and checked when loaded."""
 
 from ._checks import (
+    MAX_PORT,
     check_bool,
     check_choice,
     check_endpoint,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "MAX_PORT",
     "AgentSettings",
     "EngineSettings",
     "EntrySettings",
