Send nothing to an upstream process that said in a response that it leaves

Cause: nothing read Server-Leaving. A request was also sent on a placement up to 0.8 s old although its upstream had left meanwhile. Evidence: two entries and three upstreams as processes, one says so while its record stays ready.

Change: UpstreamNotices keeps id and start time of the processes that said so, taken from the head of any response to the own request. UpstreamTable counts them as unusable, whatever is registered under the id, until another process has it. A placement is checked again when its connection is there. If no other upstream is left the refusal carries the delay of the rejection, not the 0.1 s for a request that another upstream can take.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -32,6 +32,7 @@
     PlacementRules,
     Retries,
     RetryBudget,
+    UpstreamRecord,
     UpstreamTable,
     WriteTime,
 )
@@ -89,6 +90,7 @@
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=False, **options)
         self.upstreams = UpstreamTable()
+        self.upstreams.notices.on_leaving = self._report_leaving
         self.breaker = Breaker()
         self.loads = LoadTracker(self._send_placement)
         self.evidence_found_ = asyncio.Event()
@@ -385,6 +387,14 @@
             self.evidence_found_.clear()
             self.publish()
 
+    def _report_leaving(self, record: UpstreamRecord) -> None:
+        self.reporter.event(
+            "upstream_leaving",
+            upstream=record.id,
+            address=record.address,
+            born_ms=record.started_ms,
+        )
+
     def _report_part(
         self, part: str, crash_ids: Collection[str], refused: bool
     ) -> None:
@@ -407,6 +417,9 @@
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             self.suspects.parts.expire(self.clock.now())
+            self.upstreams.notices.prune(
+                self.upstreams.upstreams_by_id_.keys(), self.clock.now()
+            )
 
 
 def _encode_evidence(evidence: PartEvidence) -> PartItem:
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -3,10 +3,11 @@
 from ._bounded import BoundedConnection, EndlessAnswerError
 from ._connection import ConnectionPool
 from ._events import EventSplitter
-from ._exchange import ForwarderParts, refusal
+from ._exchange import ForwarderParts
 from ._forwarder import Forwarder
 from ._ingress import Listener
 from ._journal import Reporter, RequestJournal, milliseconds, report_crash
+from ._responses import refusal
 from ._wire import (
     HOP_BY_HOP_HEADERS,
     HeaderCodec,
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -9,7 +9,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
-from ..gateway import Failure, FailureKind, Placement
+from ..gateway import Failure, FailureKind, Placement, UpstreamNotices
 from ._bounded import EndlessAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._events import count_events
@@ -57,11 +57,16 @@
     """Send one request and read the head and body of its response."""
 
     def __init__(
-        self, placement: Placement, pool: ConnectionPool, header_codec: HeaderCodec
+        self,
+        placement: Placement,
+        pool: ConnectionPool,
+        header_codec: HeaderCodec,
+        notices: UpstreamNotices,
     ) -> None:
         self.placement = placement
         self.pool = pool
         self.header_codec = header_codec
+        self.notices = notices
         self.connection_: UpstreamConnection | None = None
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
@@ -188,6 +193,7 @@
             is_unlabelled = not fields.request_id and not self.connection_.reused
             if fields.request_id == request_id or is_unlabelled:
                 self.message_, self.payload_, self.fields_ = message, payload, fields
+                self._record_notice(fields)
                 return
             # A late response to an earlier request on this connection.
             mismatched_count += 1
@@ -197,6 +203,14 @@
             Failure(FailureKind.GARBLED, "responses belong to other requests")
         )
 
+    def _record_notice(self, fields: ResponseFields) -> None:
+        """Record what the upstream says of itself, unless another one responded."""
+        record = self.placement.upstream.record
+        is_misdirected = self.status == _MISDIRECTED_REQUEST
+        answered_by = fields.upstream_id or ("" if is_misdirected else record.id)
+        if fields.leaving and answered_by == record.id:
+            self.notices.record_leaving(record)
+
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
         if status < _MIN_FINAL_STATUS:
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -30,6 +30,7 @@
 from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
+from ._responses import BufferedResponse, refusal
 from ._wire import HOP_BY_HOP_HEADERS, HeaderCodec, OutgoingFields
 
 # The upstream stops work at the deadline; this leaves time for its response to arrive.
@@ -74,14 +75,6 @@
     stopping: bool = False
 
 
-@dataclass(slots=True)
-class _BufferedResponse:
-    status: int
-    reason: str
-    headers: CIMultiDict
-    body: bytes
-
-
 class CallerDisconnectedError(Exception):
     """Report that the caller closed its connection."""
 
@@ -111,10 +104,12 @@
         self.attempt_: Attempt | None = None
         self.response_: web.StreamResponse | None = None
         self.events_ = EventSplitter()
-        self.error_response_: _BufferedResponse | None = None
+        self.error_response_: BufferedResponse | None = None
         self.may_have_run_ = False
         # Already chosen for a request whose upstream is silent.
         self.next_placement_: Placement | None = None
+        # Why there was no other upstream for the last retry.
+        self.rejection_: Rejection | None = None
         self.outcome_ = "served"
 
     @property
@@ -171,6 +166,7 @@
         next_placement = self._choose_upstream()
         if isinstance(next_placement, Rejection):
             self.journal.rejected(next_placement, self.parts.clock.now())
+            self.rejection_ = next_placement
             return None
         # A request that reached no upstream needs no retry from the budget.
         if self.send_count_ == 0:
@@ -199,7 +195,10 @@
     async def _attempt(self, placement: Placement) -> web.StreamResponse:
         upstream = placement.upstream
         self.tried_ids_.add(upstream.id)
-        attempt = Attempt(placement, self.parts.pool, self.parts.header_codec)
+        upstreams = self.parts.dispatcher.upstreams
+        attempt = Attempt(
+            placement, self.parts.pool, self.parts.header_codec, upstreams.notices
+        )
         self.attempt_ = attempt
         loads = self.parts.dispatcher.loads
         key = f"{self.call.request_id}/{len(self.tried_ids_)}"
@@ -241,6 +240,8 @@
             raise AttemptError(
                 Failure(FailureKind.EXPIRED, f"placed {now - placed_at} ago")
             )
+        if not self.parts.dispatcher.upstreams.is_current(placement.upstream, now):
+            raise AttemptError(Failure(FailureKind.EXPIRED, "the upstream has left"))
 
     async def _exchange(self, attempt: Attempt, placement: Placement) -> None:
         now = self.parts.clock.now()
@@ -330,7 +331,7 @@
         return self.response_
 
     def _respond_buffered(self, attempt: Attempt, body: bytes) -> web.StreamResponse:
-        buffered = _BufferedResponse(
+        buffered = BufferedResponse(
             attempt.status,
             attempt.message_.reason,
             self._response_headers(attempt),
@@ -432,14 +433,9 @@
         except ConnectionError as error:
             raise CallerDisconnectedError from error
 
-    def _build_response(self, buffered: _BufferedResponse) -> web.Response:
+    def _build_response(self, buffered: BufferedResponse) -> web.Response:
         self.journal.first_byte_at = self.parts.clock.now()
-        return web.Response(
-            status=buffered.status,
-            reason=buffered.reason,
-            headers=buffered.headers,
-            body=buffered.body,
-        )
+        return buffered.build()
 
     def _note_failure(self, failure: Failure) -> None:
         now = self.parts.clock.now()
@@ -458,6 +454,8 @@
             return self._build_response(self.error_response_)
         if not self.may_have_run_:
             self.outcome_ = "refused"
+            if failure.kind is FailureKind.EXPIRED and self.rejection_ is not None:
+                return refusal(503, self.rejection_.reason, self.rejection_.retry_after)
             wait = failure.retry_after or REFUSED_RETRY_AFTER
             return refusal(503, f"upstream: {failure.kind}", wait)
         self.outcome_ = "failed"
@@ -482,13 +480,3 @@
         if transport is not None:
             transport.abort()
         return self.response_ or web.Response(status=502)
-
-
-def refusal(
-    status: int, detail: str, retry_after: timedelta | None = None
-) -> web.Response:
-    """Return an error response that the entry itself generates."""
-    headers = {}
-    if retry_after is not None:
-        headers["Retry-After"] = f"{retry_after.total_seconds():.3f}"
-    return web.json_response({"detail": str(detail)}, status=status, headers=headers)
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -10,9 +10,10 @@
 from aiohttp import web
 
 from ..gateway import Catalog, GatewayCall, OperatorState, Route, Team, shared_parts
-from ._exchange import Exchange, ForwarderParts, refusal
+from ._exchange import Exchange, ForwarderParts
 from ._failures import FailureRecorder
 from ._journal import Reporter, RequestJournal
+from ._responses import refusal
 from ._wire import RequestFields
 
 # Retry-After while this entry has no configuration or one that may be outdated.
--- a/shallotpath/forwarding/_wire.py
+++ b/shallotpath/forwarding/_wire.py
@@ -49,6 +49,8 @@
     # Id of the upstream that responded; empty if it sent none.
     upstream_id: str
     retry_after: timedelta | None
+    # The upstream leaves and wants no new requests.
+    leaving: bool
     keep_alive: timedelta | None
 
 
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -29,6 +29,7 @@
 )
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import EngineReport, EntryLoad, LoadTracker
+from ._notices import UpstreamNotices
 from ._operator import (
     CatalogAnnounced,
     DomainDisabled,
@@ -43,7 +44,8 @@
 from ._retries import Retries
 from ._subsets import EntrySubsets
 from ._suspects import CrashSuspects, LostRequest
-from ._upstreams import Upstream, UpstreamRecord, UpstreamTable
+from ._upstream_record import UpstreamRecord
+from ._upstreams import Upstream, UpstreamTable
 
 __all__ = [
     "Breaker",
@@ -89,6 +91,7 @@
     "ModelTarget",
     "Team",
     "Upstream",
+    "UpstreamNotices",
     "UpstreamRecord",
     "UpstreamTable",
     "WeightedService",
--- a/shallotpath/gateway/_upstreams.py
+++ b/shallotpath/gateway/_upstreams.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from ._notices import UpstreamNotices
+from ._upstream_record import UpstreamRecord
+
 # Upstreams whose lease expired during an outage of the store register again within 2 s
 # of its recovery.
 LEASE_EXPIRY_GRACE = timedelta(seconds=2)
@@ -14,21 +17,6 @@
 MAX_READ_GAP = timedelta(milliseconds=3600)
 
 
-@dataclass(slots=True, frozen=True)
-class UpstreamRecord:
-    """Hold the registration record of an upstream."""
-
-    id: str
-    service: str
-    address: str
-    domain: str
-    slots: int
-    draining: bool
-    cold_remaining: timedelta
-    started_ms: int
-    versions_by_model: dict[str, int] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Upstream:
     """Hold the state of one upstream as this process knows it."""
@@ -52,10 +40,17 @@
 class UpstreamTable:
     """Hold the upstreams that are registered, built from their records."""
 
-    __slots__ = ("last_read_at_", "revision", "store_recovered_at_", "upstreams_by_id_")
+    __slots__ = (
+        "last_read_at_",
+        "notices",
+        "revision",
+        "store_recovered_at_",
+        "upstreams_by_id_",
+    )
 
     def __init__(self) -> None:
         self.upstreams_by_id_: dict[str, Upstream] = {}
+        self.notices = UpstreamNotices()
         # Changes with the set of upstreams, their services and their domains.
         self.revision = 0
         self.last_read_at_: datetime | None = None
@@ -119,12 +114,19 @@
         ]
 
     def is_usable(self, upstream: Upstream, now: datetime) -> bool:
-        """Check whether an upstream is registered and not draining."""
+        """Check whether an upstream is registered and does not leave."""
         if upstream.remove_at is not None and now >= upstream.remove_at:
             self.drop(upstream.id)
             return False
-        return not upstream.record.draining
+        return not (
+            upstream.record.draining or self.notices.is_leaving(upstream.record)
+        )
+
+    def is_current(self, upstream: Upstream, now: datetime) -> bool:
+        """Check whether an upstream that was chosen earlier may still be used."""
+        known = self.upstreams_by_id_.get(upstream.id)
+        return known is upstream and self.is_usable(upstream, now)
 
     def usable(self, service: str, now: datetime) -> Iterable[Upstream]:
-        """Return the upstreams of a service that are not draining."""
+        """Return the upstreams of a service that do not leave."""
         return [u for u in self.of_service(service) if self.is_usable(u, now)]
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -69,6 +69,7 @@
             not_executed=names.NOT_EXECUTED in headers,
             upstream_id=headers.get(names.OWN_ID, ""),
             retry_after=_parse_seconds(headers.get("Retry-After")),
+            leaving=headers.get(names.LEAVING, "").strip() == "1",
             keep_alive=timedelta(seconds=int(match.group(1))) if match else None,
         )
 
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -17,6 +17,8 @@
 PATH = "Path"
 # Set by an upstream that refused the request before executing it.
 NOT_EXECUTED = "Shallotpath-Not-Executed"
+# Set to 1 in all responses of an upstream that leaves.
+LEAVING = "Server-Leaving"
 # Present in every valid response of an upstream below status 500.
 SEAL = "Shallotpath-Server-Seal"
 MODEL = "Shallotpath-Model"
