Count a request as pending that arrived before the one before it was answered

A planned stop cut off a request that an upstream was running (LOST).

Cause: a connection's mark for a pending request was set as bytes arrive and cleared as an answer ends. A second request that had come before the first answer was complete lost its mark, and the close of idle connections aborted it.

Change: the mark is set again as the handler of a request begins.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -33,6 +33,10 @@
         self.request_pending_ = True
         super().data_received(data)
 
+    def mark_begun(self) -> None:
+        """Record that a request is in progress; it may have come before an answer."""
+        self.request_pending_ = True
+
     def mark_answered(self) -> None:
         """Record that the whole answer has been written."""
         self.request_pending_ = False
@@ -112,6 +116,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request; it counts as answered once its response is written."""
         self.active_ += 1
+        request.protocol.mark_begun()
         try:
             response = await self.handler(request)
             transport = request.transport
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -346,3 +346,20 @@
         assert body == b"late"
         assert await asyncio.wait_for(reader.read(), 0.5) == b""
         assert world.listener.active == 0
+
+
+async def test_stop_does_not_cut_off_the_second_of_two_requests_sent_at_once():
+    # Guards against a connection that counts as idle because the first request on it
+    # was answered after the second one had arrived.
+    async def slow(reader, writer, head):
+        await asyncio.sleep(0.2)
+        writer.write(answer(head, b"second"))
+        await writer.drain()
+
+    async with make_world(Upstream(reply(b"first"), slow)) as world:
+        reader, writer = await world.connect()
+        writer.write(make_request(number=1) + make_request(number=2))
+        assert (await read_answer(reader))[1] == b"first"
+        await asyncio.sleep(0.05)
+        world.listener.close_idle()
+        assert (await read_answer(reader))[1] == b"second"
