Refuse requests that come late in a planned stop, and answer what is pending at its end

Cause: idle connections are closed 2.3 s after SIGTERM, others stayed open, and a request on one was taken however late it was complete. At the end its connection was closed. Evidence: an entry as a process, the body of an order complete 4 s after SIGTERM.

Change: after the close of idle connections requests are refused as not run, with a Retry-After of 0.1 s, as other entries can take them. Requests taken after SIGTERM end with the entry's own stop, and their upstreams are told so. What is pending at the end is answered 504, or 503 if nothing was sent.

Ruled out: closing all connections with the idle ones, which would cut requests that are in progress.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -74,6 +74,8 @@
 BALANCER_REMOVAL_TIME = timedelta(milliseconds=2300)
 # Part of the stop grace period that is left for closing sockets.
 SOCKET_CLOSE_RESERVE = timedelta(milliseconds=700)
+# Time for the responses to requests that are not finished when the process stops.
+LAST_RESPONSES_TIME = timedelta(milliseconds=200)
 DRAIN_POLL_INTERVAL_S = 0.05
 SUSPECTS_PER_MESSAGE = 10
 PARTS_PER_MESSAGE = 8
@@ -160,22 +162,32 @@
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
     async def drain(self) -> None:
-        """Fail readiness probes, then close the listener and finish open requests."""
+        """Fail readiness probes, then refuse new requests and finish the open ones."""
         loop = asyncio.get_running_loop()
-        stop_at = (
-            loop.time()
-            + (self.settings.stop_grace - SOCKET_CLOSE_RESERVE).total_seconds()
-        )
+        time_left = self.settings.stop_grace - SOCKET_CLOSE_RESERVE
+        stop_at_s = loop.time() + time_left.total_seconds()
         self.leaving_ = True
-        self.parts.stopping = True
+        self.parts.stops_at = self.clock.now() + time_left
         self.reporter.event("drain", active=self.caller_listener_.active)
         self.publish()
         await asyncio.sleep(BALANCER_REMOVAL_TIME.total_seconds())
+        self.parts.accepting = False
         self.caller_listener_.close()
         self.caller_listener_.close_idle()
-        while self.caller_listener_.active and loop.time() < stop_at:  # noqa: ASYNC110
+        await self._await_idle(stop_at_s)
+        unfinished = self.caller_listener_.active
+        # Callers get a response rather than a closed connection.
+        self.parts.deadlines.expire()
+        await self._await_idle(stop_at_s + LAST_RESPONSES_TIME.total_seconds())
+        self.reporter.event(
+            "drained", active=self.caller_listener_.active, unfinished=unfinished
+        )
+
+    async def _await_idle(self, until_s: float) -> None:
+        """Wait until no request is in progress, up to a time of the event loop."""
+        loop = asyncio.get_running_loop()
+        while self.caller_listener_.active and loop.time() < until_s:  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self.reporter.event("drained", active=self.caller_listener_.active)
 
     async def stop(self) -> None:
         """Close everything."""
--- a/shallotpath/forwarding/_deadlines.py
+++ b/shallotpath/forwarding/_deadlines.py
@@ -35,6 +35,13 @@
         finally:
             del self.ends_at_by_timeout_[timeout]
 
+    def expire(self) -> None:
+        """Time out all pending requests now."""
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self.ends_at_by_timeout_:
+            if not timeout.expired():
+                timeout.reschedule(now_s)
+
     def adjust_timers(self, now: datetime) -> timedelta:
         """Reschedule the timers after a suspension and return its duration."""
         loop_s = asyncio.get_running_loop().time()
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -71,8 +71,16 @@
     header_codec: HeaderCodec
     clock: Clock
     deadlines: Deadlines = field(default_factory=Deadlines)
-    # Responses then close the connection, so that callers reconnect to other entries.
-    stopping: bool = False
+    # When this entry stops. Responses then close the connection, so that callers
+    # reconnect to other entries.
+    stops_at: datetime | None = None
+    # Requests that arrive later could not be finished before the stop.
+    accepting: bool = True
+
+    @property
+    def stopping(self) -> bool:
+        """Check whether a stop is planned."""
+        return self.stops_at is not None
 
 
 class CallerDisconnectedError(Exception):
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -20,6 +20,8 @@
 CONFIGURATION_RETRY_AFTER = timedelta(milliseconds=500)
 # A refused part is tried again at one entry only.
 MIN_SUSPECT_RETRY_AFTER = timedelta(seconds=10)
+# Other entries can take the request at once.
+STOPPING_RETRY_AFTER = timedelta(milliseconds=100)
 FINGERPRINT_BYTES = 12
 
 
@@ -61,7 +63,9 @@
                 outcome, response = "denied", prepared
             else:
                 call, body = prepared
-                response = self._refuse_suspect(call, journal, arrived_at)
+                response = self._refuse_late(journal) or self._refuse_suspect(
+                    call, journal, arrived_at
+                )
                 if response is not None:
                     outcome = "refused"
                 else:
@@ -113,6 +117,13 @@
         )
         return call, body
 
+    def _refuse_late(self, journal: RequestJournal) -> web.Response | None:
+        """Return a refusal for a request that came too late before a planned stop."""
+        if self.parts.accepting:
+            return None
+        journal.stopping(self.parts.clock.now())
+        return refusal(503, "this entry is stopping", STOPPING_RETRY_AFTER)
+
     def _refuse_suspect(
         self, call: GatewayCall, journal: RequestJournal, now: datetime
     ) -> web.Response | None:
@@ -189,6 +200,7 @@
             arrived_at=arrived_at,
             caller_timeout=fields.caller_timeout or route.timeout,
             fingerprint=digest.hexdigest(),
+            stops_at=self.parts.stops_at,
             model=fields.model,
             prompt_tokens=fields.prompt_tokens,
             output_tokens=fields.output_tokens,
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -76,6 +76,10 @@
             f"predicted={None if predicted is None else milliseconds(predicted)}"
         )
 
+    def stopping(self, now: datetime) -> None:
+        """Record that the request came too late before a planned stop."""
+        self.steps.append(f"{self._elapsed(now)} refused: this entry is stopping")
+
     def suspected(self, subject: str, now: datetime) -> None:
         """Record why a request counts as one that crashes its upstream."""
         self.steps.append(f"{self._elapsed(now)} refused: {subject} crashed upstreams")
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -363,3 +363,42 @@
         await asyncio.sleep(0.05)
         world.listener.close_idle()
         assert (await read_answer(reader))[1] == b"second"
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
+async def test_request_that_is_complete_only_late_before_a_stop_is_refused(kind):
+    # Guards against requests that are taken and passed on late in the grace period and
+    # cut off without an answer at its end.
+    upstream = Upstream(silence)
+    async with make_world(upstream, kind=kind, timeout=ms(5000)) as world:
+        parts = world.forwarder.parts
+        reader, writer = await world.connect()
+        sent = make_request(method="POST", body=b"order")
+        writer.write(sent[:-2])
+        await asyncio.sleep(0.05)
+        parts.stops_at = parts.clock.now() + ms(1000)
+        parts.accepting = False
+        world.listener.close_idle()
+        writer.write(sent[-2:])
+        head, _ = await read_answer(reader)
+        assert "503" in head
+        assert "connection: close" in head.lower()
+        assert "retry-after" in head.lower()
+        assert upstream.requests == []
+
+
+async def test_requests_are_answered_when_the_grace_period_ends():
+    # Guards against connections that are closed without an answer at the end of the
+    # grace period, and against upstreams that go on with the requests.
+    upstream = Upstream(silence)
+    async with make_world(upstream, kind=RouteKind.ONCE, timeout=ms(9000)) as world:
+        parts = world.forwarder.parts
+        before = asyncio.ensure_future(world.call(number=1, caller_timeout=8000))
+        await asyncio.sleep(0.05)
+        parts.stops_at = parts.clock.now() + ms(300)
+        head, _ = await world.call(number=2, caller_timeout=8000)
+        assert "504" in head
+        assert any("Deadline-Ms: 2" in head for head, _ in upstream.requests)
+        parts.deadlines.expire()
+        head, _ = await asyncio.wait_for(before, 0.5)
+        assert "504" in head
--- a/shallotpath/gateway/_call.py
+++ b/shallotpath/gateway/_call.py
@@ -44,6 +44,8 @@
     # Time for which the caller waits, counted from its arrival.
     caller_timeout: timedelta
     fingerprint: str
+    # When this entry stops, if a stop is planned.
+    stops_at: datetime | None = None
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
@@ -54,8 +56,9 @@
 
     @property
     def ends_at(self) -> datetime:
-        """Return when the timeout of the caller or the route ends."""
-        return self.arrived_at + min(self.caller_timeout, self.route.timeout)
+        """Return when the timeout of the caller or the route, or the entry, ends."""
+        ends_at = self.arrived_at + min(self.caller_timeout, self.route.timeout)
+        return ends_at if self.stops_at is None else min(ends_at, self.stops_at)
 
     @property
     def is_retry(self) -> bool:
@@ -69,5 +72,5 @@
         return max(timedelta(), delay + timedelta.resolution)
 
     def time_left(self, now: datetime) -> timedelta:
-        """Return the time until the timeout of the caller or the route ends."""
+        """Return the time until `ends_at`."""
         return self.ends_at - now
