Compare a manifest with the version that was asked for, and doubt its digests

Cause: the origin's answers may be corrupt, and the manifest with the digests of all chunks was not checked. Evidence, one corrupt manifest on: without digests the sidecar orders a load of what is staged, which is nothing; with another version it orders that one on chunks of the wanted one; with wrong digests it waits for chunks that do not exist.

Change: a manifest of another model or version, or without digests, counts as a failed call. A chunk that was corrupt three times has the manifest fetched again.

--- a/shallotpath/fleet/_chunks.py
+++ b/shallotpath/fleet/_chunks.py
@@ -36,9 +36,16 @@
 
     async def manifest(self, model: str, version: int | None) -> ChunkManifest:
         """Return the manifest of a version, the newest one by default."""
-        return await self.origin_.manifest(
+        manifest = await self.origin_.manifest(
             self._origin_address(), model, version, MANIFEST_TIMEOUT
         )
+        is_other_version = version is not None and manifest.version != version
+        if manifest.model != model or is_other_version or not manifest.digests:
+            raise CallError(
+                f"manifest of {model} version {version} describes {manifest.model} "
+                f"version {manifest.version}; it will be fetched again"
+            )
+        return manifest
 
     async def chunk(self, plan: SwarmPlan, fetch: Fetch) -> bytes:
         """Return the bytes of a chunk from the planned source."""
--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -224,7 +224,8 @@
         if self._holds_version(wanted):
             await self._adopt()
             return
-        if self.plan_ is None or self._superseded(wanted):
+        plan = self.plan_
+        if plan is None or self._superseded(wanted) or plan.has_doubtful_digest:
             await self._begin_transfer(wanted)
         self._fetch_more()
         if self.plan_.complete and not self.load_in_progress_:
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -83,6 +83,8 @@
         self.count = chunks
         self.sent = 0
         self.spoilt = set()
+        # Changes to the fields of the next manifest.
+        self.manifest_changes = {}
 
     def chunk(self, version, index):
         return f"{version}/{index}".encode() * 100
@@ -95,6 +97,8 @@
                 for i in range(self.count)
             ]
             body = {"model": "m", "version": version, "layers": 4, "digests": digests}
+            body |= self.manifest_changes
+            self.manifest_changes = {}
             return web.json_response(body)
         index = int(request.query["num"])
         self.sent += 1
--- a/shallotpath/fleet/tests/test_sidecars.py
+++ b/shallotpath/fleet/tests/test_sidecars.py
@@ -103,6 +103,28 @@
     assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": 9},
+        {"model": "other"},
+        {"digests": []},
+        {"digests": ["0" * 64] * 8},
+    ],
+    ids=["version", "model", "no chunks", "digests"],
+)
+async def test_corrupt_manifest_is_fetched_again(changes):
+    # Guards against chunks that are loaded as another version, and against a transfer
+    # that waits for chunks that do not exist.
+    log, origin, engine = Log(), Origin(), Engine()
+    origin.manifest_changes = changes
+    log.put(OPERATOR_TOPIC, "version/m", {"model": "m", "version": 1})
+    async with sidecars(log, origin, engine):
+        await until(lambda: engine.version, 8)
+    assert engine.orders == [1]
+    assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
+
+
 async def test_order_without_an_answer_is_not_given_twice():
     # Guards against a second order by a sidecar that does not know whether the first
     # one was accepted, or that acts on a report from before it.
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -42,6 +43,8 @@
 # Number of corrupt chunks from which on each one causes the longer backoff.
 MAX_CORRUPT_CHUNKS = 3
 CORRUPT_PEER_BACKOFF = timedelta(seconds=10)
+# A chunk that was corrupt this often may have a corrupt digest.
+MAX_CORRUPT_COPIES = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,6 +111,7 @@
         # When the chunks in flight were requested.
         self.pending_by_index_: dict[int, datetime] = {}
         self.seen_at_by_index_: dict[int, datetime] = {}
+        self.corrupt_copies_by_index_: Counter[int] = Counter()
         self.sources_by_id_: dict[str, _Source] = {ORIGIN: _Source()}
         # Numbers of other members that hold each chunk, in all regions and in the own.
         self.copies_by_index_ = [0] * len(digests)
@@ -118,6 +122,12 @@
         """Check whether all chunks are held and verified."""
         return len(self.chunks_by_index_) == len(self.digests)
 
+    @property
+    def has_doubtful_digest(self) -> bool:
+        """Check whether a chunk was corrupt so often that its digest may be wrong."""
+        copies = self.corrupt_copies_by_index_.values()
+        return max(copies, default=0) >= MAX_CORRUPT_COPIES
+
     @property
     def progress(self) -> float:
         """Return the fraction of the chunks that are held."""
@@ -204,6 +214,7 @@
         source = self.sources_by_id_[fetch.source]
         if sha256_hex(payload) != self.digests[fetch.index]:
             source.corrupt += 1
+            self.corrupt_copies_by_index_[fetch.index] += 1
             if fetch.source != ORIGIN and source.corrupt >= MAX_CORRUPT_CHUNKS:
                 source.avoid_until = now + CORRUPT_PEER_BACKOFF
             return False
