Bound the times that upstreams name in headers, and read dates in Retry-After

A number out of range in an answer's Keep-Alive raised OverflowError where its head is read, so the caller got a 500 for a request that an upstream had answered.

Retry-After may be a date, counted from the answer's own, as clocks differ; of several the longest holds.

Before: timeout=9..9 (30 digits) raised on.

--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable
 from datetime import timedelta
+from email.utils import parsedate_to_datetime
 
 from multidict import CIMultiDictProxy
 
@@ -18,6 +19,8 @@
 
 # Bounds what a single request can add to logs and crash suspects.
 MAX_PROMPT_PARTS = 64
+# Longer times in headers are cut to this one.
+MAX_PARSED_TIME = timedelta(days=1)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 # Headers that are not forwarded: hop-by-hop headers, the caller's key and headers
 # that only this system may set.
@@ -68,9 +71,9 @@
             sealed=names.SEAL in headers,
             not_executed=names.NOT_EXECUTED in headers,
             upstream_id=headers.get(names.OWN_ID, ""),
-            retry_after=_parse_seconds(headers.get("Retry-After")),
+            retry_after=_parse_retry_after(headers),
             leaving=headers.get(names.LEAVING, "").strip() == "1",
-            keep_alive=timedelta(seconds=int(match.group(1))) if match else None,
+            keep_alive=_parse_seconds(match.group(1)) if match else None,
         )
 
     def outgoing(
@@ -129,7 +132,35 @@
 
 
 def _parse_seconds(text: str | None) -> timedelta | None:
+    """Return a time in seconds, `None` for none, a negative or an unreadable one."""
     try:
-        return timedelta(seconds=float(text)) if text else None
-    except (ValueError, OverflowError):
+        seconds = float(text or "")
+        return (
+            min(timedelta(seconds=seconds), MAX_PARSED_TIME) if seconds >= 0 else None
+        )
+    except OverflowError:
+        return MAX_PARSED_TIME
+    except ValueError:
+        return None
+
+
+def _parse_retry_after(headers: CIMultiDictProxy[str]) -> timedelta | None:
+    """Return the longest of the delays that a response asks for."""
+    times = []
+    for value in headers.getall("Retry-After", ()):
+        time = _parse_seconds(value) or _parse_date(value, headers.get("Date", ""))
+        if time is not None:
+            times.append(time)
+    return max(times, default=None)
+
+
+def _parse_date(value: str, sent_at: str) -> timedelta | None:
+    """Return the time from a response's own date to another one.
+
+    The clock of this VM may differ from that of the upstream.
+    """
+    try:
+        delay = parsedate_to_datetime(value) - parsedate_to_datetime(sent_at)
+    except (ValueError, TypeError, OverflowError):
         return None
+    return min(delay, MAX_PARSED_TIME) if delay >= timedelta() else None
