--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -134,14 +134,12 @@
 def _parse_seconds(text: str | None) -> timedelta | None:
     """Return a time in seconds, `None` for none, a negative or an unreadable one."""
     try:
-        seconds = float(text or "")
-        return (
-            min(timedelta(seconds=seconds), MAX_PARSED_TIME) if seconds >= 0 else None
-        )
+        time = timedelta(seconds=float(text or ""))
     except OverflowError:
-        return MAX_PARSED_TIME
+        return None if text.strip().startswith("-") else MAX_PARSED_TIME
     except ValueError:
         return None
+    return min(time, MAX_PARSED_TIME) if time >= timedelta() else None
 
 
 def _parse_retry_after(headers: CIMultiDictProxy[str]) -> timedelta | None:
--- a/shallotpath/platform/tests/test_platform.py
+++ b/shallotpath/platform/tests/test_platform.py
@@ -277,3 +277,42 @@
     # Guards against a loop of a sidecar that ends because of one odd answer.
     with pytest.raises(CallError, match="cannot be decoded"):
         decode(body)
+
+
+def read_response(*fields):
+    headers = CIMultiDictProxy(CIMultiDict(fields))
+    return PlatformHeaderCodec().read_response(headers)
+
+
+SENT = "Sat, 05 Dec 2026 12:00:00 GMT"
+DAY = timedelta(days=1)
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        (["6"], 6),
+        (["0.25"], 0.25),
+        (["2", "8", "x"], 8),
+        (["Sat, 05 Dec 2026 12:00:07 GMT"], 7),
+        (["Sat, 05 Dec 2026 11:00:00 GMT"], None),
+        (["9" * 400], DAY.total_seconds()),
+        (["inf"], DAY.total_seconds()),
+        (["-5"], None),
+        (["-inf"], None),
+        (["nan"], None),
+        (["soon"], None),
+    ],
+)
+def test_delays_that_upstreams_ask_for_are_bounded(values, seconds):
+    # Guards against an upstream that is never used again, and against an answer that
+    # is lost, because of one odd header.
+    fields = read_response(("Date", SENT), *(("Retry-After", v) for v in values))
+    expected = None if seconds is None else timedelta(seconds=seconds)
+    assert fields.retry_after == expected
+
+
+def test_keep_alive_time_out_of_range_is_bounded():
+    # Guards against an answer that is lost because of a number in its head.
+    fields = read_response(("Keep-Alive", "timeout=" + "9" * 30))
+    assert fields.keep_alive == DAY
