Leave an upstream alone for the time that its 503 asks for

Cause: Retry-After was read for the caller's refusal only. Evidence: two entries, three upstreams as processes, one answers 503 with Retry-After: 6.

Change: UpstreamNotices keeps the end of that time beside the notice of leaving, by id and start time and for this entry alone. Such an upstream is as unusable as one that leaves. Afterwards own requests in flight grow from one to its slots in 1 to 5 s. A delay over 10 min counts as 10 min. The Retry-After of a refusal for want of an upstream is the time until the first opens, if that comes sooner.

Ruled out: the breaker, which tries a paused upstream again if nobody else is left; probes within the time, which gain little and may be the third request of a window.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Collection, Iterable
 from contextlib import suppress
-from datetime import timedelta
+from datetime import datetime, timedelta
 from heapq import nlargest
 
 from aiohttp import web
@@ -92,7 +92,7 @@
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=False, **options)
         self.upstreams = UpstreamTable()
-        self.upstreams.notices.on_leaving = self._report_leaving
+        self.upstreams.notices.on_notice = self._report_notice
         self.breaker = Breaker()
         self.loads = LoadTracker(self._send_placement)
         self.evidence_found_ = asyncio.Event()
@@ -399,12 +399,17 @@
             self.evidence_found_.clear()
             self.publish()
 
-    def _report_leaving(self, record: UpstreamRecord) -> None:
+    def _report_notice(
+        self, record: UpstreamRecord, closed_until: datetime | None
+    ) -> None:
+        """Report that an upstream leaves, or wants no requests until a time."""
+        fields = {} if closed_until is None else {"until": closed_until.isoformat()}
         self.reporter.event(
-            "upstream_leaving",
+            "upstream_leaving" if closed_until is None else "upstream_closed",
             upstream=record.id,
             address=record.address,
             born_ms=record.started_ms,
+            **fields,
         )
 
     def _report_part(
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -18,6 +18,7 @@
 # Statuses that mean a refusal if the upstream also marks the request as not executed.
 _REFUSAL_STATUSES = frozenset({400, 429, 503})
 _MISDIRECTED_REQUEST = 421
+_UNAVAILABLE = 503
 _SERVER_ERROR = 500
 _EVENT_STREAM = "text/event-stream"
 # Responses to other requests that are discarded before the attempt fails.
@@ -208,8 +209,13 @@
         record = self.placement.upstream.record
         is_misdirected = self.status == _MISDIRECTED_REQUEST
         answered_by = fields.upstream_id or ("" if is_misdirected else record.id)
-        if fields.leaving and answered_by == record.id:
+        if answered_by != record.id:
+            return
+        if fields.leaving:
             self.notices.record_leaving(record)
+        if self.status == _UNAVAILABLE and fields.retry_after is not None:
+            now = self.pool.clock.now()
+            self.notices.record_closed(record, fields.retry_after, now)
 
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
--- a/shallotpath/forwarding/tests/test_leaving_upstreams.py
+++ b/shallotpath/forwarding/tests/test_leaving_upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams that say in their responses that they leave."""
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -7,7 +8,15 @@
 
 from shallotpath.gateway import RouteKind
 
-from .helpers import Upstream, chunk, make_world, ms, reply, stream_head
+from .helpers import (
+    SuspendedClock,
+    Upstream,
+    chunk,
+    make_world,
+    ms,
+    reply,
+    stream_head,
+)
 
 LEAVING = "Server-Leaving: 1"
 REFUSED = {
@@ -116,3 +125,56 @@
         for minutes in (13, 20, 24):
             notices.prune(set(), now + timedelta(minutes=minutes))
         assert not notices.notices_by_id_
+
+
+def turn_away(seconds):
+    extra = ["Shallotpath-Not-Executed: 1", f"Retry-After: {seconds}"]
+    return reply(b"", status="503 Full", sealed=False, extra=extra)
+
+
+async def test_upstream_gets_nothing_for_as_long_as_it_asks_and_then_a_little():
+    # Guards against requests that keep reaching an upstream that wants none for a time,
+    # and against all of them at once when the time is over.
+    closed = Upstream(turn_away(6), turn_away(6), reply(b"back"))
+    clock = SuspendedClock()
+    async with make_world(closed, clock=clock, timeout=ms(2000)) as world:
+        await world.call(number=0)
+        assert len(closed.requests) == 1
+        for number in range(1, 20):
+            head, _ = await world.call(number=number)
+            assert "503" in head
+        clock.suspended += ms(5800)
+        await world.call(number=20)
+        assert len(closed.requests) == 1
+        clock.suspended += ms(300)
+        await world.call(number=21)
+        # Turned away again: the time begins anew.
+        await world.call(number=22)
+        assert len(closed.requests) == 2
+        clock.suspended += ms(6100)
+        both = await asyncio.gather(*(world.call(number=n) for n in (23, 24, 25)))
+        assert sum("200" in head for head, _ in both) == 1
+        clock.suspended += ms(5100)
+        both = await asyncio.gather(*(world.call(number=n) for n in (26, 27, 28)))
+        assert sum("200" in head for head, _ in both) == 3
+
+
+@pytest.mark.parametrize("seconds", ["-3", "0", "soon"])
+async def test_odd_delay_does_not_close_an_upstream(seconds):
+    # Guards against a sound upstream that is not used because of an odd header.
+    upstream = Upstream(turn_away(seconds), reply(b"ok"))
+    async with make_world(upstream) as world:
+        await world.call(number=0)
+        assert (await world.call(number=1))[1] == b"ok"
+
+
+async def test_upstream_is_not_left_alone_for_longer_than_a_limit():
+    # Guards against a corrupt delay that costs a service its upstream for a day.
+    upstream = Upstream(turn_away("9" * 12), reply(b"ok"))
+    clock = SuspendedClock()
+    async with make_world(upstream, clock=clock) as world:
+        await world.call(number=0)
+        clock.suspended += timedelta(minutes=9)
+        assert "503" in (await world.call(number=1))[0]
+        clock.suspended += timedelta(minutes=1)
+        assert (await world.call(number=2))[1] == b"ok"
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -193,6 +193,7 @@
             return (
                 upstream.id not in excluded
                 and self.upstreams.is_usable(upstream, now)
+                and self._has_room_after_return(upstream, now)
                 and self._is_allowed(call, upstream)
                 and self._is_sound(upstream, now)
                 and self._usable_version(call, upstream, now) is not None
@@ -244,7 +245,13 @@
         if not loaded:
             reason = RejectReason.NO_WEIGHTS if allowed else RejectReason.NO_UPSTREAM
             return self._reject(call, reason, now, len(allowed))
-        eligible = [u for u in loaded if u.id not in excluded]
+        said = self.upstreams.notices.notices_by_id_
+        eligible = [
+            u
+            for u in loaded
+            if u.id not in excluded
+            and (u.id not in said or self._has_room_after_return(u, now))
+        ]
         reachable = [u for u in eligible if self.breaker.is_available(u.id, now)]
         # Without another upstream, one that has just failed is tried again.
         eligible = reachable or eligible
@@ -275,6 +282,11 @@
             upstream.id, now
         )
 
+    def _has_room_after_return(self, upstream: Upstream, now: datetime) -> bool:
+        """Check whether an upstream that wanted no requests may have one more."""
+        limit = self.upstreams.notices.max_requests(upstream.record, now)
+        return limit is None or self.loads.own_requests(upstream.id) < limit
+
     def _has_cold_capacity(
         self, upstream: Upstream, limit: ColdLimit | None, now: datetime
     ) -> bool:
@@ -443,7 +455,11 @@
         if reason is RejectReason.COLD:
             wait = COLD_WINDOW * self.random.uniform(*RETRY_AFTER_JITTER)
         elif reason is not RejectReason.OVERLOADED:
-            wait = NO_UPSTREAM_RETRY_AFTER * self.random.uniform(*RETRY_AFTER_JITTER)
+            opens_at = self.upstreams.opens_at(call.service)
+            wait = NO_UPSTREAM_RETRY_AFTER
+            if opens_at is not None and opens_at > now:
+                wait = min(wait, opens_at - now)
+            wait *= self.random.uniform(*RETRY_AFTER_JITTER)
         elif call.model:
             wait = self._overload_retry_after(call, max_retry_after, now)
         else:
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -190,6 +190,10 @@
             return None
         return received.report
 
+    def own_requests(self, upstream_id: str) -> int:
+        """Return the number of own requests at an upstream."""
+        return len(self.sent_by_upstream_.get(upstream_id, ()))
+
     def own_loads(self) -> dict[str, EntryLoad]:
         """Return this entry's load on each upstream, for its peers."""
         return {
--- a/shallotpath/gateway/_upstreams.py
+++ b/shallotpath/gateway/_upstreams.py
@@ -114,13 +114,15 @@
         ]
 
     def is_usable(self, upstream: Upstream, now: datetime) -> bool:
-        """Check whether an upstream is registered and does not leave."""
+        """Check whether an upstream is registered and wants requests."""
         if upstream.remove_at is not None and now >= upstream.remove_at:
             self.drop(upstream.id)
             return False
-        return not (
-            upstream.record.draining or self.notices.is_leaving(upstream.record)
-        )
+        if upstream.record.draining:
+            return False
+        # Most upstreams have said nothing, and decisions ask for many of them.
+        has_said = upstream.record.id in self.notices.notices_by_id_
+        return not (has_said and self.notices.is_closed(upstream.record, now))
 
     def is_current(self, upstream: Upstream, now: datetime) -> bool:
         """Check whether an upstream that was chosen earlier may still be used."""
@@ -128,5 +130,14 @@
         return known is upstream and self.is_usable(upstream, now)
 
     def usable(self, service: str, now: datetime) -> Iterable[Upstream]:
-        """Return the upstreams of a service that do not leave."""
+        """Return the upstreams of a service that want requests."""
         return [u for u in self.of_service(service) if self.is_usable(u, now)]
+
+    def opens_at(self, service: str) -> datetime | None:
+        """Return when the first upstream that wants no requests for a time opens."""
+        times = [
+            self.notices.opens_at(upstream.record)
+            for upstream in self.of_service(service)
+            if not upstream.record.draining
+        ]
+        return min((time for time in times if time is not None), default=None)
