Handle deeply nested input where the own interface decodes what others send

A caller would have got a 500 for a malformed body. Not seen by callers.

Change: one list of decoding errors in core, used by all decoders of these programs.

--- a/shallotpath/claims/_records.py
+++ b/shallotpath/claims/_records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..core import DECODING_ERRORS
+
 STREAM = "claims"
 
 
@@ -141,5 +143,5 @@
     """Return the decoded record, or None if it is garbled."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError):
+    except DECODING_ERRORS:
         return None
--- a/shallotpath/config/_records.py
+++ b/shallotpath/config/_records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..core import ShallotError
+from ..core import DECODING_ERRORS, ShallotError
 from ._model import ModelVersion, Preset, Service, Team
 
 STREAM = "config"
@@ -179,7 +179,7 @@
                 "run one release on all VMs"
             )
         return Record(header, _decoder_by_kind[kind].decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise RecordError(
             f"record does not decode: {error}; append changes with shallotctl"
         ) from error
--- a/shallotpath/config/_state.py
+++ b/shallotpath/config/_state.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..core import sha256_hex
+from ..core import DECODING_ERRORS, sha256_hex
 from ._model import DEFAULT_PRESET, DomainState, ModelVersion, Preset, Service, Team
 from ._records import RecordError
 
@@ -72,7 +72,7 @@
     """Decode a state or raise `RecordError`."""
     try:
         state = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise RecordError(
             f"snapshot does not decode: {error}; run one release on all VMs"
         ) from error
--- a/shallotpath/core/__init__.py
+++ b/shallotpath/core/__init__.py
@@ -2,6 +2,7 @@
 
 from ._clock import EPOCH, Clock, ManualClock, MonotonicClock
 from ._codec import MAX_FRAME_BYTES, PROTOCOL, decode, decode_stamped, encode
+from ._decoding import DECODING_ERRORS
 from ._effects import (
     Append,
     CancelTimer,
@@ -86,6 +87,7 @@
 from ._units import format_duration, parse_duration, parse_rate, parse_size
 
 __all__ = [
+    "DECODING_ERRORS",
     "Accepted",
     "Append",
     "AppendDone",
--- a/shallotpath/core/_codec.py
+++ b/shallotpath/core/_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ._decoding import DECODING_ERRORS
 from ._errors import FrameError
 from ._messages import Message
 
@@ -47,5 +48,5 @@
         if decoder is None:
             raise FrameError(f"kind {kind!r} is unknown; run one release on all VMs")
         return stamp, decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         raise FrameError(f"frame does not decode: {error}; check the sender") from error
--- a/shallotpath/core/tests/test_codec.py
+++ b/shallotpath/core/tests/test_codec.py
@@ -1,10 +1,12 @@
 from datetime import timedelta
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from shallotpath.core import (
+    PROTOCOL,
     Code,
     FrameError,
     Load,
@@ -13,6 +15,9 @@
     decode,
     encode,
 )
+from shallotpath.runtime._entry_request import check_model_body
+from shallotpath.runtime._problem import ProblemError
+from shallotpath.weights import ManifestError, decode_manifest
 
 
 def make_submit(body: bytes) -> Submit:
@@ -46,6 +51,31 @@
         decode(frame)
 
 
+NESTED = b"[" * 100_000
+NESTED_PACKED = b"\x91" * 100_000
+
+
+@pytest.mark.parametrize(
+    ("decode_one", "error"),
+    [
+        (lambda: decode(nested_frame()), FrameError),
+        (lambda: decode_manifest(b'{"x":' + NESTED), ManifestError),
+        (lambda: check_model_body(b'{"x":' + NESTED), ProblemError),
+    ],
+    ids=["frame", "manifest", "body of a caller"],
+)
+def test_deeply_nested_input_raises_the_error_that_is_handled(decode_one, error):
+    # Guards against one message or record that ends what reads it.
+    with pytest.raises(error):
+        decode_one()
+
+
+def nested_frame():
+    """Return a frame whose message has one field too many, which is nested."""
+    fields = b"\xdc\xff\xff\x01" + NESTED_PACKED
+    return msgspec.msgpack.encode((PROTOCOL, 1, "Submit", msgspec.Raw(fields)))
+
+
 @given(st.data())
 def test_damaged_frames_raise_only_frame_errors(data):
     # Guards against a damaged frame that raises another error or names no remedy.
--- a/shallotpath/runtime/_agent_calls.py
+++ b/shallotpath/runtime/_agent_calls.py
@@ -7,11 +7,10 @@
 from dataclasses import replace
 from datetime import datetime, timedelta
 
-import msgspec
-
 from ..claims import ClaimDecided, ClaimDecision, KnownClaim, RefuseClaim, RunClaim
 from ..config import ConfigurationView
 from ..core import (
+    DECODING_ERRORS,
     Accepted,
     CallEnded,
     Code,
@@ -117,7 +116,7 @@
         service = self.configuration.services_by_id[submit.service]
         try:
             gate_call = make_call(submit, service, now)
-        except msgspec.DecodeError:
+        except DECODING_ERRORS:
             self.refuse(peer, submit, Code.MALFORMED_REQUEST)
             return
         if submit.repeatable:
--- a/shallotpath/runtime/_engine_client.py
+++ b/shallotpath/runtime/_engine_client.py
@@ -14,7 +14,7 @@
     ClientTimeout,
 )
 
-from ..core import EngineObserved, RunState, Submit
+from ..core import DECODING_ERRORS, EngineObserved, RunState, Submit
 from ..webclient import read_body
 
 STATE_TIMEOUT_S = 2.0
@@ -118,7 +118,7 @@
                 return _state_decoder.decode(await read_body(response, MAX_STATE_BYTES))
         except TimeoutError as error:
             raise EngineBusyError("/state did not answer in time") from error
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             raise EngineBusyError(f"/state does not decode: {error}") from error
         except (ClientError, OSError) as error:
             raise EngineDownError(str(error)) from error
--- a/shallotpath/runtime/_entry_request.py
+++ b/shallotpath/runtime/_entry_request.py
@@ -9,11 +9,10 @@
 from datetime import datetime, timedelta
 from uuid import uuid4
 
-import msgspec
 from aiohttp import web
 
 from ..config import ConfigurationView, Service, ServiceKind, Team
-from ..core import Code, RunState, Submit, parse_duration, sha256_hex
+from ..core import DECODING_ERRORS, Code, RunState, Submit, parse_duration, sha256_hex
 from ..limits import Call
 from ._inbound import make_call, parse_model_body
 from ._problem import ProblemError
@@ -168,7 +167,7 @@
     """Check the JSON body of a generation request."""
     try:
         model_body = parse_model_body(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise malformed(
             f"the body is not a generation request ({error}); send a JSON object with "
             "`prompt` and `max_tokens`"
--- a/shallotpath/streams/_sse.py
+++ b/shallotpath/streams/_sse.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..core import FrameError
+from ..core import DECODING_ERRORS, FrameError
 
 # Engines send events of a few dozen bytes; the limit keeps a stream without event
 # boundaries from exhausting memory.
@@ -97,7 +97,7 @@
 def _decode(decoder: msgspec.json.Decoder, data: bytes):
     try:
         return decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODING_ERRORS as error:
         raise FrameError(
             f"an event of the engine does not decode: {error}; check the engine"
         ) from error
--- a/shallotpath/webclient.py
+++ b/shallotpath/webclient.py
@@ -7,6 +7,8 @@
 import aiohttp
 import msgspec
 
+from .core import DECODING_ERRORS
+
 
 class TooLongError(aiohttp.ClientError):
     """Report a body that is longer than its limit."""
@@ -30,5 +32,5 @@
     body = await read_body(response, limit_bytes)
     try:
         return msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except DECODING_ERRORS as error:
         raise aiohttp.ClientPayloadError(f"body is not valid JSON: {error}") from error
--- a/shallotpath/weights/_manifest.py
+++ b/shallotpath/weights/_manifest.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..core import Code, ShallotError, sha256_hex
+from ..core import DECODING_ERRORS, Code, ShallotError, sha256_hex
 
 DIGEST_CHARS = 64
 # One chunk to receive, one to send within the region and one to another region.
@@ -54,7 +54,7 @@
     """Decode a manifest or raise `ManifestError`."""
     try:
         return msgspec.json.decode(payload, type=Manifest)
-    except msgspec.DecodeError as error:
+    except DECODING_ERRORS as error:
         raise ManifestError(
             f"manifest does not decode: {error}; publish the version again"
         ) from error
