Let upstreams of the soak say what they want, and others write odd records about them

Change: four kinds of faults of their own random numbers, so that earlier seeds keep their other faults; two checks of what entries do after a notice, excused by a restart or a freeze of the entry; tests of the checks.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from datetime import datetime, timedelta
 
-from ._ledger import Attempt, Ending, Ledger, Run, Violation
+from ._ledger import Arrival, Attempt, Ending, Ledger, Notice, Run, Violation
 from ._settings import SoakSettings
 
 # Statuses that guarantee that the request was not and will not be executed.
@@ -47,6 +47,8 @@
             found += self._check_loss(attempt)
             if attempt.status in DENIAL_STATUSES:
                 found.append(Violation("DENIED", f"{attempt}: {attempt.status}"))
+        for notice in self.ledger.notices:
+            found += self._check_notice(notice)
         return found
 
     def exposed_count(self) -> int:
@@ -143,6 +145,37 @@
                 "EVAC", f"{where}: {late:.2f} s after {run.domain} was evacuated"
             )
 
+    def _check_notice(self, notice: Notice) -> Iterator[Violation]:
+        """Yield a violation if an entry ignored what an upstream had said to it."""
+        arrivals = [
+            arrival
+            for arrival in self.ledger.arrivals_by_upstream[notice.upstream]
+            if arrival.at > notice.at and self._follows(notice, arrival)
+        ]
+        if notice.closed_until is None:
+            for arrival in arrivals:
+                attempt = self.ledger.attempts_by_id[arrival.request_id]
+                late = attempt.sent_at - notice.at
+                if late > self.settings.drain_bound:
+                    where = f"{attempt} at {notice.upstream}"
+                    detail = f"{where}: {late} after it said that it leaves"
+                    yield Violation("DRAIN", detail)
+            return
+        begin = notice.at + self.settings.closed_margin
+        count = sum(begin < arrival.at < notice.closed_until for arrival in arrivals)
+        if count > self.settings.closed_requests:
+            where = f"entry {notice.entry} at {notice.upstream}"
+            detail = f"{where}: {count} requests while it asked for none"
+            yield Violation("BUDGET", detail)
+
+    def _follows(self, notice: Notice, arrival: Arrival) -> bool:
+        """Check whether an arrival is from an entry that heard the notice."""
+        attempt = self.ledger.attempts_by_id.get(arrival.request_id)
+        if attempt is None or attempt.entry != notice.entry:
+            return False
+        disturbances = self.ledger.disturbances_by_program[notice.entry]
+        return not disturbances.overlaps(notice.at, arrival.at)
+
     def _check_loss(self, attempt: Attempt) -> Iterator[Violation]:
         """Yield a violation if a planned stop cut the request off."""
         if attempt.ending is not Ending.CUT or not self._ended_during_stop(attempt):
--- a/soak/_content.py
+++ b/soak/_content.py
@@ -14,6 +14,15 @@
 # The stream lasts longer than the time for which a stopping entry keeps its listener
 # open.
 LONG_STREAM_EVENTS = 120
+# Records of upstreams that another writer might write: nested deeply, with a number
+# that no time has, and with a port out of range.
+ODD_RECORDS = (
+    b"[" * 50_000,
+    b'{"service": "desk", "address": "127.0.0.1:9", "zone": "a-1", "slots": 4, '
+    b'"state": "ready", "coldLeftMs": 1e16}',
+    b'{"service": "desk", "address": "127.0.0.1:70000", "zone": "a-1", "slots": 4, '
+    b'"state": "ready"}',
+)
 
 
 def stable_hash(request_id: str, purpose: str) -> int:
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -72,6 +72,25 @@
     broke_off: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """Hold the arrival of a request at an upstream that may refuse it."""
+
+    request_id: str
+    at: datetime
+
+
+@dataclass(slots=True, frozen=True)
+class Notice:
+    """Hold what an upstream has said in its answer to an entry."""
+
+    upstream: str
+    entry: int
+    at: datetime
+    # When it wants requests again, `None` if it leaves.
+    closed_until: datetime | None
+
+
 @dataclass(slots=True, frozen=True)
 class Violation:
     """Describe a violated invariant."""
@@ -84,6 +103,10 @@
     return defaultdict(list)
 
 
+def _arrivals_by_upstream() -> defaultdict[str, list[Arrival]]:
+    return defaultdict(list)
+
+
 def _intervals_by_key() -> defaultdict[object, Intervals]:
     return defaultdict(Intervals)
 
@@ -94,6 +117,10 @@
 
     attempts_by_id: dict[str, Attempt] = field(default_factory=dict)
     runs_by_id: dict[str, list[Run]] = field(default_factory=_runs_by_id)
+    arrivals_by_upstream: dict[str, list[Arrival]] = field(
+        default_factory=_arrivals_by_upstream
+    )
+    notices: list[Notice] = field(default_factory=list)
     announced_at_by_version: dict[int, datetime] = field(default_factory=dict)
     drain_started_at_by_upstream: dict[str, datetime] = field(default_factory=dict)
     evacuations_by_domain: dict[str, Intervals] = field(
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -52,6 +52,22 @@
     """Drain an upstream and start a new incarnation in its place."""
 
 
+class SayLeaving(Fault):
+    """Let an upstream say in its answers that it leaves, while its record is ready."""
+
+
+class TurnAway(Fault):
+    """Let an upstream refuse all requests for `duration` and ask to be left alone."""
+
+
+class RemoveRecord(Fault):
+    """Remove the record of an upstream that goes on serving for a while."""
+
+
+class WriteOddRecords(Fault):
+    """Write records of upstreams that cannot be read, for `duration`."""
+
+
 class EvacuateDomain(Fault):
     """Evacuate a failure domain for `duration`."""
 
@@ -69,8 +85,11 @@
     random = Random(settings.seed)
     scheduled: list[ScheduledFault] = []
     start = FIRST_CYCLE_START
+    # Separate, so that earlier seeds keep their other faults.
+    upstream_random = Random(f"upstreams {settings.seed}")
     while start + MIN_CYCLE_LENGTH <= settings.duration:
         scheduled += _schedule_cycle(settings, random, start)
+        scheduled += _schedule_upstream_faults(settings, upstream_random, start)
         start += CYCLE_INTERVAL
     return sorted(scheduled, key=lambda item: item.at)
 
@@ -118,3 +137,24 @@
         evacuated = (random.randrange(len(settings.domains)),)
         add(0.0, 3.0, EvacuateDomain(evacuated, random_duration(6.0, 9.0)))
     return scheduled
+
+
+def _schedule_upstream_faults(
+    settings: SoakSettings, random: Random, start: timedelta
+) -> list[ScheduledFault]:
+    """Place faults of upstreams and of what others write about them."""
+    upstreams = settings.engines + settings.plain_upstreams
+    faults: list[Fault] = []
+    if random.random() < 0.5:
+        faults.append(SayLeaving((random.randrange(upstreams),)))
+    if random.random() < 0.5:
+        duration = timedelta(seconds=random.uniform(1.5, 5.0))
+        faults.append(TurnAway((random.randrange(upstreams),), duration))
+    if random.random() < 0.4:
+        faults.append(RemoveRecord((random.randrange(upstreams),)))
+    if random.random() < 0.4:
+        faults.append(WriteOddRecords((), timedelta(seconds=random.uniform(2.0, 8.0))))
+    return [
+        ScheduledFault(start + timedelta(seconds=random.uniform(0.0, 5.0)), fault)
+        for fault in faults
+    ]
--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -16,6 +16,7 @@
     domains: tuple[str, ...] = ("a-1", "b-1")
     entries: int = 4
     engines: int = 4
+    plain_upstreams: int = 2
     callers: int = 12
     # No request may start on older weights later than this after an announcement.
     version_bound: timedelta = timedelta(seconds=5)
@@ -23,6 +24,10 @@
     settling_time: timedelta = timedelta(seconds=3)
     # A draining upstream gets no new request later than this.
     drain_bound: timedelta = timedelta(seconds=2)
+    # An upstream that asked an entry to leave it alone gets at most so many requests of
+    # it, from this time on.
+    closed_margin: timedelta = timedelta(milliseconds=500)
+    closed_requests: int = 2
     # An evacuated domain gets no new request later than this.
     domain_bound: timedelta = timedelta(seconds=5)
     # Time between SIGTERM and SIGKILL.
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -5,6 +5,8 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from math import ceil
 
 from aiohttp import web
 
@@ -15,7 +17,7 @@
 from shallotpath.platform import _names as names
 
 from ._content import MODEL, TEAM, event_count, loses_answer, make_event, whole_body
-from ._ledger import Ledger, Run
+from ._ledger import Arrival, Ledger, Notice, Run
 
 HEARTBEAT_INTERVAL_S = 1.0
 PLAIN_WORK_TIME_S = 0.04
@@ -27,6 +29,7 @@
 # Time between the end of an upstream and the registration of its replacement.
 REPLACEMENT_DELAY_S = 0.5
 POLL_INTERVAL_S = 0.02
+MISDIRECTED = 421
 
 
 class WaitingLog(Log):
@@ -96,10 +99,22 @@
     active_: int = 0
 
     started_ms_: int = 0
+    says_leaving_: bool = False
+    closed_until_: datetime | None = None
 
     def __post_init__(self) -> None:
         self.started_ms_ = self._now_ms()
 
+    @property
+    def is_undisturbed(self) -> bool:
+        """Check whether no fault acts on the upstream."""
+        return (
+            self.state_ == "ready"
+            and self.registered_
+            and not self.says_leaving_
+            and self.closed_until_ is None
+        )
+
     @property
     def id(self) -> str:
         """Return the id of the current incarnation."""
@@ -138,8 +153,33 @@
         self.register()
         self.ledger.drain_started_at_by_upstream[self.id] = self.clock.now()
         await asyncio.sleep(DRAIN_TIME_S)
+        await self._restart()
+
+    async def say_leaving(self) -> None:
+        """Say so in all answers, then end and register as a new incarnation."""
+        self.says_leaving_ = True
+        await asyncio.sleep(DRAIN_TIME_S)
+        await self._restart()
+
+    async def remove_record(self) -> None:
+        """Remove the record, serve on for a while, and start anew."""
         self.registered_ = False
+        self.ledger.drain_started_at_by_upstream[self.id] = self.clock.now()
         self.log.put(UPSTREAM_TOPIC, self.id, None)
+        await asyncio.sleep(DRAIN_TIME_S)
+        await self._restart()
+
+    async def turn_away(self, duration: timedelta) -> None:
+        """Refuse all requests and ask their senders to come back later."""
+        self.closed_until_ = self.clock.now() + duration
+        await asyncio.sleep(duration.total_seconds())
+        self.closed_until_ = None
+
+    async def _restart(self) -> None:
+        """Remove the record, end, and register as a new incarnation."""
+        if self.registered_:
+            self.registered_ = False
+            self.log.put(UPSTREAM_TOPIC, self.id, None)
         while self.active_:  # noqa: ASYNC110
             await asyncio.sleep(POLL_INTERVAL_S)
         self.start_incarnation()
@@ -149,16 +189,23 @@
 
     def start_incarnation(self) -> None:
         """Start a new incarnation without the state of the last one."""
+        self.says_leaving_ = False
         self.generation_ += 1
         self.started_ms_ = self._now_ms()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request."""
         refusal = self.refusal_status(request)
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if refusal != MISDIRECTED:
+            arrival = Arrival(request_id, self.clock.now())
+            self.ledger.arrivals_by_upstream[self.id].append(arrival)
         if refusal is not None:
             headers = {names.NOT_EXECUTED: "1", names.OWN_ID: self.id}
+            headers |= {names.REQUEST_ID: request_id}
+            if refusal != MISDIRECTED:
+                headers |= self.notices(request_id, refused=True)
             return web.Response(status=refusal, headers=headers)
-        request_id = request.headers.get(names.REQUEST_ID, "")
         if request.headers.get(names.TEAM) != TEAM or names.API_KEY in request.headers:
             detail = f"{self.id} got {request_id} without its team or with its key"
             self.ledger.add_violation("UNASKED", detail)
@@ -187,8 +234,9 @@
     def refusal_status(self, request: web.BaseRequest) -> int | None:
         """Return the status that refuses a request, or `None` to accept it."""
         if request.headers.get(names.EXPECT_ID) not in (None, self.id):
-            return 421
-        return 503 if self.active_ >= self.slots else None
+            return MISDIRECTED
+        is_closed = self.closed_until_ is not None
+        return 503 if is_closed or self.active_ >= self.slots else None
 
     async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
         """Simulate the work on a request and answer it."""
@@ -201,7 +249,26 @@
 
     def headers(self, run: Run) -> dict[str, str]:
         """Return the headers of an answer."""
-        return {names.REQUEST_ID: run.request_id, names.SEAL: f"seal-{self.id}"}
+        headers = {names.REQUEST_ID: run.request_id, names.SEAL: f"seal-{self.id}"}
+        return headers | self.notices(run.request_id, refused=False)
+
+    def notices(self, request_id: str, *, refused: bool) -> dict[str, str]:
+        """Return headers that say what the upstream wants, and record them."""
+        now, headers, until = self.clock.now(), {}, self.closed_until_
+        attempt = self.ledger.attempts_by_id.get(request_id)
+        if self.says_leaving_:
+            headers[names.LEAVING] = "1"
+            if attempt is not None:
+                notice = Notice(self.id, attempt.entry, now, None)
+                self.ledger.notices.append(notice)
+        if refused and until is not None:
+            seconds = max(1, ceil((until - now).total_seconds()))
+            headers["Retry-After"] = str(seconds)
+            if attempt is not None:
+                until = now + timedelta(seconds=seconds)
+                notice = Notice(self.id, attempt.entry, now, until)
+                self.ledger.notices.append(notice)
+        return headers
 
 
 @dataclass(kw_only=True)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -21,11 +21,11 @@
 from shallotpath.fleet.tests.processes import ENGINE, make_config
 from shallotpath.fleet.tests.standins import HOST as LOOPBACK
 from shallotpath.fleet.tests.standins import listen
-from shallotpath.platform import OPERATOR_TOPIC
+from shallotpath.platform import OPERATOR_TOPIC, UPSTREAM_TOPIC
 
 from ._callers import HOST, Balancer, Caller
 from ._checks import Checks
-from ._content import MODEL, TEAM, TEAM_KEY
+from ._content import MODEL, ODD_RECORDS, TEAM, TEAM_KEY
 from ._ledger import Ending, Kind, Ledger, Violation
 from ._program import Program
 from ._schedule import (
@@ -35,9 +35,13 @@
     Freeze,
     Kill,
     OriginOutage,
+    RemoveRecord,
     ReplaceUpstream,
     RollingStop,
+    SayLeaving,
     StoreOutage,
+    TurnAway,
+    WriteOddRecords,
     make_schedule,
 )
 from ._settings import SoakSettings
@@ -45,7 +49,6 @@
 
 ENGINE_SERVICE = "llm"
 PLAIN_SERVICE = "desk"
-PLAIN_UPSTREAM_COUNT = 2
 ENGINE_SLOTS = 16
 ENGINE_TOKENS = 100_000
 ROUTE_KINDS = {
@@ -59,6 +62,7 @@
 # Range of the delay between the end of a stopped process and its next start.
 RESTART_DELAY_RANGE_S = (0.1, 0.6)
 POLL_INTERVAL_S = 0.02
+ODD_RECORD_INTERVAL_S = 0.3
 # Holds attempts and runs by request id; written next to the processes' logs.
 LEDGER_FILE = "ledger.json"
 # The event loop lags if a sleep of POLL_INTERVAL_S overruns by more than this.
@@ -141,7 +145,7 @@
         origin_port = await self._listen(stack, self.origin)
         self.log.put(OPERATOR_TOPIC, "config", make_configuration(origin_port))
         settings, domains = self.settings, self.settings.domains
-        for number in range(settings.engines + PLAIN_UPSTREAM_COUNT):
+        for number in range(settings.engines + settings.plain_upstreams):
             engine = number < settings.engines
             options = {
                 "number": number,
@@ -245,11 +249,45 @@
     @apply.register
     async def _(self, fault: ReplaceUpstream) -> None:
         upstream = self.upstreams_[fault.targets[0]]
-        if upstream.state_ == "ready":
+        if upstream.is_undisturbed:
             await upstream.replace()
         else:
             self.skipped_faults_ += 1
 
+    @apply.register
+    async def _(self, fault: SayLeaving) -> None:
+        upstream = self._take_upstream(fault)
+        if upstream is not None:
+            await upstream.say_leaving()
+
+    @apply.register
+    async def _(self, fault: RemoveRecord) -> None:
+        upstream = self._take_upstream(fault)
+        if upstream is not None:
+            await upstream.remove_record()
+
+    @apply.register
+    async def _(self, fault: TurnAway) -> None:
+        upstream = self._take_upstream(fault)
+        if upstream is not None:
+            await upstream.turn_away(fault.duration)
+
+    def _take_upstream(self, fault: Fault) -> Upstream | None:
+        """Return the target of a fault unless another one is acting on it."""
+        upstream = self.upstreams_[fault.targets[0]]
+        if upstream.is_undisturbed:
+            return upstream
+        self.skipped_faults_ += 1
+        return None
+
+    @apply.register
+    async def _(self, fault: WriteOddRecords) -> None:
+        ends_at = self.clock.now() + fault.duration
+        while self.clock.now() < ends_at:
+            for number, record in enumerate(ODD_RECORDS):
+                self.log.put_raw(UPSTREAM_TOPIC, f"foreign-{number}", record)
+            await asyncio.sleep(ODD_RECORD_INTERVAL_S)
+
     @apply.register
     async def _(self, fault: EvacuateDomain) -> None:
         domain = self.settings.domains[fault.targets[0]]
@@ -355,6 +393,7 @@
         )
         counts["attempts"] = len(attempts)
         counts["runs"] = sum(len(runs) for runs in ledger.runs_by_id.values())
+        counts["notices"] = len(ledger.notices)
         counts["named"] = len(ledger.announced_at_by_version)
         stops = ledger.planned_stops_by_program.values()
         counts["stops"] = sum(len(intervals.intervals_) for intervals in stops)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -4,7 +4,7 @@
 
 from shallotpath.core import EPOCH
 from soak._checks import Checks
-from soak._ledger import Attempt, Ending, Kind, Ledger, Run
+from soak._ledger import Arrival, Attempt, Ending, Kind, Ledger, Notice, Run
 from soak._settings import SoakSettings
 
 SENT_AT = EPOCH + timedelta(seconds=100)
@@ -155,3 +155,35 @@
         "work_ends_after_s": work_ends_after_s,
     }
     assert violated_invariants(ledger, **changes) == expected
+
+
+def check_notice(at, closed_until, arrivals_s, restarted_s=None):
+    """Return what requests violate that follow a notice by some seconds."""
+    ledger = Ledger()
+    until = None if closed_until is None else at + timedelta(seconds=closed_until)
+    ledger.notices.append(Notice("u0", 0, at, until))
+    if restarted_s is not None:
+        restarted_at = at + timedelta(seconds=restarted_s)
+        ledger.disturbances_by_program[0].add(restarted_at, restarted_at)
+    for number, seconds in enumerate(arrivals_s):
+        sent_at = at + timedelta(seconds=seconds)
+        attempt = Attempt(f"r{number}", Kind.LOOKUP, number // 100, sent_at, sent_at)
+        ledger.attempts_by_id[attempt.id] = attempt
+        ledger.arrivals_by_upstream["u0"].append(Arrival(attempt.id, sent_at))
+    checks = Checks(ledger, SoakSettings(seed=0))
+    return [item.invariant for item in checks.violations()]
+
+
+def test_requests_after_an_upstream_said_that_it_leaves_are_found():
+    # Guards against a check of leaving upstreams that never fails, or that does not
+    # excuse a restart.
+    assert check_notice(SENT_AT, None, [0.5, 1.9]) == []
+    assert check_notice(SENT_AT, None, [0.5, 2.1]) == ["DRAIN"]
+    assert check_notice(SENT_AT, None, [2.1], restarted_s=1.0) == []
+
+
+def test_requests_to_an_upstream_that_asked_for_none_are_found():
+    # Guards against a check of closed upstreams that never fails.
+    assert check_notice(SENT_AT, 4.0, [0.1, 0.2, 0.4, 1.0, 2.0, 4.1]) == []
+    assert check_notice(SENT_AT, 4.0, [1.0, 2.0, 3.0]) == ["BUDGET"]
+    assert check_notice(SENT_AT, 4.0, [1.0, 2.0, 3.0], restarted_s=0.5) == []
