--- a/shallotpath/fleet/tests/processes.py
+++ b/shallotpath/fleet/tests/processes.py
@@ -4,7 +4,6 @@
 import json
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
-from datetime import timedelta
 
 from shallotpath.core import MonotonicClock
 from shallotpath.fleet import LineReporter, SidecarProcess
@@ -77,17 +76,6 @@
     return parse_process_settings("\n".join(lines), environment)
 
 
-class SuspendedClock(MonotonicClock):
-    """Count suspensions of the VM, unlike the event loop's clock."""
-
-    def __init__(self):
-        super().__init__()
-        self.suspended = timedelta()
-
-    def now(self):
-        return super().now() + self.suspended
-
-
 class Output:
     """Collect log lines instead of writing them to standard output."""
 
--- a/shallotpath/fleet/tests/test_sidecars.py
+++ b/shallotpath/fleet/tests/test_sidecars.py
@@ -7,12 +7,12 @@
 
 from shallotpath.core import ManualClock
 from shallotpath.fleet import LineReporter, SidecarProcess
+from shallotpath.forwarding.tests.helpers import SuspendedClock
 from shallotpath.platform import OPERATOR_TOPIC
 from shallotpath.swarm import SwarmMember, SwarmPlan
 
 from .processes import (
     Output,
-    SuspendedClock,
     make_settings,
     sidecars,
     until,
