Read four staged chunks at a time, so that a slow engine gets its order too

Since an order to load is withheld if its verification began more than 2 s ago. A verification that takes longer than that would be repeated for ever, and the version never loaded.

Change: four chunks are read at a time.

Before: an engine of 8 chunks that takes 0.3 s for each read gets no order in 5 s (the new test fails). After: test_sidecars.py 13 passed.

--- a/shallotpath/fleet/_staging.py
+++ b/shallotpath/fleet/_staging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from asyncio import gather
 from datetime import datetime, timedelta
 
 from ..core import Clock, sha256_hex
@@ -12,6 +13,9 @@
 # Staged chunks may turn corrupt at any time, and one that has been corrupt for 3 s must
 # not be loaded. The rest of the 3 s is left for the engine to accept the order.
 MAX_VERIFICATION_AGE = timedelta(seconds=2)
+# A verification that takes longer than that age can never be followed by an order, so
+# it must not wait for each read of a slow engine in turn.
+PARALLEL_READS = 4
 NOT_FOUND_STATUS = 404
 
 
@@ -79,10 +83,13 @@
                 await self.engine.stage(plan.model, index, chunk)
                 self.staged_.add(index)
         started_at = self.clock.now()
-        for index, digest in enumerate(plan.digests):
-            if not await self._is_intact(plan, index, digest):
-                self.staged_.discard(index)
-                self.reporter.event("staged_chunk_spoilt", index=index)
+        for first in range(0, len(plan.digests), PARALLEL_READS):
+            indices = range(first, min(first + PARALLEL_READS, len(plan.digests)))
+            reads = (self._is_intact(plan, index) for index in indices)
+            for index, intact in zip(indices, await gather(*reads), strict=True):
+                if not intact:
+                    self.staged_.discard(index)
+                    self.reporter.event("staged_chunk_spoilt", index=index)
         if len(self.staged_) != len(plan.digests):
             return False
         self.verified_at_ = started_at
@@ -106,7 +113,7 @@
                 f"{MAX_VERIFICATION_AGE}; they will be read again before the load"
             )
 
-    async def _is_intact(self, plan: SwarmPlan, index: int, digest: str) -> bool:
+    async def _is_intact(self, plan: SwarmPlan, index: int) -> bool:
         """Check whether a staged chunk is still there and has the right digest."""
         try:
             staged = await self.engine.staged(plan.model, index)
@@ -114,4 +121,4 @@
             if error.status == NOT_FOUND_STATUS:
                 return False
             raise
-        return sha256_hex(staged) == digest
+        return sha256_hex(staged) == plan.digests[index]
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform's store, the weight origin and an engine."""
 
+import asyncio
 import base64
 import hashlib
 import json
@@ -126,6 +127,7 @@
         # Called with the number of staged chunks that were read since the last order.
         self.on_read = lambda reads: None
         self.reads = 0
+        self.read_delay_s = 0.0
 
     async def handle(self, request):
         if request.path == "/report":
@@ -150,6 +152,7 @@
         if index in self.corrupts_once:
             self.corrupts_once.discard(index)
             self.staged[index] = b"corrupt"
+        await asyncio.sleep(self.read_delay_s)
         body = self.staged[index]
         self.reads += 1
         self.on_read(self.reads)
--- a/shallotpath/fleet/tests/test_sidecars.py
+++ b/shallotpath/fleet/tests/test_sidecars.py
@@ -103,6 +103,16 @@
     assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
 
 
+async def test_engine_that_is_slow_to_read_from_gets_its_order():
+    # Guards against a version that is never loaded because its verification takes
+    # longer than it holds.
+    log, origin, engine = Log(), Origin(), Engine()
+    engine.read_delay_s = 0.3
+    async with sidecars(log, origin, engine):
+        await until(lambda: engine.version == 1)
+    assert engine.loaded == {i: origin.chunk(1, i) for i in range(origin.count)}
+
+
 @pytest.mark.parametrize(
     "changes",
     [
