Log the connection of each attempt and the responses that belong to no request

The line of a request now names the connection, how many requests it has carried, and the id of each response that was discarded; bytes that come while no request is waiting have a line and a counter.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -101,7 +101,7 @@
                 self._report_part, self.evidence_found_.set, self._is_trial_entry
             )
         )
-        self.pool = ConnectionPool(self.clock)
+        self.pool = ConnectionPool(self.clock, self.reporter)
         self.subsets = EntrySubsets(settings.node, settings.region)
         self.discovery_period_ = DiscoveryPeriod(self.clock.now())
         self.entries_changed_ = asyncio.Event()
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -13,6 +13,7 @@
 from ._bounded import EndlessAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._events import count_events
+from ._journal import RequestJournal
 from ._wire import HeaderCodec, ResponseFields
 
 # Statuses that mean a refusal if the upstream also marks the request as not executed.
@@ -63,11 +64,13 @@
         pool: ConnectionPool,
         header_codec: HeaderCodec,
         notices: UpstreamNotices,
+        journal: RequestJournal,
     ) -> None:
         self.placement = placement
         self.pool = pool
         self.header_codec = header_codec
         self.notices = notices
+        self.journal = journal
         self.connection_: UpstreamConnection | None = None
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
@@ -109,6 +112,7 @@
         """Send the request and read the head of its response."""
         try:
             self.connection_.send(payload)
+            self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
         except (HttpProcessingError, EndlessAnswerError) as error:
             raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
@@ -197,6 +201,7 @@
                 self._record_notice(fields)
                 return
             # A late response to an earlier request on this connection.
+            self.journal.discarded(message.code, fields.request_id)
             mismatched_count += 1
             self.connection_.force_close()
             await _discard_body(payload)
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -12,6 +12,7 @@
 from ..core import Clock
 from ..settings import check_host_port
 from ._bounded import MAX_HEADER_BYTES, BoundedConnection
+from ._journal import Reporter
 
 # Round trips take up to about 4 ms; a lost SYN is only retransmitted after 1 s.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -35,8 +36,14 @@
 class UpstreamConnection(BoundedConnection):
     """Carry one request at a time to an upstream."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, number: int, reporter: Reporter
+    ) -> None:
         super().__init__(loop)
+        # Identifies the connection in logs.
+        self.number = number
+        self.reporter = reporter
+        self.request_count_ = 0
         self.close_error_: BaseException | None = None
         self.idle_since_: datetime | None = None
         self.idle_until_: datetime | None = None
@@ -55,6 +62,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; abort if any arrive while the connection is idle."""
         if data and self.idle_until_ is not None:
+            self._report_unexpected(data)
             self.abort()
             return
         super().data_received(data)
@@ -65,6 +73,7 @@
             raise ClientError("connection closed before the request was sent")
         self.restart()
         self.idle_until_ = None
+        self.request_count_ += 1
         self.transport.write(payload)
 
     @property
@@ -82,12 +91,24 @@
         """Return the head and body of the next response."""
         return await self.read()
 
+    def _report_unexpected(self, data: bytes) -> None:
+        """Log bytes that came while no request was waiting for a response."""
+        self.reporter.count("unexpected_bytes")
+        self.reporter.event(
+            "unexpected_bytes",
+            connection=self.number,
+            requests=self.request_count_,
+            size=len(data),
+        )
+
 
 class ConnectionPool:
     """Keep idle connections by upstream id and open new ones."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, reporter: Reporter) -> None:
         self.clock = clock
+        self.reporter = reporter
+        self.opened_ = 0
         self.idle_by_id_: dict[str, deque[UpstreamConnection]] = {}
 
     async def acquire(
@@ -157,11 +178,13 @@
     async def open(self, address: str) -> UpstreamConnection:
         """Open a connection or raise `UnreachableError`."""
         loop = asyncio.get_running_loop()
+        self.opened_ += 1
+        number = self.opened_
         try:
             host, port = check_host_port(address)
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop), host, port
+                    lambda: UpstreamConnection(loop, number, self.reporter), host, port
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise UnreachableError(f"{address}: {error!r}") from error
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -205,7 +205,11 @@
         self.tried_ids_.add(upstream.id)
         upstreams = self.parts.dispatcher.upstreams
         attempt = Attempt(
-            placement, self.parts.pool, self.parts.header_codec, upstreams.notices
+            placement,
+            self.parts.pool,
+            self.parts.header_codec,
+            upstreams.notices,
+            self.journal,
         )
         self.attempt_ = attempt
         loads = self.parts.dispatcher.loads
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -60,6 +60,17 @@
             f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
         )
 
+    def sent(self, connection: int, request_count: int) -> None:
+        """Record the connection and how many requests it has carried."""
+        self.steps.append(f"on connection {connection}, its request {request_count}")
+
+    def discarded(self, status: int, request_id: str) -> None:
+        """Record a response that does not belong to the request."""
+        self.reporter.count(
+            "responses_discarded", id="other" if request_id else "missing"
+        )
+        self.steps.append(f"discarded status {status} for request {request_id!r:.80}")
+
     def failed(self, failure: Failure, events: int, now: datetime) -> None:
         """Record how an attempt failed and how many events it had relayed."""
         relayed = f" events={events}" if events else ""
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -281,15 +281,15 @@
         random=Random(1),
     )
     limit = BudgetLimit(0.2, budget, ms(10_000))
+    reporter = RecordingReporter()
     parts = ForwarderParts(
         dispatcher=dispatcher,
         retries=Retries(RetryBudget(limit, subsets, clock.now() - limit.window)),
         suspects=CrashSuspects(),
-        pool=ConnectionPool(clock),
+        pool=ConnectionPool(clock, reporter),
         header_codec=PlatformHeaderCodec(),
         clock=clock,
     )
-    reporter = RecordingReporter()
     forwarder = Forwarder(parts, operator, lambda: fresh, reporter)
     listener = Listener(forwarder.handle)
     port = await listener.start(HOST, 0)
