Take a response only on a connection that has not carried its id before

What callers saw: a success (2xx) for a request that its upstream had failed. Cause: a response counted as the answer to the waiting request if it bore its id. The id is the caller's and may come again; the late second copy of the first answer matches the second request if both went over one connection. Class: an answer tied to an id that others choose, not to the attempt.

A connection now carries each id once and requests without an id first or not at all, so a response with the id can only be that of the attempt. It remembers hashes of 256 ids at the most and is then replaced. Bytes that come while no request waits close it, also before its first request and between the end of a response and its release. Once an upstream has sent a response or bytes that nobody waited for, its connections carry one request each for 30 s, as the next copy may come cut in two, where its head would be completed by the next answer's.

Ruled out: an id of our own in place of the caller's, which upstreams must see unchanged.

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -98,12 +98,12 @@
         """Return the status of the response."""
         return self.message_.code
 
-    async def connect(self, *, repeatable: bool) -> None:
+    async def connect(self, request_id: str, *, repeatable: bool) -> None:
         """Take a connection from the pool or open one."""
         record = self.placement.upstream.record
         try:
             self.connection_ = await self.pool.acquire(
-                record.id, record.address, repeatable=repeatable
+                record.id, record.address, request_id, repeatable=repeatable
             )
         except UnreachableError as error:
             raise AttemptError(Failure(FailureKind.UNREACHABLE, str(error))) from error
@@ -111,7 +111,7 @@
     async def exchange(self, payload: bytes, request_id: str) -> None:
         """Send the request and read the head of its response."""
         try:
-            self.connection_.send(payload)
+            self.connection_.send(payload, request_id)
             self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
         except (HttpProcessingError, EndlessAnswerError) as error:
@@ -203,7 +203,8 @@
             # A late response to an earlier request on this connection.
             self.journal.discarded(message.code, fields.request_id)
             mismatched_count += 1
-            self.connection_.force_close()
+            self.connection_.stuttered_ = True
+            self.pool.record_stutter(self.placement.upstream.id)
             await _discard_body(payload)
         raise AttemptError(
             Failure(FailureKind.GARBLED, "responses belong to other requests")
--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -39,12 +39,14 @@
         self.received_bytes_ = 0
         self.bodies_: list[StreamReader] = []
         self.status_ = 0
+        # Bytes received after the last response that began no other one yet.
+        self.trailing_bytes_ = 0
         # Content-Length of the last response, if it has a valid one.
         self.content_length_: int | None = None
 
     def restart(self) -> None:
         """Reset the counters for a new request."""
-        self.received_bytes_ = 0
+        self.received_bytes_ = self.trailing_bytes_ = 0
         self.bodies_.clear()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -68,6 +70,8 @@
                 return
             end = self._parse_end(data, start)
             self.received_bytes_ += end - start
+            if self.ended:
+                self.trailing_bytes_ += end - start
             super().data_received(data[start:end])
             start = end
             self._close_if_oversized()
@@ -78,6 +82,7 @@
         """Record a parsed response head and its body."""
         message, body = data
         self.bodies_.append(body)
+        self.trailing_bytes_ = 0
         self.status_ = message.code
         length = message.headers.get("Content-Length", "")
         is_valid = length.isdecimal() and len(length) <= MAX_CONTENT_LENGTH_DIGITS
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -27,6 +27,11 @@
 # upstream 1 ms.
 MAX_TRUSTED_IDLE = timedelta(milliseconds=200)
 MAX_IDLE_PER_UPSTREAM = 16
+# Bounds the request ids that a connection remembers.
+MAX_REQUESTS_PER_CONNECTION = 256
+# Time in which the connections of an upstream are used for one request each, after it
+# sent a response that no request was waiting for.
+SINGLE_USE_PERIOD = timedelta(seconds=30)
 
 
 class UnreachableError(Exception):
@@ -37,13 +42,23 @@
     """Carry one request at a time to an upstream."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, number: int, reporter: Reporter
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: str,
+        number: int,
+        reporter: Reporter,
     ) -> None:
         super().__init__(loop)
+        self.address = address
         # Identifies the connection in logs.
         self.number = number
         self.reporter = reporter
         self.request_count_ = 0
+        # Hashes of the ids of all requests that the connection has carried.
+        self.carried_ids_: set[int] = set()
+        self.awaiting_response_ = False
+        # Set if a response or other bytes belonged to no waiting request.
+        self.stuttered_ = False
         self.close_error_: BaseException | None = None
         self.idle_since_: datetime | None = None
         self.idle_until_: datetime | None = None
@@ -61,25 +76,47 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; abort if any arrive while the connection is idle."""
-        if data and self.idle_until_ is not None:
+        if data and not self.awaiting_response_:
+            self.stuttered_ = True
             self._report_unexpected(data)
             self.abort()
             return
         super().data_received(data)
 
-    def send(self, payload: bytes) -> None:
+    def may_carry(self, request_id: str) -> bool:
+        """Check whether a response with an id can only belong to a new request.
+
+        An upstream may write a response a second time, so a connection carries each id
+        once. Requests without an id need a connection of their own.
+        """
+        if not self.request_count_:
+            return True
+        return bool(request_id) and hash(request_id) not in self.carried_ids_
+
+    def send(self, payload: bytes, request_id: str) -> None:
         """Write a whole request."""
         if self.transport is None:
             raise ClientError("connection closed before the request was sent")
         self.restart()
-        self.idle_until_ = None
+        self.awaiting_response_ = True
         self.request_count_ += 1
+        self.carried_ids_.add(hash(request_id))
         self.transport.write(payload)
 
     @property
     def reused(self) -> bool:
         """Check whether the connection carried a request before."""
-        return self.idle_since_ is not None
+        return self.request_count_ > 1
+
+    @property
+    def has_surplus(self) -> bool:
+        """Check whether bytes have come that belong to no response that was read."""
+        return bool(self.trailing_bytes_ or self._buffer)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Check whether the connection may carry another request."""
+        return self.is_connected() and not self.should_close and not self.stuttered_
 
     @property
     def request_written(self) -> bool:
@@ -96,6 +133,7 @@
         self.reporter.count("unexpected_bytes")
         self.reporter.event(
             "unexpected_bytes",
+            address=self.address,
             connection=self.number,
             requests=self.request_count_,
             size=len(data),
@@ -109,23 +147,25 @@
         self.clock = clock
         self.reporter = reporter
         self.opened_ = 0
+        self.single_use_until_by_id_: dict[str, datetime] = {}
         self.idle_by_id_: dict[str, deque[UpstreamConnection]] = {}
 
     async def acquire(
-        self, upstream_id: str, address: str, *, repeatable: bool
+        self, upstream_id: str, address: str, request_id: str, *, repeatable: bool
     ) -> UpstreamConnection:
-        """Return an idle connection, or open one."""
+        """Return an idle connection that may carry a request, or open one."""
         now = self.clock.now()
-        idle = self.idle_by_id_.get(upstream_id, ())
-        while idle:
-            # The most recently used one.
-            connection = idle[-1]
+        idle = self.idle_by_id_.get(upstream_id, deque())
+        # The most recently used one first.
+        for connection in reversed(list(idle)):
             if not repeatable and now - connection.idle_since_ > MAX_TRUSTED_IDLE:
                 break
-            idle.pop()
-            if self._usable(connection, now):
+            if not self._usable(connection, now):
+                idle.remove(connection)
+                self._discard(upstream_id, connection)
+            elif connection.may_carry(request_id):
+                idle.remove(connection)
                 return connection
-            connection.close()
         return await self.open(address)
 
     def release(
@@ -137,11 +177,21 @@
         """Return a connection to the pool after its response was read completely."""
         idle = self.idle_by_id_.setdefault(upstream_id, deque())
         full = len(idle) >= MAX_IDLE_PER_UPSTREAM
-        if full or connection.should_close or not connection.is_connected():
-            connection.close()
+        worn_out = connection.request_count_ >= MAX_REQUESTS_PER_CONNECTION
+        now = self.clock.now()
+        connection.awaiting_response_ = False
+        if connection.has_surplus:
+            connection.stuttered_ = True
+        if (
+            full
+            or worn_out
+            or not connection.is_reusable
+            or self.is_single_use(upstream_id, now)
+        ):
+            self._discard(upstream_id, connection)
             return
         reuse_period = KEEP_ALIVE_FRACTION * (keep_alive or DEFAULT_KEEP_ALIVE)
-        connection.idle_since_ = self.clock.now()
+        connection.idle_since_ = now
         connection.idle_until_ = connection.idle_since_ + reuse_period
         idle.append(connection)
 
@@ -154,9 +204,12 @@
                 if upstream_id in known_ids and self._usable(connection, now):
                     idle.append(connection)
                 else:
-                    connection.close()
+                    self._discard(upstream_id, connection)
             if not idle:
-                del self.idle_by_id_[upstream_id]
+                self.idle_by_id_.pop(upstream_id, None)
+        for upstream_id, until in list(self.single_use_until_by_id_.items()):
+            if now >= until:
+                del self.single_use_until_by_id_[upstream_id]
 
     def drop(self, upstream_id: str) -> None:
         """Abort the idle connections of an upstream that may have crashed."""
@@ -167,13 +220,28 @@
         """Close all idle connections."""
         self.prune(set())
 
+    def is_single_use(self, upstream_id: str, now: datetime) -> bool:
+        """Check whether an upstream has sent responses that nobody waited for."""
+        until = self.single_use_until_by_id_.get(upstream_id)
+        return until is not None and now < until
+
+    def record_stutter(self, upstream_id: str) -> None:
+        """Use the connections of an upstream once each for a time.
+
+        Its next response may come late or in parts on any connection in use again.
+        """
+        until = self.clock.now() + SINGLE_USE_PERIOD
+        self.single_use_until_by_id_[upstream_id] = until
+        self.drop(upstream_id)
+
+    def _discard(self, upstream_id: str, connection: UpstreamConnection) -> None:
+        """Close a connection that is not used again."""
+        connection.close()
+        if connection.stuttered_:
+            self.record_stutter(upstream_id)
+
     def _usable(self, connection: UpstreamConnection, now: datetime) -> bool:
-        return (
-            connection.is_connected()
-            and not connection.should_close
-            and connection.idle_until_ is not None
-            and now < connection.idle_until_
-        )
+        return connection.is_reusable and now < connection.idle_until_
 
     async def open(self, address: str) -> UpstreamConnection:
         """Open a connection or raise `UnreachableError`."""
@@ -184,7 +252,9 @@
             host, port = check_host_port(address)
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, number, self.reporter), host, port
+                    lambda: UpstreamConnection(loop, address, number, self.reporter),
+                    host,
+                    port,
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise UnreachableError(f"{address}: {error!r}") from error
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -223,7 +223,9 @@
             yielding=placement.yielding,
         )
         try:
-            await attempt.connect(repeatable=self.call.route.repeatable)
+            await attempt.connect(
+                self.call.request_id, repeatable=self.call.route.repeatable
+            )
             self._check_deadline()
             self._check_placement(placement, now)
             self.send_count_ += 1
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -98,7 +98,7 @@
     async with make_world(upstream, **ONCE) as world:
         first, _ = await world.call(method="POST", body=b"order")
         await asyncio.sleep(pause)
-        second, _ = await world.call(method="POST", body=b"order")
+        second, _ = await world.call(method="POST", body=b"order", number=2)
     assert "200" in first
     # A connection that was used just before is reused.
     assert ("200" if pause else "502") in second
--- a/shallotpath/forwarding/tests/test_repeated_ids.py
+++ b/shallotpath/forwarding/tests/test_repeated_ids.py
@@ -74,7 +74,7 @@
         await writer.drain()
 
     again = repeat_then_fail(name, FAILURES[failure], labelled=labelled, cut=cut)
-    upstream = FirstOnConnection(serve, again, FAILURES[failure])
+    upstream = FailingUpstream(serve, again, FAILURES[failure])
     async with make_world(upstream, max_attempts=3, **ROUTES[name]) as world:
         head, _ = await world.call(number=7)
         assert "200 OK" in head
@@ -83,21 +83,16 @@
     assert b"first answer" not in body
 
 
-class FirstOnConnection(Upstream):
-    """Serve the first request of all; fail others, after a second copy if there was
-    an answer on their connection before.
-    """
+class FailingUpstream(Upstream):
+    """Serve the first request; then fail, after a second copy on its connection."""
 
     def __init__(self, serve, again, failure):
-        super().__init__(serve)
-        self.again = again
+        super().__init__()
+        self.steps_by_connection = iter([[serve, again]])
         self.failure = failure
 
     async def _serve(self, reader, writer):
-        steps = self.steps
-        self.steps = (
-            [*steps, self.again] if len(steps) == 1 else [reply(**self.failure)]
-        )
+        self.steps = next(self.steps_by_connection, [reply(**self.failure)])
         await super()._serve(reader, writer)
 
 
@@ -109,7 +104,7 @@
         await writer.drain()
 
     again = repeat_then_fail("once", FAILURES["500"], labelled=False, cut="whole")
-    upstream = FirstOnConnection(serve, again, FAILURES["500"])
+    upstream = FailingUpstream(serve, again, FAILURES["500"])
     async with make_world(upstream, **ROUTES["once"]) as world:
         await world.call(number=7)
         reader, writer = await world.connect()
