Count the load of each attempt under a number of its own

The load that an entry puts on an upstream was kept under the caller's id of the request. Of two requests with one id at the same time the second took the place of the first, whose load then stayed for as long as the process lived: the upstream seemed full. test_load_of_requests_with_one_id_is_removed_when_they_end fails on the code before (a load of one request is left at each upstream).

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from itertools import count
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -71,6 +72,7 @@
     header_codec: HeaderCodec
     clock: Clock
     deadlines: Deadlines = field(default_factory=Deadlines)
+    attempt_numbers: Iterator[int] = field(default_factory=count)
     # When this entry stops. Responses then close the connection, so that callers
     # reconnect to other entries.
     stops_at: datetime | None = None
@@ -213,7 +215,8 @@
         )
         self.attempt_ = attempt
         loads = self.parts.dispatcher.loads
-        key = f"{self.call.request_id}/{len(self.tried_ids_)}"
+        # Callers choose the ids of requests and may use one twice at a time.
+        key = f"{next(self.parts.attempt_numbers)}"
         now = self.parts.clock.now()
         loads.sent(
             key,
