--- a/shallotpath/cli/_ctl_session.py
+++ b/shallotpath/cli/_ctl_session.py
@@ -15,6 +15,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from .. import webclient
 from ..config import (
     STREAM,
     Change,
@@ -183,7 +184,7 @@
 async def open_session(options: Options) -> AsyncIterator[Session]:
     """Open the connections of one command."""
     url = options.platform_url
-    async with ClientSession() as http:
+    async with webclient.open_session() as http:
         yield Session(options, http, PlatformClient(http, url), Replica())
 
 
--- a/shallotpath/cli/timeline.py
+++ b/shallotpath/cli/timeline.py
@@ -19,6 +19,7 @@
     merge_events,
     parse_lines,
 )
+from ..webclient import open_session
 from ._program import run_app
 
 READ_TIMEOUT_S = 3.0
@@ -89,7 +90,7 @@
 
 async def read_all(urls: tuple[str, ...]) -> tuple[list[TraceEvent], list[str]]:
     """Return the events of all processes and the addresses that did not answer."""
-    async with ClientSession(timeout=ClientTimeout(READ_TIMEOUT_S)) as session:
+    async with open_session(timeout=ClientTimeout(READ_TIMEOUT_S)) as session:
         pages = await asyncio.gather(
             *(_read(session, url) for url in urls), return_exceptions=True
         )
--- a/shallotpath/nodes/_process.py
+++ b/shallotpath/nodes/_process.py
@@ -8,7 +8,7 @@
 from random import Random
 from uuid import uuid4
 
-from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, TCPConnector
+from aiohttp import ClientTimeout, DummyCookieJar
 
 from ..claims import STREAM as CLAIMS_STREAM
 from ..claims import WitnessStore
@@ -28,6 +28,7 @@
 )
 from ..settings import NodeSettings
 from ..telemetry import HybridClock, ProcessTelemetry
+from ..webclient import open_session
 
 CLAIMS_CHECK_INTERVAL_S = 0.5
 
@@ -112,8 +113,7 @@
 
     async def start(self) -> None:
         """Bind the sockets and start to serve."""
-        session = ClientSession(
-            connector=TCPConnector(limit=0),
+        session = open_session(
             timeout=ClientTimeout(total=None),
             cookie_jar=DummyCookieJar(),
         )
--- a/shallotpath/platform/_session.py
+++ b/shallotpath/platform/_session.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from datetime import timedelta
 from functools import partial
 
 import aiohttp
 
 from ..forwarding import BoundedConnection
 
-# Time for which an idle connection stays open.
-KEEP_ALIVE = timedelta(seconds=10)
 # Lower statuses (1xx) belong to interim responses.
 _FIRST_FINAL_STATUS = 200
 
@@ -33,8 +30,14 @@
 
 
 class _Connector(aiohttp.TCPConnector):
+    """Open a connection for each call.
+
+    Responses do not name the call that they answer, so a late second copy of one would
+    be taken for the response to the next call on its connection.
+    """
+
     def __init__(self) -> None:
-        super().__init__(limit=0, keepalive_timeout=KEEP_ALIVE.total_seconds())
+        super().__init__(limit=0, force_close=True)
         self._factory = partial(SessionConnection, asyncio.get_running_loop())
 
 
--- a/shallotpath/webclient.py
+++ b/shallotpath/webclient.py
@@ -1,4 +1,4 @@
-"""Read response bodies up to a size limit."""
+"""Open sessions for calls and read response bodies up to a size limit."""
 
 from __future__ import annotations
 
@@ -14,6 +14,16 @@
     """Report a body that is longer than its limit."""
 
 
+def open_session(**options: Any) -> aiohttp.ClientSession:
+    """Return a session that opens a connection for each call.
+
+    Responses do not name the call that they answer, so a late second copy of one would
+    be taken for the response to the next call on its connection.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(connector=connector, **options)
+
+
 async def read_body(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
     """Return the body; close the connection if it is longer than the limit."""
     parts: list[bytes] = []
