Refuse requests that bear several ids

An upstream that echoes another of the ids than the entry expects seems to answer other requests: the attempt fails as garbled, counts against the upstream and is repeated elsewhere, so that one caller could make all sound upstreams of a service seem faulty. Such a request gets 400 now and reaches nobody (test_request_with_several_ids_is_refused fails on the code before: it is forwarded).

--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -93,6 +93,8 @@
     async def _prepare(
         self, request: web.BaseRequest, fields: RequestFields, arrived_at: datetime
     ) -> web.Response | tuple[GatewayCall, bytes]:
+        if fields.has_several_ids:
+            return refusal(400, "the request has more than one id")
         catalog = self.operator.catalog
         if catalog is None:
             return refusal(503, "no configuration yet", CONFIGURATION_RETRY_AFTER)
--- a/shallotpath/forwarding/tests/test_repeated_ids.py
+++ b/shallotpath/forwarding/tests/test_repeated_ids.py
@@ -116,6 +116,21 @@
     assert b"first answer" not in body
 
 
+async def test_request_with_several_ids_is_refused():
+    # Guards against a caller whose request makes sound upstreams seem faulty, because
+    # they answer it with another of its ids.
+    upstream = Upstream(reply())
+    async with make_world(upstream) as world:
+        reader, writer = await world.connect()
+        first = b"Shallotpath-Request-Id: q0\r\n"
+        request = make_request().replace(b"Host:", first + b"Host:")
+        writer.write(request)
+        head, _ = await read_answer(reader)
+        writer.close()
+    assert "400" in head
+    assert upstream.requests == []
+
+
 async def test_load_of_requests_with_one_id_is_removed_when_they_end():
     # Guards against upstreams that seem full for ever because requests under way at the
     # same time had the same id.
