--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -110,13 +110,16 @@
 
     async def exchange(self, payload: bytes, request_id: str) -> None:
         """Send the request and read the head of its response."""
+        if not self.connection_.is_connected():
+            detail = "the connection closed before the request was sent"
+            raise AttemptError(Failure(FailureKind.EXPIRED, detail))
         try:
             self.connection_.send(payload, request_id)
             self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
         except (HttpProcessingError, MalformedAnswerError) as error:
             # The rest of an earlier response may have come before this one.
-            self.pool.record_stutter(self.placement.upstream.id)
+            self.connection_.record_stutter()
             raise AttemptError(Failure(FailureKind.GARBLED, repr(error))) from error
         except (ClientError, OSError) as error:
             raise AttemptError(Failure(FailureKind.LOST, repr(error))) from error
@@ -205,8 +208,7 @@
             # A late response to an earlier request on this connection.
             self.journal.discarded(message.code, fields.request_id)
             mismatched_count += 1
-            self.connection_.stuttered_ = True
-            self.pool.record_stutter(self.placement.upstream.id)
+            self.connection_.record_stutter()
             await _discard_body(payload)
         raise AttemptError(
             Failure(FailureKind.GARBLED, "responses belong to other requests")
--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -20,6 +20,8 @@
 # 256 KiB, and parsing that many response heads blocks the event loop for 0.1 s.
 MAX_PARSE_BYTES = 16 * 1024
 _HEAD_END = b"\r\n\r\n"
+# End of a body in chunks that has no trailers.
+_LAST_CHUNK = b"0\r\n\r\n"
 MAX_CONTENT_LENGTH_DIGITS = 19
 
 
@@ -45,6 +47,9 @@
         self.status_ = 0
         # Bytes received after the last response that began no other one yet.
         self.trailing_bytes_ = 0
+        self.chunked_ = False
+        # The last bytes received.
+        self.last_bytes_ = b""
         # Content-Length of the last response, if it has a valid one.
         self.content_length_: int | None = None
 
@@ -68,6 +73,7 @@
             super().data_received(data)
             self._close_if_oversized()
             return
+        self.last_bytes_ = data[-len(_LAST_CHUNK) :]
         start = 0
         while start < len(data):
             if self.transport is None or self.transport.is_closing():
@@ -92,6 +98,7 @@
         self.bodies_.append(body)
         self.trailing_bytes_ = 0
         self.status_ = message.code
+        self.chunked_ = message.chunked
         length = message.headers.get("Content-Length", "")
         is_valid = length.isdecimal() and len(length) <= MAX_CONTENT_LENGTH_DIGITS
         self.content_length_ = int(length) if is_valid else None
@@ -102,6 +109,19 @@
         """Check whether the body of the last response is complete."""
         return bool(self.bodies_) and self.bodies_[-1].is_eof()
 
+    @property
+    def has_surplus(self) -> bool:
+        """Check whether bytes have followed the last response that was read."""
+        return bool(self.trailing_bytes_ or self._buffer)
+
+    @property
+    def ended_in_chunk(self) -> bool:
+        """Check whether the last bytes received are the end of a body in chunks.
+
+        The parser keeps the beginning of a head that came together with that end.
+        """
+        return _LAST_CHUNK.endswith(self.last_bytes_)
+
     @property
     def in_head(self) -> bool:
         """Check whether the next bytes belong to the head of a response."""
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -5,7 +5,9 @@
 import asyncio
 import re
 from collections import deque
+from collections.abc import Callable
 from datetime import datetime, timedelta
+from functools import partial
 
 from aiohttp import ClientError, StreamReader
 from aiohttp.http import RawResponseMessage
@@ -51,15 +53,20 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        *,
+        upstream_id: str,
         address: str,
         number: int,
         reporter: Reporter,
+        on_stutter: Callable[[str], None],
     ) -> None:
         super().__init__(loop)
+        self.upstream_id = upstream_id
         self.address = address
         # Identifies the connection in logs.
         self.number = number
         self.reporter = reporter
+        self.on_stutter = on_stutter
         self.request_count_ = 0
         # Hashes of the ids of all requests that the connection has carried.
         self.carried_ids_: set[int] = set()
@@ -71,12 +78,7 @@
         self.close_error_: BaseException | None = None
         self.idle_since_: datetime | None = None
         self.idle_until_: datetime | None = None
-        self.set_response_params(
-            read_until_eof=True,
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
+        self._reset_parser()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Keep the error, as a body that ends with a reset is incomplete."""
@@ -86,9 +88,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; abort if any arrive while the connection is idle."""
         if data and not self.awaiting_response_:
-            self.stuttered_ = True
             self._report_unexpected(data)
             self.abort()
+            self.record_stutter()
             return
         super().data_received(data)
 
@@ -113,6 +115,11 @@
         self.head_.clear()
         super().feed_data(*args)
 
+    def record_stutter(self) -> None:
+        """Record that the upstream sent bytes that belong to no waiting request."""
+        self.stuttered_ = True
+        self.on_stutter(self.upstream_id)
+
     def may_carry(self, request_id: str) -> bool:
         """Check whether a response with an id can only belong to a new request.
 
@@ -129,6 +136,8 @@
             raise ClientError("connection closed before the request was sent")
         self.restart()
         self.head_.clear()
+        # Bytes of an earlier response must not become a part of the next one.
+        self._reset_parser()
         self.awaiting_response_ = True
         self.request_count_ += 1
         self.carried_ids_.add(hash(request_id))
@@ -139,11 +148,6 @@
         """Check whether the connection carried a request before."""
         return self.request_count_ > 1
 
-    @property
-    def has_surplus(self) -> bool:
-        """Check whether bytes have come that belong to no response that was read."""
-        return bool(self.trailing_bytes_ or self._buffer)
-
     @property
     def is_reusable(self) -> bool:
         """Check whether the connection may carry another request."""
@@ -159,11 +163,20 @@
         """Return the head and body of the next response."""
         return await self.read()
 
+    def _reset_parser(self) -> None:
+        self.set_response_params(
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
     def _report_unexpected(self, data: bytes) -> None:
         """Log bytes that came while no request was waiting for a response."""
         self.reporter.count("unexpected_bytes")
         self.reporter.event(
             "unexpected_bytes",
+            upstream=self.upstream_id,
             address=self.address,
             connection=self.number,
             requests=self.request_count_,
@@ -191,13 +204,13 @@
         for connection in reversed(list(idle)):
             if not repeatable and now - connection.idle_since_ > MAX_TRUSTED_IDLE:
                 break
-            if not self._usable(connection, now):
+            if connection.address != address or not self._usable(connection, now):
                 idle.remove(connection)
-                self._discard(upstream_id, connection)
+                connection.close()
             elif connection.may_carry(request_id):
                 idle.remove(connection)
                 return connection
-        return await self.open(address)
+        return await self.open(upstream_id, address)
 
     def release(
         self,
@@ -212,14 +225,15 @@
         now = self.clock.now()
         connection.awaiting_response_ = False
         if connection.has_surplus:
-            connection.stuttered_ = True
+            connection.record_stutter()
         if (
             full
             or worn_out
+            or (connection.chunked_ and not connection.ended_in_chunk)
             or not connection.is_reusable
             or self.is_single_use(upstream_id, now)
         ):
-            self._discard(upstream_id, connection)
+            connection.close()
             return
         reuse_period = KEEP_ALIVE_FRACTION * (keep_alive or DEFAULT_KEEP_ALIVE)
         connection.idle_since_ = now
@@ -235,9 +249,9 @@
                 if upstream_id in known_ids and self._usable(connection, now):
                     idle.append(connection)
                 else:
-                    self._discard(upstream_id, connection)
+                    connection.close()
             if not idle:
-                self.idle_by_id_.pop(upstream_id, None)
+                del self.idle_by_id_[upstream_id]
         for upstream_id, until in list(self.single_use_until_by_id_.items()):
             if now >= until:
                 del self.single_use_until_by_id_[upstream_id]
@@ -265,27 +279,27 @@
         self.single_use_until_by_id_[upstream_id] = until
         self.drop(upstream_id)
 
-    def _discard(self, upstream_id: str, connection: UpstreamConnection) -> None:
-        """Close a connection that is not used again."""
-        connection.close()
-        if connection.stuttered_:
-            self.record_stutter(upstream_id)
-
     def _usable(self, connection: UpstreamConnection, now: datetime) -> bool:
         return connection.is_reusable and now < connection.idle_until_
 
-    async def open(self, address: str) -> UpstreamConnection:
+    async def open(self, upstream_id: str, address: str) -> UpstreamConnection:
         """Open a connection or raise `UnreachableError`."""
         loop = asyncio.get_running_loop()
         self.opened_ += 1
-        number = self.opened_
+        make_connection = partial(
+            UpstreamConnection,
+            loop,
+            upstream_id=upstream_id,
+            address=address,
+            number=self.opened_,
+            reporter=self.reporter,
+            on_stutter=self.record_stutter,
+        )
         try:
             host, port = check_host_port(address)
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop, address, number, self.reporter),
-                    host,
-                    port,
+                    make_connection, host, port
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise UnreachableError(f"{address}: {error!r}") from error
--- a/shallotpath/forwarding/_failures.py
+++ b/shallotpath/forwarding/_failures.py
@@ -90,7 +90,7 @@
 
     async def _check(self, upstream: Upstream, started_at: datetime) -> None:
         try:
-            connection = await self.pool.open(upstream.record.address)
+            connection = await self.pool.open(upstream.id, upstream.record.address)
         except UnreachableError:
             self._record_gone(upstream.id, "connect", self.clock.now())
             return
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -23,6 +23,7 @@
 # Other entries can take the request at once.
 STOPPING_RETRY_AFTER = timedelta(milliseconds=100)
 FINGERPRINT_BYTES = 12
+MAX_REQUEST_ID_CHARS = 1024
 
 
 class Forwarder:
@@ -93,8 +94,10 @@
     async def _prepare(
         self, request: web.BaseRequest, fields: RequestFields, arrived_at: datetime
     ) -> web.Response | tuple[GatewayCall, bytes]:
-        if fields.has_several_ids:
-            return refusal(400, "the request has more than one id")
+        # An upstream would seem faulty that echoes another of several ids, or an id
+        # that is longer than what is read of an answer.
+        if fields.id_count > 1 or len(fields.request_id) > MAX_REQUEST_ID_CHARS:
+            return refusal(400, "the request has several ids or a very long one")
         catalog = self.operator.catalog
         if catalog is None:
             return refusal(503, "no configuration yet", CONFIGURATION_RETRY_AFTER)
--- a/shallotpath/forwarding/_wire.py
+++ b/shallotpath/forwarding/_wire.py
@@ -37,8 +37,8 @@
     output_tokens: int
     # Ids of the parts of the prompt in order.
     prompt_parts: tuple[str, ...] = ()
-    # Whether there is more than one id, so that no response can be told to be its own.
-    has_several_ids: bool = False
+    # Header fields that hold an id.
+    id_count: int = 1
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/forwarding/tests/test_joined_answers.py
+++ b/shallotpath/forwarding/tests/test_joined_answers.py
@@ -101,7 +101,7 @@
     pool = ConnectionPool(MonotonicClock(), RecordingReporter())
     connections, writers = [], []
     for _ in range(2):
-        connections.append(await pool.open(address))
+        connections.append(await pool.open("u", address))
         writers.append(await accepted.get())
     for connection in connections:
         pool.release("u", connection, None)
--- a/shallotpath/forwarding/tests/test_repeated_ids.py
+++ b/shallotpath/forwarding/tests/test_repeated_ids.py
@@ -158,7 +158,7 @@
     port = server.sockets[0].getsockname()[1]
     async with make_world(port) as world:
         pool = world.forwarder.parts.pool
-        connection = await pool.open(f"{HOST}:{port}")
+        connection = await pool.open("u0", f"{HOST}:{port}")
         await asyncio.sleep(0.05)
         assert not connection.is_connected()
     server.close()
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -61,7 +61,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             prompt_parts=_parse_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
-            has_several_ids=len(set(headers.getall(names.REQUEST_ID, ()))) > 1,
+            id_count=len(headers.getall(names.REQUEST_ID, ())),
         )
 
     def read_response(self, headers: CIMultiDictProxy[str]) -> ResponseFields:
