Keep one parser for a connection, and test that an old address is not used

A parser that is new for each request guards against nothing that the checks at the release do not, so it is gone; the address has a test now.

--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -78,7 +78,12 @@
         self.close_error_: BaseException | None = None
         self.idle_since_: datetime | None = None
         self.idle_until_: datetime | None = None
-        self._reset_parser()
+        self.set_response_params(
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Keep the error, as a body that ends with a reset is incomplete."""
@@ -136,8 +141,6 @@
             raise ClientError("connection closed before the request was sent")
         self.restart()
         self.head_.clear()
-        # Bytes of an earlier response must not become a part of the next one.
-        self._reset_parser()
         self.awaiting_response_ = True
         self.request_count_ += 1
         self.carried_ids_.add(hash(request_id))
@@ -163,14 +166,6 @@
         """Return the head and body of the next response."""
         return await self.read()
 
-    def _reset_parser(self) -> None:
-        self.set_response_params(
-            read_until_eof=True,
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
-
     def _report_unexpected(self, data: bytes) -> None:
         """Log bytes that came while no request was waiting for a response."""
         self.reporter.count("unexpected_bytes")
--- a/shallotpath/forwarding/tests/test_connection_reuse.py
+++ b/shallotpath/forwarding/tests/test_connection_reuse.py
@@ -8,6 +8,7 @@
 from shallotpath.gateway import RouteKind
 
 from .helpers import (
+    HOST,
     Upstream,
     answer,
     chunk,
@@ -126,6 +127,19 @@
     assert upstream.ids_by_connection == [[1, 2], [3, 4]]
 
 
+async def test_connection_to_an_earlier_address_is_not_used():
+    # Guards against the answer of the process that had an upstream's id before.
+    first, second = Upstream(reply(b"one")), Upstream(reply(b"two"))
+    async with make_world(first, **ONCE) as world:
+        await world.call(number=1)
+        pool = world.forwarder.parts.pool
+        address = f"{HOST}:{await second.start()}"
+        connection = await pool.acquire("u0", address, "q2", repeatable=True)
+        assert connection.address == address
+        connection.abort()
+    second.server.close()
+
+
 async def test_streams_in_chunks_share_a_connection():
     # Guards against a check of the last bytes that closes sound connections.
     async def stream(reader, writer, head):
