Keep the connections of calls that move chunks

Chunks are compared with a digest, which tells one from all others: their calls keep connections again. The digest does not tell a chunk from an earlier state of itself, so each verification of staged chunks has connections of its own. Reports, orders, lists of staged chunks, manifests, the store and pages of peers keep one connection for each call.

--- a/shallotpath/fleet/_chunks.py
+++ b/shallotpath/fleet/_chunks.py
@@ -24,15 +24,19 @@
 class ChunkFetcher:
     """Fetch manifests from the origin, and chunks from the origin and sidecars."""
 
-    __slots__ = ("caller", "operator", "origin_", "peers")
+    __slots__ = ("chunk_caller", "operator", "origin_", "peers")
 
     def __init__(
-        self, operator: OperatorState, peers: PeerTable, caller: HttpCaller
+        self,
+        operator: OperatorState,
+        peers: PeerTable,
+        caller: HttpCaller,
+        chunk_caller: HttpCaller,
     ) -> None:
         self.operator = operator
         self.peers = peers
-        self.caller = caller
-        self.origin_ = OriginClient(caller)
+        self.chunk_caller = chunk_caller
+        self.origin_ = OriginClient(caller, chunk_caller)
 
     async def manifest(self, model: str, version: int | None) -> ChunkManifest:
         """Return the manifest of a version, the newest one by default."""
@@ -67,7 +71,7 @@
             f"http://{peer.host}:{peer.port}{CHUNK_PATH}"
             f"?model={plan.model}&version={plan.version}&index={fetch.index}"
         )
-        return await self.caller.call("GET", url, CHUNK_TIMEOUT)
+        return await self.chunk_caller.call("GET", url, CHUNK_TIMEOUT)
 
     def _origin_address(self) -> str:
         catalog = self.operator.catalog
--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 from datetime import datetime, timedelta
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from ..gateway import EngineReport, Service
 from ..platform import (
@@ -14,7 +14,9 @@
     ChunkManifest,
     EngineClient,
     EngineState,
+    HttpCaller,
     ProcessSettings,
+    open_chunk_session,
 )
 from ..replication import ChunkItem, GossipMessage, PeerAddress
 from ..swarm import (
@@ -50,6 +52,7 @@
 
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=True, **options)
+        self.chunk_session_: ClientSession | None = None
         self.engine_: EngineClient | None = None
         self.fetcher_: ChunkFetcher | None = None
         self.server_ = ChunkServer(self.clock, settings.link_bytes_per_s)
@@ -72,12 +75,22 @@
     async def start(self) -> None:
         """Start to watch the engine and to keep its weights current."""
         await super().start()
-        self.engine_ = EngineClient(self.settings.engine, self.caller_)
+        self.chunk_session_ = open_chunk_session()
+        chunk_caller = HttpCaller(self.chunk_session_)
+        self.engine_ = EngineClient(self.settings.engine, self.caller_, chunk_caller)
         self.staging_ = EngineStaging(self.engine_, self.clock, self.reporter)
-        self.fetcher_ = ChunkFetcher(self.operator, self.peers, self.caller_)
+        self.fetcher_ = ChunkFetcher(
+            self.operator, self.peers, self.caller_, chunk_caller
+        )
         self.keep_running(self._watch_engine)
         self.keep_running(self._keep_weights)
 
+    async def stop(self) -> None:
+        """Close everything."""
+        await super().stop()
+        if self.chunk_session_ is not None:
+            await self.chunk_session_.close()
+
     async def drain(self) -> None:
         """Announce the stop; sidecars have no callers' requests to finish."""
         self.leaving_ = True
--- a/shallotpath/fleet/_staging.py
+++ b/shallotpath/fleet/_staging.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 
 from ..core import Clock, sha256_hex
-from ..platform import CallError, EngineClient
+from ..platform import CallError, EngineClient, HttpCaller, open_chunk_session
 from ..swarm import SwarmPlan
 from ._reporter import LineReporter
 
@@ -83,13 +83,17 @@
                 await self.engine.stage(plan.model, index, chunk)
                 self.staged_.add(index)
         started_at = self.clock.now()
-        for first in range(0, len(plan.digests), PARALLEL_READS):
-            indices = range(first, min(first + PARALLEL_READS, len(plan.digests)))
-            reads = (self._is_intact(plan, index) for index in indices)
-            for index, intact in zip(indices, await gather(*reads), strict=True):
-                if not intact:
-                    self.staged_.discard(index)
-                    self.reporter.event("staged_chunk_spoilt", index=index)
+        # A connection that is kept from an earlier verification may still bring a late
+        # copy of what was staged then.
+        async with open_chunk_session() as session:
+            engine = self.engine.with_chunk_caller(HttpCaller(session))
+            for first in range(0, len(plan.digests), PARALLEL_READS):
+                indices = range(first, min(first + PARALLEL_READS, len(plan.digests)))
+                reads = (_is_intact(engine, plan, index) for index in indices)
+                for index, intact in zip(indices, await gather(*reads), strict=True):
+                    if not intact:
+                        self.staged_.discard(index)
+                        self.reporter.event("staged_chunk_spoilt", index=index)
         if len(self.staged_) != len(plan.digests):
             return False
         self.verified_at_ = started_at
@@ -113,12 +117,13 @@
                 f"{MAX_VERIFICATION_AGE}; they will be read again before the load"
             )
 
-    async def _is_intact(self, plan: SwarmPlan, index: int) -> bool:
-        """Check whether a staged chunk is still there and has the right digest."""
-        try:
-            staged = await self.engine.staged(plan.model, index)
-        except CallError as error:
-            if error.status == NOT_FOUND_STATUS:
-                return False
-            raise
-        return sha256_hex(staged) == plan.digests[index]
+
+async def _is_intact(engine: EngineClient, plan: SwarmPlan, index: int) -> bool:
+    """Check whether a staged chunk is still there and has the right digest."""
+    try:
+        staged = await engine.staged(plan.model, index)
+    except CallError as error:
+        if error.status == NOT_FOUND_STATUS:
+            return False
+        raise
+    return sha256_hex(staged) == plan.digests[index]
--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -12,7 +12,7 @@
 from ._headers import PlatformHeaderCodec
 from ._names import MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
 from ._records import RecordError, decode_operator_record, decode_upstream
-from ._session import open_session
+from ._session import open_chunk_session, open_session
 from ._settings import (
     METRICS_PORT_VARIABLE,
     Endpoint,
@@ -44,6 +44,7 @@
     "decode_operator_record",
     "decode_upstream",
     "load_process_settings",
+    "open_chunk_session",
     "open_session",
     "parse_process_settings",
 ]
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -111,10 +111,14 @@
 class OriginClient:
     """Fetch manifests and chunks from the origin."""
 
-    __slots__ = ("caller",)
+    __slots__ = ("caller", "chunk_caller")
 
-    def __init__(self, caller: HttpCaller) -> None:
+    def __init__(
+        self, caller: HttpCaller, chunk_caller: HttpCaller | None = None
+    ) -> None:
         self.caller = caller
+        # May keep its connections, as the bytes are compared with a digest.
+        self.chunk_caller = chunk_caller or caller
 
     async def manifest(
         self, address: str, model: str, version: int | None, timeout: timedelta
@@ -131,17 +135,28 @@
         """Return the bytes of a chunk."""
         # `num` is the index of the chunk.
         url = f"http://{address}/piece/{model}?num={index}&version={version}"
-        return await self.caller.call("GET", url, timeout)
+        return await self.chunk_caller.call("GET", url, timeout)
 
 
 class EngineClient:
     """Call the engine on the same VM."""
 
-    __slots__ = ("address", "caller")
+    __slots__ = ("address", "caller", "chunk_caller")
 
-    def __init__(self, address: Endpoint, caller: HttpCaller) -> None:
+    def __init__(
+        self,
+        address: Endpoint,
+        caller: HttpCaller,
+        chunk_caller: HttpCaller | None = None,
+    ) -> None:
         self.address = address
         self.caller = caller
+        # May keep its connections, as staged chunks are compared with a digest.
+        self.chunk_caller = chunk_caller or caller
+
+    def with_chunk_caller(self, chunk_caller: HttpCaller) -> EngineClient:
+        """Return a client that stages and reads chunks by another caller."""
+        return EngineClient(self.address, self.caller, chunk_caller)
 
     async def state(self) -> EngineState:
         """Return the engine's report."""
@@ -150,12 +165,15 @@
 
     async def stage(self, model: str, index: int, payload: bytes) -> None:
         """Put a chunk into the engine's staging area."""
-        await self._call("PUT", f"/stage-put/{model}?num={index}", payload)
+        url = f"http://{self.address}/stage-put/{model}?num={index}"
+        await self.chunk_caller.call(
+            "PUT", url, LOCAL_TIMEOUT, payload, max_bytes=MAX_REPORT_BYTES
+        )
 
     async def staged(self, model: str, index: int) -> bytes:
         """Return a staged chunk."""
-        path = f"/stage-get/{model}?num={index}"
-        return await self._call("GET", path, max_bytes=MAX_RESPONSE_BYTES)
+        url = f"http://{self.address}/stage-get/{model}?num={index}"
+        return await self.chunk_caller.call("GET", url, LOCAL_TIMEOUT)
 
     async def staged_indices(self, model: str) -> list[int]:
         """Return the indices of the staged chunks."""
@@ -193,12 +211,10 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-        *,
-        max_bytes: int = MAX_REPORT_BYTES,
     ) -> bytes:
         url = f"http://{self.address}{path}"
         return await self.caller.call(
-            method, url, LOCAL_TIMEOUT, body, headers, max_bytes=max_bytes
+            method, url, LOCAL_TIMEOUT, body, headers, max_bytes=MAX_REPORT_BYTES
         )
 
 
--- a/shallotpath/platform/_session.py
+++ b/shallotpath/platform/_session.py
@@ -9,6 +9,8 @@
 
 from ..forwarding import BoundedConnection
 
+# Time for which an idle connection stays open.
+KEEP_ALIVE_S = 10.0
 # Lower statuses (1xx) belong to interim responses.
 _FIRST_FINAL_STATUS = 200
 
@@ -30,17 +32,25 @@
 
 
 class _Connector(aiohttp.TCPConnector):
-    """Open a connection for each call.
+    def __init__(self, **options) -> None:
+        super().__init__(limit=0, **options)
+        self._factory = partial(SessionConnection, asyncio.get_running_loop())
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that opens a connection for each call.
 
     Responses do not name the call that they answer, so a late second copy of one would
     be taken for the response to the next call on its connection.
     """
+    return aiohttp.ClientSession(connector=_Connector(force_close=True))
 
-    def __init__(self) -> None:
-        super().__init__(limit=0, force_close=True)
-        self._factory = partial(SessionConnection, asyncio.get_running_loop())
 
+def open_chunk_session() -> aiohttp.ClientSession:
+    """Return a session that keeps connections, for calls that move chunks.
 
-def open_session() -> aiohttp.ClientSession:
-    """Return a session for calls to engines, the store, the origin and peers."""
-    return aiohttp.ClientSession(connector=_Connector())
+    The digest of a chunk tells it from all others, but not from an earlier state of the
+    same chunk.
+    """
+    connector = _Connector(keepalive_timeout=KEEP_ALIVE_S)
+    return aiohttp.ClientSession(connector=connector)
