Look for joined heads after bodies in chunks too

What callers saw: the status of one answer with the id and the body of another, on all kinds of route. Cause: where a body in chunks ends is known to the parser alone. The beginning of the next head that came in the same read stayed in the parser, out of sight of the checks, also behind a late copy that was being discarded while the answer was still awaited.

A read is cut at the bytes of a last chunk now, at 64 places at the most. Where the end of such a body was not the end of a parsed part and not a blank line, as a body with trailers may have it, the connection is not used again, and no further head is taken from it.

--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -20,8 +20,6 @@
 # 256 KiB, and parsing that many response heads blocks the event loop for 0.1 s.
 MAX_PARSE_BYTES = 16 * 1024
 _HEAD_END = b"\r\n\r\n"
-# End of a body in chunks that has no trailers.
-_LAST_CHUNK = b"0\r\n\r\n"
 MAX_CONTENT_LENGTH_DIGITS = 19
 
 
@@ -48,8 +46,6 @@
         # Bytes received after the last response that began no other one yet.
         self.trailing_bytes_ = 0
         self.chunked_ = False
-        # The last bytes received.
-        self.last_bytes_ = b""
         # Content-Length of the last response, if it has a valid one.
         self.content_length_: int | None = None
 
@@ -73,12 +69,11 @@
             super().data_received(data)
             self._close_if_oversized()
             return
-        self.last_bytes_ = data[-len(_LAST_CHUNK) :]
         start = 0
         while start < len(data):
             if self.transport is None or self.transport.is_closing():
                 return
-            end = self._parse_end(data, start)
+            end = self.parse_end(data, start)
             self.received_bytes_ += end - start
             if self.ended:
                 self.trailing_bytes_ += end - start
@@ -114,20 +109,12 @@
         """Check whether bytes have followed the last response that was read."""
         return bool(self.trailing_bytes_ or self._buffer)
 
-    @property
-    def ended_in_chunk(self) -> bool:
-        """Check whether the last bytes received are the end of a body in chunks.
-
-        The parser keeps the beginning of a head that came together with that end.
-        """
-        return _LAST_CHUNK.endswith(self.last_bytes_)
-
     @property
     def in_head(self) -> bool:
         """Check whether the next bytes belong to the head of a response."""
         return not self.bodies_ or self.ended
 
-    def _parse_end(self, data: bytes, start: int) -> int:
+    def parse_end(self, data: bytes, start: int) -> int:
         """Return where to stop parsing, at the end of a head or a body at the latest.
 
         If one call contains a response followed by malformed bytes, the parser raises
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -37,6 +37,11 @@
 SINGLE_USE_PERIOD = timedelta(seconds=30)
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _LINE_BREAKS = b"\r\n"
+# End of a body in chunks without trailers, and of any body in chunks.
+_LAST_CHUNK = b"0\r\n\r\n"
+_BLANK_LINE = b"\r\n\r\n"
+# Ends of bodies that are looked for in one read; a body may hold the same bytes.
+MAX_SPLITS_PER_READ = 64
 
 
 class UnreachableError(Exception):
@@ -73,6 +78,13 @@
         self.awaiting_response_ = False
         # Bytes of the head that is being received, if the connection is in use again.
         self.head_ = bytearray()
+        # The last bytes that were parsed, up to the length of a blank line.
+        self.last_bytes_ = b""
+        self.splits_left_ = 0
+        self.in_body_ = False
+        # Set if the parser may hold the beginning of a head that came with the end of a
+        # body in chunks.
+        self.rest_unknown_ = False
         # Set if a response or other bytes belonged to no waiting request.
         self.stuttered_ = False
         self.close_error_: BaseException | None = None
@@ -97,28 +109,53 @@
             self.abort()
             self.record_stutter()
             return
+        self.splits_left_ = MAX_SPLITS_PER_READ
         super().data_received(data)
 
+    def parse_end(self, data: bytes, start: int) -> int:
+        """Return where to stop parsing, at the last chunk of a body at the latest."""
+        end = super().parse_end(data, start)
+        if self.in_head or not self.chunked_ or not self.splits_left_:
+            return end
+        joint = self.last_bytes_ + data[start:end]
+        last_chunk = joint.find(_LAST_CHUNK)
+        if last_chunk < 0:
+            return end
+        self.splits_left_ -= 1
+        return start + last_chunk + len(_LAST_CHUNK) - len(self.last_bytes_)
+
     def parse(self, data: bytes) -> None:
         """Parse bytes; fail if the head of an earlier response is cut off in them.
 
         The next response would complete it: the status would be that of one response
         and the id that of the other.
         """
-        if not self.reused or not self.in_head:
-            super().parse(data)
-            return
-        self.head_ += data
-        begin = len(self.head_) - len(self.head_.lstrip(_LINE_BREAKS))
-        if _STATUS_LINE.search(self.head_, begin + 1):
-            self.fail_and_close(JoinedAnswersError("a status line inside of a head"))
+        self.in_body_ = not self.in_head
+        if not self.in_body_ and self.reused and self._joins_heads(data):
+            self.fail_and_close(JoinedAnswersError("a head in two parts"))
             return
         super().parse(data)
+        self.last_bytes_ = (self.last_bytes_ + data)[-len(_BLANK_LINE) :]
+        if self.in_body_ and self.ended and self.chunked_:
+            # A head that ends in a blank line is complete, so the parser holds none.
+            self.rest_unknown_ = self.last_bytes_ != _BLANK_LINE
 
-    def feed_data(self, *args) -> None:
-        """Record a parsed response head."""
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], *sizes: int
+    ) -> None:
+        """Record a parsed response head, unless its beginning was not looked at."""
         self.head_.clear()
-        super().feed_data(*args)
+        if self.in_body_:
+            self.fail_and_close(JoinedAnswersError("a head after the last chunk"))
+            return
+        super().feed_data(data, *sizes)
+
+    def _joins_heads(self, data: bytes) -> bool:
+        """Check whether a head that goes on with these bytes holds a status line."""
+        self.head_ += data
+        begin = len(self.head_) - len(self.head_.lstrip(_LINE_BREAKS))
+        inside = _STATUS_LINE.search(self.head_, begin + 1)
+        return self.rest_unknown_ or inside is not None
 
     def record_stutter(self) -> None:
         """Record that the upstream sent bytes that belong to no waiting request."""
@@ -141,6 +178,7 @@
             raise ClientError("connection closed before the request was sent")
         self.restart()
         self.head_.clear()
+        self.last_bytes_ = b""
         self.awaiting_response_ = True
         self.request_count_ += 1
         self.carried_ids_.add(hash(request_id))
@@ -224,7 +262,7 @@
         if (
             full
             or worn_out
-            or (connection.chunked_ and not connection.ended_in_chunk)
+            or connection.rest_unknown_
             or not connection.is_reusable
             or self.is_single_use(upstream_id, now)
         ):
