--- a/shallotpath/forwarding/tests/test_copies_after_chunks.py
+++ b/shallotpath/forwarding/tests/test_copies_after_chunks.py
@@ -74,6 +74,10 @@
     return stream_head(head) + EVENTS
 
 
+def with_trailers(head):
+    return in_chunks(head)[:-2] + b"X-Sum: 1\r\n\r\n"
+
+
 def with_length(head):
     return answer(
         head, b"id: 1\ndata: a\n\n", extra=["Content-Type: text/event-stream"]
@@ -81,7 +85,7 @@
 
 
 @pytest.mark.parametrize("pieces", [1, 2])
-@pytest.mark.parametrize("first_answer", [in_chunks, with_length])
+@pytest.mark.parametrize("first_answer", [in_chunks, with_trailers, with_length])
 @pytest.mark.parametrize("cut", CUTS)
 @pytest.mark.parametrize("name", ROUTES)
 async def test_part_of_a_copy_after_an_answer_is_not_joined_with_the_next_one(
@@ -95,12 +99,16 @@
         head, _ = await world.call(method="POST", number=1)
         assert "200 OK" in head
         head, body = await asyncio.wait_for(world.call(method="POST", number=2), 5)
-    assert not head.lstrip().startswith("HTTP/1.1 200"), (head, body)
+    assert head.startswith("HTTP/1.1 500"), (head, body)
 
 
+@pytest.mark.parametrize("pause_s", [0, 0.02])
+@pytest.mark.parametrize("copy", [in_chunks, with_trailers])
 @pytest.mark.parametrize("cut", CUTS)
 @pytest.mark.parametrize("name", ROUTES)
-async def test_part_of_a_copy_after_a_discarded_answer_is_not_joined(name, cut):
+async def test_part_of_a_copy_after_a_discarded_answer_is_not_joined(
+    name, cut, copy, pause_s
+):
     # Guards against the same where the answer in chunks is itself a late copy, which is
     # discarded while the next request waits.
     first_head = ""
@@ -112,10 +120,12 @@
         await writer.drain()
 
     async def copy_twice(reader, writer, head):
-        writer.write(in_chunks(first_head) + CUTS[cut])
-        await writer.drain()
-        await asyncio.sleep(0.02)
-        writer.write(failure(head))
+        left = copy(first_head) + CUTS[cut]
+        if pause_s:
+            writer.write(left)
+            await asyncio.sleep(pause_s)
+            left = b""
+        writer.write(left + failure(head))
         await writer.drain()
 
     upstream = Upstream(serve, copy_twice)
@@ -124,3 +134,26 @@
         assert "200 OK" in head
         head, body = await asyncio.wait_for(world.call(method="POST", number=2), 5)
     assert not head.lstrip().startswith("HTTP/1.1 200"), (head, body)
+
+
+@pytest.mark.parametrize("name", ROUTES)
+async def test_answer_in_one_read_with_a_late_copy_is_relayed(name):
+    # Guards against answers that are lost because they come right behind a whole copy.
+    first_head = ""
+
+    async def serve(reader, writer, head):
+        nonlocal first_head
+        first_head = head
+        writer.write(in_chunks(head))
+        await writer.drain()
+
+    async def copy_and_serve(reader, writer, head):
+        writer.write(in_chunks(first_head) + in_chunks(head))
+        await writer.drain()
+
+    upstream = Upstream(serve, copy_and_serve)
+    async with make_world(upstream, max_attempts=1, **ROUTES[name]) as world:
+        await world.call(method="POST", number=1)
+        head, _ = await asyncio.wait_for(world.call(method="POST", number=2), 5)
+    assert "200 OK" in head
+    assert "q2" in head
