--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -31,7 +31,7 @@
 MAX_TRUSTED_IDLE = timedelta(milliseconds=200)
 MAX_IDLE_PER_UPSTREAM = 16
 # Bounds the request ids that a connection remembers.
-MAX_REQUESTS_PER_CONNECTION = 256
+MAX_REQUESTS_PER_CONNECTION = 64
 # Time in which the connections of an upstream are used for one request each, after it
 # sent a response that no request was waiting for.
 SINGLE_USE_PERIOD = timedelta(seconds=30)
