Bound the bytes that an entry holds for all requests by one budget

Cause: the limits on answers hold for each request, and nothing for all together, so that enough requests of slow callers or faulty upstreams use up the VM's memory.

Change: MemoryBudget counts, by kind, bodies of requests, held responses, incomplete events, bodies of errors and of answers to other requests, and what connections have received and not read or written and not sent. A request draws on it through a lease, which the listener closes after the response is written or the handler has ended in any other way; a failed attempt gives back at its end. One request may hold a share of what is free (a dynamic threshold), at least 16 KiB. As the budget fills, responses are passed on earlier, upstreams are read only as callers take the bytes, then the least useful and largest requests end (outcome `shed`), and only a budget that is used up nevertheless refuses new requests, with 503 and Retry-After. Metrics request_bytes, slowed_reads, requests_shed, requests_refused_for_memory; log lines memory_tight and memory_relaxed. ForwarderParts and the choice of relayed headers move out of _exchange.py.

Ruled out: a fixed limit per request, which either wastes the budget or does not bound it; a queue of waiting reads, in which requests that hold memory wait for each other.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -16,6 +16,7 @@
     Forwarder,
     ForwarderParts,
     Listener,
+    MemoryBudget,
     report_crash,
 )
 from ..gateway import (
@@ -101,6 +102,8 @@
                 self._report_part, self.evidence_found_.set, self._is_trial_entry
             )
         )
+        self.memory = MemoryBudget.for_process(settings.memory_bytes)
+        self.memory.on_change = self._report_memory
         self.pool = ConnectionPool(self.clock, self.reporter)
         self.subsets = EntrySubsets(settings.node, settings.region)
         self.discovery_period_ = DiscoveryPeriod(self.clock.now())
@@ -157,7 +160,7 @@
         self.keep_running(self._follow_entries)
         self.keep_running(self._send_evidence)
         readiness, callers = self.settings.readiness, self.settings.callers
-        self.caller_listener_ = Listener(self.forwarder.handle)
+        self.caller_listener_ = Listener(self.forwarder.handle, memory=self.memory)
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
@@ -412,6 +415,20 @@
             **fields,
         )
 
+    def _measure_memory(self) -> None:
+        """Set the metrics of the bytes that are held for requests."""
+        for kind, size in self.memory.held_by_kind.items():
+            self.reporter.gauge("request_bytes", size, kind=kind)
+        self.reporter.gauge("slowed_reads", self.memory.slowed_reads)
+
+    def _report_memory(self, tight: bool) -> None:
+        """Report that the budget for requests is nearly used up, or not any more."""
+        self.reporter.event(
+            "memory_tight" if tight else "memory_relaxed",
+            limit_bytes=self.memory.limit_bytes,
+            held_bytes=self.memory.held_by_kind,
+        )
+
     def _report_part(
         self, part: str, crash_ids: Collection[str], refused: bool
     ) -> None:
@@ -433,6 +450,7 @@
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
+            self._measure_memory()
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -3,10 +3,11 @@
 from ._bounded import BoundedConnection, EndlessAnswerError
 from ._connection import ConnectionPool
 from ._events import EventSplitter
-from ._exchange import ForwarderParts
 from ._forwarder import Forwarder
 from ._ingress import Listener
 from ._journal import Reporter, RequestJournal, milliseconds, report_crash
+from ._memory import HeldKind, Lease, MemoryBudget
+from ._parts import ForwarderParts
 from ._responses import refusal
 from ._wire import (
     HOP_BY_HOP_HEADERS,
@@ -31,6 +32,9 @@
     "ResponseFields",
     "OutgoingFields",
     "HeaderCodec",
+    "HeldKind",
+    "Lease",
+    "MemoryBudget",
     "milliseconds",
     "refusal",
     "report_crash",
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -14,6 +14,7 @@
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._events import count_events
 from ._journal import RequestJournal
+from ._memory import HeldKind, Lease
 from ._wire import HeaderCodec, ResponseFields
 
 # Statuses that mean a refusal if the upstream also marks the request as not executed.
@@ -76,13 +77,16 @@
         pool: ConnectionPool,
         header_codec: HeaderCodec,
         notices: UpstreamNotices,
+        *,
         journal: RequestJournal,
+        lease: Lease,
     ) -> None:
         self.placement = placement
         self.pool = pool
         self.header_codec = header_codec
         self.notices = notices
         self.journal = journal
+        self.lease = lease
         self.connection_: UpstreamConnection | None = None
         self.message_: RawResponseMessage | None = None
         self.payload_: StreamReader | None = None
@@ -119,6 +123,7 @@
             )
         except UnreachableError as error:
             raise AttemptError(Failure(FailureKind.UNREACHABLE, str(error))) from error
+        self.connection_.lease = self.lease
 
     async def exchange(self, payload: bytes, request_id: str) -> None:
         """Send the request and read the head of its response."""
@@ -146,6 +151,7 @@
             raise AttemptError(
                 Failure(FailureKind.LOST, repr(self.connection_.close_error_))
             )
+        self.connection_.consumed(len(chunk))
         self.body_bytes_ += len(chunk)
         if self.body_bytes_ > MAX_RESPONSE_BYTES:
             raise AttemptError(
@@ -180,6 +186,7 @@
         connection, self.connection_ = self.connection_, None
         if connection is None:
             return
+        connection.return_lease()
         # An upstream that responded before it had read the whole request still
         # expects the rest of it, so the connection cannot be reused.
         if not connection.request_written:
@@ -192,6 +199,7 @@
         """Close the connection, which makes the upstream cancel the request."""
         connection, self.connection_ = self.connection_, None
         if connection is not None:
+            connection.return_lease()
             connection.abort()
 
     async def _read_head(self, request_id: str) -> None:
@@ -217,11 +225,23 @@
             mismatched_count += 1
             self.connection_.stuttered_ = True
             self.pool.record_stutter(self.placement.upstream.id)
-            await _discard_body(payload)
+            await self._discard_body(payload)
         raise AttemptError(
             Failure(FailureKind.GARBLED, "responses belong to other requests")
         )
 
+    async def _discard_body(self, payload: StreamReader) -> None:
+        """Read and drop the body of a response to another request."""
+        connection = self.connection_
+        connection.set_held_kind(HeldKind.DISCARDED)
+        discarded_bytes = 0
+        while chunk := await payload.readany():
+            connection.consumed(len(chunk))
+            discarded_bytes += len(chunk)
+            if discarded_bytes > MAX_MISMATCHED_BODY_BYTES:
+                raise EndlessAnswerError("long body of a response to another request")
+        connection.set_held_kind(HeldKind.UNREAD)
+
     def _record_notice(self, fields: ResponseFields) -> None:
         """Record what the upstream says of itself, unless another one responded."""
         record = self.placement.upstream.record
@@ -261,15 +281,6 @@
         return Failure(FailureKind.MISDIRECTED, detail, fields.retry_after)
 
 
-async def _discard_body(payload: StreamReader) -> None:
-    """Read and drop the body of a response to another request."""
-    discarded_bytes = 0
-    while chunk := await payload.readany():
-        discarded_bytes += len(chunk)
-        if discarded_bytes > MAX_MISMATCHED_BODY_BYTES:
-            raise EndlessAnswerError("long body of a response to another request")
-
-
 async def wait_for_task(task: asyncio.Task[None], limit_s: float | None) -> bool:
     """Wait for a task and return whether it ended within the time limit."""
     done, _ = await asyncio.wait({task}, timeout=limit_s)
--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -96,6 +96,13 @@
         """Check whether the body of the last response is complete."""
         return bool(self.bodies_) and self.bodies_[-1].is_eof()
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the bytes of all bodies received since the request was sent."""
+        if len(self.bodies_) == 1:
+            return self.bodies_[0].total_bytes
+        return sum(body.total_bytes for body in self.bodies_)
+
     def _parse_end(self, data: bytes, start: int) -> int:
         """Return where to stop parsing, at the end of a head or a body at the latest.
 
@@ -124,7 +131,7 @@
             # Reading is paused for a slow reader, so some received bytes are not parsed
             # yet and would count as overhead.
             return ""
-        body_bytes = sum(body.total_bytes for body in self.bodies_)
+        body_bytes = self.body_bytes
         overhead_bytes = self.received_bytes_ - body_bytes
         if overhead_bytes > MAX_OVERHEAD_BYTES + body_bytes:
             return f"{overhead_bytes} bytes of overhead for {body_bytes} bytes of body"
--- a/shallotpath/forwarding/_caller.py
+++ b/shallotpath/forwarding/_caller.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ._memory import HeldKind, Lease
+
+# Time between checks whether a caller has read enough while memory is short.
+SLOWED_READ_INTERVAL_S = 0.1
+
 
 class CallerDisconnectedError(Exception):
     """Report that the caller closed its connection."""
@@ -13,10 +20,11 @@
 class CallerResponse:
     """Write a response to the caller in parts."""
 
-    __slots__ = ("request", "response_")
+    __slots__ = ("lease", "request", "response_")
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    def __init__(self, request: web.BaseRequest, lease: Lease) -> None:
         self.request = request
+        self.lease = lease
         self.response_: web.StreamResponse | None = None
 
     @property
@@ -39,9 +47,13 @@
             raise CallerDisconnectedError from error
 
     async def write(self, data: bytes) -> None:
-        """Write a part of the body; wait while the caller reads slowly."""
+        """Write a part of the body; wait while the caller reads slowly.
+
+        While memory is short, wait until the request holds no more than its share.
+        """
         if not data:
             return
+        self._count_unsent(len(data))
         try:
             await self.response_.write(data)
             # The response itself waits only once more than 64 KiB were written since
@@ -49,6 +61,10 @@
             await self.request.writer.drain()
         except ConnectionError as error:
             raise CallerDisconnectedError from error
+        if self._must_wait():
+            self.lease.budget.slowed_reads += 1
+            while self._must_wait():  # noqa: ASYNC110
+                await asyncio.sleep(SLOWED_READ_INTERVAL_S)
 
     async def end(self) -> web.StreamResponse:
         """Write the end of the body and return the response."""
@@ -58,6 +74,19 @@
             raise CallerDisconnectedError from error
         return self.response_
 
+    def _must_wait(self) -> bool:
+        """Check whether the caller must take more before the upstream is read."""
+        return self._count_unsent() > 0 and self.lease.exceeds_allowance
+
+    def _count_unsent(self, new_bytes: int = 0) -> int:
+        """Count the bytes that the caller has not taken and return their number."""
+        transport = self.request.transport
+        unsent_bytes = new_bytes
+        if transport is not None:
+            unsent_bytes += transport.get_write_buffer_size()
+        self.lease.hold(HeldKind.UNSENT, unsent_bytes)
+        return unsent_bytes
+
     def abort(self) -> web.StreamResponse:
         """Abort the connection so that the response is seen as truncated."""
         transport = self.request.transport
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -14,6 +14,7 @@
 from ..settings import check_host_port
 from ._bounded import MAX_HEADER_BYTES, BoundedConnection
 from ._journal import Reporter
+from ._memory import HeldKind, Lease
 from ._reads import READER_LOW_WATER_BYTES, limit_kernel_buffer
 
 # Round trips take up to about 4 ms; a lost SYN is only retransmitted after 1 s.
@@ -59,6 +60,11 @@
         # Hashes of the ids of all requests that the connection has carried.
         self.carried_ids_: set[int] = set()
         self.awaiting_response_ = False
+        # The request whose bytes the connection holds.
+        self.lease: Lease | None = None
+        self.held_kind_ = HeldKind.UNREAD
+        # Bytes of bodies that were read since the request was sent.
+        self.read_bytes_ = 0
         # Set if a response or other bytes belonged to no waiting request.
         self.stuttered_ = False
         self.close_error_: BaseException | None = None
@@ -90,6 +96,31 @@
             self.abort()
             return
         super().data_received(data)
+        if data:
+            self.count_unread()
+
+    def consumed(self, size: int) -> None:
+        """Count bytes of a body as read."""
+        self.read_bytes_ += size
+        self.count_unread()
+
+    def count_unread(self) -> None:
+        """Count the bytes of bodies that are not read yet for the request."""
+        if self.lease is not None and self.bodies_:
+            self.lease.hold(self.held_kind_, self.body_bytes - self.read_bytes_)
+
+    def set_held_kind(self, kind: HeldKind) -> None:
+        """Count unread bytes as another kind."""
+        if self.lease is not None:
+            self.lease.hold(self.held_kind_, 0)
+        self.held_kind_ = kind
+        self.count_unread()
+
+    def return_lease(self) -> None:
+        """Count nothing for the request any more."""
+        if self.lease is not None:
+            self.lease.hold(self.held_kind_, 0)
+        self.lease, self.held_kind_ = None, HeldKind.UNREAD
 
     def may_carry(self, request_id: str) -> bool:
         """Check whether a response with an id can only belong to a new request.
@@ -106,6 +137,7 @@
         if self.transport is None:
             raise ClientError("connection closed before the request was sent")
         self.restart()
+        self.read_bytes_ = 0
         self.awaiting_response_ = True
         self.request_count_ += 1
         self.carried_ids_.add(hash(request_id))
--- a/shallotpath/forwarding/_deadlines.py
+++ b/shallotpath/forwarding/_deadlines.py
@@ -11,6 +11,12 @@
 MIN_SUSPENSION = timedelta(milliseconds=50)
 
 
+def expire(timeout: asyncio.Timeout) -> None:
+    """Let a timeout expire now."""
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
+
+
 class Deadlines:
     """Time out requests and adjust their timers after a suspension.
 
@@ -25,22 +31,25 @@
         self.clock_offset_s_: float | None = None
 
     @asynccontextmanager
-    async def until(self, ends_at: datetime, now: datetime) -> AsyncIterator[None]:
-        """Raise `TimeoutError` if the block has not ended at `ends_at`."""
+    async def until(
+        self, ends_at: datetime, now: datetime
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """Raise `TimeoutError` if the block has not ended at `ends_at`.
+
+        The yielded timeout may be rescheduled to end the block earlier.
+        """
         timeout = asyncio.timeout(max(0.0, (ends_at - now).total_seconds()))
         self.ends_at_by_timeout_[timeout] = ends_at
         try:
             async with timeout:
-                yield
+                yield timeout
         finally:
             del self.ends_at_by_timeout_[timeout]
 
     def expire(self) -> None:
         """Time out all pending requests now."""
-        now_s = asyncio.get_running_loop().time()
         for timeout in self.ends_at_by_timeout_:
-            if not timeout.expired():
-                timeout.reschedule(now_s)
+            expire(timeout)
 
     def adjust_timers(self, now: datetime) -> timedelta:
         """Reschedule the timers after a suspension and return its duration."""
--- a/shallotpath/forwarding/_events.py
+++ b/shallotpath/forwarding/_events.py
@@ -35,6 +35,11 @@
         """Return the id of the last complete event."""
         return self.last_id_
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes of the incomplete event."""
+        return len(self.pending_)
+
     def feed(self, chunk: bytes) -> bytes:
         """Buffer bytes and return the events that are complete."""
         pending = self.pending_
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -4,25 +4,20 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
-from itertools import count
+from functools import partial
 
 from aiohttp import web
-from multidict import CIMultiDict
 
-from ..core import Clock, RunState
+from ..core import RunState
 from ..gateway import (
-    CrashSuspects,
-    Dispatcher,
     Failure,
     FailureKind,
     GatewayCall,
     Placement,
     Rejection,
-    Retries,
     RouteKind,
 )
 from ._attempt import (
@@ -33,14 +28,15 @@
     wait_for_task,
 )
 from ._caller import CallerDisconnectedError, CallerResponse
-from ._connection import ConnectionPool
-from ._deadlines import Deadlines
+from ._deadlines import expire
 from ._events import EndlessEventError, EventSplitter
 from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
-from ._responses import BufferedResponse, refusal
-from ._wire import HOP_BY_HOP_HEADERS, HeaderCodec, OutgoingFields
+from ._memory import FREE_SHARE, MIN_ALLOWANCE_BYTES, HeldKind, Lease
+from ._parts import ForwarderParts
+from ._responses import BufferedResponse, refusal, relayed_headers
+from ._wire import OutgoingFields
 
 # The upstream stops work at the deadline; this leaves time for its response to arrive.
 DEADLINE_GRACE = timedelta(milliseconds=60)
@@ -69,30 +65,6 @@
 _SERVER_ERROR = 500
 
 
-@dataclass(slots=True)
-class ForwarderParts:
-    """Hold the objects that all requests of an entry share."""
-
-    dispatcher: Dispatcher
-    retries: Retries
-    suspects: CrashSuspects
-    pool: ConnectionPool
-    header_codec: HeaderCodec
-    clock: Clock
-    deadlines: Deadlines = field(default_factory=Deadlines)
-    attempt_numbers: Iterator[int] = field(default_factory=count)
-    # When this entry stops. Responses then close the connection, so that callers
-    # reconnect to other entries.
-    stops_at: datetime | None = None
-    # Requests that arrive later could not be finished before the stop.
-    accepting: bool = True
-
-    @property
-    def stopping(self) -> bool:
-        """Check whether a stop is planned."""
-        return self.stops_at is not None
-
-
 class Exchange:
     """Forward one request to an upstream and its response to the caller."""
 
@@ -105,6 +77,7 @@
         body: bytes,
         journal: RequestJournal,
         failures: FailureRecorder,
+        lease: Lease,
     ) -> None:
         self.parts = parts
         self.request = request
@@ -112,11 +85,12 @@
         self.body = body
         self.journal = journal
         self.failures = failures
+        self.lease = lease
         self.send_count_ = 0
         self.unsent_attempts_ = 0
         self.tried_ids_: set[str] = set()
         self.attempt_: Attempt | None = None
-        self.caller_ = CallerResponse(request)
+        self.caller_ = CallerResponse(request, lease)
         self.events_ = EventSplitter()
         self.error_response_: BufferedResponse | None = None
         self.may_have_run_ = False
@@ -137,13 +111,17 @@
         try:
             async with self.parts.deadlines.until(
                 self.call.ends_at + DEADLINE_GRACE, now
-            ):
+            ) as timeout:
+                self.lease.on_shed = partial(expire, timeout)
                 return await self._run()
         except TimeoutError:
             return self._timeout_response()
         except CallerDisconnectedError:
             self.outcome_ = "caller_gone"
             return self.caller_.abort()
+        finally:
+            # The caller may still read a whole response slowly.
+            self.lease.on_shed = self.caller_.abort
 
     async def _run(self) -> web.StreamResponse:
         decision = self._choose_upstream()
@@ -216,7 +194,8 @@
             self.parts.pool,
             self.parts.header_codec,
             upstreams.notices,
-            self.journal,
+            journal=self.journal,
+            lease=self.lease,
         )
         self.attempt_ = attempt
         loads = self.parts.dispatcher.loads
@@ -247,6 +226,13 @@
         finally:
             loads.ended(key)
             attempt.abort()
+            self._return_memory()
+
+    def _return_memory(self) -> None:
+        """Give back what an attempt held, but for a kept server error."""
+        self.lease.drop(HeldKind.EVENT, HeldKind.RESPONSE, HeldKind.ERROR)
+        if self.error_response_ is not None:
+            self.lease.hold(HeldKind.ERROR, len(self.error_response_.body))
 
     def _check_deadline(self) -> None:
         """Raise `TimeoutError` if the deadline of the request has passed."""
@@ -336,27 +322,36 @@
             SILENCE_IN_TARGET_LATENCIES * self.call.route.target_latency,
         )
         idle_limit = IdleLimit(limit, self.parts.clock, "body is not complete")
-        while size <= MAX_BUFFERED_BYTES:
+        is_error = attempt.status >= _SERVER_ERROR
+        kind = HeldKind.ERROR if is_error else HeldKind.RESPONSE
+        while size <= MIN_ALLOWANCE_BYTES or size <= self._buffer_limit():
             chunk = await self._read_or_retry(attempt, idle_limit)
             if not chunk:
                 return self._respond_buffered(attempt, b"".join(chunks))
             chunks.append(chunk)
             size += len(chunk)
-        if attempt.status >= _SERVER_ERROR and self.call.route.repeatable:
+            self.lease.hold(kind, size)
+        if is_error and self.call.route.repeatable:
             detail = f"status {attempt.status} with a long body"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
         await self._start_response(attempt)
         while chunks:
+            size -= len(chunks[0])
+            self.lease.hold(kind, size)
             await self.caller_.write(chunks.popleft())
         while chunk := await attempt.read():
             await self.caller_.write(chunk)
         return await self.caller_.end()
 
+    def _buffer_limit(self) -> int:
+        """Return how much of a response may be held before it is passed on."""
+        return min(MAX_BUFFERED_BYTES, self.lease.budget.allowance(FREE_SHARE))
+
     def _respond_buffered(self, attempt: Attempt, body: bytes) -> web.StreamResponse:
         buffered = BufferedResponse(
             attempt.status,
             attempt.message_.reason,
-            self._response_headers(attempt),
+            relayed_headers(attempt.message_.headers),
             body,
         )
         if buffered.status >= _SERVER_ERROR:
@@ -374,6 +369,7 @@
         idle_limit = IdleLimit(stall, self.parts.clock, "pause in the stream")
         while chunk := await self._read_or_retry(attempt, idle_limit):
             complete = self._complete_events(chunk)
+            self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
                 attempt.count_events(complete)
                 if attempt.answer_begun:
@@ -414,14 +410,6 @@
         finally:
             task.cancel()
 
-    def _response_headers(self, attempt: Attempt) -> CIMultiDict:
-        headers = CIMultiDict()
-        for name, value in attempt.message_.headers.items():
-            lowered = name.lower()
-            if lowered not in HOP_BY_HOP_HEADERS and lowered != "content-length":
-                headers.add(name, value)
-        return headers
-
     async def _start_response(self, attempt: Attempt) -> None:
         if self.caller_.started:
             return
@@ -429,12 +417,14 @@
         await self.caller_.start(
             attempt.status,
             attempt.message_.reason,
-            self._response_headers(attempt),
+            relayed_headers(attempt.message_.headers),
             close=self.parts.stopping,
         )
 
     def _build_response(self, buffered: BufferedResponse) -> web.Response:
         self.journal.first_byte_at = self.parts.clock.now()
+        # The body and its copy in the buffer of the caller's connection.
+        self.lease.hold(HeldKind.UNSENT, 2 * len(buffered.body))
         return buffered.build()
 
     def _note_failure(self, failure: Failure) -> None:
@@ -468,8 +458,13 @@
 
     def _timeout_response(self) -> web.StreamResponse:
         self.outcome_ = "timed_out"
+        detail = "no answer within the route's timeout"
+        if self.lease.is_shed:
+            detail = "ended for want of memory"
+            self.outcome_ = "shed"
+            self.journal.shed(self.parts.clock.now())
         if self.caller_.started:
             return self.caller_.abort()
         if self.send_count_ == 0:
             return refusal(503, "no upstream could be reached in time")
-        return refusal(504, "no answer within the route's timeout")
+        return refusal(504, detail)
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -10,9 +10,12 @@
 from aiohttp import web
 
 from ..gateway import Catalog, GatewayCall, OperatorState, Route, Team, shared_parts
-from ._exchange import Exchange, ForwarderParts
+from ._exchange import Exchange
 from ._failures import FailureRecorder
+from ._ingress import LEASE
 from ._journal import Reporter, RequestJournal
+from ._memory import BODY_FREE_SHARE, HeldKind, Lease
+from ._parts import ForwarderParts
 from ._responses import refusal
 from ._wire import RequestFields
 
@@ -22,9 +25,15 @@
 MIN_SUSPECT_RETRY_AFTER = timedelta(seconds=10)
 # Other entries can take the request at once.
 STOPPING_RETRY_AFTER = timedelta(milliseconds=100)
+# Retry-After while memory is short; other entries can take the request at once.
+MEMORY_RETRY_AFTER = timedelta(milliseconds=500)
 FINGERPRINT_BYTES = 12
 
 
+class MemoryFullError(Exception):
+    """Report that a request cannot be held now."""
+
+
 class Forwarder:
     """Serve the requests of callers."""
 
@@ -57,7 +66,10 @@
         fields = self.parts.header_codec.read_request(request.headers)
         journal = RequestJournal(self.reporter, fields.request_id, arrived_at)
         outcome, status, call = "caller_gone", 0, None
+        lease = request[LEASE]
         try:
+            if lease.budget.is_full:
+                raise MemoryFullError
             prepared = await self._prepare(request, fields, arrived_at)
             if isinstance(prepared, web.Response):
                 outcome, response = "denied", prepared
@@ -69,13 +81,17 @@
                 if response is not None:
                     outcome = "refused"
                 else:
-                    exchange = self._build_exchange(request, call, body, journal)
+                    exchange = self._build_exchange(request, call, body, journal, lease)
                     response = await exchange.run()
                     outcome = exchange.outcome
             status = response.status
             if self.parts.stopping and not response.prepared:
                 response.force_close()
             return response
+        except MemoryFullError:
+            outcome, status = "refused", 503
+            journal.full(clock.now())
+            return refusal(status, "memory is short", MEMORY_RETRY_AFTER)
         except asyncio.CancelledError:
             outcome = "caller_gone"
             raise
@@ -104,7 +120,7 @@
         if team is None and not route.public and catalog.requires_keys:
             return self._deny_unknown(401, "the key is not known")
         try:
-            body = await request.read()
+            body = await _read_body(request)
         except web.HTTPRequestEntityTooLarge:
             return refusal(413, "the body is larger than the operator allows")
         call = self._build_call(
@@ -149,6 +165,7 @@
         call: GatewayCall,
         body: bytes,
         journal: RequestJournal,
+        lease: Lease,
     ) -> Exchange:
         self.parts.retries.budget.record_request(call.service, call.arrived_at)
         return Exchange(
@@ -158,6 +175,7 @@
             body=body,
             journal=journal,
             failures=self.failures,
+            lease=lease,
         )
 
     def _deny_unknown(self, status: int, detail: str) -> web.Response:
@@ -207,3 +225,22 @@
             prompt_parts=fields.prompt_parts,
             shared_parts=shared_parts(fields.model, fields.prompt_parts),
         )
+
+
+async def _read_body(request: web.BaseRequest) -> bytes:
+    """Return the body; raise `MemoryFullError` if it cannot be held now."""
+    if not request.can_read_body:
+        return b""
+    lease, limit = request[LEASE], request.client_max_size
+    parts: list[bytes] = []
+    size = 0
+    while part := await request.content.readany():
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            raise web.HTTPRequestEntityTooLarge(max_size=limit, actual_size=size)
+        # The body and its copy in the request to the upstream.
+        lease.hold(HeldKind.REQUEST, 2 * size)
+        if size > lease.budget.allowance(BODY_FREE_SHARE):
+            raise MemoryFullError
+    return b"".join(parts)
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -9,8 +9,11 @@
 
 from aiohttp import web
 
+from ._memory import Lease, MemoryBudget
 from ._reads import READER_LOW_WATER_BYTES, SmallReads, limit_kernel_buffer
 
+# The lease of a request among its values.
+LEASE = web.RequestKey("lease", Lease)
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 BACKLOG = 1024
@@ -67,8 +70,10 @@
         *,
         idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT,
         max_body: int = DEFAULT_MAX_BODY_BYTES,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.handler = handler
+        self.memory = memory or MemoryBudget()
         self.idle_timeout = idle_timeout
         self.max_body = max_body
         self.server_: web.Server | None = None
@@ -131,6 +136,7 @@
         """Handle a request; it counts as answered once its response is written."""
         self.active_ += 1
         request.protocol.mark_begun()
+        request[LEASE] = lease = self.memory.open()
         try:
             response = await self.handler(request)
             transport = request.transport
@@ -139,6 +145,7 @@
                 await response.write_eof()
             return response
         finally:
+            lease.close()
             self.active_ -= 1
             request.protocol.mark_answered()
             if self.closing_:
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -91,6 +91,16 @@
         """Record that the request came too late before a planned stop."""
         self.steps.append(f"{self._elapsed(now)} refused: this entry is stopping")
 
+    def shed(self, now: datetime) -> None:
+        """Record that the request was ended for want of memory."""
+        self.reporter.count("requests_shed")
+        self.steps.append(f"{self._elapsed(now)} ended for want of memory")
+
+    def full(self, now: datetime) -> None:
+        """Record that the request was refused for want of memory."""
+        self.reporter.count("requests_refused_for_memory")
+        self.steps.append(f"{self._elapsed(now)} refused for want of memory")
+
     def suspected(self, subject: str, now: datetime) -> None:
         """Record why a request counts as one that crashes its upstream."""
         self.steps.append(f"{self._elapsed(now)} refused: {subject} crashed upstreams")
--- a/shallotpath/forwarding/_responses.py
+++ b/shallotpath/forwarding/_responses.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ._wire import HOP_BY_HOP_HEADERS
+
 
 @dataclass(slots=True)
 class BufferedResponse:
@@ -28,6 +31,16 @@
         )
 
 
+def relayed_headers(headers: Mapping[str, str]) -> CIMultiDict:
+    """Return the headers of an upstream's response that are passed on."""
+    relayed = CIMultiDict()
+    for name, value in headers.items():
+        lowered = name.lower()
+        if lowered not in HOP_BY_HOP_HEADERS and lowered != "content-length":
+            relayed.add(name, value)
+    return relayed
+
+
 def refusal(
     status: int, detail: str, retry_after: timedelta | None = None
 ) -> web.Response:
--- a/shallotpath/forwarding/tests/held.py
+++ b/shallotpath/forwarding/tests/held.py
@@ -15,6 +15,7 @@
 from datetime import timedelta
 from pathlib import Path
 
+from shallotpath.forwarding import MemoryBudget
 from shallotpath.gateway import RouteKind
 
 from .endless import (
@@ -203,11 +204,10 @@
         watch, results, details = LoopWatch(), Counter(), {}
         faulty, sound = ports[: load.upstreams], ports[load.upstreams :]
         route = CELLS[cell][2] | {"timeout": timedelta(milliseconds=TIMEOUT_MS)}
+        memory = MemoryBudget.for_process(MEMORY_BYTES)
         async with (
-            make_world(*faulty, **route) as world,
-            make_world(
-                *sound,
-            ) as other,
+            make_world(*faulty, memory=memory, **route) as world,
+            make_world(*sound, memory=memory) as other,
         ):
             outcomes = count_outcomes(world)
             count_outcomes(other)
@@ -230,6 +230,7 @@
                 details["after_gc_mb"] = memory_kb("VmRSS") >> 10
                 ctypes.CDLL(None).malloc_trim(0)
                 details["after_trim_mb"] = memory_kb("VmRSS") >> 10
+            counted = memory.held_bytes
         # The handlers of aborted connections end one iteration later.
         await asyncio.sleep(0.1)
         pipe.send(
@@ -240,6 +241,8 @@
                 "last_mb": last >> 10,
                 "longest_pause_s": round(watch.pause_s_, 3),
                 "pause_cpu_s": round(watch.pause_cpu_s_, 3),
+                "counted_mb": counted >> 20,
+                "counted_at_end": memory.held_bytes,
                 "outcomes": dict(outcomes),
                 "small_answers": dict(results),
             }
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -249,7 +249,9 @@
 
 
 @asynccontextmanager
-async def make_world(*upstreams, fresh=True, budget=100, clock=None, **route):
+async def make_world(
+    *upstreams, fresh=True, budget=100, clock=None, memory=None, **route
+):
     """Run a forwarder in front of upstreams on loopback."""
     clock = clock or MonotonicClock()
     operator, table = OperatorState(), UpstreamTable()
@@ -291,7 +293,7 @@
         clock=clock,
     )
     forwarder = Forwarder(parts, operator, lambda: fresh, reporter)
-    listener = Listener(forwarder.handle)
+    listener = Listener(forwarder.handle, memory=memory)
     port = await listener.start(HOST, 0)
     try:
         yield World(port, reporter, forwarder, listener)
--- a/shallotpath/forwarding/tests/test_held_memory.py
+++ b/shallotpath/forwarding/tests/test_held_memory.py
@@ -14,9 +14,10 @@
 
 @pytest.mark.parametrize("cell", CELLS)
 async def test_endless_answers_keep_an_entry_process_small(cell):
-    # Guards against faulty upstreams that use up the memory of an entry or delay the
-    # requests of others.
+    # Guards against faulty upstreams that use up the memory of an entry, delay the
+    # requests of others, or leave bytes counted for requests that have ended.
     figures = await asyncio.to_thread(measure, LOAD, cell)
     assert figures["growth_mb"] < MAX_GROWTH_MB
+    assert figures["counted_at_end"] == 0
     answers = figures["small_answers"]
     assert answers["on time"] >= MIN_ON_TIME_SHARE * sum(answers.values())
