Do not slow the response to a large request while memory is free

Cause: the allowance of a response was compared with all that its request holds. A body of 1 MB and its copy exceed 1/64 of a free budget, so each write to a caller that had not taken everything waited up to 0.1 s.

Change: the body of the request does not count towards the allowance of its response. The new test failed before.

--- a/shallotpath/forwarding/_memory.py
+++ b/shallotpath/forwarding/_memory.py
@@ -74,8 +74,9 @@
 
     @property
     def exceeds_allowance(self) -> bool:
-        """Check whether the request holds more than its share of the free budget."""
-        return self.held_bytes_ > self.budget.allowance(FREE_SHARE)
+        """Check whether the response takes more than its share of the free budget."""
+        response_bytes = self.held_bytes_ - self.bytes_by_kind_.get(HeldKind.REQUEST, 0)
+        return response_bytes > self.budget.allowance(FREE_SHARE)
 
     def hold(self, kind: HeldKind, size: int) -> None:
         """Set the bytes held of a kind."""
--- a/shallotpath/forwarding/tests/test_memory.py
+++ b/shallotpath/forwarding/tests/test_memory.py
@@ -57,6 +57,14 @@
     assert small.exceeds_allowance
 
 
+def test_body_of_a_request_does_not_slow_its_response():
+    # Guards against waiting for the caller of a large request while memory is free.
+    lease = MemoryBudget(LIMIT).open()
+    lease.hold(HeldKind.REQUEST, LIMIT // 8)
+    lease.hold(HeldKind.UNSENT, 64 * KIB)
+    assert not lease.exceeds_allowance
+
+
 def test_least_useful_bytes_are_shed_first_and_largest_first():
     # Guards against ending sound requests while bytes without use are held.
     budget, ended = MemoryBudget(LIMIT), []
