--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -151,7 +151,8 @@
             raise AttemptError(
                 Failure(FailureKind.LOST, repr(self.connection_.close_error_))
             )
-        self.connection_.consumed(len(chunk))
+        if chunk:
+            self.connection_.consumed(len(chunk))
         self.body_bytes_ += len(chunk)
         if self.body_bytes_ > MAX_RESPONSE_BYTES:
             raise AttemptError(
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -119,7 +119,7 @@
     def return_lease(self) -> None:
         """Count nothing for the request any more."""
         if self.lease is not None:
-            self.lease.hold(self.held_kind_, 0)
+            self.lease.drop(self.held_kind_)
         self.lease, self.held_kind_ = None, HeldKind.UNREAD
 
     def may_carry(self, request_id: str) -> bool:
