--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -148,7 +148,7 @@
     def return_lease(self) -> None:
         """Count nothing for the request any more."""
         if self.lease is not None:
-            self.lease.hold(self.held_kind_, 0)
+            self.lease.drop(self.held_kind_)
         self.lease, self.held_kind_ = None, HeldKind.UNREAD
 
     def parse_end(self, data: bytes, start: int) -> int:
