Let upstreams of the soak answer twice and callers repeat ids

Cause: the soak tied runs and answers to the id in the header and gave each request an id of its own, so an answer to an earlier request with the same id could not be seen, and no upstream wrote an answer a second time.

Change: attempts, runs, arrivals and bodies are known by the last part of the path, which is unique; the header's id may repeat. Each run has a signature of its own. New checks: an answer is signed by a run of its own attempt and has that run's status (MIXED), a failure of an upstream is whole and its own too, the id and the body arrive unchanged (UNASKED). One upstream in two writes whole or cut copies of earlier answers, with and without the id, before the next answer, after an answer or while idle; some first runs fail. One request in six has the id of an earlier one, of the same caller or of one that may be unanswered. The checks for other invariants are unchanged.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 
 import aiohttp
@@ -13,7 +14,7 @@
 from shallotpath.core import Clock
 from shallotpath.platform import _names as names
 
-from ._content import MODEL, TEAM_KEY, whole_body
+from ._content import MODEL, TEAM_KEY, failure_body, stable_hash, whole_body
 from ._ledger import Attempt, Ending, Kind, Ledger
 from ._program import CALLERS_PORT, READY_PORT, Program
 
@@ -27,6 +28,10 @@
 MISSED_PROBE_LIMIT = 2
 PAUSE_RANGE_S = (0.02, 0.12)
 RETRY_PAUSE_RANGE_S = (0.05, 0.3)
+# One in this many requests has the id of an earlier one.
+REPEATED_ID_INTERVAL = 6
+# How many of the last attempts of all callers the id may be of; some are unanswered.
+REPEATED_ID_REACH = 20
 
 
 class Balancer:
@@ -69,6 +74,7 @@
     random: Random
     sent_count_: int = 0
     entry_: int | None = None
+    last_: Attempt | None = None
     session_: aiohttp.ClientSession | None = None
 
     async def run(self) -> None:
@@ -90,8 +96,11 @@
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
             self.session_ = aiohttp.ClientSession(connector=connector)
         self.sent_count_ += 1
-        request_id = f"{self.number:02x}{self.sent_count_:06x}"
-        attempt = Attempt(request_id, kind, self.entry_, self.clock.now())
+        attempt_id = f"{self.number:02x}{self.sent_count_:06x}"
+        attempt = Attempt(attempt_id, kind, self.entry_, self.clock.now())
+        attempt.request_id = attempt_id
+        self._repeat_id(attempt)
+        self.last_ = attempt
         self.ledger.attempts_by_id[attempt.id] = attempt
         try:
             keeps_connection = await self._send(attempt)
@@ -108,13 +117,30 @@
             await self._close_session()
         return attempt.status == 200 and attempt.ending is Ending.ANSWERED
 
+    def _repeat_id(self, attempt: Attempt) -> None:
+        """Give an attempt the id of an earlier one now and then.
+
+        It repeats the last one of this caller, with the same kind, so that it may use
+        the same connection to an upstream, or one of any caller that may be unanswered.
+        """
+        choice = stable_hash(attempt.id, "repeat")
+        if choice % REPEATED_ID_INTERVAL or self.last_ is None:
+            return
+        choice //= REPEATED_ID_INTERVAL
+        if choice % 2:
+            attempt.request_id, attempt.kind = self.last_.request_id, self.last_.kind
+        else:
+            latest = reversed(self.ledger.attempts_by_id.values())
+            earlier = list(islice(latest, REPEATED_ID_REACH))
+            attempt.request_id = earlier[choice // 2 % len(earlier)].request_id
+
     async def _send(self, attempt: Attempt) -> bool:
         """Send a request, read its answer and return whether to keep the connection."""
         host = self.balancer.entries[attempt.entry].host
         url = f"http://{host}:{CALLERS_PORT}/{attempt.kind}/{attempt.id}"
         headers = {
             "Host": HOST,
-            names.REQUEST_ID: attempt.id,
+            names.REQUEST_ID: attempt.request_id,
             names.API_KEY: TEAM_KEY,
             names.DEADLINE_MS: str(DEADLINE_MS),
         }
@@ -130,21 +156,24 @@
             url, data=attempt.id.encode(), headers=headers, timeout=timeout
         ) as response:
             attempt.status = response.status
+            attempt.seal = response.headers.get(names.SEAL, "")
             body = await response.read()
         attempt.ending = Ending.ANSWERED
-        if response.status < 400:
+        if response.status < 400 or attempt.seal:
             self._check_answer(attempt, response.headers, body)
         return response.headers.get("Connection", "").lower() != "close"
 
     def _check_answer(
         self, attempt: Attempt, headers: Mapping[str, str], body: bytes
     ) -> None:
-        """Check that a successful answer is complete and belongs to the request."""
+        """Check that a success or an upstream's failure is complete and the own one."""
         answered_id = headers.get(names.REQUEST_ID)
         expected = whole_body(attempt.id, streaming=attempt.kind.streaming)
-        if names.SEAL not in headers:
+        if attempt.status >= 400:
+            expected = failure_body(attempt.id)
+        if not attempt.seal:
             detail = "without the upstream's signature"
-        elif answered_id != attempt.id:
+        elif answered_id != attempt.request_id:
             detail = f"of request {answered_id}"
         elif body != expected:
             detail = f"of {len(body)} bytes in place of {len(expected)}"
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -35,16 +35,17 @@
     def violations(self) -> list[Violation]:
         """Return all violations."""
         found = list(self.ledger.violations)
-        for request_id, runs in self.ledger.runs_by_id.items():
-            attempt = self.ledger.attempts_by_id.get(request_id)
+        for attempt_id, runs in self.ledger.runs_by_id.items():
+            attempt = self.ledger.attempts_by_id.get(attempt_id)
             if attempt is None:
-                found.append(Violation("UNASKED", f"no caller sent {request_id!r}"))
+                found.append(Violation("UNASKED", f"no caller sent {attempt_id!r}"))
                 continue
             found += self._check_runs(attempt, runs)
             for run in runs:
                 found += self._check_bounds(attempt, run)
         for attempt in self.ledger.attempts_by_id.values():
             found += self._check_loss(attempt)
+            found += self._check_origin(attempt)
             if attempt.status in DENIAL_STATUSES:
                 found.append(Violation("DENIED", f"{attempt}: {attempt.status}"))
         for notice in self.ledger.notices:
@@ -106,6 +107,19 @@
                 "REFUSED", f"{attempt}: {attempt.status}, ran at {upstreams}"
             )
 
+    def _check_origin(self, attempt: Attempt) -> Iterator[Violation]:
+        """Yield a violation if the answer is not that of a run of the attempt."""
+        if not attempt.seal:
+            return
+        runs = self.ledger.runs_by_id.get(attempt.id, [])
+        statuses = [run.status for run in runs if run.seal == attempt.seal]
+        if not statuses:
+            detail = f"{attempt}: {attempt.status}, signed by run {attempt.seal}"
+            yield Violation("MIXED", f"{detail}, which is not one of its own")
+        elif attempt.status not in statuses:
+            detail = f"{attempt}: {attempt.status}, run {attempt.seal} answered"
+            yield Violation("MIXED", f"{detail} {statuses[0]}")
+
     def _check_bounds(self, attempt: Attempt, run: Run) -> Iterator[Violation]:
         at = run.began_at
         if not self._is_bound(attempt.entry, at):
@@ -154,7 +168,7 @@
         ]
         if notice.closed_until is None:
             for arrival in arrivals:
-                attempt = self.ledger.attempts_by_id[arrival.request_id]
+                attempt = self.ledger.attempts_by_id[arrival.attempt_id]
                 late = attempt.sent_at - notice.at
                 if late > self.settings.drain_bound:
                     where = f"{attempt} at {notice.upstream}"
@@ -170,7 +184,7 @@
 
     def _follows(self, notice: Notice, arrival: Arrival) -> bool:
         """Check whether an arrival is from an entry that heard the notice."""
-        attempt = self.ledger.attempts_by_id.get(arrival.request_id)
+        attempt = self.ledger.attempts_by_id.get(arrival.attempt_id)
         if attempt is None or attempt.entry != notice.entry:
             return False
         disturbances = self.ledger.disturbances_by_program[notice.entry]
--- a/soak/_content.py
+++ b/soak/_content.py
@@ -1,4 +1,4 @@
-"""Answers of the stand-ins, computed from the request id so callers can check them."""
+"""Answers of the stand-ins, computed from the attempt so callers can check them."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 TEAM_KEY = "soak-key"
 # One in this many first runs breaks off its answer.
 LOST_ANSWER_INTERVAL = 40
+# One in this many first runs fails.
+FAILURE_INTERVAL = 25
 # One in this many streams is long.
 LONG_STREAM_INTERVAL = 12
 # The stream lasts longer than the time for which a stopping entry keeps its listener
@@ -25,32 +27,42 @@
 )
 
 
-def stable_hash(request_id: str, purpose: str) -> int:
-    """Return a number that depends only on the request id and the purpose."""
-    return crc32(f"{purpose} {request_id}".encode())
+def stable_hash(attempt_id: str, purpose: str) -> int:
+    """Return a number that depends only on the attempt and the purpose."""
+    return crc32(f"{purpose} {attempt_id}".encode())
 
 
-def loses_answer(request_id: str) -> bool:
-    """Check whether the first run of a request breaks off its answer."""
-    return stable_hash(request_id, "lost") % LOST_ANSWER_INTERVAL == 0
+def loses_answer(attempt_id: str) -> bool:
+    """Check whether the first run of an attempt breaks off its answer."""
+    return stable_hash(attempt_id, "lost") % LOST_ANSWER_INTERVAL == 0
 
 
-def event_count(request_id: str) -> int:
+def fails(attempt_id: str) -> bool:
+    """Check whether the first run of an attempt answers with an error."""
+    return stable_hash(attempt_id, "failure") % FAILURE_INTERVAL == 0
+
+
+def failure_body(attempt_id: str) -> bytes:
+    """Return the complete body of an error of the upstream."""
+    return f"{attempt_id} failed\n".encode()
+
+
+def event_count(attempt_id: str) -> int:
     """Return the number of events of a stream."""
-    if stable_hash(request_id, "long") % LONG_STREAM_INTERVAL == 0:
+    if stable_hash(attempt_id, "long") % LONG_STREAM_INTERVAL == 0:
         return LONG_STREAM_EVENTS
-    return 4 + stable_hash(request_id, "events") % 12
+    return 4 + stable_hash(attempt_id, "events") % 12
 
 
-def make_event(request_id: str, number: int) -> bytes:
+def make_event(attempt_id: str, number: int) -> bytes:
     """Return an event of a stream, numbered from 1."""
-    total = event_count(request_id)
-    return f"id: {number}\ndata: {request_id} {number}/{total}\n\n".encode()
+    total = event_count(attempt_id)
+    return f"id: {number}\ndata: {attempt_id} {number}/{total}\n\n".encode()
 
 
-def whole_body(request_id: str, *, streaming: bool) -> bytes:
+def whole_body(attempt_id: str, *, streaming: bool) -> bytes:
     """Return the complete body of the answer to a request."""
     if not streaming:
-        return f"{request_id}\n".encode() * (1 + stable_hash(request_id, "body") % 200)
-    count = event_count(request_id)
-    return b"".join(make_event(request_id, number) for number in range(1, count + 1))
+        return f"{attempt_id}\n".encode() * (1 + stable_hash(attempt_id, "body") % 200)
+    count = event_count(attempt_id)
+    return b"".join(make_event(attempt_id, number) for number in range(1, count + 1))
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from datetime import datetime
 from enum import StrEnum
@@ -44,13 +44,18 @@
 class Attempt:
     """Hold one request that a caller sent, and its outcome."""
 
+    # Unique; the last part of the path and the body.
     id: str
     kind: Kind
     entry: int
     sent_at: datetime
     ended_at: datetime | None = None
+    # In the header; other attempts may have the same one.
+    request_id: str = ""
     ending: Ending = Ending.OPEN
     status: int = 0
+    # Signature of the run that the answer came from, empty without one.
+    seal: str = ""
     detail: str = ""
 
     def __str__(self) -> str:
@@ -61,7 +66,7 @@
 class Run:
     """Hold one execution of a request at an upstream."""
 
-    request_id: str
+    attempt_id: str
     upstream: str
     domain: str
     # Version of the model's weights; 0 at an upstream without a model.
@@ -70,13 +75,17 @@
     ended_at: datetime | None = None
     # The upstream deliberately broke off its answer.
     broke_off: bool = False
+    status: int = 200
+    # Id and signature in its answer.
+    request_id: str = ""
+    seal: str = ""
 
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
     """Hold the arrival of a request at an upstream that may refuse it."""
 
-    request_id: str
+    attempt_id: str
     at: datetime
 
 
@@ -141,6 +150,8 @@
     # Times in which the soak's event loop lagged, so that its time stamps and
     # stand-ins were late.
     event_loop_lags: Intervals = field(default_factory=Intervals)
+    # Copies of answers that upstreams wrote, and the connections that they met.
+    copy_counts: Counter = field(default_factory=Counter)
     violations: list[Violation] = field(default_factory=list)
 
     def add_violation(self, invariant: str, detail: str) -> None:
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -16,7 +16,17 @@
 from shallotpath.platform import UPSTREAM_TOPIC
 from shallotpath.platform import _names as names
 
-from ._content import MODEL, TEAM, event_count, loses_answer, make_event, whole_body
+from ._content import (
+    MODEL,
+    TEAM,
+    event_count,
+    fails,
+    failure_body,
+    loses_answer,
+    make_event,
+    whole_body,
+)
+from ._copies import Copier
 from ._ledger import Arrival, Ledger, Notice, Run
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -91,6 +101,8 @@
     log: WaitingLog
     ledger: Ledger
     clock: Clock
+    # Writes copies of answers, `None` at an upstream that answers once.
+    copier: Copier | None = None
     address: str = ""
     generation_: int = 1
     state_: str = "ready"
@@ -194,30 +206,56 @@
         self.started_ms_ = self._now_ms()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer a request."""
+        """Answer a request, perhaps with copies of earlier answers around it."""
+        if self.copier is None:
+            return await self._serve(request, after_cut=False)
+        after_cut = self.copier.begin(request)
+        response = await self._serve(request, after_cut=after_cut)
+        await self.copier.end(request, response)
+        return response
+
+    async def _serve(
+        self, request: web.BaseRequest, *, after_cut: bool
+    ) -> web.StreamResponse:
         refusal = self.refusal_status(request)
         request_id = request.headers.get(names.REQUEST_ID, "")
+        attempt_id = request.path.rpartition("/")[2]
         if refusal != MISDIRECTED:
-            arrival = Arrival(request_id, self.clock.now())
+            arrival = Arrival(attempt_id, self.clock.now())
             self.ledger.arrivals_by_upstream[self.id].append(arrival)
         if refusal is not None:
             headers = {names.NOT_EXECUTED: "1", names.OWN_ID: self.id}
             headers |= {names.REQUEST_ID: request_id}
             if refusal != MISDIRECTED:
-                headers |= self.notices(request_id, refused=True)
+                headers |= self.notices(attempt_id, refused=True)
             return web.Response(status=refusal, headers=headers)
         if request.headers.get(names.TEAM) != TEAM or names.API_KEY in request.headers:
-            detail = f"{self.id} got {request_id} without its team or with its key"
+            detail = f"{self.id} got {attempt_id} without its team or with its key"
+            self.ledger.add_violation("UNASKED", detail)
+        attempt = self.ledger.attempts_by_id.get(attempt_id)
+        if attempt is not None and request_id != attempt.request_id:
+            detail = f"{self.id} got {attempt_id} under the id {request_id!r}"
             self.ledger.add_violation("UNASKED", detail)
         self.active_ += 1
         try:
-            await request.read()
+            body = await request.read()
+            if body != attempt_id.encode():
+                detail = f"{self.id} got {attempt_id} with the body {body[:40]!r}"
+                self.ledger.add_violation("UNASKED", detail)
             now = self.clock.now()
-            run = Run(request_id, self.id, self.domain, self.version, now)
-            runs = self.ledger.runs_by_id[request_id]
-            run.broke_off = not runs and loses_answer(request_id)
+            run = Run(attempt_id, self.id, self.domain, self.version, now)
+            runs = self.ledger.runs_by_id[attempt_id]
+            run.request_id = request_id
+            run.seal = f"{self.id}.{attempt_id}.{len(runs)}"
+            run.broke_off = not runs and loses_answer(attempt_id)
+            # A head that is joined with a cut copy shows if its status is another one.
+            fails_now = not runs and (after_cut or fails(attempt_id))
+            if fails_now and not run.broke_off:
+                run.status = 500
             runs.append(run)
             try:
+                if run.status == 500:
+                    return await self.fail(run)
                 return await self.answer(request, run)
             finally:
                 run.ended_at = self.clock.now()
@@ -244,18 +282,24 @@
         if run.broke_off:
             abort_connection(request)
         return web.Response(
-            body=whole_body(run.request_id, streaming=False), headers=self.headers(run)
+            body=whole_body(run.attempt_id, streaming=False), headers=self.headers(run)
         )
 
+    async def fail(self, run: Run) -> web.Response:
+        """Simulate the work on a request and report an error."""
+        await asyncio.sleep(PLAIN_WORK_TIME_S)
+        body = failure_body(run.attempt_id)
+        return web.Response(status=run.status, headers=self.headers(run), body=body)
+
     def headers(self, run: Run) -> dict[str, str]:
         """Return the headers of an answer."""
-        headers = {names.REQUEST_ID: run.request_id, names.SEAL: f"seal-{self.id}"}
-        return headers | self.notices(run.request_id, refused=False)
+        headers = {names.REQUEST_ID: run.request_id, names.SEAL: run.seal}
+        return headers | self.notices(run.attempt_id, refused=False)
 
-    def notices(self, request_id: str, *, refused: bool) -> dict[str, str]:
+    def notices(self, attempt_id: str, *, refused: bool) -> dict[str, str]:
         """Return headers that say what the upstream wants, and record them."""
         now, headers, until = self.clock.now(), {}, self.closed_until_
-        attempt = self.ledger.attempts_by_id.get(request_id)
+        attempt = self.ledger.attempts_by_id.get(attempt_id)
         if self.says_leaving_:
             headers[names.LEAVING] = "1"
             if attempt is not None:
@@ -359,7 +403,7 @@
     async def answer(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
         """Stream the events after the last one that the caller has received."""
         first = int(request.headers.get(names.LAST_EVENT_ID) or 0) + 1
-        count = event_count(run.request_id)
+        count = event_count(run.attempt_id)
         response = web.StreamResponse(
             headers=self.headers(run) | {"Content-Type": "text/event-stream"}
         )
@@ -369,7 +413,7 @@
             if run.broke_off and number > count // 2:
                 abort_connection(request)
                 break
-            await response.write(make_event(run.request_id, number))
+            await response.write(make_event(run.attempt_id, number))
             await asyncio.sleep(EVENT_INTERVAL_S)
         return response
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -26,6 +26,7 @@
 from ._callers import HOST, Balancer, Caller
 from ._checks import Checks
 from ._content import MODEL, ODD_RECORDS, TEAM, TEAM_KEY
+from ._copies import Copier
 from ._ledger import Ending, Kind, Ledger, Violation
 from ._program import Program
 from ._schedule import (
@@ -51,6 +52,8 @@
 PLAIN_SERVICE = "desk"
 ENGINE_SLOTS = 16
 ENGINE_TOKENS = 100_000
+# One in this many upstreams writes copies of its answers.
+COPYING_UPSTREAM_INTERVAL = 2
 ROUTE_KINDS = {
     Kind.STREAM: "streaming",
     Kind.RESUMABLE: "streaming",
@@ -63,7 +66,7 @@
 RESTART_DELAY_RANGE_S = (0.1, 0.6)
 POLL_INTERVAL_S = 0.02
 ODD_RECORD_INTERVAL_S = 0.3
-# Holds attempts and runs by request id; written next to the processes' logs.
+# Holds attempts and runs by the id of the attempt; written next to the processes' logs.
 LEDGER_FILE = "ledger.json"
 # The event loop lags if a sleep of POLL_INTERVAL_S overruns by more than this.
 LAG_THRESHOLD_S = 0.1
@@ -156,6 +159,9 @@
                 "ledger": self.ledger,
                 "clock": self.clock,
             }
+            if number % COPYING_UPSTREAM_INTERVAL == 1:
+                random = Random(f"copies {settings.seed} {number}")
+                options["copier"] = Copier(random, self.ledger.copy_counts)
             if engine:
                 options["origin"] = self.origin
             upstream = (ModelEngine if engine else Upstream)(**options)
@@ -401,6 +407,9 @@
         counts["exposed"] = checks.exposed_count()
         counts["own lateness"] = len(ledger.event_loop_lags.intervals_)
         counts["faults skipped"] = self.skipped_faults_
+        repeated = sum(attempt.id != attempt.request_id for attempt in attempts)
+        counts["repeated ids"] = repeated
+        counts.update(ledger.copy_counts)
         return Verdict(self.settings, checks.violations(), counts)
 
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -61,6 +61,31 @@
     assert violated_invariants(Ledger(), status=404, runs=0) == ["DENIED"]
 
 
+@pytest.mark.parametrize(
+    ("seal", "status", "run_status", "expected"),
+    [
+        ("u0.r.0", 200, 200, []),
+        ("u0.r.0", 500, 500, []),
+        # Copy of the answer to another request, perhaps one with the same id.
+        ("u0.q.0", 200, 200, ["MIXED"]),
+        ("u0.q.0", 500, 500, ["MIXED"]),
+        # Status line of one answer joined with the headers of another.
+        ("u0.r.0", 200, 500, ["MIXED"]),
+        ("u0.r.0", 500, 200, ["MIXED"]),
+    ],
+)
+def test_answer_of_another_run_is_found(seal, status, run_status, expected):
+    # Guards against answers that are tied to the request's id instead of the attempt.
+    ledger = Ledger()
+    other = Run("q", "u0", "a-1", 0, SENT_AT, request_id="id", seal="u0.q.0")
+    ledger.runs_by_id["q"].append(other)
+    ledger.attempts_by_id["q"] = Attempt("q", Kind.ORDER, 0, SENT_AT, SENT_AT)
+    own = Run("r", "u0", "a-1", 0, SENT_AT, status=run_status, seal="u0.r.0")
+    ledger.runs_by_id["r"].append(own)
+    found = violated_invariants(ledger, runs=0, status=status, seal=seal)
+    assert found == expected
+
+
 def test_run_without_an_attempt_is_found():
     # Guards against ignoring runs that belong to no attempt.
     ledger = Ledger()
