Run the package next to the soak unless another one is named

Cause: the soak's programs start in their workspace, where Python finds the installed package. A soak started in another checkout tested the installed one, without a word.

Change: the directory that the soak imports shallotpath from is the default.

--- a/soak/_program.py
+++ b/soak/_program.py
@@ -11,8 +11,14 @@
 from datetime import timedelta
 from pathlib import Path
 
+import shallotpath
+
 from ._settings import SoakSettings
 
+# A program starts in its workspace, where Python would find the installed package
+# instead of the one next to the soak.
+IMPORTED_PROGRAMS = Path(shallotpath.__file__).resolve().parent.parent
+
 SETTINGS_VARIABLE = "SHALLOTPATH_CONFIG"
 ENTRY_MODULE = "shallotpath.cli.edge"
 SIDECAR_MODULE = "shallotpath.cli.mate"
@@ -73,9 +79,10 @@
         self.seen_ready_ = False
         path = self.workspace / f"{self.name}.conf"
         path.write_text(self.settings_text())
-        environment = os.environ | {SETTINGS_VARIABLE: str(path)}
-        if self.settings.programs is not None:
-            environment["PYTHONPATH"] = str(self.settings.programs)
+        environment = os.environ | {
+            SETTINGS_VARIABLE: str(path),
+            "PYTHONPATH": str(self.settings.programs or IMPORTED_PROGRAMS),
+        }
         module = SIDECAR_MODULE if self.engine else ENTRY_MODULE
         with (self.workspace / f"{self.name}.log").open("ab") as log:
             self.process_ = await asyncio.create_subprocess_exec(
--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -32,7 +32,8 @@
     domain_bound: timedelta = timedelta(seconds=5)
     # Time between SIGTERM and SIGKILL.
     stop_grace: timedelta = timedelta(seconds=6)
-    # Directory whose `shallotpath` package is run; the installed one by default.
+    # Directory whose `shallotpath` package is run; the one that the soak
+    # imports by default.
     programs: Path | None = None
     # Directory for settings files and logs.
     workspace: Path | None = None
