Look at the last bytes of a body in chunks at the release of its connection

Where reading had paused for a slow caller, the parser goes on later with what it held back, so the look at the end of a parsed part may come too early; the release looks at the last bytes received now.

--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -85,8 +85,7 @@
         self.last_bytes_ = b""
         self.splits_left_ = 0
         self.in_body_ = False
-        # Set if the parser may hold the beginning of a head that came with the end of a
-        # body in chunks.
+        # Set if the beginning of a head may have come with the end of a body in chunks.
         self.rest_unknown_ = False
         # The request whose bytes the connection holds.
         self.lease: Lease | None = None
@@ -175,14 +174,13 @@
             return
         super().parse(data)
         self.last_bytes_ = (self.last_bytes_ + data)[-len(_BLANK_LINE) :]
-        if self.in_body_ and self.ended and self.chunked_:
-            # A head that ends in a blank line is complete, so the parser holds none.
-            self.rest_unknown_ = self.last_bytes_ != _BLANK_LINE
+        if self.in_body_ and self.ended:
+            self.rest_unknown_ = self.may_hold_head
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], *sizes: int
     ) -> None:
-        """Record a parsed response head, unless its beginning was not looked at."""
+        """Record a parsed head, unless it began behind a body in the same part."""
         self.head_.clear()
         if self.in_body_:
             self.fail_and_close(JoinedAnswersError("a head after the last chunk"))
@@ -224,6 +222,14 @@
         self.carried_ids_.add(hash(request_id))
         self.transport.write(payload)
 
+    @property
+    def may_hold_head(self) -> bool:
+        """Check whether the parser may hold a part of a head behind a body in chunks.
+
+        A head that ends in a blank line is complete, so the parser holds none.
+        """
+        return self.chunked_ and self.last_bytes_ != _BLANK_LINE
+
     @property
     def reused(self) -> bool:
         """Check whether the connection carried a request before."""
@@ -302,7 +308,7 @@
         if (
             full
             or worn_out
-            or connection.rest_unknown_
+            or connection.may_hold_head
             or not connection.is_reusable
             or self.is_single_use(upstream_id, now)
         ):
--- a/shallotpath/forwarding/tests/test_connection_reuse.py
+++ b/shallotpath/forwarding/tests/test_connection_reuse.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from shallotpath.forwarding import _connection
+from shallotpath.core import MonotonicClock
+from shallotpath.forwarding import ConnectionPool, _connection
 from shallotpath.gateway import RouteKind
 
 from .helpers import (
     HOST,
+    RecordingReporter,
     Upstream,
     answer,
     chunk,
@@ -175,3 +177,33 @@
     assert closed
     assert "200 OK" in head
     assert len(first.requests) + len(second.requests) == 1
+
+
+async def test_bytes_on_an_idle_connection_end_the_reuse_of_all_others_at_once():
+    # Guards against a second copy that is cut on a connection in use again, although
+    # the upstream has already sent a copy on another one.
+    accepted = asyncio.Queue()
+
+    async def keep(reader, writer):
+        accepted.put_nowait(writer)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(keep, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    pool = ConnectionPool(MonotonicClock(), RecordingReporter())
+    connections, writers = [], []
+    for _ in range(2):
+        connections.append(await pool.open("u", address))
+        writers.append(await accepted.get())
+    for connection in connections:
+        pool.release("u", connection, None)
+    writers[0].write(b"HTTP/1.1 200 OK\r\n\r\n")
+    await asyncio.sleep(0.05)
+    is_single_use = pool.is_single_use("u", pool.clock.now())
+    acquired = await pool.acquire("u", address, "q", repeatable=True)
+    acquired.abort()
+    pool.close()
+    server.close()
+    assert is_single_use
+    assert acquired not in connections
--- a/shallotpath/forwarding/tests/test_copies_after_chunks.py
+++ b/shallotpath/forwarding/tests/test_copies_after_chunks.py
@@ -78,6 +78,11 @@
     return in_chunks(head)[:-2] + b"X-Sum: 1\r\n\r\n"
 
 
+def in_large_chunks(head):
+    event = b"id: 1\ndata: " + b"a" * 60_000 + b"\n\n"
+    return stream_head(head) + chunk(event) * 3 + EVENTS
+
+
 def with_length(head):
     return answer(
         head, b"id: 1\ndata: a\n\n", extra=["Content-Type: text/event-stream"]
@@ -85,7 +90,9 @@
 
 
 @pytest.mark.parametrize("pieces", [1, 2])
-@pytest.mark.parametrize("first_answer", [in_chunks, with_trailers, with_length])
+@pytest.mark.parametrize(
+    "first_answer", [in_chunks, in_large_chunks, with_trailers, with_length]
+)
 @pytest.mark.parametrize("cut", CUTS)
 @pytest.mark.parametrize("name", ROUTES)
 async def test_part_of_a_copy_after_an_answer_is_not_joined_with_the_next_one(
@@ -103,7 +110,7 @@
 
 
 @pytest.mark.parametrize("pause_s", [0, 0.02])
-@pytest.mark.parametrize("copy", [in_chunks, with_trailers])
+@pytest.mark.parametrize("copy", [in_chunks, in_large_chunks, with_trailers])
 @pytest.mark.parametrize("cut", CUTS)
 @pytest.mark.parametrize("name", ROUTES)
 async def test_part_of_a_copy_after_a_discarded_answer_is_not_joined(
--- a/shallotpath/forwarding/tests/test_repeated_ids.py
+++ b/shallotpath/forwarding/tests/test_repeated_ids.py
@@ -162,3 +162,26 @@
         await asyncio.sleep(0.05)
         assert not connection.is_connected()
     server.close()
+
+
+async def test_caller_with_a_long_id_does_not_make_upstreams_seem_faulty():
+    # Guards against a caller whose id is longer than what the entry reads of an answer,
+    # so that sound upstreams that echo it seem to send garbled answers.
+    async def echo(reader, writer, head):
+        writer.write(answer(head))
+        await writer.drain()
+
+    class Wide(Upstream):
+        async def start(self):
+            self.server = await asyncio.start_server(
+                self._serve, HOST, 0, limit=1 << 20
+            )
+            return self.server.sockets[0].getsockname()[1]
+
+    upstreams = [Wide(echo), Wide(echo)]
+    async with make_world(*upstreams, kind=RouteKind.REPEATABLE) as world:
+        for _ in range(3):
+            await world.call(number="1" * 40_000)
+        breaker = world.forwarder.parts.dispatcher.breaker
+        now = world.forwarder.parts.clock.now()
+        assert not any(breaker.faulty(f"u{number}", now) for number in range(2))
