--- a/shallotpath/cli/ctl.py
+++ b/shallotpath/cli/ctl.py
@@ -11,6 +11,7 @@
 
 from .. import __version__
 from ..core import PlatformError, SettingError, ShallotError
+from ._ctl_check import config as configuration
 from ._ctl_claims import claims
 from ._ctl_objects import (
     DEFAULT_OPTIONS,
@@ -45,7 +46,16 @@
     exit_on_error=False,
     print_error=True,
 )
-for group in (teams, services, versions, presets, domains, rollouts, claims):
+for group in (
+    teams,
+    services,
+    versions,
+    presets,
+    domains,
+    rollouts,
+    claims,
+    configuration,
+):
     app.command(group)
 register(app, versions)
 
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forward HTTP requests to upstreams; `gateway` decides where each one goes."""
 
+from ._body_limit import max_body_bytes
 from ._bounded import BoundedConnection, EndlessAnswerError
 from ._connection import ConnectionPool
 from ._events import EventSplitter
@@ -38,4 +39,5 @@
     "milliseconds",
     "refusal",
     "report_crash",
+    "max_body_bytes",
 ]
--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -1,5 +1,10 @@
 """Adapter to the outer platform: its names, formats and calls."""
 
+from ._configuration_file import (
+    ConfigurationFile,
+    decode_configuration,
+    fetch_configuration,
+)
 from ._engine_calls import (
     CallError,
     ChunkManifest,
@@ -29,6 +34,7 @@
     "UPSTREAM_TOPIC",
     "CallError",
     "ChunkManifest",
+    "ConfigurationFile",
     "Endpoint",
     "EngineClient",
     "EngineState",
@@ -41,8 +47,10 @@
     "RecordError",
     "StoreClient",
     "TopicPage",
+    "decode_configuration",
     "decode_operator_record",
     "decode_upstream",
+    "fetch_configuration",
     "load_process_settings",
     "open_chunk_session",
     "open_session",
