Split the dispatcher by job

Eligibility, prediction, longest admitted wait and rejections are now modules of their own; placement keeps the choice among candidates.

The tests of gateway, forwarding and fleet pass.

--- a/shallotpath/fleet/tests/test_announcements_silence.py
+++ b/shallotpath/fleet/tests/test_announcements_silence.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from shallotpath.fleet import EdgeProcess
-from shallotpath.gateway._dispatcher import VERSION_MARGIN
+from shallotpath.gateway._eligibility import VERSION_MARGIN
 from shallotpath.platform import OPERATOR_TOPIC
 
 from .processes import make_config, make_settings, running, until
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -20,13 +20,7 @@
 )
 from ._cold import ColdLimit, ColdLimiter
 from ._discovery_period import DiscoveryPeriod
-from ._dispatcher import (
-    Dispatcher,
-    Placement,
-    PlacementRules,
-    Rejection,
-    RejectReason,
-)
+from ._dispatcher import Dispatcher
 from ._engine_model import EngineLoad, Prediction, predict_first_token
 from ._loads import EngineReport, EntryLoad, LoadTracker
 from ._notices import UpstreamNotices
@@ -41,6 +35,7 @@
 )
 from ._outcomes import Failure, FailureKind
 from ._part_suspects import PartEvidence, PartSuspects
+from ._placement import Placement, PlacementRules, Rejection, RejectReason
 from ._retries import Retries
 from ._subsets import EntrySubsets
 from ._suspects import CrashSuspects, LostRequest
