Let a few members fetch from the origin, and manifests come from peers

After the designation time-out of 3.2 s any member fetched what was still on its way: 185 chunks were received for a version of 96, and 185 for one of 64.

Change: up to 16 members in a common order, and half of the connections that the origin accepts, fetch one chunk each. A member that has none left takes over chunks from the back of others. The time-out follows from the link and the chunk. Connections to the origin are not kept. Four members ask for the manifest first, the others get it from them. Chunks that only slow members hold are fetched again from the origin.

--- a/shallotpath/fleet/_sidecar.py
+++ b/shallotpath/fleet/_sidecar.py
@@ -27,7 +27,14 @@
     SwarmPlan,
     abandons_transfer,
 )
-from ._chunks import BUSY_STATUS, CHUNK_PATH, ChunkFetcher, ChunkServer
+from ._chunks import (
+    BUSY_STATUS,
+    CHUNK_PATH,
+    MANIFEST_PATH,
+    ChunkFetcher,
+    ChunkServer,
+)
+from ._manifests import ManifestSource, answer_manifest
 from ._member import MemberProcess
 from ._staging import EngineStaging
 
@@ -55,6 +62,7 @@
         self.chunk_session_: ClientSession | None = None
         self.engine_: EngineClient | None = None
         self.fetcher_: ChunkFetcher | None = None
+        self.manifests_: ManifestSource | None = None
         self.server_ = ChunkServer(self.clock, settings.link_bytes_per_s)
         self.state_: EngineState | None = None
         self.model_ = ""
@@ -82,6 +90,9 @@
         self.fetcher_ = ChunkFetcher(
             self.operator, self.peers, self.caller_, chunk_caller
         )
+        self.manifests_ = ManifestSource(
+            self.settings.node, self.fetcher_, self.clock, self.random
+        )
         self.keep_running(self._watch_engine)
         self.keep_running(self._keep_weights)
 
@@ -171,6 +182,8 @@
 
     async def answer_role_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a chunk to another sidecar."""
+        if request.path == MANIFEST_PATH:
+            return answer_manifest(request, self._plans())
         if request.path != CHUNK_PATH:
             return await super().answer_role_request(request)
         return await self.server_.answer(request, self._plans())
@@ -238,8 +251,9 @@
             await self._adopt()
             return
         plan = self.plan_
-        if plan is None or self._superseded(wanted) or plan.has_doubtful_digest:
-            await self._begin_transfer(wanted)
+        begins = plan is None or self._superseded(wanted) or plan.has_doubtful_digest
+        if begins and not await self._begin_transfer(wanted):
+            return
         self._fetch_more()
         if self.plan_.complete and not self.load_in_progress_:
             await self._load()
@@ -275,9 +289,22 @@
         gap = target.times.time_between(plan.version, wanted) if target else None
         return abandons_transfer(plan, gap, self.settings.link_bytes_per_s)
 
-    async def _begin_transfer(self, wanted: int | None) -> None:
-        plan = self._new_plan(await self.fetcher_.manifest(self.model_, wanted))
+    async def _begin_transfer(self, wanted: int | None) -> bool:
+        """Begin a transfer unless its manifest is left to other members for now."""
         old = self.plan_
+        if old is not None and old.has_doubtful_digest:
+            manifest = await self.fetcher_.manifest(self.model_, wanted)
+        else:
+            manifest = await self.manifests_.fetch(
+                self.model_,
+                wanted,
+                [SwarmMember(self.settings.node, self.settings.region)]
+                + self._members(),
+                self._manifest_holders(wanted),
+            )
+        if manifest is None:
+            return False
+        plan = self._new_plan(manifest)
         if old is not None:
             self.previous_plans_by_model_[old.model] = old
             reused = plan.reuse(old.chunks_by_index_.values())
@@ -299,6 +326,20 @@
             reused=reused,
             held=self.held_version,
         )
+        return True
+
+    def _manifest_holders(self, version: int | None) -> list[str]:
+        """Return the live sidecars with a transfer, those of the region if any."""
+        live = {member.id for member in self._members()}
+        holders = [
+            member
+            for member, _ in self.holders_by_version_.get(
+                (self.model_, version), {}
+            ).values()
+            if member.id in live
+        ]
+        region = self.settings.region
+        return [m.id for m in holders if m.region == region] or [m.id for m in holders]
 
     def _forget_holders(self, plan: SwarmPlan) -> None:
         """Drop the holders of versions that are no longer fetched."""
@@ -316,6 +357,8 @@
             digests=manifest.digests,
             started_at=self.clock.now(),
             random=self.random,
+            origin=self.fetcher_.origin_limits,
+            chunk_bytes=manifest.chunk_bytes,
         )
 
     def _fetch_more(self) -> None:
--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -57,6 +57,9 @@
 
     id: str
     address: str
+    # Bandwidth of its link and connections that it accepts, `None` if not given.
+    bytes_per_s: float | None = None
+    max_connections: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -68,6 +68,8 @@
     version: int
     layers: int
     digests: list[str]
+    # Size of a chunk, 0 if not given.
+    chunk_bytes: int = 0
 
 
 class HttpCaller:
@@ -227,6 +229,7 @@
             version=int(fields["version"]),
             layers=int(fields.get("layers") or 0),
             digests=[str(digest) for digest in fields["digests"]],
+            chunk_bytes=int(fields.get("chunkBytes") or 0),
         )
     except DECODING_ERRORS as error:
         raise CallError(
--- a/shallotpath/platform/_records.py
+++ b/shallotpath/platform/_records.py
@@ -107,10 +107,7 @@
         version=int(_number(fields["version"])),
         routes=tuple(_route(item) for item in fields["routes"]),
         services_by_id={item["name"]: _service(item) for item in services},
-        # `origin` is the address from which weights are fetched.
-        origins_by_id={
-            item["name"]: Origin(item["name"], item["origin"]) for item in origins
-        },
+        origins_by_id={item["name"]: _origin(item) for item in origins},
         teams_by_key={key: team for team in teams for key in team.keys},
         limits=CallerLimits(
             header_bytes=int(limits["maxHeaderBytes"]),
@@ -122,6 +119,17 @@
     )
 
 
+def _origin(item: dict[str, Any]) -> Origin:
+    link_mbps, connections = item.get("linkMbps"), item.get("maxConns")
+    return Origin(
+        item["name"],
+        # `origin` is the address from which weights are fetched.
+        item["origin"],
+        bytes_per_s=_number(link_mbps) * 1_000_000 / 8 if link_mbps else None,
+        max_connections=int(_number(connections)) if connections else None,
+    )
+
+
 def _route(item: dict[str, Any]) -> Route:
     split = item.get("split") or [{"service": item.get("service"), "weight": 1}]
     return Route(
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from ..core import sha256_hex
+from ._origin_schedule import OriginLimits, OriginSchedule, SwarmMember
 from ._window import RequestWindow
 
 ORIGIN = "origin"
@@ -24,12 +25,9 @@
 # members wait longer until they can fetch it from this one.
 MAX_ORIGIN_REQUESTS = 1
 MAX_REQUESTS_PER_PEER = 1
-# Spreads neighbouring chunks over the members; coprime to any usual member count.
-ASSIGNMENT_STRIDE = 31
-# Time after which any member may fetch from the origin the chunks that no member holds.
-DESIGNATION_TIMEOUT = timedelta(milliseconds=3200)
-# Time after which any member of a region may fetch a chunk from another region.
-IMPORT_TIMEOUT = timedelta(milliseconds=5000)
+# Time after which one more member of a region may fetch a chunk from another region.
+# A chunk takes up to a second when it shares a link with others.
+IMPORT_STEP = timedelta(seconds=2)
 # A member counts as slow if it holds less than this fraction of the chunks held here,
 # once enough are held here for a comparison.
 SLOW_MEMBER_FRACTION = 0.5
@@ -47,14 +45,6 @@
 MAX_CORRUPT_COPIES = 3
 
 
-@dataclass(slots=True, frozen=True)
-class SwarmMember:
-    """Identify a process that runs the same model."""
-
-    id: str
-    region: str
-
-
 @dataclass(slots=True, frozen=True)
 class Fetch:
     """Describe the request of one chunk from one source."""
@@ -96,17 +86,29 @@
         digests: list[str],
         started_at: datetime,
         random: Random,
+        origin: OriginLimits | None = None,
+        chunk_bytes: int = 0,
     ) -> None:
         self.own = own
         self.model = model
         self.version = version
         self.digests = digests
+        self.chunk_bytes = chunk_bytes
         self.started_at = started_at
         self.random = random
         self.members_: list[SwarmMember] = [own]
         self.regional_members_: list[SwarmMember] = [own]
+        self.regional_ids_: set[str] = {own.id}
         self.alive_ids_: set[str] = {own.id}
+        # Position in the region, and how many members before each are not slow.
+        self.own_position_ = 0
+        self.fast_before_ = [0, 1]
         self.window_ = RequestWindow(MIN_PEER_REQUESTS)
+        self.origin_schedule_ = OriginSchedule(
+            own.id, f"{model}/{version}", origin or OriginLimits(), chunk_bytes
+        )
+        # When a chunk was last seen that no member had held before.
+        self.progressed_at_ = started_at
         self.chunks_by_index_: dict[int, bytes] = {}
         # When the chunks in flight were requested.
         self.pending_by_index_: dict[int, datetime] = {}
@@ -135,7 +137,9 @@
 
     @property
     def size_bytes(self) -> float:
-        """Return the size of the version, estimated from the chunks that are held."""
+        """Return the size of the version, if need be estimated from what is held."""
+        if self.chunk_bytes:
+            return float(self.chunk_bytes * len(self.digests))
         held = self.chunks_by_index_.values()
         return sum(map(len, held)) * len(self.digests) / max(1, len(held))
 
@@ -148,6 +152,11 @@
         """Return a verified chunk, or `None` if it is not held."""
         return self.chunks_by_index_.get(index)
 
+    @property
+    def origin_timeout(self) -> timedelta:
+        """Return the time after which a request to the origin is given up."""
+        return self.origin_schedule_.timeout
+
     @property
     def stalled(self) -> bool:
         """Check whether chunks are missing that only a failing origin holds."""
@@ -165,7 +174,10 @@
         self.regional_members_ = [
             member for member in self.members_ if member.region == self.own.region
         ]
+        self.own_position_ = self.regional_members_.index(self.own)
+        self.regional_ids_ = {member.id for member in self.regional_members_}
         self.alive_ids_ = {member.id for member in self.members_}
+        self.origin_schedule_.set_members(self.members_)
         regional_peers = len(self.regional_members_) - 1
         self.window_.maximum = max(
             MIN_PEER_REQUESTS, min(regional_peers, MAX_PEER_REQUESTS)
@@ -175,7 +187,7 @@
         """Record the chunks that a member reports to hold."""
         source = self.sources_by_id_.setdefault(member.id, _Source())
         for index in _bits(bitmap & ~source.bitmap, len(self.digests)):
-            self.seen_at_by_index_.setdefault(index, now)
+            self._seen(index, now)
         source.bitmap = bitmap
         if source.region != member.region:
             self._count_copies(source, 0)
@@ -209,7 +221,9 @@
         """Verify and store a received chunk; return whether its digest matched."""
         requested_at = self.pending_by_index_.get(fetch.index, now)
         self._end_request(fetch)
-        if fetch.source != ORIGIN:
+        if fetch.source == ORIGIN:
+            self.origin_schedule_.record_received(now - requested_at, now)
+        else:
             self.window_.record_received(now - requested_at)
         source = self.sources_by_id_[fetch.source]
         if sha256_hex(payload) != self.digests[fetch.index]:
@@ -219,11 +233,15 @@
                 source.avoid_until = now + CORRUPT_PEER_BACKOFF
             return False
         source.failures = 0
+        self._seen(fetch.index, now)
         self.chunks_by_index_[fetch.index] = payload
         return True
 
     def failed(self, fetch: Fetch, now: datetime) -> None:
         """End a request that failed and avoid its source for a while."""
+        if fetch.source == ORIGIN:
+            requested_at = self.pending_by_index_.get(fetch.index, now)
+            self.origin_schedule_.record_failed(now - requested_at)
         self._end_request(fetch)
         source = self.sources_by_id_[fetch.source]
         pause = FAILURE_BACKOFF
@@ -250,12 +268,8 @@
             return None
         copies = self.copies_by_index_
         absent = [index for index in self._unrequested() if not copies[index]]
-        candidates = [index for index in absent if self._fetches_from_origin(index)]
-        if not candidates and now - self.started_at >= DESIGNATION_TIMEOUT:
-            candidates = absent
-        if not candidates:
-            return None
-        return Fetch(ORIGIN, self.random.choice(candidates))
+        index = self.origin_schedule_.next_chunk(absent, now, self.progressed_at_)
+        return None if index is None else Fetch(ORIGIN, index)
 
     def _next_peer_fetch(self, now: datetime) -> Fetch | None:
         origin_requests = self.sources_by_id_[ORIGIN].outstanding
@@ -276,15 +290,21 @@
                 regional_bitmap |= source.bitmap
             else:
                 remote_bitmap |= source.bitmap
+        slow = {peer for peer in usable if self._is_slow(peer)}
         # A chunk that the region lacks comes first, as its other members need it too.
+        # What only slow members hold comes last, since the origin sends it faster.
         missing = [
-            (self.region_copies_by_index_[i], self.copies_by_index_[i], i)
+            (
+                not self.copies_by_index_[i],
+                self.region_copies_by_index_[i],
+                self.copies_by_index_[i],
+                i,
+            )
             for i in self._unrequested()
             if (regional_bitmap | remote_bitmap) >> i & 1
         ]
         self.random.shuffle(missing)
-        for _, _, index in sorted(missing, key=lambda copies: copies[:2]):
-            in_region = regional_bitmap >> index & 1
+        for only_slow, in_region, _, index in sorted(missing, key=lambda m: m[:3]):
             if not in_region and not self._may_import(index, now):
                 continue
             holders = [
@@ -292,20 +312,30 @@
                 for peer, source in usable.items()
                 if source.bitmap >> index & 1
                 and (source.region == self.own.region or not in_region)
+                and (only_slow or peer not in slow)
             ]
-            return Fetch(self.random.choice(holders), index)
+            if holders:
+                return Fetch(self.random.choice(holders), index)
         return None
 
     def _update_copies(self) -> None:
         """Count which chunks the other members hold.
 
-        Members that are not alive, or that failed since their last verified chunk,
-        count as holding nothing, so that chunks which only they hold are fetched from
-        the origin.
+        Members that are not alive, that failed since their last verified chunk or that
+        are slow count as holding nothing, so that chunks which only they hold are
+        fetched from the origin.
         """
         for peer, source in self.sources_by_id_.items():
-            reachable = peer in self.alive_ids_ and not source.failures
+            reachable = (
+                peer in self.alive_ids_
+                and not source.failures
+                and not self._is_slow(peer)
+            )
             self._count_copies(source, source.bitmap if reachable else 0)
+        self.fast_before_ = [0]
+        for member in self.regional_members_:
+            slow = member.id != self.own.id and self._is_slow(member.id)
+            self.fast_before_.append(self.fast_before_[-1] + (not slow))
 
     def _count_copies(self, source: _Source, bitmap: int) -> None:
         """Count the chunks of one source in place of those counted before."""
@@ -317,36 +347,32 @@
                 self.region_copies_by_index_[index] += change
         source.counted_bitmap = bitmap
 
-    def _fetches_from_origin(self, index: int) -> bool:
-        """Check whether this member is the one that fetches a chunk from the origin."""
-        return self._origin_fetcher(index).id == self.own.id
-
-    def _origin_fetcher(self, index: int) -> SwarmMember:
-        """Return the member that fetches a chunk from the origin."""
-        return self._first_fast_member(self.members_, index * ASSIGNMENT_STRIDE)
+    def _seen(self, index: int, now: datetime) -> None:
+        """Record that a member holds a chunk."""
+        if index not in self.seen_at_by_index_:
+            self.seen_at_by_index_[index] = now
+            self.progressed_at_ = now
 
     def _may_import(self, index: int, now: datetime) -> bool:
         """Check whether this member may fetch a chunk from another region.
 
         One member of each region outside that of the origin fetcher is assigned to do
-        so. After `IMPORT_TIMEOUT` any member may, as the assigned one may have failed.
+        so. After each `IMPORT_STEP` one more member may, as those before it may have
+        failed or have a narrow link.
         """
         seen_at = self.seen_at_by_index_.get(index, now)
-        if now - seen_at >= IMPORT_TIMEOUT:
-            return True
-        if self._origin_fetcher(index).region == self.own.region:
-            return False
-        importer = self._first_fast_member(self.regional_members_, index)
-        return importer.id == self.own.id
-
-    def _first_fast_member(self, members: list[SwarmMember], start: int) -> SwarmMember:
-        """Return the first member at or after a position that is not slow."""
-        count = len(members)
-        for step in range(count):
-            member = members[(start + step) % count]
-            if member.id == self.own.id or not self._is_slow(member.id):
-                return member
-        return self.own
+        importers = int((now - seen_at) / IMPORT_STEP)
+        fetcher = self.origin_schedule_.fetcher(index)
+        if fetcher not in self.regional_ids_:
+            importers += 1
+        return self._importers_before(index) < importers
+
+    def _importers_before(self, index: int) -> int:
+        """Return how many members of the region import a chunk before this one."""
+        before = self.fast_before_
+        first, own = index % (len(before) - 1), self.own_position_
+        count = before[own] - before[first]
+        return count if first <= own else count + before[-1]
 
     def _is_slow(self, member_id: str) -> bool:
         """Check whether a member holds far fewer chunks than this one."""
--- a/shallotpath/swarm/tests/test_transfer.py
+++ b/shallotpath/swarm/tests/test_transfer.py
@@ -7,7 +7,13 @@
 
 from shallotpath.core import EPOCH
 from shallotpath.gateway import UNIX_EPOCH
-from shallotpath.swarm import RollingUpdate, SwarmMember, SwarmPlan, UploadPacer
+from shallotpath.swarm import (
+    ORIGIN,
+    RollingUpdate,
+    SwarmMember,
+    SwarmPlan,
+    UploadPacer,
+)
 
 from .simulation import Swarm
 
@@ -176,6 +182,33 @@
 NARROW_LINK = {"c-2": 0.1}
 
 
+@pytest.mark.parametrize("corrupt_fraction", [0.0, 0.06])
+def test_slow_origin_sends_one_copy_to_a_large_swarm(corrupt_fraction):
+    # Load pattern: 40 members, and an origin whose link is no wider than theirs. Guards
+    # against members that all fetch what is still on its way to the assigned ones.
+    swarm = Swarm(
+        {"a": 14, "b": 13, "c": 13},
+        origin_region="b",
+        link_factor_by_id={ORIGIN: 0.5},
+        corrupt_fraction=corrupt_fraction,
+    )
+    result = swarm.run()
+    assert len(result.seconds_by_id) == 40
+    assert result.origin_chunks <= 1.3 * 96
+
+
+def test_one_narrow_link_in_eight_does_not_multiply_the_copies():
+    # Load pattern: 40 members, of which six have a link at a tenth. Guards against
+    # chunks that only such members hold and that all others wait for.
+    narrow = {f"{region}-{n}": 0.1 for region in "abc" for n in (2, 10)}
+    swarm = Swarm(
+        {"a": 14, "b": 13, "c": 13}, origin_region="b", link_factor_by_id=narrow
+    )
+    result = swarm.run()
+    assert len(result.seconds_by_id.keys() - narrow.keys()) == 34
+    assert result.origin_chunks <= 1.3 * 96
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_transfer_over_a_link_that_is_narrow_leaves_room_for_callers(seed):
     # Load pattern: the link of one member has a tenth of its bandwidth during a
