--- a/shallotpath/swarm/_origin_schedule.py
+++ b/shallotpath/swarm/_origin_schedule.py
@@ -20,9 +20,9 @@
 CONNECTION_SHARE = 0.5
 # A request counts as overdue after this many times the time that own requests took.
 OVERDUE_REQUEST_TIMES = 2.0
-# Time until other members know of a chunk, from messages between regions. Chunks of
-# others are taken over no sooner, since they may have arrived there.
-MAP_DELAY = timedelta(milliseconds=400)
+# Time until other members know of a chunk: a round of messages between regions takes up
+# to 0.65 s. Chunks of others are taken over no sooner, as they may have arrived there.
+MAP_DELAY = timedelta(milliseconds=700)
 # Time without a new chunk in the swarm after which further members try the origin. It
 # is also the least such time before the first measurement.
 MIN_STALL = timedelta(milliseconds=1500)
--- a/shallotpath/swarm/_plan.py
+++ b/shallotpath/swarm/_plan.py
@@ -30,7 +30,7 @@
 IMPORT_STEP = timedelta(seconds=2)
 # A member counts as slow if it holds less than this fraction of the chunks held here,
 # once enough are held here for a comparison.
-SLOW_MEMBER_FRACTION = 0.5
+SLOW_MEMBER_FRACTION = 0.35
 MIN_CHUNKS_TO_JUDGE_SPEED = 12
 # Pause before the next request to a source that refused an upload as busy.
 BUSY_BACKOFF = timedelta(milliseconds=80)
@@ -302,7 +302,7 @@
                 remote_bitmap |= source.bitmap
         slow = {peer for peer in usable if self._is_slow(peer)}
         # A chunk that the region lacks comes first, as its other members need it too.
-        # What only slow members hold comes last, since the origin sends it faster.
+        # What only slow members hold comes last: the origin sends it faster.
         missing = [
             (
                 not self.copies_by_index_[i],
@@ -314,7 +314,7 @@
             if (regional_bitmap | remote_bitmap) >> i & 1
         ]
         self.random.shuffle(missing)
-        for only_slow, in_region, _, index in sorted(missing, key=lambda m: m[:3]):
+        for absent, in_region, _, index in sorted(missing, key=lambda m: m[:3]):
             if not in_region and not self._may_import(index, now):
                 continue
             holders = [
@@ -322,7 +322,7 @@
                 for peer, source in usable.items()
                 if source.bitmap >> index & 1
                 and (source.region == self.own.region or not in_region)
-                and (only_slow or peer not in slow)
+                and (absent or peer not in slow)
             ]
             if holders:
                 return Fetch(self.random.choice(holders), index)
