--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -28,7 +28,6 @@
     EntryLoad,
     EntrySubsets,
     LoadTracker,
-    PartEvidence,
     PartSuspects,
     PlacementRules,
     Retries,
@@ -46,10 +45,11 @@
 from ..replication import (
     GossipMessage,
     KeyedRecord,
-    PartItem,
     PlacementItem,
     SuspectItem,
 )
+from ._duties import RUN_COUNTS_PATH, DutyRunner
+from ._evidence import decode_evidence, encode_evidence
 from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._records import apply_each
@@ -146,6 +146,7 @@
         self.caller_listener_: Listener | None = None
         self.readiness_listener_ = Listener(self._answer_probe)
         self.upstream_topic_: TopicReplica | None = None
+        self.duties_: DutyRunner | None = None
 
     async def start(self) -> None:
         """Open all sockets; the entry is ready once it has a configuration."""
@@ -159,11 +160,36 @@
         self.keep_running(self._prune)
         self.keep_running(self._follow_entries)
         self.keep_running(self._send_evidence)
+        self._start_duties()
         readiness, callers = self.settings.readiness, self.settings.callers
         self.caller_listener_ = Listener(self.forwarder.handle, memory=self.memory)
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
+    def _start_duties(self) -> None:
+        duties = self.settings.duties
+        if duties is None or not duties.reports_usage:
+            return
+        self.duties_ = DutyRunner(
+            duties,
+            self.address,
+            self.incarnation_,
+            peers=self.peers,
+            store=self.store_,
+            caller=self.caller_,
+            clock=self.clock,
+            reporter=self.reporter,
+            is_leaving=lambda: self.leaving_,
+        )
+        self.parts.on_begun = self.duties_.record_begun
+        self.keep_running(self.duties_.run)
+
+    async def answer_role_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a holder's request for this entry's counts."""
+        if request.path == RUN_COUNTS_PATH and self.duties_ is not None:
+            return self.duties_.answer_counts()
+        return await super().answer_role_request(request)
+
     async def drain(self) -> None:
         """Fail readiness probes, then refuse new requests and finish the open ones."""
         loop = asyncio.get_running_loop()
@@ -198,6 +224,8 @@
         await self.readiness_listener_.stop()
         self.pool.close()
         await super().stop()
+        if self.duties_ is not None:
+            await self.duties_.close()
 
     @property
     def remote_interval(self) -> timedelta:
@@ -290,7 +318,7 @@
             SuspectItem(fingerprint, ids) for fingerprint, ids in suspects.items()
         )
         parts = self.suspects.parts.recent(self.clock.now(), PARTS_PER_MESSAGE)
-        message.parts.extend(map(_encode_evidence, parts))
+        message.parts.extend(map(encode_evidence, parts))
         return message
 
     def relay(self, message: GossipMessage, payload: bytes) -> None:
@@ -309,7 +337,7 @@
             self.loads.update_engine_report(report, now)
         for suspect in message.suspects:
             self.suspects.merge(suspect.fingerprint, suspect.upstreams, now)
-        self.suspects.parts.merge(map(_decode_evidence, message.parts), now)
+        self.suspects.parts.merge(map(decode_evidence, message.parts), now)
 
     def handle_placement(self, placed: PlacementItem) -> None:
         """Count a peer's request until its next gossip message has its loads."""
@@ -340,13 +368,17 @@
                 ),
                 "available": self.breaker.is_available(record.id, now),
             }
-        return super().status() | {
-            "ready": self.ready,
-            "active": self.caller_listener_.active,
-            "entries": self.subsets.count,
-            "refused_parts": self.suspects.parts.refused,
-            "upstreams": upstreams,
-        }
+        return (
+            super().status()
+            | {
+                "ready": self.ready,
+                "active": self.caller_listener_.active,
+                "entries": self.subsets.count,
+                "refused_parts": self.suspects.parts.refused,
+                "upstreams": upstreams,
+            }
+            | ({"duties": self.duties_.status()} if self.duties_ else {})
+        )
 
     async def _read_upstreams(self) -> None:
         await self.upstream_topic_.poll(self._is_upstream_reader, UPSTREAM_READ_PAUSE)
@@ -455,25 +487,3 @@
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
             )
-
-
-def _encode_evidence(evidence: PartEvidence) -> PartItem:
-    return PartItem(
-        evidence.part,
-        list(evidence.crash_ids),
-        list(evidence.cleared_ids),
-        list(evidence.companions),
-        evidence.answered,
-        evidence.age.total_seconds(),
-    )
-
-
-def _decode_evidence(item: PartItem) -> PartEvidence:
-    return PartEvidence(
-        item.part,
-        tuple(item.crash_ids),
-        tuple(item.cleared_ids),
-        tuple(item.companions),
-        item.answered,
-        timedelta(seconds=item.age_s),
-    )
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -95,6 +95,7 @@
         # Complete events of a stream that this attempt has relayed.
         self.events_ = 0
         self.answer_recorded = False
+        self.begun_recorded = False
 
     @property
     def events(self) -> int:
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -312,6 +312,7 @@
         if self.caller_.started:
             detail = f"status {attempt.status}, no events, to a resumed stream"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
+        self._record_begun(attempt)
         return await self._relay_plain(attempt)
 
     async def _relay_plain(self, attempt: Attempt) -> web.StreamResponse:
@@ -375,6 +376,7 @@
                 if attempt.answer_begun:
                     self._record_answer(attempt)
                 self.parts.dispatcher.loads.first_token(key)
+                self._record_begun(attempt)
                 await self._start_response(attempt)
                 await self.caller_.write(complete)
                 # The time in which a slow caller blocked the write does not count.
@@ -385,6 +387,12 @@
         await self.caller_.write(rest)
         return await self.caller_.end()
 
+    def _record_begun(self, attempt: Attempt) -> None:
+        """Tell once that the upstream of an attempt has begun to run the request."""
+        if not attempt.begun_recorded and self.parts.on_begun is not None:
+            attempt.begun_recorded = True
+            self.parts.on_begun(self.call.team)
+
     def _record_answer(self, attempt: Attempt) -> None:
         """Record once that the upstream of an attempt did not crash."""
         if not attempt.answer_recorded and _OK <= attempt.status < _REDIRECT:
--- a/shallotpath/forwarding/_parts.py
+++ b/shallotpath/forwarding/_parts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import datetime
 from itertools import count
@@ -31,6 +31,8 @@
     stops_at: datetime | None = None
     # Requests that arrive later could not be finished before the stop.
     accepting: bool = True
+    # Called with the team of a request that an upstream has begun to run.
+    on_begun: Callable[[str], None] | None = None
 
     @property
     def stopping(self) -> bool:
--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the outer platform: its names, formats and calls."""
 
+from ._duty_calls import DutyClient
 from ._engine_calls import (
     CallError,
     ChunkManifest,
@@ -10,31 +11,37 @@
     OriginClient,
 )
 from ._headers import PlatformHeaderCodec
-from ._names import MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
+from ._names import DUTY_TOPIC, MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
 from ._records import RecordError, decode_operator_record, decode_upstream
-from ._session import open_chunk_session, open_session
+from ._session import LeaseEndedError, open_chunk_session, open_session
 from ._settings import (
     METRICS_PORT_VARIABLE,
+    DutySettings,
     Endpoint,
     ProcessSettings,
     load_process_settings,
     parse_process_settings,
 )
-from ._store import HistoryLostError, StoreClient, TopicPage
+from ._store import HistoryLostError, OffsetConflictError, StoreClient, TopicPage
 
 __all__ = [
+    "DUTY_TOPIC",
     "MEMBER_TOPIC",
     "METRICS_PORT_VARIABLE",
     "OPERATOR_TOPIC",
     "UPSTREAM_TOPIC",
     "CallError",
     "ChunkManifest",
+    "DutyClient",
+    "DutySettings",
     "Endpoint",
     "EngineClient",
     "EngineState",
     "HeldModel",
     "HistoryLostError",
     "HttpCaller",
+    "LeaseEndedError",
+    "OffsetConflictError",
     "OriginClient",
     "PlatformHeaderCodec",
     "ProcessSettings",
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -29,6 +29,11 @@
 PROMPT_PARTS = "Shallotpath-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 
+# Process that has a duty, and the number that rises when it changes.
+DUTY_HOLDER = "Shallotpath-Duty-Holder"
+FENCING_TOKEN = "Shallotpath-Fencing-Token"
+
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 MEMBER_TOPIC = "keyed.shallot-members"
+DUTY_TOPIC = "keyed.shallot-duties"
--- a/shallotpath/platform/_session.py
+++ b/shallotpath/platform/_session.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 
 import aiohttp
 
+from ..core import PlatformError
 from ..forwarding import BoundedConnection
 
 # Time for which an idle connection stays open.
@@ -37,6 +42,49 @@
         self._factory = partial(SessionConnection, asyncio.get_running_loop())
 
 
+class LeaseEndedError(PlatformError):
+    """Report a call that was not sent, as its sender may not act any more."""
+
+
+class _GuardedConnector(_Connector):
+    """Check before each send whether the sender may still act.
+
+    Connections are reset when they close, and the kernel gives up unacknowledged bytes
+    after a time: it would otherwise deliver them after the lease of the sender.
+    """
+
+    def __init__(self, may_send: Callable[[], bool], send_limit: timedelta) -> None:
+        self.may_send = may_send
+        self.send_limit = send_limit
+        super().__init__(force_close=True, socket_factory=self._open_socket)
+
+    async def connect(self, *args, **kwargs) -> aiohttp.connector.Connection:
+        """Open a connection unless the sender may not act any more by then."""
+        connection = await super().connect(*args, **kwargs)
+        if not self.may_send():
+            connection.close()
+            raise LeaseEndedError(
+                "the lease ended before the call was sent; a successor will send it"
+            )
+        return connection
+
+    def _open_socket(self, address_info: tuple) -> socket.socket:
+        family, kind, protocol, *_ = address_info
+        opened = socket.socket(family, kind, protocol)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if hasattr(socket, "TCP_USER_TIMEOUT"):
+            limit_ms = int(self.send_limit / timedelta(milliseconds=1))
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+        return opened
+
+
+def open_guarded_session(
+    may_send: Callable[[], bool], send_limit: timedelta
+) -> aiohttp.ClientSession:
+    """Return a session for calls that only the holder of a lease may send."""
+    return aiohttp.ClientSession(connector=_GuardedConnector(may_send, send_limit))
+
+
 def open_session() -> aiohttp.ClientSession:
     """Return a session that opens a connection for each call.
 
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -19,6 +19,8 @@
 # Index of the peer port in the range of internal ports; the same on all VMs.
 PEER_PORT_INDEX = 0
 PORT_COUNT = 1 << 16
+# Name in the list of duties under which usage reports are asked for.
+USAGE_DUTY = "usage_report"
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +34,26 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(slots=True, frozen=True)
+class DutySettings:
+    """Hold where calls of duties go and what bounds them."""
+
+    address: Endpoint
+    # The receiver rejects calls whose fencing token is lower than one it has seen.
+    checks_token: bool
+    calls_per_s: float
+    lease: timedelta
+    # Calls that arrive within this time after their sender woke up do no harm.
+    wake_slack: timedelta
+    # Length of the windows of the wall clock for which usage is reported.
+    usage_window: timedelta
+    # Share by which a count may differ from the truth.
+    usage_tolerance: float
+    # Time after the end of a window by which its report is due.
+    usage_due: timedelta
+    reports_usage: bool
+
+
 @dataclass(slots=True, frozen=True)
 class ProcessSettings:
     """Hold the settings that the platform gives a process."""
@@ -67,6 +89,8 @@
     cold_slack: float
     # Time after an announcement until no request may begin on outdated weights.
     version_bound: timedelta
+    # `None` where the deployment has no duties.
+    duties: DutySettings | None = None
 
     @property
     def region(self) -> str:
@@ -129,6 +153,7 @@
         cold_excess=reader.number("bounds.coldExcess", 1),
         cold_slack=reader.number("bounds.coldSlack", 0),
         version_bound=timedelta(milliseconds=reader.number("bounds.version_ms", 8000)),
+        duties=_duty_settings(reader),
     )
     faults = reader.faults_ + environment_reader.faults_
     if faults:
@@ -136,6 +161,25 @@
     return settings
 
 
+def _duty_settings(reader: _SettingsReader) -> DutySettings | None:
+    address = reader.endpoint("cloud.address")
+    if address is None:
+        return None
+    window_s = reader.number("bounds.reportWindowS", 0)
+    return DutySettings(
+        address=address,
+        checks_token=reader.flag("bounds.requireFence"),
+        calls_per_s=reader.number("cloud.dutyPerS", 10),
+        lease=timedelta(milliseconds=reader.number("bounds.leaseMs", 3000)),
+        wake_slack=timedelta(milliseconds=reader.number("bounds.thawSlackMs", 300)),
+        usage_window=timedelta(seconds=window_s),
+        usage_tolerance=reader.number("bounds.usageOff", 0.05),
+        usage_due=timedelta(seconds=reader.number("bounds.usageLateS", 10)),
+        reports_usage=window_s > 0
+        and USAGE_DUTY in reader.texts("cloud.duties", default=USAGE_DUTY),
+    )
+
+
 class _SettingsReader:
     """Convert single values and collect the faults of all."""
 
@@ -151,6 +195,13 @@
             self.faults_.append(f"{key} is missing; add a line {key}=VALUE")
         return value
 
+    def texts(self, key: str, *, default: str) -> list[str]:
+        value = self.values.get(key, default)
+        return [part.strip() for part in value.split(",") if part.strip()]
+
+    def flag(self, key: str) -> bool:
+        return self.values.get(key, "").lower() == "true"
+
     def number(self, key: str, default: float) -> float:
         value = self.values.get(key, "")
         if not value:
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -30,12 +30,17 @@
 _LENGTH_BYTES = 4
 _OK = 200
 _GONE = 410
+_PRECONDITION_FAILED = 412
 
 
 class HistoryLostError(PlatformError):
     """Report that the store no longer has the records from an offset on."""
 
 
+class OffsetConflictError(PlatformError):
+    """Report an append that was not made, as the topic ends at another offset."""
+
+
 @dataclass(slots=True, frozen=True)
 class TopicPage:
     """Hold records of a topic and the offset that follows them."""
@@ -103,12 +108,16 @@
         body = await self._call("GET", "/log-read", query, timeout)
         return _decode_page(body, offset)
 
-    async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Write the value of a key."""
+    async def put(
+        self, topic: str, key: str, value: bytes, *, at: int | None = None
+    ) -> None:
+        """Write the value of a key, if given only when the topic ends at an offset."""
         key_bytes = key.encode()
         content = bytes([len(key_bytes)]) + key_bytes + value
         record = len(content).to_bytes(_LENGTH_BYTES, "big") + content
         query = {"topic": topic, "part": "0"}
+        if at is not None:
+            query["at"] = str(at)
         await self._call("POST", "/log-append", query, CALL_TIMEOUT, record)
 
     async def _call(
@@ -138,6 +147,11 @@
                 f"store has no records of {query['topic']} from {query.get('from')}; "
                 "the newest record of each key will be read instead"
             )
+        if response.status == _PRECONDITION_FAILED:
+            raise OffsetConflictError(
+                f"{query['topic']} does not end at {query.get('at')}; "
+                "it will be read again"
+            )
         if response.status != _OK:
             raise PlatformError(
                 f"store returned status {response.status} for {path}; "
