--- a/shallotpath/duties/_lease.py
+++ b/shallotpath/duties/_lease.py
@@ -9,6 +9,9 @@
 
 from ._record import LeaseRecord
 
+# A tenth covers a call on its way and clocks that differ in speed.
+MARGIN_SHARE = 0.1
+
 
 @dataclass(slots=True, frozen=True)
 class LeaseRules:
@@ -22,6 +25,12 @@
     duration: timedelta
     margin: timedelta
 
+    @classmethod
+    def within(cls, duration: timedelta, min_margin: timedelta) -> LeaseRules:
+        """Return rules that keep at least half of the lease for the holder's calls."""
+        margin = max(min_margin, duration * MARGIN_SHARE)
+        return cls(duration, min(margin, duration / 2))
+
     @property
     def hold_time(self) -> timedelta:
         """Return how long a holder may act after the start of its last append."""
--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -82,9 +82,7 @@
         self.rules = UsageRules(settings.usage_window, settings.usage_due)
         self.counter = RunCounter(self.rules)
         self.ledger = UsageLedger(self.rules)
-        lease_rules = LeaseRules(
-            settings.lease, max(settings.wake_slack, settings.lease / 10)
-        )
+        lease_rules = LeaseRules.within(settings.lease, settings.wake_slack)
         self.lease = Lease(own.id, incarnation, lease_rules)
         self.client = DutyClient(
             settings.address, own.id, self._may_send, lease_rules.hold_time
@@ -206,9 +204,12 @@
             if now >= gives_up_at:
                 await self._release("the interface does not accept reports")
                 return None
-            if not self.lease.holds(now + MIN_CALL_TIME):
+            if self.lease.time_left(now) < MIN_CALL_TIME:
                 if not await self._append():
                     return RETRY_PAUSE
+                if self.lease.time_left(self.clock.now()) < MIN_CALL_TIME:
+                    # The store took most of the lease to answer.
+                    await asyncio.sleep(RETRY_PAUSE.total_seconds())
                 continue
             if not await self._send(report):
                 await asyncio.sleep(RETRY_PAUSE.total_seconds())
