--- a/shallotpath/duties/_windows.py
+++ b/shallotpath/duties/_windows.py
@@ -6,15 +6,19 @@
 from datetime import UTC, datetime, timedelta
 
 UNIX_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
-# Counts of a window are complete this share of the time that is left for the report
-# after its end. Entries need the time to answer, and slow ones to be asked again.
+# Shares of the time that is left for a report after the end of its window.
+# Entries have counted their last requests, and a holder asks for them.
 SETTLE_SHARE = 0.1
-# Later candidates wait for this share each, so that four of them come in time.
-STEP_SHARE = 0.15
-# Shares of the time in which a report still has to be sent and to arrive.
+# A holder reports without the entries that have not answered by then.
+COMPLETE_SHARE = 0.5
+# First standby, and the next ones after it; without a live holder they start earlier.
+STANDBY_SHARE = 0.55
+TAKEOVER_SHARE = 0.3
+STEP_SHARE = 0.07
+# A report that is sent later may arrive late.
 RESERVE_SHARE = 0.03
-# Processes that may report a window, in order. Bounds the reads of the log.
-CANDIDATES = 4
+# Processes besides the holder that look after a window. Bounds the reads of the log.
+CANDIDATES = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,10 +40,18 @@
         """Return when the report of a window must have been sent."""
         return self.end(window) + self.due * (1 - RESERVE_SHARE)
 
-    def act_at(self, window: int, rank: int) -> datetime:
-        """Return when the candidate of a rank, 0 first, reports a window."""
-        share = SETTLE_SHARE + STEP_SHARE * rank
-        return self.end(window) + self.due * share
+    def settled_at(self, window: int) -> datetime:
+        """Return when the counts of a window are complete at the entries."""
+        return self.end(window) + self.due * SETTLE_SHARE
+
+    def complete_by(self, window: int) -> datetime:
+        """Return until when a report waits for entries that do not answer."""
+        return self.end(window) + self.due * COMPLETE_SHARE
+
+    def act_at(self, window: int, rank: int, *, holder_lives: bool) -> datetime:
+        """Return when a candidate that is not the holder reports a window."""
+        first = STANDBY_SHARE if holder_lives else TAKEOVER_SHARE
+        return self.end(window) + self.due * (first + STEP_SHARE * rank)
 
     def newest_settled(self, now: datetime) -> int:
         """Return the newest window whose counts are complete."""
