Send counts to the holder between its requests

An entry that died took the counts of a whole window with it. It now sends its counts to the holder each second as a datagram, and once more when it stops. The kind of datagram is recorded; only a process that asked for counts gets it.

--- a/shallotpath/duties/_usage.py
+++ b/shallotpath/duties/_usage.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
 from datetime import datetime
 
 import msgspec
@@ -12,7 +11,7 @@
 from ._windows import UsageRules
 
 
-class EntryUsage(msgspec.Struct, frozen=True, array_like=True):
+class EntryUsage(msgspec.Struct, frozen=True, array_like=True, tag="runs"):
     """Carry the counts of an entry so far; they only rise within an incarnation."""
 
     entry: str
@@ -38,10 +37,12 @@
             self._prune(window)
         counts[team] += 1
 
-    def usage(self, entry: str, incarnation: int) -> EntryUsage:
-        """Return the counts to send to the holder."""
+    def usage(self, entry: str, incarnation: int, oldest: int = 0) -> EntryUsage:
+        """Return the counts from a window on, to send to the holder."""
         counts = {
-            window: dict(counts) for window, counts in self.counts_by_window_.items()
+            window: dict(counts)
+            for window, counts in self.counts_by_window_.items()
+            if window >= oldest
         }
         return EntryUsage(entry, incarnation, counts)
 
@@ -86,12 +87,3 @@
                 del counts_by_window[window]
             if not counts_by_window:
                 del self.counts_by_source_[source]
-
-    def missing(self, entries: Iterable[str], window: int) -> list[str]:
-        """Return the entries without any counts of a window."""
-        known = {
-            entry
-            for (entry, _), counts in self.counts_by_source_.items()
-            if window in counts
-        }
-        return [entry for entry in entries if entry not in known]
--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from datetime import datetime, timedelta
 
@@ -35,16 +35,26 @@
     OffsetConflictError,
     StoreClient,
 )
-from ..replication import PeerAddress, PeerTable
+from ..replication import (
+    MAX_DATAGRAM_BYTES,
+    PeerAddress,
+    PeerTable,
+    encode_message,
+)
 from ._reporter import LineReporter
 
 RUN_COUNTS_PATH = "/run-counts"
+HOLDER_QUERY = "holder"
 LEASE_KEY = "lease"
 # Calls to entries at a time, so that their answers do not fill the holder's link.
 PARALLEL_PULLS = 24
 PULL_TIMEOUT = timedelta(milliseconds=500)
-# Entries that did not answer are asked again, as packets may be lost.
-PULL_ROUNDS = 2
+# Time after which entries that did not answer are asked again.
+COLLECT_PAUSE = timedelta(milliseconds=600)
+# An entry that dies loses the requests of at most this time.
+PUSH_INTERVAL = timedelta(seconds=1)
+# Windows after which a holder that no longer asks gets no more counts.
+PUSHED_WINDOWS = 3
 MAX_USAGE_BYTES = 1 << 20
 # Time between attempts after a failed call.
 RETRY_PAUSE = timedelta(milliseconds=300)
@@ -70,6 +80,7 @@
         clock: Clock,
         reporter: LineReporter,
         is_leaving: Callable[[], bool],
+        send: Callable[[EntryUsage, Iterable[PeerAddress]], None],
     ) -> None:
         self.own = own
         self.incarnation = incarnation
@@ -79,6 +90,7 @@
         self.clock = clock
         self.reporter = reporter
         self.is_leaving = is_leaving
+        self.send = send
         self.rules = UsageRules(settings.usage_window, settings.usage_due)
         self.counter = RunCounter(self.rules)
         self.ledger = UsageLedger(self.rules)
@@ -91,11 +103,16 @@
         self.handled_ = self.rules.newest_settled(clock.now())
         self.confirmed_: set[int] = set()
         self.must_read_ = True
+        # Entries that have answered for a window after its end.
+        self.collected_window_: int | None = None
+        self.answered_: set[str] = set()
+        # The last holder that asked for counts, and when.
+        self.collector_: tuple[str, datetime] | None = None
 
     async def run(self) -> None:
         """Report windows for as long as the process runs."""
         while True:
-            pause = await self._step()
+            pause = await self.step()
             await asyncio.sleep(max(pause.total_seconds(), 0.01))
 
     async def close(self) -> None:
@@ -107,10 +124,38 @@
         if team:
             self.counter.count(team, self.clock.now())
 
-    def answer_counts(self) -> web.Response:
+    def answer_counts(self, request: web.BaseRequest) -> web.Response:
         """Answer a holder's request for the counts of this entry."""
-        usage = self.counter.usage(self.own.id, self.incarnation)
-        return web.Response(body=msgspec.msgpack.encode(usage))
+        self.collector_ = (request.query.get(HOLDER_QUERY, ""), self.clock.now())
+        return web.Response(body=msgspec.msgpack.encode(self._own_usage()))
+
+    def merge_counts(self, usage: EntryUsage) -> None:
+        """Take over counts that an entry sent between a holder's requests."""
+        self.ledger.merge(usage, self.clock.now())
+
+    async def push(self) -> None:
+        """Send the counts to the holder again and again until the process stops.
+
+        Without them, a process that dies would take the counts of a window with it.
+        """
+        while True:
+            await asyncio.sleep(PUSH_INTERVAL.total_seconds())
+            self.push_counts()
+
+    def push_counts(self) -> None:
+        """Send the newest counts to the holder, if one has asked lately."""
+        now = self.clock.now()
+        holder, asked_at = self.collector_ or ("", now)
+        address = self.peers.address(holder)
+        if address is None or now - asked_at > self.rules.window * PUSHED_WINDOWS:
+            return
+        usage = self._own_usage(self.rules.number(now) - 1)
+        # A larger one is not sent; the holder asks for it at the end of the window.
+        if len(encode_message(usage)) <= MAX_DATAGRAM_BYTES:
+            self.send(usage, [address])
+
+    def _own_usage(self, oldest: int = 0) -> EntryUsage:
+        return self.counter.usage(self.own.id, self.incarnation, oldest)
 
     def status(self) -> dict[str, object]:
         """Return who holds the duties as far as this entry knows."""
@@ -125,36 +170,45 @@
             "last_window": record.last_window if record else None,
         }
 
-    async def _step(self) -> timedelta:
+    async def step(self) -> timedelta:
         """Do what is due and return the time until the next step."""
         now = self.clock.now()
-        window = self.rules.newest_settled(now)
-        if window <= self.handled_:
-            return self.rules.act_at(window + 1, 0) - now
-        rank = self._rank(now)
-        if rank >= CANDIDATES:
+        reportable = self.rules.reportable(now)
+        window = max(self.handled_ + 1, reportable.start)
+        if window not in reportable:
+            return self.rules.settled_at(window) - now
+        acts_at = self._acts_at(window, now)
+        if acts_at is None:
             self.handled_ = window
             return timedelta()
-        wait = self.rules.act_at(window, rank) - now
-        if wait > timedelta():
-            return wait
+        if now < acts_at:
+            return acts_at - now
         wait = await self._serve(window)
         if wait is None:
-            self.handled_ = window
+            last = self.lease.record.last_window if self.lease.record else None
+            self.handled_ = max(window, last or window)
             return timedelta()
         return wait
 
-    def _rank(self, now: datetime) -> int:
-        """Return the place of this entry among the candidates, 0 first."""
+    def _acts_at(self, window: int, now: datetime) -> datetime | None:
+        """Return when this entry looks after a window, `None` if others do."""
         if self.is_leaving():
-            return CANDIDATES
-        live = [peer.id for peer in self.peers.live(now) if not peer.engine]
-        order = rendezvous_order(DUTY_TOPIC, [*live, self.own.id])
+            return None
         record = self.lease.record
+        if self.lease.is_own and not record.released:
+            return self.rules.settled_at(window)
+        live = {peer.id for peer in self.peers.live(now) if not peer.engine}
+        order = rendezvous_order(DUTY_TOPIC, live | {self.own.id})
+        holder_lives = False
         if record is not None and record.node in order:
             order.remove(record.node)
-            order.insert(len(order) if record.released else 0, record.node)
-        return order.index(self.own.id)
+            holder_lives = not record.released and record.node != self.own.id
+            if not holder_lives:
+                order.append(record.node)
+        if self.own.id not in order[:CANDIDATES]:
+            return None
+        rank = order.index(self.own.id)
+        return self.rules.act_at(window, rank, holder_lives=holder_lives)
 
     async def _serve(self, window: int) -> timedelta | None:
         """Report a window; return when to go on, or `None` if it is done."""
@@ -168,9 +222,27 @@
                     return None
             if not self.lease.may_propose(now):
                 return self.lease.takeover_at() - now
-        await self._collect(window)
-        now = self.clock.now()
-        if not await self._append(**self._final_counts(now)):
+            if record is not None and self._next_report(now) is not None:
+                # The last holder may not have sent these, and they are due first.
+                wait = await self._append_and_deliver()
+                if wait is not None or not self.lease.is_own:
+                    return wait
+        missing = await self._collect(window)
+        now, complete_by = self.clock.now(), self.rules.complete_by(window)
+        if missing and now < complete_by:
+            return min(COLLECT_PAUSE, complete_by - now)
+        if missing:
+            self.reporter.count("usage_windows_incomplete")
+            self.reporter.event(
+                "usage_incomplete",
+                window=window,
+                missing=len(missing),
+                some=missing[:8],
+            )
+        return await self._append_and_deliver(**self._final_counts(now))
+
+    async def _append_and_deliver(self, **changes: object) -> timedelta | None:
+        if not await self._append(**changes):
             return RETRY_PAUSE
         return await self._deliver()
 
@@ -329,35 +401,34 @@
         )
         self.reporter.event("duty_store_failed", call=call, detail=error.message)
 
-    async def _collect(self, window: int) -> None:
-        """Ask the live entries for their counts."""
+    async def _collect(self, window: int) -> list[str]:
+        """Ask entries for their counts and return those that have not answered."""
         now = self.clock.now()
-        self.ledger.prune(now)
-        peers = {
-            peer.id: peer
+        if self.collected_window_ != window:
+            self.collected_window_ = window
+            self.answered_.clear()
+            self.ledger.prune(now)
+        active = [
+            peer
             for peer in self.peers.active_entries(now)
-            if self.peers.address(peer.id) is not None
-        }
+            if peer.id not in self.answered_
+        ]
         limit = asyncio.Semaphore(PARALLEL_PULLS)
 
         async def pull(peer: PeerAddress) -> None:
             async with limit:
                 if await self._pull(peer):
-                    peers.pop(peer.id, None)
-
-        for _ in range(PULL_ROUNDS):
-            if peers:
-                await asyncio.gather(*map(pull, list(peers.values())))
-        own = self.counter.usage(self.own.id, self.incarnation)
-        self.ledger.merge(own, self.clock.now())
-        if peers:
-            self.reporter.count("usage_windows_incomplete")
-            self.reporter.event(
-                "usage_incomplete", window=window, missing=sorted(peers)[:8]
-            )
+                    self.answered_.add(peer.id)
+
+        await asyncio.gather(*map(pull, active))
+        self.ledger.merge(self._own_usage(), self.clock.now())
+        return sorted(peer.id for peer in active if peer.id not in self.answered_)
 
     async def _pull(self, peer: PeerAddress) -> bool:
-        url = f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}"
+        url = (
+            f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}"
+            f"?{HOLDER_QUERY}={self.own.id}"
+        )
         try:
             body = await self.caller.call(
                 "GET", url, PULL_TIMEOUT, max_bytes=MAX_USAGE_BYTES
--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from ..core import rendezvous_choice
+from ..duties import EntryUsage
 from ..forwarding import (
     ConnectionPool,
     Forwarder,
@@ -180,14 +181,16 @@
             clock=self.clock,
             reporter=self.reporter,
             is_leaving=lambda: self.leaving_,
+            send=self.gossip_.send,
         )
         self.parts.on_begun = self.duties_.record_begun
         self.keep_running(self.duties_.run)
+        self.keep_running(self.duties_.push)
 
     async def answer_role_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a holder's request for this entry's counts."""
         if request.path == RUN_COUNTS_PATH and self.duties_ is not None:
-            return self.duties_.answer_counts()
+            return self.duties_.answer_counts(request)
         return await super().answer_role_request(request)
 
     async def drain(self) -> None:
@@ -223,6 +226,8 @@
         await self.caller_listener_.stop()
         await self.readiness_listener_.stop()
         self.pool.close()
+        if self.duties_ is not None:
+            self.duties_.push_counts()
         await super().stop()
         if self.duties_ is not None:
             await self.duties_.close()
@@ -339,6 +344,11 @@
             self.suspects.merge(suspect.fingerprint, suspect.upstreams, now)
         self.suspects.parts.merge(map(decode_evidence, message.parts), now)
 
+    def handle_usage(self, usage: EntryUsage) -> None:
+        """Take over counts of a peer for the report that this entry may send."""
+        if self.duties_ is not None:
+            self.duties_.merge_counts(usage)
+
     def handle_placement(self, placed: PlacementItem) -> None:
         """Count a peer's request until its next gossip message has its loads."""
         now = self.clock.now()
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from ..core import Clock, MonotonicClock, SettingError, rendezvous_order
+from ..duties import EntryUsage
 from ..forwarding import Listener
 from ..gateway import OperatorState, WriteTime
 from ..platform import (
@@ -41,9 +42,9 @@
     gossip_interval,
     incarnation,
 )
-from ._records import apply_each
+from ._records import apply_each, describe_time
 from ._reporter import LineReporter
-from ._topics import LISTINGS_QUERY, Apply, TopicReplica
+from ._topics import Apply, TopicReplica, answer_records
 
 # Entries of a region that read the operators' records for their peers. A large
 # configuration read by each process would fill the links between regions for seconds;
@@ -244,7 +245,7 @@
             "operator_change",
             key=record.key,
             offset=record.offset,
-            read=_describe_time(time),
+            read=describe_time(time),
         )
         return True
 
@@ -282,6 +283,10 @@
     def _(self, placed: PlacementItem, received: Received) -> None:
         self.handle_placement(placed)
 
+    @receive.register
+    def _(self, usage: EntryUsage, received: Received) -> None:
+        self.handle_usage(usage)
+
     @receive.register
     def _(self, message: GossipMessage, received: Received) -> None:
         now = self.clock.now()
@@ -319,10 +324,13 @@
     def handle_placement(self, placed: PlacementItem) -> None:
         """Record that a peer has sent a request to an upstream."""
 
+    def handle_usage(self, usage: EntryUsage) -> None:
+        """Take over the counts of an entry."""
+
     async def answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer an HTTP request of a peer or an operator's tool."""
         if request.path == "/records":
-            return self._records(request)
+            return answer_records(request, self.topics_by_name_)
         if request.path in (METRICS_PATH, STATUS_PATH):
             return await self.answer_monitoring(request)
         return await self.answer_role_request(request)
@@ -372,17 +380,6 @@
             "entries": self.peers.entries(now),
         }
 
-    def _records(self, request: web.BaseRequest) -> web.Response:
-        topic = self.topics_by_name_.get(request.query.get("topic", ""))
-        try:
-            after = int(request.query.get("after", "0"))
-        except ValueError:
-            return web.Response(status=400, text="after must be an integer offset\n")
-        if topic is None:
-            return web.Response(status=404, text="unknown topic\n")
-        takes_listings = LISTINGS_QUERY in request.query
-        return web.Response(body=topic.page_after(after, takes_listings=takes_listings))
-
     def _task_ended(self, task: asyncio.Task) -> None:
         self.tasks_.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -491,10 +488,3 @@
                 entries, min(RELAYS_PER_REMOTE_REGION, len(entries))
             )
         return relays
-
-
-def _describe_time(time: WriteTime | None) -> str:
-    """Return for logs how exactly the write time of a record is known."""
-    if time is None:
-        return "time unknown"
-    return "followed" if time.exact else f"after a gap since {time.at.isoformat()}"
--- a/shallotpath/fleet/_records.py
+++ b/shallotpath/fleet/_records.py
@@ -1,10 +1,11 @@
-"""Application of a topic's records, one by one."""
+"""Application of a topic's records, one by one, and their write times."""
 
 from __future__ import annotations
 
 import traceback
 from collections.abc import Callable, Iterable
 
+from ..gateway import WriteTime
 from ..platform import RecordError
 from ..replication import KeyedRecord
 from ._reporter import LineReporter
@@ -37,3 +38,10 @@
                 detail="".join(traceback.format_exception(error)),
             )
     return changed
+
+
+def describe_time(time: WriteTime | None) -> str:
+    """Return for logs how exactly the write time of a record is known."""
+    if time is None:
+        return "time unknown"
+    return "followed" if time.exact else f"after a gap since {time.at.isoformat()}"
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import datetime, timedelta
 from math import ceil
 from random import Random
 
+from aiohttp import web
 from msgspec import structs
 
 from ..core import Clock, FrameError, PlatformError
@@ -346,3 +347,18 @@
             self.reporter.event(
                 "store_back", topic=self.topic, away_s=away.total_seconds()
             )
+
+
+def answer_records(
+    request: web.BaseRequest, topics_by_name: Mapping[str, TopicReplica]
+) -> web.Response:
+    """Answer a peer's request for the records of a topic after an offset."""
+    topic = topics_by_name.get(request.query.get("topic", ""))
+    try:
+        after = int(request.query.get("after", "0"))
+    except ValueError:
+        return web.Response(status=400, text="after must be an integer offset\n")
+    if topic is None:
+        return web.Response(status=404, text="unknown topic\n")
+    takes_listings = LISTINGS_QUERY in request.query
+    return web.Response(body=topic.page_after(after, takes_listings=takes_listings))
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..core import FrameError
+from ..duties import EntryUsage
 from ..gateway import EngineReport, EntryLoad
 
 PROTOCOL = 6
@@ -156,7 +157,9 @@
         ) from error
 
 
-Datagram = GossipMessage | PlacementItem
+# Counts are sent only to a process that has asked for them, so that releases before
+# them get none.
+Datagram = GossipMessage | PlacementItem | EntryUsage
 
 
 def encode_message(message: Datagram | RecordPage) -> bytes:
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from shallotpath.core.tests.recorded_values import fields_at_default, load_recorded
+from shallotpath.duties import EntryUsage
 from shallotpath.gateway import EngineReport, EntryLoad
 from shallotpath.replication import (
     AnnouncementsItem,
@@ -96,6 +97,14 @@
     assert set(decoded) == set(get_args(Datagram))
 
 
+def test_items_of_counts_keep_their_positions():
+    # Guards against counts that are taken for those of another entry or start.
+    payload = DATAGRAMS["runs", "full"]
+    _, (_, entry, incarnation, counts) = msgspec.msgpack.decode(payload, strict=False)
+    expected = EntryUsage(entry=entry, incarnation=incarnation, counts_by_window=counts)
+    assert decode_datagram(payload) == expected
+
+
 def test_items_of_a_gossip_message_keep_their_positions():
     # Guards against fields that swap positions: the datagram would still be encoded to
     # the same bytes but decoded with another meaning.
