--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -4,6 +4,7 @@
 import base64
 import json
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from datetime import timedelta
 from itertools import pairwise
 from random import Random
@@ -13,8 +14,10 @@
 
 from shallotpath.core import EPOCH, ManualClock
 from shallotpath.duties import UsageRules
+from shallotpath.fleet import EdgeProcess
 from shallotpath.fleet._duties import DutyRunner
 from shallotpath.platform import (
+    DUTY_TOPIC,
     DutySettings,
     Endpoint,
     HttpCaller,
@@ -23,7 +26,8 @@
 )
 from shallotpath.replication import GossipMessage, PeerAddress, PeerTable
 
-from .standins import HOST, listen
+from .processes import make_settings, running
+from .standins import HOST, Log, StoreStandIn, listen
 
 SECOND = timedelta(seconds=1)
 RULES = UsageRules(5 * SECOND, 10 * SECOND)
@@ -376,3 +380,39 @@
         assert fleet.interface.counts_by_window[WINDOW + 2][team] == 21
 
     play(scenario)
+
+
+@pytest.mark.parametrize("asked", [False, True])
+def test_entry_without_duties_makes_no_call(asked):
+    # Guards against store calls and leases where no duty is asked for.
+    async def run():
+        topics = set()
+        log = Log()
+        stand_in = StoreStandIn(log)
+
+        async def handle(request):
+            topics.add(request.query["topic"])
+            return await stand_in.handle(request)
+
+        runner, port = await listen(handle)
+        settings = make_settings("edge-0", port)
+        duties = DutySettings(
+            address=Endpoint(HOST, 1),
+            checks_token=False,
+            calls_per_s=50,
+            lease=0.2 * SECOND,
+            wake_slack=0.02 * SECOND,
+            usage_window=0.2 * SECOND,
+            usage_tolerance=0.05,
+            usage_due=0.4 * SECOND,
+            reports_usage=True,
+        )
+        settings = replace(settings, duties=duties if asked else None)
+        async with running(EdgeProcess, settings) as edge:
+            await asyncio.sleep(1)
+            assert ("duties" in edge.status()) is asked
+            assert (edge.parts.on_begun is not None) is asked
+        await runner.cleanup()
+        assert (DUTY_TOPIC in topics) is asked
+
+    asyncio.run(run())
