--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -1,5 +1,10 @@
 """Adapter to the outer platform: its names, formats and calls."""
 
+from ._configuration_file import (
+    ConfigurationFile,
+    decode_configuration,
+    fetch_configuration,
+)
 from ._duty_calls import DutyClient
 from ._engine_calls import (
     CallError,
@@ -34,6 +39,7 @@
     "ChunkManifest",
     "DutyClient",
     "DutySettings",
+    "ConfigurationFile",
     "Endpoint",
     "EngineClient",
     "EngineState",
@@ -48,8 +54,10 @@
     "RecordError",
     "StoreClient",
     "TopicPage",
+    "decode_configuration",
     "decode_operator_record",
     "decode_upstream",
+    "fetch_configuration",
     "load_process_settings",
     "open_chunk_session",
     "open_session",
