--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -357,11 +357,17 @@
                 offset = item.offset
                 with suppress(LeaseRecordError):
                     record = decode_record(item.value)
-        held = self.lease.holds(self.clock.now())
+        was_own = self.lease.is_own
         self.lease.observe(record, offset, page.end, self.clock.now())
         self.must_read_ = False
-        if held and not self.lease.holds(self.clock.now()):
-            self.reporter.event("duty_lost", holder=record.node if record else None)
+        self.reporter.count("duty_reads", outcome="answered")
+        if was_own and not self.lease.is_own:
+            self.reporter.gauge("duty_held", 0)
+            self.reporter.event(
+                "duty_lost",
+                holder=record.node if record else None,
+                token=self.lease.token,
+            )
         return True
 
     async def _append(self, **changes: object) -> bool:
@@ -382,6 +388,7 @@
             return False
         self.lease.accepted(proposal, started_at, self.clock.now())
         self.reporter.count("duty_appends", outcome="accepted")
+        self.reporter.gauge("duty_held", 0 if proposal.record.released else 1)
         if not was_own:
             self.reporter.event("duty_taken", token=proposal.record.token)
         return True
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -46,6 +46,9 @@
     def count(self, name, **labels):
         pass
 
+    def gauge(self, name, value, **labels):
+        pass
+
 
 class Store:
     """Hold one topic; lose answers of appends or refuse some callers."""
