Predict completions of services without engines from reports and answers

A service without engines was placed by the requests of all entries for each slot, times the target of the route. A peer's short request counted until the peer's next message, some 300 to 850 ms, while its work takes 45 ms.

Entries now decode Shallotpath-Server-Load, learn the usual time to answer and predict completions from both; a peer's request counts for two usual times to answer. Only services of which an upstream reports its load are concerned.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -95,7 +95,7 @@
         self.upstreams = UpstreamTable()
         self.upstreams.notices.on_notice = self._report_notice
         self.breaker = Breaker()
-        self.loads = LoadTracker(self._send_placement)
+        self.loads = LoadTracker(self._send_placement, self.upstreams.service_id)
         self.evidence_found_ = asyncio.Event()
         self.suspects = CrashSuspects(
             PartSuspects(
--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -4,12 +4,19 @@
 
 import asyncio
 from collections.abc import Iterable
+from datetime import datetime
 
 from aiohttp import ClientError, StreamReader
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
-from ..gateway import Failure, FailureKind, Placement, UpstreamNotices
+from ..gateway import (
+    CompletionModel,
+    Failure,
+    FailureKind,
+    Placement,
+    UpstreamNotices,
+)
 from ._bounded import EndlessAnswerError, MalformedAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._events import count_events
@@ -77,6 +84,7 @@
         pool: ConnectionPool,
         header_codec: HeaderCodec,
         notices: UpstreamNotices,
+        completions: CompletionModel,
         *,
         journal: RequestJournal,
         lease: Lease,
@@ -85,6 +93,7 @@
         self.pool = pool
         self.header_codec = header_codec
         self.notices = notices
+        self.completions = completions
         self.journal = journal
         self.lease = lease
         self.connection_: UpstreamConnection | None = None
@@ -95,6 +104,8 @@
         # Complete events of a stream that this attempt has relayed.
         self.events_ = 0
         self.answer_recorded = False
+        self.sent_at_: datetime | None = None
+        self.head_at_: datetime | None = None
 
     @property
     def events(self) -> int:
@@ -131,6 +142,7 @@
             detail = "the connection closed before the request was sent"
             raise AttemptError(Failure(FailureKind.EXPIRED, detail))
         try:
+            self.sent_at_ = self.pool.clock.now()
             self.connection_.send(payload, request_id)
             self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
@@ -224,6 +236,7 @@
             is_unlabelled = not fields.request_id and not self.connection_.reused
             if fields.request_id == request_id or is_unlabelled:
                 self.message_, self.payload_, self.fields_ = message, payload, fields
+                self.head_at_ = self.pool.clock.now()
                 self._record_notice(fields)
                 return
             # A late response to an earlier request on this connection.
@@ -254,10 +267,14 @@
         answered_by = fields.upstream_id or ("" if is_misdirected else record.id)
         if answered_by != record.id:
             return
+        now = self.head_at_
+        if fields.load is not None:
+            self.completions.record_report(record.id, fields.load, now)
+        elif fields.load_unreadable:
+            self.journal.unreadable_load(record.id)
         if fields.leaving:
             self.notices.record_leaving(record)
         if self.status == _UNAVAILABLE and fields.retry_after is not None:
-            now = self.pool.clock.now()
             self.notices.record_closed(record, fields.retry_after, now)
 
     def _check_status(self) -> None:
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -194,6 +194,7 @@
             self.parts.pool,
             self.parts.header_codec,
             upstreams.notices,
+            self.parts.dispatcher.loads.completions,
             journal=self.journal,
             lease=self.lease,
         )
@@ -219,6 +220,7 @@
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
             self._record_answer(attempt)
+            self._record_time(attempt)
             attempt.finish()
             self.parts.dispatcher.breaker.record_success(upstream.id)
             self.parts.suspects.completed(self.call.fingerprint)
@@ -392,6 +394,21 @@
             now = self.parts.clock.now()
             self.parts.suspects.parts.record_answer(self.call.shared_parts, now)
 
+    def _record_time(self, attempt: Attempt) -> None:
+        """Record how long the upstream took, unless it runs engines or failed."""
+        catalog = self.parts.dispatcher.operator.catalog
+        service = catalog.services_by_id.get(self.call.service)
+        failed = attempt.status >= _SERVER_ERROR
+        if failed or service is None or service.engine is not None:
+            return
+        self.parts.dispatcher.loads.completions.record_answer(
+            self.call.service,
+            attempt.placement.upstream.id,
+            self.call.route.id,
+            duration=attempt.head_at_ - attempt.sent_at_,
+            now=attempt.head_at_,
+        )
+
     def _complete_events(self, chunk: bytes) -> bytes:
         try:
             return self.events_.feed(chunk)
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -71,6 +71,11 @@
         )
         self.steps.append(f"discarded status {status} for request {request_id!r:.80}")
 
+    def unreadable_load(self, upstream_id: str) -> None:
+        """Record that an upstream reported its load in a form that cannot be read."""
+        self.reporter.count("server_loads_unreadable")
+        self.steps.append(f"unreadable load report of {upstream_id}")
+
     def failed(self, failure: Failure, events: int, now: datetime) -> None:
         """Record how an attempt failed and how many events it had relayed."""
         relayed = f" events={events}" if events else ""
--- a/shallotpath/forwarding/_wire.py
+++ b/shallotpath/forwarding/_wire.py
@@ -9,6 +9,8 @@
 
 from multidict import CIMultiDictProxy
 
+from ..gateway import ServerLoad
+
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -54,6 +56,9 @@
     # The upstream leaves and wants no new requests.
     leaving: bool
     keep_alive: timedelta | None
+    # What the upstream reports of its load; `None` for nothing or an unreadable report.
+    load: ServerLoad | None = None
+    load_unreadable: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/forwarding/tests/helpers.py
+++ b/shallotpath/forwarding/tests/helpers.py
@@ -53,12 +53,13 @@
 
     def __init__(self):
         self.events = []
+        self.counted = []
 
     def event(self, kind, **fields):
         self.events.append((kind, fields))
 
     def count(self, name, **labels):
-        pass
+        self.counted.append(name)
 
     def observe(self, name, duration, **labels):
         pass
@@ -277,7 +278,7 @@
         rules=PlacementRules("a-1", {"a-1": "a"}, ms(8000), 1.5, 5.0),
         operator=operator,
         upstreams=table,
-        loads=LoadTracker(),
+        loads=LoadTracker(service_of=table.service_id),
         breaker=Breaker(),
         subsets=subsets,
         random=Random(1),
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -19,6 +19,7 @@
     WeightedService,
 )
 from ._cold import ColdLimit, ColdLimiter
+from ._completion import CompletionModel
 from ._discovery_period import DiscoveryPeriod
 from ._dispatcher import Dispatcher
 from ._engine_model import EngineLoad, Prediction, predict_first_token
@@ -37,6 +38,7 @@
 from ._part_suspects import PartEvidence, PartSuspects
 from ._placement import Placement, PlacementRules, Rejection, RejectReason
 from ._retries import Retries
+from ._server_load import ServerLoad, is_plausible
 from ._subsets import EntrySubsets
 from ._suspects import CrashSuspects, LostRequest
 from ._upstream_record import UpstreamRecord
@@ -50,6 +52,7 @@
     "CatalogAnnounced",
     "ColdLimit",
     "ColdLimiter",
+    "CompletionModel",
     "CrashSuspects",
     "DiscoveryPeriod",
     "Dispatcher",
@@ -80,6 +83,7 @@
     "RetryBudget",
     "Route",
     "RouteKind",
+    "ServerLoad",
     "Service",
     "EntryLoad",
     "EntrySubsets",
@@ -91,6 +95,7 @@
     "UpstreamTable",
     "WeightedService",
     "WeightsAnnounced",
+    "is_plausible",
     "predict_first_token",
     "shared_parts",
 ]
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -38,9 +38,6 @@
 # preferred ones are too busy. The loads known of them are those of the last gossip
 # round, and with a wider choice more entries take the same one.
 OTHER_CANDIDATES = 1
-# Added to the cost of upstreams in other regions, since links between regions have
-# little bandwidth and are charged for.
-REGION_PREFERENCE = timedelta(milliseconds=100)
 # Covers errors of the prediction of when a request on outdated weights starts.
 PREDICTION_SAFETY_FACTOR = 2
 # Added to the cost of upstreams where a request would start after that bound.
@@ -240,7 +237,7 @@
             if not _starts_in_time(start_deadlines_by_id[upstream.id], prediction, now):
                 cost += LATE_START_PENALTY
             if not self._is_same_region(upstream):
-                cost += REGION_PREFERENCE
+                cost += self.predictor.region_cost(call, service)
             if best_cost is None or cost < best_cost:
                 best, best_cost = (upstream, prediction), cost
         return best
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from itertools import count
 
 import msgspec
 
+from ._completion import CompletionModel
 from ._engine_model import EngineLoad
 
 # Entries in other regions send their loads every 900 ms; loads older than about two
@@ -89,6 +92,17 @@
     tokens: EntryLoad
 
 
+@dataclass(slots=True, frozen=True, order=True)
+class _AnsweredRequests:
+    """Requests of a peer that count as answered after some time."""
+
+    expires_at: datetime
+    number: int
+    loads: _PeerLoads = field(compare=False)
+    upstream_id: str = field(compare=False)
+    share: EntryLoad = field(compare=False)
+
+
 @dataclass(slots=True)
 class _ReceivedReport:
     received_at: datetime
@@ -99,6 +113,9 @@
     """Track own requests, the loads of peers and the reports of engines."""
 
     __slots__ = (
+        "answered_",
+        "completions",
+        "numbers_",
         "on_sent",
         "last_expiry_at_",
         "peers_by_id_",
@@ -109,7 +126,11 @@
         "upstream_ids_by_key_",
     )
 
-    def __init__(self, on_sent: SentCallback | None = None) -> None:
+    def __init__(
+        self,
+        on_sent: SentCallback | None = None,
+        service_of: Callable[[str], str | None] = lambda upstream_id: None,
+    ) -> None:
         # Called for each request sent to an upstream, to notify peers.
         self.on_sent = on_sent
         self.upstream_ids_by_key_: dict[str, str] = {}
@@ -119,6 +140,9 @@
         # each upstream.
         self.peer_loads_by_upstream_: dict[str, EntryLoad] = {}
         self.unread_: deque[_UnreadTokens] = deque()
+        self.answered_: list[_AnsweredRequests] = []
+        self.numbers_ = count()
+        self.completions = CompletionModel(service_of)
         self.last_expiry_at_: datetime | None = None
         self.reports_by_address_: dict[str, _ReceivedReport] = {}
 
@@ -165,6 +189,7 @@
     ) -> None:
         """Replace the loads of another entry."""
         self._expire_unread(now)
+        self._expire_answered(now)
         self._remove_peer(peer)
         loads = _PeerLoads(now, dict.fromkeys(shares_by_id, NO_LOAD))
         self.peers_by_id_[peer] = loads
@@ -206,6 +231,7 @@
         own = self.sent_by_upstream_.get(upstream_id, {}).values()
         total = sum((sent.share for sent in own), NO_LOAD)
         self._expire_unread(now)
+        self._expire_answered(now)
         self._expire_peers(now)
         total += self.peer_loads_by_upstream_.get(upstream_id, NO_LOAD)
         received = self.reports_by_address_.get(address)
@@ -233,6 +259,21 @@
             tokens = EntryLoad(0, share.unread_tokens, 0, share.yielding_tokens)
             expires_at = now + UNREAD_MAX_AGE
             self.unread_.append(_UnreadTokens(expires_at, loads, upstream_id, tokens))
+        # Short requests end long before their entry's next message says so.
+        lifetime = self.completions.peer_lifetime(upstream_id)
+        if lifetime is not None and share.requests:
+            answered = _AnsweredRequests(
+                now + lifetime, next(self.numbers_), loads, upstream_id, share
+            )
+            heapq.heappush(self.answered_, answered)
+
+    def _expire_answered(self, now: datetime) -> None:
+        while self.answered_ and now >= self.answered_[0].expires_at:
+            expired = heapq.heappop(self.answered_)
+            if not expired.loads.replaced:
+                shares = expired.loads.shares_by_id
+                shares[expired.upstream_id] += expired.share * -1
+                self._add_peer_load(expired.upstream_id, expired.share * -1)
 
     def _expire_unread(self, now: datetime) -> None:
         while self.unread_ and now >= self.unread_[0].expires_at:
--- a/shallotpath/gateway/_upstreams.py
+++ b/shallotpath/gateway/_upstreams.py
@@ -129,6 +129,11 @@
         known = self.upstreams_by_id_.get(upstream.id)
         return known is upstream and self.is_usable(upstream, now)
 
+    def service_id(self, upstream_id: str) -> str | None:
+        """Return the id of the service of an upstream, `None` if it is not known."""
+        known = self.upstreams_by_id_.get(upstream_id)
+        return None if known is None else known.record.service
+
     def usable(self, service: str, now: datetime) -> Iterable[Upstream]:
         """Return the upstreams of a service that want requests."""
         return [u for u in self.of_service(service) if self.is_usable(u, now)]
--- a/shallotpath/gateway/tests/helpers.py
+++ b/shallotpath/gateway/tests/helpers.py
@@ -140,7 +140,7 @@
         rules=PlacementRules(domain, REGIONS, ms(8000), 1.5, 5.0),
         operator=operator,
         upstreams=upstreams,
-        loads=LoadTracker(),
+        loads=LoadTracker(service_of=upstreams.service_id),
         breaker=Breaker(),
         subsets=subsets or make_subsets(),
         random=Random(seed),
--- a/shallotpath/platform/_headers.py
+++ b/shallotpath/platform/_headers.py
@@ -15,12 +15,16 @@
     RequestFields,
     ResponseFields,
 )
+from ..gateway import ServerLoad, is_plausible
 from . import _names as names
 
 # Bounds what a single request can add to logs and crash suspects.
 MAX_PROMPT_PARTS = 64
 # Longer times in headers are cut to this one.
 MAX_PARSED_TIME = timedelta(days=1)
+# Bounds what is parsed of a load report: four figures, far larger than real ones.
+MAX_LOAD_CHARS = 64
+LOAD_FIGURES = (3, 4)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 # Headers that are not forwarded: hop-by-hop headers, the caller's key and headers
 # that only this system may set.
@@ -67,6 +71,8 @@
     def read_response(self, headers: CIMultiDictProxy[str]) -> ResponseFields:
         """Return the fields of an upstream's headers."""
         match = _KEEP_ALIVE_TIMEOUT.search(headers.get("Keep-Alive", ""))
+        load_text = headers.get(names.SERVER_LOAD)
+        load = _parse_server_load(load_text)
         return ResponseFields(
             request_id=headers.get(names.REQUEST_ID, ""),
             sealed=names.SEAL in headers,
@@ -75,6 +81,8 @@
             retry_after=_parse_retry_after(headers),
             leaving=headers.get(names.LEAVING, "").strip() == "1",
             keep_alive=_parse_seconds(match.group(1)) if match else None,
+            load=load,
+            load_unreadable=load_text is not None and load is None,
         )
 
     def outgoing(
@@ -125,6 +133,19 @@
     return tuple(part.partition(":")[0].strip() for part in parts)
 
 
+def _parse_server_load(text: str | None) -> ServerLoad | None:
+    """Return a report of an upstream's load, `None` for none or an unreadable one."""
+    if text is None or len(text) > MAX_LOAD_CHARS:
+        return None
+    figures = [part.strip() for part in text.split(",")]
+    if len(figures) not in LOAD_FIGURES:
+        return None
+    if not all(figure.isascii() and figure.isdigit() for figure in figures):
+        return None
+    load = ServerLoad(*map(int, figures))
+    return load if is_plausible(load) else None
+
+
 def _parse_milliseconds(text: str | None) -> timedelta | None:
     try:
         return timedelta(milliseconds=float(text)) if text else None
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -19,6 +19,9 @@
 NOT_EXECUTED = "Shallotpath-Not-Executed"
 # Set to 1 in all responses of an upstream that leaves.
 LEAVING = "Server-Leaving"
+# Running and waiting requests and slots, and at some upstreams the time that work
+# takes, in percent of the usual one, separated by commas.
+SERVER_LOAD = "Shallotpath-Server-Load"
 # Present in every valid response of an upstream below status 500.
 SEAL = "Shallotpath-Server-Seal"
 MODEL = "Shallotpath-Model"
--- a/shallotpath/platform/tests/test_platform.py
+++ b/shallotpath/platform/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 from shallotpath.core import SettingError
 from shallotpath.forwarding import OutgoingFields
-from shallotpath.gateway import DomainDisabled, DomainEnabled, RouteKind
+from shallotpath.gateway import DomainDisabled, DomainEnabled, RouteKind, ServerLoad
 from shallotpath.platform import (
     METRICS_PORT_VARIABLE,
     CallError,
@@ -316,3 +316,27 @@
     # Guards against an answer that is lost because of a number in its head.
     fields = read_response(("Keep-Alive", "timeout=" + "9" * 30))
     assert fields.keep_alive == DAY
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,0,8", ServerLoad(3, 0, 8)),
+        (" 6, 2 ,6,250", ServerLoad(6, 2, 6, 250)),
+        *((text, None) for text in ("", "3", "3,0", "1,2,3,4,5", "3,0,8,", "a,b,c")),
+        *(
+            (text, None)
+            for text in ("-1,0,8", "1,-2,8", "1,0,0", "1,0,8,0", "1,0,8,-5")
+        ),
+        *(
+            (text, None)
+            for text in ("9" * 1000 + ",0,8", "9999999,0,8", "1.5,0,8", "²,0,8")
+        ),
+    ],
+)
+def test_load_report_is_read_or_counts_as_unreadable(text, load):
+    # Guards against an answer that is lost, and a placement that is led astray, by an
+    # odd report.
+    fields = read_response(("Shallotpath-Server-Load", text))
+    assert (fields.load, fields.load_unreadable) == (load, load is None)
+    assert not read_response().load_unreadable
