--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -104,8 +104,8 @@
         # Complete events of a stream that this attempt has relayed.
         self.events_ = 0
         self.answer_recorded = False
-        self.sent_at_: datetime | None = None
-        self.head_at_: datetime | None = None
+        self.sent_at: datetime | None = None
+        self.head_at: datetime | None = None
 
     @property
     def events(self) -> int:
@@ -142,7 +142,7 @@
             detail = "the connection closed before the request was sent"
             raise AttemptError(Failure(FailureKind.EXPIRED, detail))
         try:
-            self.sent_at_ = self.pool.clock.now()
+            self.sent_at = self.pool.clock.now()
             self.connection_.send(payload, request_id)
             self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
@@ -236,7 +236,7 @@
             is_unlabelled = not fields.request_id and not self.connection_.reused
             if fields.request_id == request_id or is_unlabelled:
                 self.message_, self.payload_, self.fields_ = message, payload, fields
-                self.head_at_ = self.pool.clock.now()
+                self.head_at = self.pool.clock.now()
                 self._record_notice(fields)
                 return
             # A late response to an earlier request on this connection.
@@ -267,7 +267,7 @@
         answered_by = fields.upstream_id or ("" if is_misdirected else record.id)
         if answered_by != record.id:
             return
-        now = self.head_at_
+        now = self.head_at
         if fields.load is not None:
             self.completions.record_report(record.id, fields.load, now)
         elif fields.load_unreadable:
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -33,6 +33,7 @@
 from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
+from ._measurements import record_answer_time, record_first_token
 from ._memory import FREE_SHARE, MIN_ALLOWANCE_BYTES, HeldKind, Lease
 from ._parts import ForwarderParts
 from ._responses import BufferedResponse, refusal, relayed_headers
@@ -220,7 +221,7 @@
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
             self._record_answer(attempt)
-            self._record_time(attempt)
+            record_answer_time(self.parts, self.call, attempt)
             attempt.finish()
             self.parts.dispatcher.breaker.record_success(upstream.id)
             self.parts.suspects.completed(self.call.fingerprint)
@@ -373,6 +374,8 @@
             complete = self._complete_events(chunk)
             self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
+                if not attempt.events:
+                    record_first_token(self.parts, self.call, attempt)
                 attempt.count_events(complete)
                 if attempt.answer_begun:
                     self._record_answer(attempt)
@@ -394,21 +397,6 @@
             now = self.parts.clock.now()
             self.parts.suspects.parts.record_answer(self.call.shared_parts, now)
 
-    def _record_time(self, attempt: Attempt) -> None:
-        """Record how long the upstream took, unless it runs engines or failed."""
-        catalog = self.parts.dispatcher.operator.catalog
-        service = catalog.services_by_id.get(self.call.service)
-        failed = attempt.status >= _SERVER_ERROR
-        if failed or service is None or service.engine is not None:
-            return
-        self.parts.dispatcher.loads.completions.record_answer(
-            self.call.service,
-            attempt.placement.upstream.id,
-            self.call.route.id,
-            duration=attempt.head_at_ - attempt.sent_at_,
-            now=attempt.head_at_,
-        )
-
     def _complete_events(self, chunk: bytes) -> bytes:
         try:
             return self.events_.feed(chunk)
--- a/shallotpath/gateway/_answer_times.py
+++ b/shallotpath/gateway/_answer_times.py
@@ -60,11 +60,8 @@
     ) -> None:
         """Record the time that an upstream took to answer a request."""
         seconds = max(duration.total_seconds(), 1e-4)
-        for key in (
-            (service, "", ""),
-            (service, "", route),
-            (service, upstream_id, route),
-        ):
+        keys = {(service, "", ""), (service, "", route), (service, upstream_id, route)}
+        for key in keys:
             self._update(key, seconds, now)
 
     def usual(self, service: str, route: str = "") -> timedelta | None:
--- a/shallotpath/gateway/_completion.py
+++ b/shallotpath/gateway/_completion.py
@@ -44,15 +44,25 @@
 class CompletionModel:
     """Estimate the state of upstreams and predict completions from it."""
 
-    __slots__ = ("answer_times", "reporting_services_", "server_loads", "service_of")
+    __slots__ = (
+        "answer_times",
+        "first_tokens",
+        "reporting_services_",
+        "server_loads",
+        "service_of",
+        "shared_services_",
+    )
 
     def __init__(self, service_of: Callable[[str], str | None]) -> None:
         # Return the service of a registered upstream.
         self.service_of = service_of
         self.server_loads = ServerLoads()
         self.answer_times = AnswerTimes()
+        self.first_tokens = AnswerTimes()
         # Services of which an upstream has reported its load.
         self.reporting_services_: set[str] = set()
+        # Those of which one has reported its slowness, as it shares its VM.
+        self.shared_services_: set[str] = set()
 
     def record_report(self, upstream_id: str, load: ServerLoad, now: datetime) -> None:
         """Record what an upstream reports of itself."""
@@ -60,6 +70,12 @@
         if service is not None:
             self.reporting_services_.add(service)
             self.server_loads.record(upstream_id, load, now)
+            if load.slowness is not None:
+                self.shared_services_.add(service)
+
+    def shares_vms(self, service: str) -> bool:
+        """Check whether upstreams of a service report how slow their VMs are."""
+        return service in self.shared_services_
 
     def usual_time(self, service: str, route: str = "") -> timedelta | None:
         """Return the usual time to answer of a service whose upstreams report loads.
@@ -85,6 +101,20 @@
             service, upstream_id, route, duration=duration, now=now
         )
 
+    def record_first_token(
+        self, service: str, upstream_id: str, duration: timedelta, now: datetime
+    ) -> None:
+        """Record the time to the first token of an engine."""
+        self.first_tokens.record(service, upstream_id, "", duration=duration, now=now)
+
+    def unread_lifetime(self, upstream_id: str) -> timedelta | None:
+        """Return how long the prompt of a peer's request counts as unread.
+
+        `None` where engines have their VMs to themselves, or before it is known.
+        """
+        service = self.service_of(upstream_id)
+        return None if service is None else self.first_tokens.usual(service)
+
     def peer_lifetime(self, upstream_id: str) -> timedelta | None:
         """Return how long a request of a peer counts if it has not been heard of since.
 
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -92,7 +92,7 @@
             subsets=subsets,
             cold_limiter=self.cold_limiter,
         )
-        self.predictor = LatencyPredictor(loads)
+        self.predictor = LatencyPredictor(loads, self.eligibility.region_of)
         self.rejections = RejectionPolicy(upstreams, random)
         self.overload_detector_ = OverloadDetector()
         self.spill_budget_ = SpillBudget()
--- a/shallotpath/gateway/_engine_model.py
+++ b/shallotpath/gateway/_engine_model.py
@@ -46,6 +46,8 @@
 
     wait: timedelta
     prefill: timedelta
+    # Part of the wait that stands for errors of earlier predictions.
+    correction: timedelta = timedelta()
 
     @property
     def first_token(self) -> timedelta:
