--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -52,6 +52,7 @@
 )
 from ._gossip import remote_interval
 from ._member import MemberProcess
+from ._predictions import report_predictions
 from ._records import apply_each
 from ._topics import TopicReplica
 
@@ -451,6 +452,7 @@
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             self._measure_memory()
+            report_predictions(self.dispatcher.predictor, self.clock, self.reporter)
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -57,7 +57,8 @@
         predicted = milliseconds(placement.prediction.first_token)
         self.steps.append(
             f"{self._elapsed(now)} to {upstream.id} version={placement.version} "
-            f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
+            f"predicted={predicted}{_describe_correction(placement)} age={age}"
+            f"{_describe_start_deadline(placement, now)}"
         )
 
     def sent(self, connection: int, request_count: int) -> None:
@@ -147,6 +148,12 @@
         return f"+{milliseconds(now - self.arrived_at)}ms"
 
 
+def _describe_correction(placement: Placement) -> str:
+    """Return the part of the prediction that earlier errors account for."""
+    correction = placement.prediction.correction
+    return f" of_that_learnt={milliseconds(correction)}" if correction else ""
+
+
 def _describe_start_deadline(placement: Placement, now: datetime) -> str:
     """Return how long outdated weights may still be used; empty for current ones."""
     if placement.start_deadline is None:
--- a/shallotpath/gateway/__init__.py
+++ b/shallotpath/gateway/__init__.py
@@ -37,6 +37,7 @@
 from ._outcomes import Failure, FailureKind
 from ._part_suspects import PartEvidence, PartSuspects
 from ._placement import Placement, PlacementRules, Rejection, RejectReason
+from ._prediction import LatencyPredictor
 from ._retries import Retries
 from ._server_load import ServerLoad, is_plausible
 from ._subsets import EntrySubsets
@@ -65,6 +66,7 @@
     "FailureKind",
     "GatewayCall",
     "UNIX_EPOCH",
+    "LatencyPredictor",
     "LoadTracker",
     "LostRequest",
     "PartEvidence",
--- a/shallotpath/gateway/_completion.py
+++ b/shallotpath/gateway/_completion.py
@@ -85,7 +85,9 @@
         """
         if service not in self.reporting_services_:
             return None
-        return self.answer_times.usual(service, route)
+        usual = self.answer_times.usual(service, route)
+        # A rare route counts as the service's others until it has answers of its own.
+        return usual or self.answer_times.usual(service)
 
     def record_answer(
         self,
--- a/shallotpath/gateway/_prediction_errors.py
+++ b/shallotpath/gateway/_prediction_errors.py
@@ -16,9 +16,11 @@
 # late answers do not keep requests away.
 MAX_STEP = timedelta(milliseconds=300)
 MIN_REQUESTS = 3
-# An error loses its worth within this time, so that a region is tried again after its
-# link had no room for a while.
-MAX_AGE = timedelta(seconds=3)
+# An error counts fully for the first time, as an entry sends few requests to another
+# region, and nothing after the second, so that a region is tried again after its link
+# had no room for a while.
+FULL_WEIGHT_AGE = timedelta(seconds=1.5)
+MAX_AGE = timedelta(seconds=4)
 
 
 @dataclass(slots=True)
@@ -63,4 +65,5 @@
 
 
 def _freshness(average: _Average, now: datetime) -> float:
-    return max(0.0, 1 - (now - average.updated_at) / MAX_AGE)
+    left = MAX_AGE - (now - average.updated_at)
+    return min(1.0, max(0.0, left / (MAX_AGE - FULL_WEIGHT_AGE)))
