--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -106,6 +106,7 @@
         self.answer_recorded = False
         self.sent_at: datetime | None = None
         self.head_at: datetime | None = None
+        self.begun_recorded = False
 
     @property
     def events(self) -> int:
