--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -53,6 +53,7 @@
 from ._evidence import decode_evidence, encode_evidence
 from ._gossip import remote_interval
 from ._member import MemberProcess
+from ._predictions import report_predictions
 from ._records import apply_each
 from ._topics import TopicReplica
 
@@ -96,7 +97,7 @@
         self.upstreams = UpstreamTable()
         self.upstreams.notices.on_notice = self._report_notice
         self.breaker = Breaker()
-        self.loads = LoadTracker(self._send_placement)
+        self.loads = LoadTracker(self._send_placement, self.upstreams.service_id)
         self.evidence_found_ = asyncio.Event()
         self.suspects = CrashSuspects(
             PartSuspects(
@@ -493,6 +494,7 @@
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             self._measure_memory()
+            report_predictions(self.dispatcher.predictor, self.clock, self.reporter)
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
