Bound what callers hold at every HTTP listener

Cause: an incomplete head was limited by field only, so 60 callers with 120 fields of 60 kB took 721 MB; idle connections took all descriptors; shallot-entry reserved 1 MiB of 16 MiB for each declared body, so 16 bodies that stopped held all of it for 10 s; a turn of the event loop parsed the one-byte chunks of all connections.

Change: pure decisions in `connections` say which connection is closed when there is no room (never one whose request is complete), when a head or body is too slow, which body gives way when memory is short (the team that holds most first), and which costly reads wait for their turn. `GuardedConnection` and `ConnectionTable` apply them at all listeners of the platform's processes, of shallot-entry, shallot-agent and of the stand-ins. The limits of op/config for heads are in force. `limits.maxFds` is read.

--- a/shallotpath/bench/_cluster.py
+++ b/shallotpath/bench/_cluster.py
@@ -336,7 +336,7 @@
 
 def abort_callers(entry: EntryProcess) -> None:
     """Abort the callers' connections at once, as the failure of a VM does."""
-    for connection in list(entry.server.runner_.server.connections):
+    for connection in list(entry.server.web_server_.runner.server.connections):
         if connection.transport is not None:
             connection.transport.abort()
 
--- a/shallotpath/cli/_node.py
+++ b/shallotpath/cli/_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..connections import ConnectionLimits, ConnectionTable, DescriptorShares
 from ..nodes import Process
 from ..telemetry import make_admin_app
 from ..webserver import serve
@@ -13,7 +14,9 @@
     """Start, wait for the stop signal, drain within the configured limit and stop."""
     await process.start()
     admin = make_admin_app(process.telemetry, process.status)
-    async with serve(admin, *process.settings.http):
+    limits = ConnectionLimits(DescriptorShares.for_process().monitoring)
+    table = ConnectionTable(limits, clock=process.clock)
+    async with serve(admin, *process.settings.http, table):
         await stopping.wait()
         limit = process.settings.drain.total_seconds()
         try:
--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -144,7 +144,7 @@
             self.parts, self.operator, self.is_configuration_fresh, self.reporter
         )
         self.caller_listener_: Listener | None = None
-        self.readiness_listener_ = Listener(self._answer_probe)
+        self.readiness_listener_ = self.listeners.readiness(self._answer_probe)
         self.upstream_topic_: TopicReplica | None = None
 
     async def start(self) -> None:
@@ -160,7 +160,9 @@
         self.keep_running(self._follow_entries)
         self.keep_running(self._send_evidence)
         readiness, callers = self.settings.readiness, self.settings.callers
-        self.caller_listener_ = Listener(self.forwarder.handle, memory=self.memory)
+        self.caller_listener_ = self.listeners.callers(
+            self.forwarder.handle, memory=self.memory
+        )
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
@@ -231,8 +233,12 @@
         """Apply the connection limits of a new configuration to the listener."""
         catalog = self.operator.catalog
         if catalog is not None and self.caller_listener_ is not None:
+            limits = catalog.limits
             self.caller_listener_.set_limits(
-                catalog.limits.idle_timeout, catalog.limits.body_bytes
+                limits.idle_timeout,
+                limits.body_bytes,
+                max_header=limits.header_bytes,
+                header_timeout=limits.header_timeout,
             )
 
     def apply_upstreams(
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -13,7 +13,6 @@
 from aiohttp import web
 
 from ..core import Clock, MonotonicClock, SettingError, rendezvous_order
-from ..forwarding import Listener
 from ..gateway import OperatorState, WriteTime
 from ..platform import (
     OPERATOR_TOPIC,
@@ -41,6 +40,7 @@
     gossip_interval,
     incarnation,
 )
+from ._listeners import ListenerFactory
 from ._records import apply_each
 from ._reporter import LineReporter
 from ._topics import LISTINGS_QUERY, Apply, TopicReplica
@@ -110,12 +110,12 @@
         self.gossip_ = GossipSocket(self.receive, self.reporter)
         self.operator_topic_: TopicReplica | None = None
         self.topics_by_name_: dict[str, TopicReplica] = {}
-        self.peer_listener_ = Listener(self.answer_peer)
-        self.metrics_listener_ = Listener(self.answer_monitoring)
+        self.listeners = ListenerFactory(settings, self.clock, self.reporter)
+        self.peer_listener_ = self.listeners.peers(self.answer_peer)
+        self.metrics_listener_ = self.listeners.metrics(self.answer_monitoring)
         self.tasks_: set[asyncio.Task] = set()
         self.incarnation_ = incarnation(self.clock.now())
-        self.sequence_ = 0
-        self.repeat_rounds_left_ = 0
+        self.sequence_ = self.repeat_rounds_left_ = 0
         self.next_remote_at_ = self.next_full_at_ = self.clock.now()
         self.leaving_ = False
 
--- a/shallotpath/forwarding/__init__.py
+++ b/shallotpath/forwarding/__init__.py
@@ -4,7 +4,7 @@
 from ._connection import ConnectionPool
 from ._events import EventSplitter
 from ._forwarder import Forwarder
-from ._ingress import Listener
+from ._ingress import Handler, Listener
 from ._journal import Reporter, RequestJournal, milliseconds, report_crash
 from ._memory import HeldKind, Lease, MemoryBudget
 from ._parts import ForwarderParts
@@ -25,6 +25,7 @@
     "EventSplitter",
     "Forwarder",
     "ForwarderParts",
+    "Handler",
     "Listener",
     "Reporter",
     "RequestFields",
--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -8,7 +8,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
-from ._reads import SmallReads
+from ..connections import SmallReads
 
 # Longest status line or header field that an upstream may send.
 MAX_HEADER_BYTES = 32768
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -13,12 +13,12 @@
 from aiohttp import ClientError, StreamReader
 from aiohttp.http import RawResponseMessage
 
+from ..connections import READER_LOW_WATER_BYTES, limit_kernel_buffer
 from ..core import Clock
 from ..settings import check_host_port
 from ._bounded import MAX_HEADER_BYTES, BoundedConnection, MalformedAnswerError
 from ._journal import Reporter
 from ._memory import HeldKind, Lease
-from ._reads import READER_LOW_WATER_BYTES, limit_kernel_buffer
 
 # Round trips take up to about 4 ms; a lost SYN is only retransmitted after 1 s.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from ..connections import Body, BodyBudget, BodyRefusedError
+from ..core import Clock
 from ..gateway import Catalog, GatewayCall, OperatorState, Route, Team, shared_parts
 from ._exchange import Exchange
 from ._failures import FailureRecorder
@@ -124,10 +126,9 @@
         team = self._find_team(catalog, route, fields)
         if team is None and not route.public and catalog.requires_keys:
             return self._deny_unknown(401, "the key is not known")
-        try:
-            body = await _read_body(request)
-        except web.HTTPRequestEntityTooLarge:
-            return refusal(413, "the body is larger than the operator allows")
+        body = await _receive_body(request, team.id if team else "", self.parts.clock)
+        if isinstance(body, web.Response):
+            return body
         call = self._build_call(
             request,
             route=route,
@@ -232,20 +233,45 @@
         )
 
 
-async def _read_body(request: web.BaseRequest) -> bytes:
-    """Return the body; raise `MemoryFullError` if it cannot be held now."""
+async def _receive_body(
+    request: web.BaseRequest, team: str, clock: Clock
+) -> bytes | web.Response:
+    """Return the body or a refusal; raise `MemoryFullError` if it has no room now."""
     if not request.can_read_body:
         return b""
+    bodies = request[LEASE].budget.bodies
+    counted = bodies.open(team, clock.now(), request.protocol.refuse_for_memory)
+    try:
+        return await _read_body(request, bodies, counted, clock)
+    except web.HTTPRequestEntityTooLarge:
+        return refusal(413, "the body is larger than the operator allows")
+    except BodyRefusedError as error:
+        retry_after = MEMORY_RETRY_AFTER if error.status == 503 else None
+        response = refusal(error.status, str(error), retry_after)
+        response.force_close()
+        return response
+    finally:
+        bodies.close(counted)
+
+
+async def _read_body(
+    request: web.BaseRequest, bodies: BodyBudget, counted: Body, clock: Clock
+) -> bytes:
     lease, limit = request[LEASE], request.client_max_size
     parts: list[bytes] = []
     size = 0
-    while part := await request.content.readany():
-        parts.append(part)
-        size += len(part)
-        if size > limit:
-            raise web.HTTPRequestEntityTooLarge(max_size=limit, actual_size=size)
-        # The body and its copy in the request to the upstream.
-        lease.hold(HeldKind.REQUEST, 2 * size)
-        if size > lease.budget.allowance(BODY_FREE_SHARE):
-            raise MemoryFullError
-    return b"".join(parts)
+    try:
+        while part := await request.content.readany():
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                raise web.HTTPRequestEntityTooLarge(max_size=limit, actual_size=size)
+            # The body and its copy in the request to the upstream.
+            lease.hold(HeldKind.REQUEST, 2 * size)
+            bodies.receive(counted, 2 * len(part), clock.now())
+            if size > lease.budget.allowance(BODY_FREE_SHARE):
+                raise MemoryFullError
+        return b"".join(parts)
+    finally:
+        # An exception of the stream keeps this frame alive until a collection.
+        parts.clear()
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -9,8 +9,12 @@
 
 from aiohttp import web
 
+from ..connections import (
+    ConnectionTable,
+    GuardedConnection,
+    limit_kernel_buffer,
+)
 from ._memory import Lease, MemoryBudget
-from ._reads import READER_LOW_WATER_BYTES, SmallReads, limit_kernel_buffer
 
 # The lease of a request among its values.
 LEASE = web.RequestKey("lease", Lease)
@@ -22,16 +26,15 @@
 ACCEPT_BATCH = 16
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=75)
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
-MAX_HEADER_BYTES = 65536
 # Time for connections that are still in use when a listener stops; not 0, which
 # aiohttp takes as no limit.
 SHUTDOWN_TIMEOUT = timedelta(milliseconds=10)
 
 
-class _CallerConnection(SmallReads, web.RequestHandler):
+class _CallerConnection(GuardedConnection):
     """Track whether a request has arrived that is not answered yet."""
 
-    __slots__ = ("read_buffer_", "request_pending_")
+    __slots__ = ("request_pending_",)
 
     def __init__(self, *args, **kwargs) -> None:
         super().__init__(*args, **kwargs)
@@ -71,9 +74,11 @@
         idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT,
         max_body: int = DEFAULT_MAX_BODY_BYTES,
         memory: MemoryBudget | None = None,
+        table: ConnectionTable | None = None,
     ) -> None:
         self.handler = handler
         self.memory = memory or MemoryBudget()
+        self.table = table or ConnectionTable()
         self.idle_timeout = idle_timeout
         self.max_body = max_body
         self.server_: web.Server | None = None
@@ -109,10 +114,18 @@
         listening.listen(BACKLOG)
         return listening.getsockname()[1]
 
-    def set_limits(self, idle_timeout: timedelta, max_body: int) -> None:
-        """Set new limits; the idle timeout applies to new connections only."""
+    def set_limits(
+        self,
+        idle_timeout: timedelta,
+        max_body: int,
+        *,
+        max_header: int,
+        header_timeout: timedelta,
+    ) -> None:
+        """Set new limits; idle connections that exist are closed as before."""
         self.max_body = max_body
         self.idle_timeout = idle_timeout
+        self.table.set_client_limits(max_header, header_timeout, idle_timeout)
 
     def close(self) -> None:
         """Stop accepting connections; open ones stay usable."""
@@ -154,13 +167,11 @@
     def _build_connection(self) -> _CallerConnection:
         return _CallerConnection(
             self.server_,
+            self.table,
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
-            read_bufsize=READER_LOW_WATER_BYTES,
             keepalive_timeout=self.idle_timeout.total_seconds(),
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
         )
 
     def _build_request(
--- a/shallotpath/forwarding/_memory.py
+++ b/shallotpath/forwarding/_memory.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from enum import StrEnum
 
+from ..connections import BodyBudget
+
 # Used by listeners that are given no budget.
 DEFAULT_LIMIT_BYTES = 96 * 1024 * 1024
 # Memory of an entry without requests, with room for its tables.
@@ -17,6 +19,9 @@
 FREE_SHARE = 1 / 64
 # Bodies of requests cannot be passed on in parts, so they get more.
 BODY_FREE_SHARE = 1 / 4
+# Part of the budget for bodies that have not arrived in full. Beyond it the one goes
+# that holds most for longest.
+BODIES_SHARE = 0.4
 # A request that holds less is neither limited nor shed.
 MIN_ALLOWANCE_BYTES = 16 * 1024
 # Part of the budget that allowances come from. The rest is for the smallest allowances.
@@ -108,6 +113,7 @@
     """Share a number of bytes among all requests of a process."""
 
     __slots__ = (
+        "bodies",
         "held_by_kind_",
         "held_bytes_",
         "leases_",
@@ -120,6 +126,7 @@
 
     def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
+        self.bodies = BodyBudget(int(BODIES_SHARE * limit_bytes))
         self.tight_bytes_ = int(TIGHT_SHARE * limit_bytes)
         self.held_bytes_ = 0
         self.held_by_kind_: dict[HeldKind, int] = dict.fromkeys(HeldKind, 0)
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -52,6 +52,8 @@
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     memory_bytes: int
+    # `None` leaves the limit that the process was started with.
+    max_descriptors: int | None
     # Bandwidth of the VM's link in each direction.
     link_bytes_per_s: float
     # Time between SIGTERM and SIGKILL.
@@ -121,6 +123,7 @@
         seeds=reader.endpoints("seeds"),
         store=reader.required_endpoint("platform.address"),
         memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
+        max_descriptors=int(reader.number("limits.maxFds", 0)) or None,
         link_bytes_per_s=reader.number("limits.linkMbps", 100) * 1_000_000 / 8,
         stop_grace=timedelta(seconds=reader.number("bounds.graceS", 8)),
         budget_ratio=reader.number("bounds.budgetRatio", 0.1),
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -9,13 +9,25 @@
 from aiohttp import web
 
 from ..config import ConfigurationView
+from ..connections import (
+    BodyBudget,
+    ConnectionLimits,
+    ConnectionTable,
+    DescriptorShares,
+)
 from ..core import Code, RunState
 from ..membership import Member, MembershipView
 from ..streams import SlowReaderBudget
-from ..webserver import bind_listener
+from ..webserver import GuardedServer
 from ._entry_calls import EntryCalls
 from ._entry_part import EntryPart
-from ._entry_request import EntryLimits, EntryRequest, malformed, parse_request
+from ._entry_request import (
+    BodyReader,
+    EntryLimits,
+    EntryRequest,
+    malformed,
+    parse_request,
+)
 from ._exchanges import Exchanges
 from ._ports import RetryPort, RouterPort
 from ._problem import ProblemError
@@ -80,10 +92,10 @@
             retries=retries,
             home_of=home_of,
         )
-        self.runner_: web.AppRunner | None = None
+        self.bodies = BodyBudget(self.limits.total_body_bytes)
+        self.web_server_: GuardedServer | None = None
         self.draining_ = False
         self.in_flight_ = 0
-        self.reserved_body_bytes_ = 0
         self.in_flight_by_team_: Counter[str] = Counter()
 
     @property
@@ -99,8 +111,7 @@
     @property
     def url(self) -> str:
         """Return the base URL of the bound port."""
-        host, port = self.runner_.addresses[0][:2]
-        return f"http://{host}:{port}"
+        return self.web_server_.url
 
     async def start(self) -> None:
         """Register for messages and bind the port; call after the shell's start."""
@@ -112,18 +123,33 @@
         )
         app.add_routes([web.get("/healthz", self._health), *self.routes])
         app.router.add_route("*", "/{service}/{path:.*}", self._handle)
-        self.runner_ = web.AppRunner(
+        self.web_server_ = GuardedServer(
             app,
-            access_log=None,
+            self._make_table(),
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+        )
+        await self.web_server_.start(self.host, self.port)
+
+    def _make_table(self) -> ConnectionTable:
+        telemetry = self.shell.telemetry
+
+        def report(reason: str, count: int) -> None:
+            fields = {"reason": reason, "count": str(count)}
+            telemetry.log("connections_closed", fields)
+
+        def count(reason: str) -> None:
+            telemetry.count("connections_closed", {"reason": reason}, 1)
+
+        return ConnectionTable(
+            ConnectionLimits(DescriptorShares.for_process().callers),
+            clock=self.shell.clock,
+            report=report,
+            count=count,
         )
-        await self.runner_.setup()
-        listener = bind_listener(self.host, self.port)
-        await web.SockSite(self.runner_, listener).start()
 
     async def drain(self) -> None:
         """Refuse new requests and wait until those in flight have ended."""
@@ -134,7 +160,7 @@
     async def stop(self) -> None:
         """Close the HTTP server."""
         self.part.listener_ = None
-        await self.runner_.cleanup()
+        await self.web_server_.stop()
 
     def refuse_new_work(self) -> None:
         """Refuse all further requests."""
@@ -168,30 +194,20 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if self.draining_:
             raise ProblemError(Code.DRAINING)
-        reserved = self._body_reservation(request)
-        if self.reserved_body_bytes_ + reserved > self.limits.total_body_bytes:
-            raise ProblemError(Code.OVERLOADED)
         self.in_flight_ += 1
-        self.reserved_body_bytes_ += reserved
+        body = BodyReader(request, self.bodies, self.limits, self.shell.clock)
         try:
             parsed = await parse_request(
                 request,
                 self.configuration,
                 self.limits,
                 self.new_key,
-                self.shell.clock.now(),
+                body,
             )
             return await self._serve(parsed, request)
         finally:
             self.in_flight_ -= 1
-            self.reserved_body_bytes_ -= reserved
-
-    def _body_reservation(self, request: web.Request) -> int:
-        # The length of a chunked body is unknown until it has arrived, so the maximum
-        # is reserved.
-        length = request.content_length
-        limit = self.limits.body_bytes
-        return limit if length is None else min(length, limit)
+            body.close()
 
     async def _serve(
         self, parsed: EntryRequest, request: web.Request
--- a/shallotpath/runtime/_entry_request.py
+++ b/shallotpath/runtime/_entry_request.py
@@ -6,13 +6,22 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from datetime import datetime, timedelta
+from datetime import timedelta
 from uuid import uuid4
 
 from aiohttp import web
 
 from ..config import ConfigurationView, Service, ServiceKind, Team
-from ..core import DECODING_ERRORS, Code, RunState, Submit, parse_duration, sha256_hex
+from ..connections import Body, BodyBudget, BodyRefusedError
+from ..core import (
+    DECODING_ERRORS,
+    Clock,
+    Code,
+    RunState,
+    Submit,
+    parse_duration,
+    sha256_hex,
+)
 from ..limits import Call
 from ._inbound import make_call, parse_model_body
 from ._problem import ProblemError
@@ -58,9 +67,10 @@
     configuration: ConfigurationView,
     limits: EntryLimits,
     new_key: Callable[[str], str],
-    now: datetime,
+    reader: BodyReader,
 ) -> EntryRequest:
     """Return the validated request or raise `ProblemError`."""
+    now = reader.clock.now()
     if configuration.offset < 0:
         raise ProblemError(Code.NO_CONFIGURATION)
     team = find_team(request.headers.get("Authorization", ""), configuration)
@@ -70,7 +80,7 @@
     path = check_path(request)
     time_left = check_deadline(request.headers.get("X-Deadline"), service)
     key = check_key(request.headers.get("Idempotency-Key"))
-    body = await read_body(request, limits)
+    body = await reader.read(team.id)
     if service.kind is ServiceKind.MODEL:
         check_model_body(body)
     submit = Submit(
@@ -146,21 +156,65 @@
     return header
 
 
-async def read_body(request: web.Request, limits: EntryLimits) -> bytes:
-    """Read the body within the limits on its size and transfer time."""
-    if (request.content_length or 0) > limits.body_bytes:
-        raise too_large(limits)
-    try:
-        async with asyncio.timeout(limits.body_timeout.total_seconds()):
-            return await request.read()
-    except TimeoutError as error:
-        raise malformed(
-            "the body did not arrive in time; send it faster", status=408
-        ) from error
-    except web.HTTPRequestEntityTooLarge as error:
-        raise too_large(limits) from error
-    except web.RequestPayloadError as error:
-        raise malformed("the body is broken; check its encoding and length") from error
+class BodyReader:
+    """Read the body of one request and count it until the request ends."""
+
+    __slots__ = ("bodies", "clock", "counted_", "limits", "request")
+
+    def __init__(
+        self,
+        request: web.Request,
+        bodies: BodyBudget,
+        limits: EntryLimits,
+        clock: Clock,
+    ) -> None:
+        self.request = request
+        self.bodies = bodies
+        self.limits = limits
+        self.clock = clock
+        self.counted_: Body | None = None
+
+    async def read(self, team: str) -> bytes:
+        """Return the body within the limits on its size, transfer time and memory."""
+        limits = self.limits
+        if (self.request.content_length or 0) > limits.body_bytes:
+            raise too_large(limits)
+        refuse = self.request.protocol.refuse_for_memory
+        self.counted_ = self.bodies.open(team, self.clock.now(), refuse)
+        try:
+            async with asyncio.timeout(limits.body_timeout.total_seconds()):
+                body = await self._read_parts()
+        except TimeoutError as error:
+            raise slow_body() from error
+        except BodyRefusedError as error:
+            if error.status == web.HTTPRequestTimeout.status_code:
+                raise slow_body() from error
+            raise ProblemError(Code.OVERLOADED) from error
+        except web.RequestPayloadError as error:
+            detail = "the body is broken; check its encoding and length"
+            raise malformed(detail) from error
+        self.bodies.complete(self.counted_)
+        return body
+
+    async def _read_parts(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while part := await self.request.content.readany():
+                parts.append(part)
+                size += len(part)
+                if size > self.limits.body_bytes:
+                    raise too_large(self.limits)
+                self.bodies.receive(self.counted_, len(part), self.clock.now())
+            return b"".join(parts)
+        finally:
+            # An exception of the stream keeps this frame alive until a collection.
+            parts.clear()
+
+    def close(self) -> None:
+        """Give back the memory of the body."""
+        if self.counted_ is not None:
+            self.bodies.close(self.counted_)
 
 
 def check_model_body(body: bytes) -> None:
@@ -191,6 +245,11 @@
     return ProblemError(Code.MALFORMED_REQUEST, RunState.NO, detail, status=status)
 
 
+def slow_body() -> ProblemError:
+    """Return the error for a body that does not arrive in time."""
+    return malformed("the body did not arrive in time; send it faster", status=408)
+
+
 def too_large(limits: EntryLimits) -> ProblemError:
     """Return the error for a body above the limit."""
     detail = f"the body exceeds {limits.body_bytes} bytes; send a smaller one"
