--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -33,6 +33,7 @@
 from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
+from ._measurements import record_answer_time, record_first_token
 from ._memory import FREE_SHARE, MIN_ALLOWANCE_BYTES, HeldKind, Lease
 from ._parts import ForwarderParts
 from ._responses import BufferedResponse, refusal, relayed_headers
@@ -194,6 +195,7 @@
             self.parts.pool,
             self.parts.header_codec,
             upstreams.notices,
+            self.parts.dispatcher.loads.completions,
             journal=self.journal,
             lease=self.lease,
         )
@@ -219,6 +221,7 @@
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
             self._record_answer(attempt)
+            record_answer_time(self.parts, self.call, attempt)
             attempt.finish()
             self.parts.dispatcher.breaker.record_success(upstream.id)
             self.parts.suspects.completed(self.call.fingerprint)
@@ -312,6 +315,7 @@
         if self.caller_.started:
             detail = f"status {attempt.status}, no events, to a resumed stream"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
+        self._record_begun(attempt)
         return await self._relay_plain(attempt)
 
     async def _relay_plain(self, attempt: Attempt) -> web.StreamResponse:
@@ -371,10 +375,13 @@
             complete = self._complete_events(chunk)
             self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
+                if not attempt.events:
+                    record_first_token(self.parts, self.call, attempt)
                 attempt.count_events(complete)
                 if attempt.answer_begun:
                     self._record_answer(attempt)
                 self.parts.dispatcher.loads.first_token(key)
+                self._record_begun(attempt)
                 await self._start_response(attempt)
                 await self.caller_.write(complete)
                 # The time in which a slow caller blocked the write does not count.
@@ -385,6 +392,12 @@
         await self.caller_.write(rest)
         return await self.caller_.end()
 
+    def _record_begun(self, attempt: Attempt) -> None:
+        """Tell once that the upstream of an attempt has begun to run the request."""
+        if not attempt.begun_recorded and self.parts.on_begun is not None:
+            attempt.begun_recorded = True
+            self.parts.on_begun(self.call.team)
+
     def _record_answer(self, attempt: Attempt) -> None:
         """Record once that the upstream of an attempt did not crash."""
         if not attempt.answer_recorded and _OK <= attempt.status < _REDIRECT:
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -19,6 +19,9 @@
 NOT_EXECUTED = "Shallotpath-Not-Executed"
 # Set to 1 in all responses of an upstream that leaves.
 LEAVING = "Server-Leaving"
+# Running and waiting requests and slots, and at some upstreams the time that work
+# takes, in percent of the usual one, separated by commas.
+SERVER_LOAD = "Shallotpath-Server-Load"
 # Present in every valid response of an upstream below status 500.
 SEAL = "Shallotpath-Server-Seal"
 MODEL = "Shallotpath-Model"
@@ -29,6 +32,11 @@
 PROMPT_PARTS = "Shallotpath-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 
+# Process that has a duty, and the number that rises when it changes.
+DUTY_HOLDER = "Shallotpath-Duty-Holder"
+FENCING_TOKEN = "Shallotpath-Fencing-Token"
+
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 MEMBER_TOPIC = "keyed.shallot-members"
+DUTY_TOPIC = "keyed.shallot-duties"
