Admit requests to engines by priority

A request's priority decided nothing: admission compared a predicted wait with the target of the request's own route, so the least urgent requests with a loose target were admitted where the most urgent ones were refused.

Where the routes and teams of a service have several priorities, engines now get a priority that follows them, predictions leave out the queued requests that a request overtakes, and a less urgent request is admitted only if a more urgent one that arrived now would meet its target, and if its own wait, with the room that more urgent ones take, fits in what recent refusals of more urgent ones leave of its target. Entries exchange the demand of each priority, so all compute the same level. Each priority and team keeps a third of the average share.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -50,6 +50,7 @@
     PlacementItem,
     SuspectItem,
 )
+from ._demand import demand_items, report_levels, update_peer_demand
 from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._records import apply_each
@@ -291,6 +292,7 @@
         )
         parts = self.suspects.parts.recent(self.clock.now(), PARTS_PER_MESSAGE)
         message.parts.extend(map(_encode_evidence, parts))
+        message.demands.extend(demand_items(self.dispatcher.demand, self.clock.now()))
         return message
 
     def relay(self, message: GossipMessage, payload: bytes) -> None:
@@ -305,6 +307,8 @@
             if not self.subsets.knows(message.sender.id):
                 self.entries_changed_.set()
             self.loads.update_peer_loads(message.sender.id, message.shares, now)
+            demand, sender = self.dispatcher.demand, message.sender.id
+            update_peer_demand(demand, sender, message.demands, now)
         for report in message.engines:
             self.loads.update_engine_report(report, now)
         for suspect in message.suspects:
@@ -451,6 +455,7 @@
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             self._measure_memory()
+            report_levels(self.dispatcher, self.reporter, self.clock.now())
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -208,6 +208,7 @@
             self.call.prompt_tokens,
             now,
             yielding=placement.yielding,
+            rank_priority=placement.rank_priority,
         )
         try:
             await attempt.connect(
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -58,7 +58,11 @@
         self.steps.append(
             f"{self._elapsed(now)} to {upstream.id} version={placement.version} "
             f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
+            f"{_describe_level(placement)}"
         )
+        if placement.rank.ordered:
+            outcome = "minimum_share" if placement.minimum_share else "admitted"
+            self._count_admission(placement, outcome)
 
     def sent(self, connection: int, request_count: int) -> None:
         """Record the connection and how many requests it has carried."""
@@ -85,7 +89,10 @@
             f"{self._elapsed(now)} no upstream: {rejection.reason} "
             f"candidates={rejection.candidates} "
             f"predicted={None if predicted is None else milliseconds(predicted)}"
+            f"{_describe_level(rejection)}"
         )
+        if rejection.rank.ordered:
+            self._count_admission(rejection, f"refused_{rejection.obstacle}")
 
     def stopping(self, now: datetime) -> None:
         """Record that the request came too late before a planned stop."""
@@ -138,10 +145,31 @@
             steps=self.steps,
         )
 
+    def _count_admission(self, decision: Placement | Rejection, outcome: str) -> None:
+        rank = str(decision.rank.position)
+        self.reporter.count("admissions", rank=rank, outcome=outcome)
+
     def _elapsed(self, now: datetime) -> str:
         return f"+{milliseconds(now - self.arrived_at)}ms"
 
 
+def _describe_level(decision: Placement | Rejection) -> str:
+    """Return what decided if priorities compete; empty otherwise."""
+    level = decision.level
+    if level is None:
+        return ""
+    if isinstance(decision, Placement):
+        how = f"priority={decision.priority}"
+        if decision.minimum_share:
+            how += " minimum_share"
+    else:
+        how = f"obstacle={decision.obstacle}"
+    return (
+        f" rank={decision.rank.position}/{decision.rank.count} {how} "
+        f"pressure={level.pressure:.2f} busy={level.busy_share:.2f}"
+    )
+
+
 def _describe_start_deadline(placement: Placement, now: datetime) -> str:
     """Return how long outdated weights may still be used; empty for current ones."""
     if placement.start_deadline is None:
--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from ..admission import Rank
 from ..core import rendezvous_score
 
 _SCORE_RANGE = 2**64
@@ -137,10 +138,30 @@
     limits: CallerLimits
     requires_keys: bool
     routes_by_host_: dict[str, list[Route]] = field(default_factory=dict)
+    priorities_by_service_: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda r: len(r.prefix), reverse=True):
             self.routes_by_host_.setdefault(route.host.lower(), []).append(route)
+        self._collect_priorities()
+
+    def _collect_priorities(self) -> None:
+        # The priority of a team takes precedence over that of the route.
+        teams = self.teams_by_key.values()
+        of_teams = {team.priority for team in teams if team.priority is not None}
+        priorities_by_service: dict[str, set[int]] = {}
+        for route in self.routes:
+            for share in route.shares:
+                known = priorities_by_service.setdefault(share.service, set(of_teams))
+                known.add(route.priority)
+        self.priorities_by_service_ = {
+            service: tuple(sorted(priorities))
+            for service, priorities in priorities_by_service.items()
+        }
+
+    def rank(self, service: str, priority: int) -> Rank:
+        """Return the rank of a priority among those of a service."""
+        return Rank.of(priority, self.priorities_by_service_.get(service, ()))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path."""
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
+from dataclasses import replace
 from datetime import datetime, timedelta
 from random import Random
 
+from ..admission import DemandKey, DemandTracker, Level, Obstacle, Rank
 from ._breaker import Breaker
 from ._call import GatewayCall
 from ._candidates import CandidateTable, sample_fit
@@ -16,15 +18,10 @@
 from ._loads import LoadTracker
 from ._operator import OperatorState
 from ._overload import OverloadDetector, SpillBudget
-from ._placement import (
-    FIRST_ATTEMPT_PRIORITY,
-    RETRY_PRIORITY,
-    Placement,
-    PlacementRules,
-    Rejection,
-    RejectReason,
-)
+from ._placement import Placement, PlacementRules, Rejection, RejectReason
 from ._prediction import LatencyPredictor
+from ._query import Query
+from ._ranked_admission import RankedAdmission
 from ._rejections import RejectionPolicy
 from ._subsets import EntrySubsets
 from ._upstreams import Upstream, UpstreamTable
@@ -60,6 +57,7 @@
         "overload_detector_",
         "predictor",
         "random",
+        "ranked",
         "rejections",
         "rules",
         "spill_budget_",
@@ -98,6 +96,7 @@
         self.predictor = LatencyPredictor(loads)
         self.rejections = RejectionPolicy(upstreams, random)
         self.overload_detector_ = OverloadDetector()
+        self.ranked = RankedAdmission(self.predictor)
         self.spill_budget_ = SpillBudget()
         self.candidates_ = CandidateTable(
             upstreams=upstreams,
@@ -113,12 +112,13 @@
         service = self.operator.catalog.services_by_id.get(call.service)
         if service is None:
             return self.rejections.reject(call, RejectReason.NO_UPSTREAM, now)
-        decision = self._choose_candidate(call, service, excluded, now)
-        if decision is None or _lacks_weights(decision):
-            # None of the sampled upstreams is fit, but others may be.
-            decision = self._choose_from_all(call, service, excluded, now)
+        rank = self.operator.catalog.rank(call.service, call.priority)
+        if service.engine is None or not rank.ordered:
+            decision = self._choose(Query(call, service), excluded, now)
+        else:
+            decision = self._choose_by_rank(call, service, rank, excluded, now)
         placed = isinstance(decision, Placement)
-        overloaded = not placed and decision.reason is RejectReason.OVERLOADED
+        overloaded = _is_overloaded(decision)
         if (placed or overloaded) and not call.is_retry and not excluded:
             self.overload_detector_.record_first_attempt(
                 call.service, rejected=overloaded
@@ -127,10 +127,56 @@
             self.eligibility.record_placement(service, decision.upstream, now)
         return decision
 
-    def _choose_candidate(
+    @property
+    def demand(self) -> DemandTracker:
+        """Return the recent demand of services with several priorities."""
+        return self.ranked.priorities.demand
+
+    def admission_levels(self, now: datetime) -> dict[DemandKey, Level]:
+        """Return the level of each priority that was seen lately."""
+        priorities = self.ranked.priorities
+        return {
+            key: priorities.level(key, len(self.upstreams.of_service(key.service)), now)
+            for key in self.demand.recent_keys(now)
+        }
+
+    def _choose_by_rank(
         self,
         call: GatewayCall,
         service: Service,
+        rank: Rank,
+        excluded: Collection[str],
+        now: datetime,
+    ) -> Placement | Rejection:
+        """Choose an upstream for a request that competes with other priorities."""
+        upstreams = len(self.upstreams.of_service(call.service))
+        contender = self.ranked.contender(call, service, rank, upstreams, now)
+        if excluded:
+            # A stream that has begun is not given up for more urgent requests.
+            contender = replace(contender, level=Level())
+        decision = self._choose(Query(call, service, contender), excluded, now)
+        if _is_overloaded(decision) and not excluded:
+            favoured = self.ranked.with_minimum_share(contender)
+            if favoured is not None:
+                query = Query(call, service, favoured)
+                decision = self._choose(query, excluded, now)
+        placed = isinstance(decision, Placement)
+        if (placed or _is_overloaded(decision)) and not excluded:
+            self.ranked.record(contender, refused=not placed, now=now)
+        return decision
+
+    def _choose(
+        self, query: Query, excluded: Collection[str], now: datetime
+    ) -> Placement | Rejection:
+        decision = self._choose_candidate(query, excluded, now)
+        if decision is None or _lacks_weights(decision):
+            # None of the sampled upstreams is fit, but others may be.
+            decision = self._choose_from_all(query, excluded, now)
+        return decision
+
+    def _choose_candidate(
+        self,
+        query: Query,
         excluded: Collection[str],
         now: datetime,
     ) -> Placement | Rejection | None:
@@ -138,6 +184,7 @@
 
         Return `None` if none of those is fit.
         """
+        call, service = query.call, query.service
         self.spill_budget_.record_request(call.service)
 
         def is_fit(upstream: Upstream) -> bool:
@@ -149,11 +196,11 @@
         groups = self.candidates_.get(call.service)
         known = sample(groups.preferred, PREFERRED_CANDIDATES)
         known += sample(groups.remote_preferred, REMOTE_CANDIDATES)
-        first = self._place(call, service, known, now) if known else None
+        first = self._place(query, known, now) if known else None
         if isinstance(first, Placement):
             return first
         more = sample(groups.remote_preferred, PREFERRED_CANDIDATES)
-        second = self._place(call, service, more, now) if more else None
+        second = self._place(query, more, now) if more else None
         if isinstance(second, Placement):
             return second
         rejection = first or second
@@ -166,35 +213,32 @@
             return rejection
         others = sample(groups.regional, OTHER_CANDIDATES)
         others += sample(groups.remote, OTHER_CANDIDATES)
-        third = self._place(call, service, others, now) if others else None
+        third = self._place(query, others, now) if others else None
         if rejection and isinstance(third, Placement):
             self.spill_budget_.spend(call.service)
         return third if isinstance(third, Placement) else rejection or third
 
     def _choose_from_all(
         self,
-        call: GatewayCall,
-        service: Service,
+        query: Query,
         excluded: Collection[str],
         now: datetime,
     ) -> Placement | Rejection:
         """Choose among all upstreams, or return the reason why none can be used."""
+        call, service = query.call, query.service
         eligible, reason, allowed = self.eligibility.relaxed(
             call, service, excluded, now
         )
         if not eligible:
             return self.rejections.reject(call, reason, now, allowed)
         count = min(len(eligible), PREFERRED_CANDIDATES)
-        return self._place(call, service, self.random.sample(eligible, count), now)
+        return self._place(query, self.random.sample(eligible, count), now)
 
     def _place(
-        self,
-        call: GatewayCall,
-        service: Service,
-        upstreams: list[Upstream],
-        now: datetime,
+        self, query: Query, upstreams: list[Upstream], now: datetime
     ) -> Placement | Rejection:
         """Choose the best of some upstreams, or reject if it is too busy."""
+        call = query.call
         versions_by_id = {
             u.id: self.eligibility.usable_version(call, u, now) for u in upstreams
         }
@@ -203,39 +247,66 @@
             for u in upstreams
         }
         upstream, prediction = self._best_upstream(
-            call, service, upstreams, start_deadlines_by_id, now
+            query, upstreams, start_deadlines_by_id, now
         )
         start_deadline = start_deadlines_by_id[upstream.id]
         if not _starts_in_time(start_deadline, prediction, now):
             return self.rejections.reject(
                 call, RejectReason.NO_WEIGHTS, now, len(upstreams)
             )
-        if not is_admissible(call, service, prediction, self.overload_detector_, now):
-            return self.rejections.reject(
+        obstacle = self._find_obstacle(query, upstream, prediction, now)
+        if obstacle is not None:
+            rejection = self.rejections.reject(
                 call,
                 RejectReason.OVERLOADED,
                 now,
                 len(upstreams),
                 predicted=prediction,
+                rank=query.rank,
             )
-        version = versions_by_id[upstream.id] or None
-        priority = RETRY_PRIORITY if call.is_retry else FIRST_ATTEMPT_PRIORITY
-        return Placement(upstream, version, priority, prediction, start_deadline)
+            return replace(
+                rejection, rank=query.rank, obstacle=obstacle, level=query.level
+            )
+        return Placement(
+            upstream,
+            versions_by_id[upstream.id] or None,
+            query.engine_priority,
+            prediction,
+            start_deadline,
+            query.rank,
+            query.level,
+            query.minimum_share,
+        )
+
+    def _find_obstacle(
+        self, query: Query, upstream: Upstream, prediction: Prediction, now: datetime
+    ) -> Obstacle | None:
+        """Return why an upstream is too busy for a request."""
+        if query.contender is not None:
+            return self.ranked.find_obstacle(query.contender, upstream, prediction, now)
+        detector = self.overload_detector_
+        admissible = is_admissible(query.call, query.service, prediction, detector, now)
+        return None if admissible else Obstacle.WAIT
 
     def _is_same_region(self, upstream: Upstream) -> bool:
         return self.eligibility.region_of(upstream) == self.candidates_.own_region
 
     def _best_upstream(
         self,
-        call: GatewayCall,
-        service: Service,
+        query: Query,
         upstreams: list[Upstream],
         start_deadlines_by_id: Mapping[str, datetime | None],
         now: datetime,
     ) -> tuple[Upstream, Prediction]:
         best, best_cost = None, None
         for upstream in upstreams:
-            prediction = self.predictor.predict(call, service, upstream, now)
+            prediction = self.predictor.predict(
+                query.call,
+                query.service,
+                upstream,
+                now,
+                priority=query.engine_priority,
+            )
             cost = prediction.first_token
             if not _starts_in_time(start_deadlines_by_id[upstream.id], prediction, now):
                 cost += LATE_START_PENALTY
@@ -246,6 +317,12 @@
         return best
 
 
+def _is_overloaded(decision: Placement | Rejection) -> bool:
+    return (
+        isinstance(decision, Rejection) and decision.reason is RejectReason.OVERLOADED
+    )
+
+
 def _lacks_weights(decision: Placement | Rejection) -> bool:
     """Check whether a request was rejected for the weights of its candidates."""
     return (
--- a/shallotpath/gateway/_engine_model.py
+++ b/shallotpath/gateway/_engine_model.py
@@ -12,6 +12,19 @@
 MEGAPAIR = 1_000_000
 
 
+@dataclass(slots=True, frozen=True)
+class WaitingLoad:
+    """Count requests of one engine priority that have not begun."""
+
+    priority: int
+    requests: int
+    tokens: int
+
+
+def _by_priority(load: WaitingLoad) -> int:
+    return load.priority
+
+
 @dataclass(slots=True, frozen=True)
 class EngineLoad:
     """Describe the requests at an engine."""
@@ -21,23 +34,30 @@
     unread_tokens: int = 0
     # Step time relative to the usual one; above 1 on an engine that has slowed down.
     pace: float = 1.0
-    # Requests without a first token that run after more urgent ones.
-    yielding_requests: int = 0
-    yielding_tokens: int = 0
+    # Requests without a first token that more urgent ones overtake.
+    waiting: tuple[WaitingLoad, ...] = ()
 
-    def ahead_of_urgent(self, slots: int) -> EngineLoad:
-        """Return the load that an urgent request that arrives now has to wait for.
+    def ahead_of(self, priority: int, slots: int) -> EngineLoad:
+        """Return the load that a request of an engine priority has to wait for.
 
-        Requests beyond the slots are queued, the yielding ones last, so an urgent
-        request overtakes those. Requests that hold a slot are processed before it.
+        Requests beyond the slots are queued, the least urgent ones last, so a more
+        urgent request overtakes those. Requests that hold a slot are processed before
+        it.
         """
-        overtaken = min(self.yielding_requests, max(0, self.requests - slots))
-        if not overtaken:
+        queued = self.requests - slots
+        if queued <= 0 or not self.waiting:
             return self
-        tokens = self.yielding_tokens * overtaken // self.yielding_requests
-        return EngineLoad(
-            self.requests - overtaken, self.unread_tokens - tokens, self.pace
-        )
+        requests, tokens = self.requests, self.unread_tokens
+        for waiting in sorted(self.waiting, key=_by_priority, reverse=True):
+            if waiting.priority <= priority or queued <= 0:
+                break
+            if waiting.requests <= 0:
+                continue
+            overtaken = min(waiting.requests, queued)
+            requests -= overtaken
+            tokens -= waiting.tokens * overtaken // waiting.requests
+            queued -= overtaken
+        return EngineLoad(requests, tokens, self.pace)
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,6 +66,8 @@
 
     wait: timedelta
     prefill: timedelta
+    # Part of the wait that is spent in the queue for a slot.
+    queueing: timedelta = timedelta()
 
     @property
     def first_token(self) -> timedelta:
@@ -71,9 +93,15 @@
     # On average a new request arrives in the middle of a pass.
     wait = decode / 2 + _prefill_time(rates, tokens_ahead) + decode * passes_ahead
     requests_over_slots = load.requests + 1 - rates.slots
+    queueing = timedelta()
     if requests_over_slots > 0:
-        wait += requests_over_slots * slot_occupancy_time(rates) / rates.slots
-    return Prediction(wait * load.pace, (prefill + decode * own_passes) * load.pace)
+        queueing = requests_over_slots * slot_occupancy_time(rates) / rates.slots
+        wait += queueing
+    return Prediction(
+        wait * load.pace,
+        (prefill + decode * own_passes) * load.pace,
+        queueing * load.pace,
+    )
 
 
 def decode_time_per_pass(rates: EngineRates, decoding: int) -> timedelta:
@@ -95,6 +123,15 @@
     return passes * (decode_time_per_pass(rates, rates.slots) + prefill_per_pass)
 
 
+def engine_time(
+    rates: EngineRates, prompt_tokens: int, output_tokens: int
+) -> timedelta:
+    """Return the share of a full engine's time that a request takes."""
+    passes = max(1.0, output_tokens / rates.steps_per_pass)
+    decode = decode_time_per_pass(rates, rates.slots) / rates.slots
+    return _prefill_time(rates, prompt_tokens) + passes * decode
+
+
 def _prefill_time(rates: EngineRates, tokens: float) -> timedelta:
     linear = timedelta(seconds=tokens / rates.prefill_tokens_per_s)
     pairs = min(tokens, rates.usual_prompt_tokens) * tokens / 2
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from ._engine_model import EngineLoad
+from ..admission import RETRY_PRIORITY
+from ._engine_model import EngineLoad, WaitingLoad
 
 # Entries in other regions send their loads every 900 ms; loads older than about two
 # such intervals are dropped.
@@ -30,6 +31,9 @@
     # Requests among them without a first token that run after more urgent ones.
     yielding_requests: int = 0
     yielding_tokens: int = 0
+    # Requests and tokens among them without a first token by engine priority, for
+    # services with several priorities. Releases before this field ignore it.
+    waiting: dict[int, tuple[int, int]] = {}
 
     def __add__(self, other: EntryLoad) -> EntryLoad:
         """Return the sum of both loads."""
@@ -38,6 +42,7 @@
             self.unread_tokens + other.unread_tokens,
             self.yielding_requests + other.yielding_requests,
             self.yielding_tokens + other.yielding_tokens,
+            _sum_waiting(self.waiting, other.waiting),
         )
 
     def __mul__(self, factor: int) -> EntryLoad:
@@ -47,8 +52,37 @@
             self.unread_tokens * factor,
             self.yielding_requests * factor,
             self.yielding_tokens * factor,
+            {
+                priority: (requests * factor, tokens * factor)
+                for priority, (requests, tokens) in self.waiting.items()
+            },
         )
 
+    def engine_load(self, requests: int, pace: float) -> EngineLoad:
+        """Return the load of an engine with some requests."""
+        waiting = [WaitingLoad(p, *counts) for p, counts in self.waiting.items()]
+        if self.yielding_requests:
+            waiting.append(
+                WaitingLoad(
+                    RETRY_PRIORITY, self.yielding_requests, self.yielding_tokens
+                )
+            )
+        return EngineLoad(requests, self.unread_tokens, pace, tuple(waiting))
+
+
+def _sum_waiting(
+    left: dict[int, tuple[int, int]], right: dict[int, tuple[int, int]]
+) -> dict[int, tuple[int, int]]:
+    if not right or not left:
+        return left or right
+    total = dict(left)
+    for priority, (requests, tokens) in right.items():
+        known_requests, known_tokens = total.get(priority, (0, 0))
+        total[priority] = (known_requests + requests, known_tokens + tokens)
+        if total[priority] == (0, 0):
+            del total[priority]
+    return total
+
 
 NO_LOAD = EntryLoad(0, 0)
 SentCallback = Callable[[str, EntryLoad], None]
@@ -130,13 +164,19 @@
         now: datetime,
         *,
         yielding: bool = False,
+        rank_priority: int | None = None,
     ) -> None:
-        """Record a request that is sent to an upstream."""
-        share = (
-            EntryLoad(1, prompt_tokens, 1, prompt_tokens)
-            if yielding
-            else EntryLoad(1, prompt_tokens)
-        )
+        """Record a request that is sent to an upstream.
+
+        The engine priority is given for services with several priorities.
+        """
+        if rank_priority is not None:
+            waiting = {rank_priority: (1, prompt_tokens)}
+            share = EntryLoad(1, prompt_tokens, waiting=waiting)
+        elif yielding:
+            share = EntryLoad(1, prompt_tokens, 1, prompt_tokens)
+        else:
+            share = EntryLoad(1, prompt_tokens)
         self.upstream_ids_by_key_[key] = upstream_id
         self.sent_by_upstream_.setdefault(upstream_id, {})[key] = _SentRequest(
             share, now
@@ -215,13 +255,7 @@
             sent_later = sum(sent.sent_at > received.received_at for sent in own)
             reported = received.report.queued + received.report.active + sent_later
             requests, pace = max(requests, reported), max(1.0, received.report.pace)
-        return EngineLoad(
-            requests,
-            total.unread_tokens,
-            pace,
-            total.yielding_requests,
-            total.yielding_tokens,
-        )
+        return total.engine_load(requests, pace)
 
     def _add_share(
         self, loads: _PeerLoads, upstream_id: str, share: EntryLoad, now: datetime
@@ -230,7 +264,10 @@
         shares[upstream_id] = shares.get(upstream_id, NO_LOAD) + share
         self._add_peer_load(upstream_id, share)
         if share.unread_tokens:
-            tokens = EntryLoad(0, share.unread_tokens, 0, share.yielding_tokens)
+            waiting = {p: (0, tokens) for p, (_, tokens) in share.waiting.items()}
+            tokens = EntryLoad(
+                0, share.unread_tokens, 0, share.yielding_tokens, waiting
+            )
             expires_at = now + UNREAD_MAX_AGE
             self.unread_.append(_UnreadTokens(expires_at, loads, upstream_id, tokens))
 
--- a/shallotpath/gateway/_placement.py
+++ b/shallotpath/gateway/_placement.py
@@ -7,13 +7,10 @@
 from datetime import datetime, timedelta
 from enum import StrEnum
 
+from ..admission import RETRY_PRIORITY, UNRANKED, Level, Obstacle, Rank
 from ._engine_model import Prediction
 from ._upstreams import Upstream
 
-# Engines run lower numbers first; a request without a priority has 5.
-FIRST_ATTEMPT_PRIORITY = 4
-RETRY_PRIORITY = 7
-
 
 class RejectReason(StrEnum):
     """Describe why a request gets no upstream."""
@@ -34,11 +31,20 @@
     prediction: Prediction
     # Latest start of the request if the weights are outdated.
     start_deadline: datetime | None = None
+    rank: Rank = UNRANKED
+    level: Level | None = None
+    # Admitted as a part of the minimum share of its priority and team.
+    minimum_share: bool = False
 
     @property
     def yielding(self) -> bool:
         """Check whether the engine runs more urgent requests first."""
-        return self.priority == RETRY_PRIORITY
+        return not self.rank.ordered and self.priority == RETRY_PRIORITY
+
+    @property
+    def rank_priority(self) -> int | None:
+        """Return the engine priority if the service has several priorities."""
+        return self.priority if self.rank.ordered else None
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,6 +55,10 @@
     retry_after: timedelta
     candidates: int = 0
     predicted: timedelta | None = None
+    # What decided, for services with several priorities.
+    rank: Rank = UNRANKED
+    obstacle: Obstacle | None = None
+    level: Level | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -25,12 +25,16 @@
         service: Service,
         upstream: Upstream,
         now: datetime,
+        *,
+        priority: int,
     ) -> Prediction:
-        """Predict the time to the response, or to the first token of an engine."""
+        """Predict the time to the response, or to the first token of an engine.
+
+        The priority is the one that the engine orders requests by.
+        """
         load = self.loads.load(upstream.id, upstream.record.address, now)
         if service.engine is not None:
-            if not call.is_retry:
-                load = load.ahead_of_urgent(service.engine.slots)
+            load = load.ahead_of(priority, service.engine.slots)
             return predict_first_token(service.engine, load, call.prompt_tokens)
         slots = max(1, upstream.record.slots)
         return Prediction(
--- a/shallotpath/gateway/_rejections.py
+++ b/shallotpath/gateway/_rejections.py
@@ -5,6 +5,7 @@
 from datetime import datetime, timedelta
 from random import Random
 
+from ..admission import UNRANKED, Rank, retry_window
 from ._call import GatewayCall
 from ._cold import COLD_WINDOW
 from ._engine_model import Prediction
@@ -38,6 +39,7 @@
         candidates: int = 0,
         *,
         predicted: Prediction | None = None,
+        rank: Rank = UNRANKED,
     ) -> Rejection:
         """Return the rejection of a request; the jitter spreads the retries."""
         max_retry_after = max(
@@ -52,7 +54,7 @@
                 wait = min(wait, opens_at - now)
             wait *= self.random.uniform(*RETRY_AFTER_JITTER)
         elif call.model:
-            wait = self._overload_retry_after(call, max_retry_after, now)
+            wait = self._overload_retry_after(call, rank, max_retry_after, now)
         else:
             excess_wait = predicted.wait - call.route.target_latency / 2
             wait = excess_wait * self.random.uniform(*RETRY_AFTER_JITTER)
@@ -61,7 +63,7 @@
         return Rejection(reason, retry_after, candidates, first_token)
 
     def _overload_retry_after(
-        self, call: GatewayCall, max_retry_after: timedelta, now: datetime
+        self, call: GatewayCall, rank: Rank, max_retry_after: timedelta, now: datetime
     ) -> timedelta:
         """Return the retry delay while all engines are full.
 
@@ -69,4 +71,5 @@
         slot of one, although it has already missed its target latency.
         """
         earliest = min(max_retry_after, call.min_recognizable_delay(now))
-        return earliest + (max_retry_after - earliest) * self.random.random()
+        first, last = retry_window(rank, earliest, max_retry_after)
+        return first + (last - first) * self.random.random()
--- a/shallotpath/gateway/_wait_limits.py
+++ b/shallotpath/gateway/_wait_limits.py
@@ -5,7 +5,7 @@
 from datetime import datetime, timedelta
 
 from ._call import GatewayCall
-from ._catalog import Service
+from ._catalog import EngineRates, Service
 from ._engine_model import Prediction
 from ._overload import OverloadDetector
 
@@ -32,14 +32,26 @@
         return prediction.wait < call.route.target_latency * MAX_REQUESTS_PER_SLOT
     if call.is_retry:
         sustained = detector.sustained(call.service)
-        max_wait = OVERLOADED_RETRY_MAX_WAIT if sustained else RETRY_MAX_WAIT
-        return prediction.wait <= min(max_wait, call.time_left(now) / 2)
+        return prediction.wait <= max_retry_wait(call, now, sustained=sustained)
     # The request's own prompt counts with the usual size, so that long prompts are
     # not rejected more often than short ones.
-    usual_prefill = timedelta(
-        seconds=service.engine.usual_prompt_tokens / service.engine.prefill_tokens_per_s
-    )
     return (
-        prediction.wait + usual_prefill
+        prediction.wait + usual_prefill(service.engine)
         <= call.route.target_latency * ADMISSION_TARGET_SHARE
     )
+
+
+def max_retry_wait(call: GatewayCall, now: datetime, *, sustained: bool) -> timedelta:
+    """Return the longest wait of a retry at an engine."""
+    max_wait = OVERLOADED_RETRY_MAX_WAIT if sustained else RETRY_MAX_WAIT
+    return min(max_wait, call.time_left(now) / 2)
+
+
+def max_first_wait(target: timedelta, rates: EngineRates) -> timedelta:
+    """Return the longest wait with which an engine meets a target."""
+    return target * ADMISSION_TARGET_SHARE - usual_prefill(rates)
+
+
+def usual_prefill(rates: EngineRates) -> timedelta:
+    """Return the time to read a prompt of the usual size."""
+    return timedelta(seconds=rates.usual_prompt_tokens / rates.prefill_tokens_per_s)
--- a/shallotpath/gateway/tests/load_simulation.py
+++ b/shallotpath/gateway/tests/load_simulation.py
@@ -24,6 +24,7 @@
     RATES,
     REGIONS,
     make_call,
+    make_catalog,
     make_dispatcher,
     make_record,
     make_route,
@@ -39,8 +40,13 @@
 DOMAINS = ("a-1", "b-1", "c-1")
 REPORT_LAG = ms(200)
 NETWORK_DELAY = ms(3)
-# Share, prompt tokens, output tokens and target latency in ms of each kind of request.
-REQUEST_KINDS = ((0.41, 1330, 100, 506), (0.31, 827, 100, 406), (0.28, 647, 70, 405))
+# Share, prompt tokens, output tokens, target latency in ms and priority of each kind of
+# request.
+REQUEST_KINDS = (
+    (0.41, 1330, 100, 506, 1),
+    (0.31, 827, 100, 406, 1),
+    (0.28, 647, 70, 405, 1),
+)
 LATE_CREDIT = 0.25
 
 
@@ -60,7 +66,7 @@
 @dataclass(eq=False, slots=True)
 class _Caller:
     number: int
-    kind: tuple[float, int, int, int]
+    kind: tuple[float, int, int, int, int]
     first_sent_at: datetime
     retried: bool = False
     outcome: str = ""
@@ -152,7 +158,15 @@
 class LoadSimulation:
     """Send calls to engines through entries that decide independently."""
 
-    def __init__(self, *, engines: int = 5, entries: int = 7, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        engines: int = 5,
+        entries: int = 7,
+        seed: int = 1,
+        kinds: tuple[tuple[float, int, int, int, int], ...] = REQUEST_KINDS,
+    ) -> None:
+        self.kinds = kinds
         self.random = Random(seed)
         self.now = self.started_at = EPOCH
         self.events: list[tuple[datetime, int, Callable[[], None]]] = []
@@ -171,8 +185,13 @@
         domain = DOMAINS[number % len(DOMAINS)]
         seed = 1000 * seed + number
         subsets = make_subsets(number, entries)
+        routes = [make_route(priority=kind[4]) for kind in self.kinds]
         dispatcher = make_dispatcher(
-            self.records, seed=seed, domain=domain, subsets=subsets
+            self.records,
+            seed=seed,
+            catalog=make_catalog(routes=routes),
+            domain=domain,
+            subsets=subsets,
         )
         dispatcher.loads.on_sent = lambda upstream, share: self._send_placement(
             dispatcher, upstream, share
@@ -204,8 +223,16 @@
         """Schedule an action."""
         heapq.heappush(self.events, (when, next(self.sequence), action))
 
-    def run(self, rate: Callable[[float], float], seconds: float) -> Outcome:
-        """Send calls at a rate per second that depends on the time."""
+    def run(
+        self,
+        rate: Callable[[float], float],
+        seconds: float,
+        weights: Callable[[float], list[float]] | None = None,
+    ) -> Outcome:
+        """Send calls at a rate per second that depends on the time.
+
+        So may the weights of the kinds; without them each has its share.
+        """
         for dispatcher in self.entries:
             self.at(
                 self.now + self.random.random() * GOSSIP_INTERVAL,
@@ -222,9 +249,8 @@
         at = 0.0
         while at < seconds:
             at += self.random.expovariate(max(rate(at), 0.01))
-            kind = self.random.choices(
-                REQUEST_KINDS, [kind[0] for kind in REQUEST_KINDS]
-            )[0]
+            shares = weights(at) if weights else [kind[0] for kind in self.kinds]
+            kind = self.random.choices(self.kinds, shares)[0]
             caller = _Caller(len(self.callers), kind, EPOCH + timedelta(seconds=at))
             self.callers.append(caller)
             self.at(caller.first_sent_at, lambda caller=caller: self._request(caller))
@@ -236,12 +262,13 @@
 
     def _request(self, caller: _Caller) -> None:
         dispatcher = self.random.choice(self.entries)
-        _, prompt, output, target = caller.kind
+        _, prompt, output, target, priority = caller.kind
         call = make_call(
             caller.number,
             self.now,
             request_id=f"q{caller.number}-{int(caller.retried)}",
-            route=make_route(target_latency=ms(target)),
+            route=make_route(target_latency=ms(target), priority=priority),
+            priority=priority,
             caller_timeout=caller.first_sent_at + ms(6078) - self.now,
             prompt_tokens=prompt,
             output_tokens=output,
@@ -262,7 +289,7 @@
         caller: _Caller,
         placement: Placement,
     ) -> None:
-        _, prompt, output, _ = caller.kind
+        _, prompt, output, *_ = caller.kind
         work = _Work(caller, placement.priority, prompt, output, next(self.sequence))
         dispatcher.loads.sent(
             call.request_id,
@@ -270,6 +297,7 @@
             prompt,
             self.now,
             yielding=placement.yielding,
+            rank_priority=placement.rank_priority,
         )
         self.work_by_key[call.request_id] = (dispatcher, work)
         engine = self.engines[int(placement.upstream.id[1:])]
@@ -316,9 +344,12 @@
 
     def _send_loads(self, sender: Dispatcher, others: list[Dispatcher]) -> None:
         shares = sender.loads.own_loads()
+        demands = sender.demand.own(self.now)
         for other in others:
             if other is not sender:
-                other.loads.update_peer_loads(str(id(sender)), shares, self.now)
+                name = str(id(sender))
+                other.loads.update_peer_loads(name, shares, self.now)
+                other.demand.update_peer(name, demands, self.now)
 
     def _report(self, engine: _Engine) -> Callable[[], None]:
         def take() -> None:
@@ -341,8 +372,12 @@
         return take
 
     def _outcome(self) -> Outcome:
+        return self.outcome_of(self.callers)
+
+    def outcome_of(self, callers: list[_Caller]) -> Outcome:
+        """Return the outcomes of some callers."""
         outcome = Outcome()
-        for caller in self.callers:
+        for caller in callers:
             if caller.outcome == "refused":
                 outcome.refused += 1
             elif caller.outcome != "served":
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -79,6 +79,19 @@
     age_s: float
 
 
+class DemandItem(msgspec.Struct, frozen=True, array_like=True):
+    """Report the recent first attempts of one priority of a service."""
+
+    service: str
+    priority: int
+    # Decayed numbers of requests.
+    offered: float
+    refused: float
+    # Decayed time of upstreams that the admitted ones need.
+    work_s: float
+    target_s: float
+
+
 class PlacementItem(msgspec.Struct, frozen=True, array_like=True, tag="placed"):
     """Tell peers that an entry has just sent a request to an upstream."""
 
@@ -105,6 +118,8 @@
     announcements: list[AnnouncementsItem] = []
     # Releases before this field ignore it.
     parts: list[PartItem] = []
+    # Demand at the sending entry, for services with several priorities.
+    demands: list[DemandItem] = []
 
 
 class RecordItem(msgspec.Struct, frozen=True, array_like=True):
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -12,6 +12,7 @@
     AnnouncementsItem,
     ChunkItem,
     Datagram,
+    DemandItem,
     GossipMessage,
     PartItem,
     PeerAddress,
@@ -38,20 +39,42 @@
     variant: bytes.fromhex(datagram)
     for variant, datagram in RECORDED["news_without_parts"].items()
 }
+# Recorded from the release before messages had the demand by priority.
+WITHOUT_DEMANDS = {
+    (kind, variant): bytes.fromhex(datagram)
+    for kind, variants in RECORDED["datagrams_without_demands"].items()
+    for variant, datagram in variants.items()
+}
 PAGES = {name: bytes.fromhex(page) for name, page in RECORDED["pages"].items()}
 PACKED = bytes.fromhex(RECORDED["records"])
 
 
 def make_load(sent):
-    requests, unread, yielding, yielding_tokens = sent
+    requests, unread, yielding, yielding_tokens, waiting = sent
     return EntryLoad(
         requests=requests,
         unread_tokens=unread,
         yielding_requests=yielding,
         yielding_tokens=yielding_tokens,
+        waiting={priority: tuple(counts) for priority, counts in waiting.items()},
     )
 
 
+def read(payload):
+    """Decode a datagram without its types."""
+    return msgspec.msgpack.decode(payload, type=list, strict=False)
+
+
+def holds(sent, known):
+    """Check whether all known items stand in their positions in what is sent."""
+    if isinstance(known, list):
+        same = isinstance(sent, list) and len(sent) >= len(known)
+        return same and all(map(holds, sent, known))
+    if isinstance(known, dict):
+        return set(sent) == set(known) and all(holds(sent[k], known[k]) for k in known)
+    return sent == known
+
+
 def make_address(sent):
     peer, host, port, engine = sent
     return PeerAddress(id=peer, host=host, port=port, engine=engine)
@@ -75,7 +98,7 @@
     # Guards against a changed tag, order or type of the items: processes of two
     # releases would drop each other's datagrams.
     payload = DATAGRAMS[kind, variant]
-    assert msgspec.msgpack.decode(payload, strict=False)[1][0] == kind
+    assert read(payload)[1][0] == kind
     assert encode_message(decode_datagram(payload)) == payload
 
 
@@ -100,10 +123,9 @@
     # Guards against fields that swap positions: the datagram would still be encoded to
     # the same bytes but decoded with another meaning.
     payload = DATAGRAMS["news", "full"]
-    _, (_, sender, incarnation, sequence, domain, leaving, *lists) = (
-        msgspec.msgpack.decode(payload, strict=False)
-    )
-    topics, shares, engines, chunks, suspects, peers, announcements, parts = lists
+    _, (_, sender, incarnation, sequence, domain, leaving, *lists) = read(payload)
+    topics, shares, engines, chunks, suspects, peers, *lists = lists
+    announcements, parts, demands = lists
     expected = GossipMessage(
         sender=make_address(sender),
         incarnation=incarnation,
@@ -131,6 +153,17 @@
             )
             for part, crashes, cleared, companions, answered, age in parts
         ],
+        demands=[
+            DemandItem(
+                service=service,
+                priority=priority,
+                offered=offered,
+                refused=refused,
+                work_s=work_s,
+                target_s=target_s,
+            )
+            for service, priority, offered, refused, work_s, target_s in demands
+        ],
     )
     assert decode_datagram(payload) == expected
     assert encode_message(expected) == payload
@@ -144,11 +177,29 @@
     assert decoded.parts == []
     expected = msgspec.structs.replace(decode_datagram(DATAGRAMS["news", variant]))
     expected.parts.clear()
+    expected.demands.clear()
+    for share in expected.shares.values():
+        share.waiting.clear()
+    assert decoded == expected
+    # The release before reads the items that it knows and ignores the rest.
+    assert holds(read(DATAGRAMS["news", variant]), read(before))
+
+
+@pytest.mark.parametrize(("kind", "variant"), WITHOUT_DEMANDS)
+def test_datagrams_with_and_without_demands_are_read_by_both_releases(kind, variant):
+    # Guards against entries that drop each other's loads in a rolling update.
+    before = WITHOUT_DEMANDS[kind, variant]
+    decoded = decode_datagram(before)
+    expected = decode_datagram(DATAGRAMS[kind, variant])
+    shares = [expected.share] if kind == "placed" else list(expected.shares.values())
+    for share in shares:
+        share.waiting.clear()
+    if kind == "news":
+        assert decoded.demands == []
+        expected.demands.clear()
     assert decoded == expected
     # The release before reads the items that it knows and ignores the rest.
-    _, sent = msgspec.msgpack.decode(DATAGRAMS["news", variant], strict=False)
-    _, known = msgspec.msgpack.decode(before, strict=False)
-    assert sent[: len(known)] == known
+    assert holds(read(DATAGRAMS[kind, variant]), read(before))
 
 
 def test_items_of_a_placed_request_keep_their_positions():
