--- a/shallotpath/gateway/_candidates.py
+++ b/shallotpath/gateway/_candidates.py
@@ -26,6 +26,12 @@
     regional: tuple[Upstream, ...]
     remote: tuple[Upstream, ...]
 
+    @property
+    def count(self) -> int:
+        """Return the number of upstreams in all groups."""
+        groups = (self.preferred, self.remote_preferred, self.regional, self.remote)
+        return sum(map(len, groups))
+
 
 class CandidateTable:
     """Keep the groups of each service until an upstream or an entry comes or goes."""
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -136,7 +136,7 @@
         """Return the level of each priority that was seen lately."""
         priorities = self.ranked.priorities
         return {
-            key: priorities.level(key, len(self.upstreams.of_service(key.service)), now)
+            key: priorities.level(key, self.candidates_.get(key.service).count, now)
             for key in self.demand.recent_keys(now)
         }
 
@@ -149,7 +149,7 @@
         now: datetime,
     ) -> Placement | Rejection:
         """Choose an upstream for a request that competes with other priorities."""
-        upstreams = len(self.upstreams.of_service(call.service))
+        upstreams = self.candidates_.get(call.service).count
         contender = self.ranked.contender(call, service, rank, upstreams, now)
         if excluded:
             # A stream that has begun is not given up for more urgent requests.
--- a/shallotpath/gateway/tests/load_simulation.py
+++ b/shallotpath/gateway/tests/load_simulation.py
@@ -167,6 +167,7 @@
         kinds: tuple[tuple[float, int, int, int, int], ...] = REQUEST_KINDS,
     ) -> None:
         self.kinds = kinds
+        self.engines_report = True
         self.random = Random(seed)
         self.now = self.started_at = EPOCH
         self.events: list[tuple[datetime, int, Callable[[], None]]] = []
@@ -366,6 +367,8 @@
             self.at(self.now + GOSSIP_INTERVAL, take)
 
         def deliver(report: EngineReport) -> None:
+            if not self.engines_report:
+                return
             for dispatcher in self.entries:
                 dispatcher.loads.update_engine_report(report, self.now)
 
@@ -398,10 +401,13 @@
         return caller.first_token_at - caller.first_sent_at <= ms(caller.kind[3])
 
 
-def capacity(engines: int) -> float:
+def capacity(
+    engines: int,
+    kinds: tuple[tuple[float, int, int, int, int], ...] = REQUEST_KINDS,
+) -> float:
     """Return the calls a second that full engines complete."""
-    prompt = sum(kind[0] * kind[1] for kind in REQUEST_KINDS)
-    output = sum(kind[0] * kind[2] for kind in REQUEST_KINDS)
+    prompt = sum(kind[0] * kind[1] for kind in kinds)
+    output = sum(kind[0] * kind[2] for kind in kinds)
     passes = ceil(output / RATES.steps_per_pass)
     step = RATES.step + RATES.slots * (
         RATES.step_per_sequence + RATES.step_per_kilotoken
