Order requests of teams with equal priorities by their routes

The priority of a team still takes precedence; that of the route orders requests of teams with equal ones. The most urgent requests may leave their preferred upstreams without the budget for it, as they overtake all others where they arrive.

--- a/shallotpath/admission/_demand.py
+++ b/shallotpath/admission/_demand.py
@@ -1,4 +1,4 @@
-"""Recent demand of each priority of a service, over all entries."""
+"""Recent demand of each rank of a service, over all entries."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 # a shorter one would vary with single requests.
 DECAY_TIME = timedelta(milliseconds=1500)
 DECAY_STEP = timedelta(milliseconds=20)
-# A priority with less demand than this has not been seen lately.
+# A rank with less demand than this has not been seen lately.
 MIN_OFFERED = 0.05
 # Bounds the memory that a faulty peer can make a process use.
 MAX_KEYS = 256
 
 
 class DemandKey(NamedTuple):
-    """Identify the requests of one priority to a service."""
+    """Identify the requests of one rank of a service, 0 for the most urgent."""
 
     service: str
-    priority: int
+    rank: int
 
 
 @dataclass(slots=True, frozen=True)
 class Demand:
-    """Hold decayed sums over the first attempts of one priority."""
+    """Hold decayed sums over the first attempts of one rank."""
 
     offered: float
     refused: float
@@ -132,29 +132,29 @@
                 totals[key] = demand
 
     def recent_keys(self, now: datetime) -> list[DemandKey]:
-        """Return the services and priorities with recent demand."""
+        """Return the services and ranks with recent demand."""
         self._decay(now)
         return list(self.totals_by_key_)
 
     def get(self, key: DemandKey, now: datetime) -> Demand | None:
-        """Return the recent demand of one priority."""
+        """Return the recent demand of one rank."""
         self._decay(now)
         return self.totals_by_key_.get(key)
 
     def more_urgent(self, key: DemandKey, now: datetime) -> list[Demand]:
-        """Return the recent demand of the more urgent priorities of a service."""
+        """Return the recent demand of the more urgent ranks of a service."""
         self._decay(now)
         return [
             demand
             for other, demand in self.totals_by_key_.items()
-            if other.service == key.service and other.priority < key.priority
+            if other.service == key.service and other.rank < key.rank
         ]
 
-    def by_priority(self, service: str, now: datetime) -> dict[int, Demand]:
-        """Return the recent demand of a service by priority."""
+    def by_rank(self, service: str, now: datetime) -> dict[int, Demand]:
+        """Return the recent demand of a service by rank."""
         self._decay(now)
         return {
-            key.priority: demand
+            key.rank: demand
             for key, demand in self.totals_by_key_.items()
             if key.service == service
         }
--- a/shallotpath/admission/_order.py
+++ b/shallotpath/admission/_order.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any, TypeVar
+
+T = TypeVar("T", bound=Any)
 
 # Engines run lower numbers first; a request without a priority has 5.
 FIRST_ATTEMPT_PRIORITY = 4
@@ -26,7 +30,7 @@
     count: int
 
     @classmethod
-    def of(cls, priority: int, priorities: tuple[int, ...]) -> Rank:
+    def of(cls, priority: T, priorities: Sequence[T]) -> Rank:
         """Return the rank of a priority among the sorted ones of a service."""
         if len(priorities) < 2:
             return UNRANKED
--- a/shallotpath/admission/_policy.py
+++ b/shallotpath/admission/_policy.py
@@ -13,8 +13,8 @@
 # Share of refused more urgent requests at which a less urgent one gets only its minimum
 # share. Below it the longest wait of the less urgent falls in proportion, as a sudden
 # change at all entries would leave engines idle and then fill them at once.
-FULL_PRESSURE = 0.1
-# Part of the average share of admitted requests that each priority and team gets at
+FULL_PRESSURE = 0.2
+# Part of the average share of admitted requests that each rank and team gets at
 # least, so that none starves. These requests take room from the most urgent ones.
 MIN_PART_OF_AVERAGE = 1 / 3
 
@@ -70,7 +70,7 @@
         self.shares = MinimumShares()
 
     def level(self, key: DemandKey, upstreams: int, now: datetime) -> Level:
-        """Return the level for a priority of a service with some upstreams."""
+        """Return the level for a rank of a service with some upstreams."""
         more_urgent = self.demand.more_urgent(key, now)
         if not more_urgent:
             return Level()
@@ -83,13 +83,13 @@
         )
 
     def refused_share(self, key: DemandKey, now: datetime) -> float:
-        """Return the share of recent first attempts of a priority that were refused."""
+        """Return the share of recent first attempts of a rank that were refused."""
         demand = self.demand.get(key, now)
         return demand.refused_share if demand is not None else 0.0
 
     def minimum_share(self, service: str, now: datetime) -> float:
-        """Return the share of its requests that each priority and team may have."""
-        demands = self.demand.by_priority(service, now).values()
+        """Return the share of its requests that each rank and team may have."""
+        demands = self.demand.by_rank(service, now).values()
         offered = sum(demand.offered for demand in demands)
         refused = sum(demand.refused for demand in demands)
         admitted_share = 1 - refused / offered if offered > 0 else 1.0
--- a/shallotpath/fleet/_demand.py
+++ b/shallotpath/fleet/_demand.py
@@ -1,4 +1,4 @@
-"""Exchange of the demand by priority between entries, and its metrics."""
+"""Exchange of the demand by rank between entries, and its metrics."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     return [
         DemandItem(
             key.service,
-            key.priority,
+            key.rank,
             round(demand.offered, 2),
             round(demand.refused, 2),
             round(demand.work_s, 3),
@@ -34,7 +34,7 @@
 ) -> None:
     """Replace the demand at a peer by what it reports."""
     demands_by_key = {
-        DemandKey(item.service, item.priority): Demand(
+        DemandKey(item.service, item.rank): Demand(
             item.offered,
             item.refused,
             item.work_s,
@@ -51,7 +51,7 @@
 ) -> None:
     """Set the metrics of the pressure of more urgent requests."""
     for key, level in dispatcher.admission_levels(now).items():
-        labels = {"service": key.service, "priority": str(key.priority)}
+        labels = {"service": key.service, "rank": str(key.rank)}
         reporter.gauge("admission_pressure", round(level.pressure, 3), **labels)
         reporter.gauge("admission_busy_share", round(level.busy_share, 3), **labels)
 
--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -10,6 +10,8 @@
 from ..core import rendezvous_score
 
 _SCORE_RANGE = 2**64
+# Priority of the team, then that of the route; 0 is the most urgent.
+Priority = tuple[int, int]
 
 
 class RouteKind(StrEnum):
@@ -116,6 +118,17 @@
     regions: frozenset[str]
 
 
+def combined_priority(route: Route, team_priority: int | None) -> Priority:
+    """Return the priority of a team's requests on a route.
+
+    That of the team takes precedence, and that of the route orders requests of teams
+    with equal ones.
+    """
+    if team_priority is None:
+        return (route.priority, route.priority)
+    return (team_priority, route.priority)
+
+
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
     """Limit what a caller may send and how long it may stay idle."""
@@ -138,7 +151,9 @@
     limits: CallerLimits
     requires_keys: bool
     routes_by_host_: dict[str, list[Route]] = field(default_factory=dict)
-    priorities_by_service_: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    priorities_by_service_: dict[str, tuple[Priority, ...]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda r: len(r.prefix), reverse=True):
@@ -146,20 +161,21 @@
         self._collect_priorities()
 
     def _collect_priorities(self) -> None:
-        # The priority of a team takes precedence over that of the route.
         teams = self.teams_by_key.values()
-        of_teams = {team.priority for team in teams if team.priority is not None}
-        priorities_by_service: dict[str, set[int]] = {}
+        of_teams = {team.priority for team in teams}
+        priorities_by_service: dict[str, set[Priority]] = {}
         for route in self.routes:
+            callers = of_teams | {None} if route.public or not teams else of_teams
+            priorities = {combined_priority(route, priority) for priority in callers}
             for share in route.shares:
-                known = priorities_by_service.setdefault(share.service, set(of_teams))
-                known.add(route.priority)
+                known = priorities_by_service.setdefault(share.service, set())
+                known.update(priorities)
         self.priorities_by_service_ = {
             service: tuple(sorted(priorities))
             for service, priorities in priorities_by_service.items()
         }
 
-    def rank(self, service: str, priority: int) -> Rank:
+    def rank(self, service: str, priority: Priority) -> Rank:
         """Return the rank of a priority among those of a service."""
         return Rank.of(priority, self.priorities_by_service_.get(service, ()))
 
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -112,7 +112,7 @@
         service = self.operator.catalog.services_by_id.get(call.service)
         if service is None:
             return self.rejections.reject(call, RejectReason.NO_UPSTREAM, now)
-        rank = self.operator.catalog.rank(call.service, call.priority)
+        rank = self.operator.catalog.rank(call.service, call.combined_priority)
         if service.engine is None or not rank.ordered:
             decision = self._choose(Query(call, service), excluded, now)
         else:
@@ -204,17 +204,19 @@
         if isinstance(second, Placement):
             return second
         rejection = first or second
-        # A retry within this entry has lost time and goes wherever it can.
+        # A retry within this entry has lost time and goes wherever it can, and so does
+        # a request that overtakes all others.
+        spills_freely = bool(excluded) or query.is_most_urgent
         if (
             rejection
-            and not excluded
+            and not spills_freely
             and not self.spill_budget_.available(call.service)
         ):
             return rejection
         others = sample(groups.regional, OTHER_CANDIDATES)
         others += sample(groups.remote, OTHER_CANDIDATES)
         third = self._place(query, others, now) if others else None
-        if rejection and isinstance(third, Placement):
+        if rejection and isinstance(third, Placement) and not query.is_most_urgent:
             self.spill_budget_.spend(call.service)
         return third if isinstance(third, Placement) else rejection or third
 
--- a/shallotpath/gateway/_query.py
+++ b/shallotpath/gateway/_query.py
@@ -33,6 +33,11 @@
         """Check whether the call is a part of a minimum share."""
         return self.contender is not None and self.contender.minimum_share
 
+    @property
+    def is_most_urgent(self) -> bool:
+        """Check whether the request overtakes all others of its service."""
+        return self.rank.ordered and self.engine_priority == 0
+
     @property
     def engine_priority(self) -> int:
         """Return the number that engines order requests by."""
--- a/shallotpath/gateway/_ranked_admission.py
+++ b/shallotpath/gateway/_ranked_admission.py
@@ -43,7 +43,7 @@
     @property
     def key(self) -> DemandKey:
         """Return the key of the demand that the request belongs to."""
-        return DemandKey(self.call.service, self.call.priority)
+        return DemandKey(self.call.service, self.rank.position)
 
     @property
     def group(self) -> tuple[DemandKey, str]:
@@ -76,7 +76,7 @@
     ) -> Contender:
         """Return a request together with the level that holds for it now."""
         rates = service.engine
-        key = DemandKey(call.service, call.priority)
+        key = DemandKey(call.service, rank.position)
         work = engine_time(rates, call.prompt_tokens, call.output_tokens)
         usual_work = engine_time(
             rates, rates.usual_prompt_tokens, rates.usual_output_tokens
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -80,10 +80,11 @@
 
 
 class DemandItem(msgspec.Struct, frozen=True, array_like=True):
-    """Report the recent first attempts of one priority of a service."""
+    """Report the recent first attempts of one rank of a service."""
 
     service: str
-    priority: int
+    # 0 for the most urgent of the service's priorities.
+    rank: int
     # Decayed numbers of requests.
     offered: float
     refused: float
