--- a/shallotpath/admission/_policy.py
+++ b/shallotpath/admission/_policy.py
@@ -105,6 +105,9 @@
         return None
     if applicant.most_urgent_wait > applicant.most_urgent_max_wait:
         return Obstacle.MORE_URGENT_WAIT
-    if wait > applicant.max_wait * (1 - level.pressure):
-        return Obstacle.LEVEL
+    if level.pressure:
+        # A looser target of its own does not let it wait longer than more urgent ones.
+        max_wait = min(applicant.max_wait, applicant.most_urgent_max_wait)
+        if wait > max_wait * (1 - level.pressure):
+            return Obstacle.LEVEL
     return None
--- a/shallotpath/gateway/_ranked_admission.py
+++ b/shallotpath/gateway/_ranked_admission.py
@@ -99,7 +99,12 @@
             return None
         if not self.priorities.shares.available(contender.group):
             return None
-        return replace(contender, minimum_share=True, level=Level())
+        max_wait, target = contender.max_wait, contender.level.target
+        if target is not None:
+            # The looser target of a rank does not make its share larger.
+            rates = contender.service.engine
+            max_wait = min(max_wait, max_first_wait(target, rates))
+        return replace(contender, minimum_share=True, max_wait=max_wait, level=Level())
 
     def find_obstacle(
         self,
--- a/shallotpath/gateway/tests/test_priority_load.py
+++ b/shallotpath/gateway/tests/test_priority_load.py
@@ -125,6 +125,13 @@
     simulation.engines_report = False
 
 
+def lose_engines(simulation):
+    """Take a third of the engines away from all entries."""
+    for entry in simulation.entries:
+        for record in simulation.records[::3]:
+            entry.upstreams.remove(record.id, simulation.now)
+
+
 @pytest.mark.parametrize("failure", [restart_entries, silence_reports])
 def test_order_holds_when_entries_restart_or_reports_end(failure):
     # Failure: within the burst, entries restart or engines do not report any more.
@@ -135,3 +142,15 @@
     shares = simulation.shares(5)
     assert_in_order(shares)
     assert_none_starves(shares, simulation)
+
+
+def test_most_urgent_are_served_most_often_while_engines_are_lost():
+    # Failure: a third of the engines is lost within the burst. Guards against minimum
+    # shares that favour the rank with the loosest target. Shares served are compared,
+    # as a late answer misses the looser target less often.
+    simulation = Entries(36)
+    simulation.at(simulation.now + ms(5000), lambda: lose_engines(simulation))
+    simulation.run(burst_rate, SECONDS, burst_weights)
+    shares = simulation.shares(5)
+    assert_in_order({rank: served for rank, (_, *served) in shares.items()})
+    assert_none_starves(shares, simulation)
