--- a/shallotpath/fleet/_demand.py
+++ b/shallotpath/fleet/_demand.py
@@ -1,4 +1,4 @@
-"""Exchange of the demand by rank between entries, and its metrics."""
+"""Exchange of the demand by rank between entries."""
 
 from __future__ import annotations
 
@@ -6,9 +6,7 @@
 from datetime import datetime, timedelta
 
 from ..admission import Demand, DemandKey, DemandTracker
-from ..gateway import Dispatcher
 from ..replication import DemandItem
-from ._reporter import LineReporter
 
 # Larger figures of a peer are not plausible.
 MAX_FIGURE = 1e6
@@ -46,16 +44,6 @@
     tracker.update_peer(peer, demands_by_key, now)
 
 
-def report_levels(
-    dispatcher: Dispatcher, reporter: LineReporter, now: datetime
-) -> None:
-    """Set the metrics of the pressure of more urgent requests."""
-    for key, level in dispatcher.admission_levels(now).items():
-        labels = {"service": key.service, "rank": str(key.rank)}
-        reporter.gauge("admission_pressure", round(level.pressure, 3), **labels)
-        reporter.gauge("admission_busy_share", round(level.busy_share, 3), **labels)
-
-
 def _is_plausible(item: DemandItem) -> bool:
     figures = (item.offered, item.refused, item.work_s, item.target_s)
     return all(0 <= figure <= MAX_FIGURE for figure in figures)
