--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Collection, Iterable
 from contextlib import suppress
-from datetime import datetime, timedelta
+from datetime import timedelta
+from functools import partial
 from heapq import nlargest
 
 from aiohttp import web
@@ -33,7 +34,6 @@
     PlacementRules,
     Retries,
     RetryBudget,
-    UpstreamRecord,
     UpstreamTable,
     WriteTime,
 )
@@ -52,10 +52,11 @@
 from ._demand import demand_items, update_peer_demand
 from ._duties import RUN_COUNTS_PATH, DutyRunner
 from ._evidence import decode_evidence, encode_evidence
-from ._gauges import report_held, report_levels
 from ._gossip import remote_interval
 from ._member import MemberProcess
+from ._predictions import report_predictions
 from ._records import apply_each
+from ._reports import report_held, report_levels, report_notice
 from ._topics import TopicReplica
 
 # Long-poll time of a read of the upstreams. An upstream that leaves must get no request
@@ -96,9 +97,9 @@
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=False, **options)
         self.upstreams = UpstreamTable()
-        self.upstreams.notices.on_notice = self._report_notice
+        self.upstreams.notices.on_notice = partial(report_notice, self.reporter)
         self.breaker = Breaker()
-        self.loads = LoadTracker(self._send_placement)
+        self.loads = LoadTracker(self._send_placement, self.upstreams.service_id)
         self.evidence_found_ = asyncio.Event()
         self.suspects = CrashSuspects(
             PartSuspects(
@@ -147,7 +148,7 @@
             self.parts, self.operator, self.is_configuration_fresh, self.reporter
         )
         self.caller_listener_: Listener | None = None
-        self.readiness_listener_ = Listener(self._answer_probe)
+        self.readiness_listener_ = self.listeners.readiness(self._answer_probe)
         self.upstream_topic_: TopicReplica | None = None
         self.duties_: DutyRunner | None = None
 
@@ -165,7 +166,9 @@
         self.keep_running(self._send_evidence)
         self._start_duties()
         readiness, callers = self.settings.readiness, self.settings.callers
-        self.caller_listener_ = Listener(self.forwarder.handle, memory=self.memory)
+        self.caller_listener_ = self.listeners.callers(
+            self.forwarder.handle, memory=self.memory
+        )
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
@@ -266,8 +269,12 @@
         """Apply the connection limits of a new configuration to the listener."""
         catalog = self.operator.catalog
         if catalog is not None and self.caller_listener_ is not None:
+            limits = catalog.limits
             self.caller_listener_.set_limits(
-                catalog.limits.idle_timeout, catalog.limits.body_bytes
+                limits.idle_timeout,
+                limits.body_bytes,
+                max_header=limits.header_bytes,
+                header_timeout=limits.header_timeout,
             )
 
     def apply_upstreams(
@@ -449,19 +456,6 @@
             self.evidence_found_.clear()
             self.publish()
 
-    def _report_notice(
-        self, record: UpstreamRecord, closed_until: datetime | None
-    ) -> None:
-        """Report that an upstream leaves, or wants no requests until a time."""
-        fields = {} if closed_until is None else {"until": closed_until.isoformat()}
-        self.reporter.event(
-            "upstream_leaving" if closed_until is None else "upstream_closed",
-            upstream=record.id,
-            address=record.address,
-            born_ms=record.started_ms,
-            **fields,
-        )
-
     def _report_memory(self, tight: bool) -> None:
         """Report that the budget for requests is nearly used up, or not any more."""
         self.reporter.event(
@@ -493,6 +487,7 @@
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             report_held(self.memory, self.reporter)
             report_levels(self.dispatcher, self.reporter, self.clock.now())
+            report_predictions(self.dispatcher.predictor, self.clock, self.reporter)
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
--- a/shallotpath/fleet/_gauges.py
+++ b/shallotpath/fleet/_reports.py
@@ -1,11 +1,11 @@
-"""Gauges of an entry that are set from time to time."""
+"""Log lines and gauges of an entry about its upstreams and its room."""
 
 from __future__ import annotations
 
 from datetime import datetime
 
 from ..forwarding import MemoryBudget
-from ..gateway import Dispatcher
+from ..gateway import Dispatcher, UpstreamRecord
 from ._reporter import LineReporter
 
 
@@ -24,3 +24,17 @@
         labels = {"service": key.service, "rank": str(key.rank)}
         reporter.gauge("admission_pressure", round(level.pressure, 3), **labels)
         reporter.gauge("admission_busy_share", round(level.busy_share, 3), **labels)
+
+
+def report_notice(
+    reporter: LineReporter, record: UpstreamRecord, closed_until: datetime | None
+) -> None:
+    """Report that an upstream leaves, or wants no requests until a time."""
+    fields = {} if closed_until is None else {"until": closed_until.isoformat()}
+    reporter.event(
+        "upstream_leaving" if closed_until is None else "upstream_closed",
+        upstream=record.id,
+        address=record.address,
+        born_ms=record.started_ms,
+        **fields,
+    )
--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -57,8 +57,8 @@
         predicted = milliseconds(placement.prediction.first_token)
         self.steps.append(
             f"{self._elapsed(now)} to {upstream.id} version={placement.version} "
-            f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
-            f"{_describe_level(placement)}"
+            f"predicted={predicted}{_describe_correction(placement)} age={age}"
+            f"{_describe_start_deadline(placement, now)}{_describe_level(placement)}"
         )
         if placement.rank.ordered:
             outcome = "minimum_share" if placement.minimum_share else "admitted"
@@ -75,6 +75,11 @@
         )
         self.steps.append(f"discarded status {status} for request {request_id!r:.80}")
 
+    def unreadable_load(self, upstream_id: str) -> None:
+        """Record that an upstream reported its load in a form that cannot be read."""
+        self.reporter.count("server_loads_unreadable")
+        self.steps.append(f"unreadable load report of {upstream_id}")
+
     def failed(self, failure: Failure, events: int, now: datetime) -> None:
         """Record how an attempt failed and how many events it had relayed."""
         relayed = f" events={events}" if events else ""
@@ -170,6 +175,12 @@
     )
 
 
+def _describe_correction(placement: Placement) -> str:
+    """Return the part of the prediction that earlier errors account for."""
+    correction = placement.prediction.correction
+    return f" of_that_learnt={milliseconds(correction)}" if correction else ""
+
+
 def _describe_start_deadline(placement: Placement, now: datetime) -> str:
     """Return how long outdated weights may still be used; empty for current ones."""
     if placement.start_deadline is None:
--- a/shallotpath/gateway/_engine_model.py
+++ b/shallotpath/gateway/_engine_model.py
@@ -66,6 +66,8 @@
 
     wait: timedelta
     prefill: timedelta
+    # Part of the wait that stands for errors of earlier predictions.
+    correction: timedelta = timedelta()
     # Part of the wait that is spent in the queue for a slot.
     queueing: timedelta = timedelta()
 
@@ -100,7 +102,7 @@
     return Prediction(
         wait * load.pace,
         (prefill + decode * own_passes) * load.pace,
-        queueing * load.pace,
+        queueing=queueing * load.pace,
     )
 
 
