--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from datetime import datetime, timedelta
 
+from ..admission import UNRANKED
 from ._call import GatewayCall
 from ._catalog import Service
 from ._completion import predict_completion
@@ -43,15 +44,18 @@
         upstream: Upstream,
         now: datetime,
         *,
-        priority: int,
+        priority: int | None = None,
     ) -> Prediction:
         """Predict the time to the response, or to the first token of an engine.
 
-        The priority is the one that the engine orders requests by.
+        The priority is the one that the engine orders requests by; without it, that of
+        a service with one priority.
         """
         load = self.loads.load(upstream.id, upstream.record.address, now)
         if service.engine is None:
             return self._predict_completion(call, service, upstream, load, now)
+        if priority is None:
+            priority = UNRANKED.engine_priority(is_retry=call.is_retry)
         load = load.ahead_of(priority, service.engine.slots)
         predicted = predict_first_token(service.engine, load, call.prompt_tokens)
         if not self.loads.completions.shares_vms(service.id):
--- a/shallotpath/gateway/tests/test_priority_load.py
+++ b/shallotpath/gateway/tests/test_priority_load.py
@@ -42,17 +42,20 @@
     def shares(self, since=0.0, until=SECONDS):
         """Return the shares served on time and at all, by priority."""
         shares = {}
+        callers = self.callers_between(since, until)
         for *_, priority in KINDS:
-            callers = [
-                caller
-                for caller in self.callers
-                if caller.kind[4] == priority
-                and since <= (caller.first_sent_at - self.started_at) / ms(1000) < until
-            ]
-            outcome = self.outcome_of(callers)
+            outcome = self.outcome_of([c for c in callers if c.kind[4] == priority])
             shares[priority] = (outcome.on_time / outcome.callers, outcome.served)
         return shares
 
+    def callers_between(self, since, until=SECONDS):
+        """Return the callers that came in a span of seconds."""
+        return [
+            caller
+            for caller in self.callers
+            if since <= (caller.first_sent_at - self.started_at) / ms(1000) < until
+        ]
+
 
 @cache
 def burst_shares(entries):
@@ -68,8 +71,10 @@
             assert more >= less - ALLOWED_DIFFERENCE
 
 
-def assert_none_starves(shares, simulation):
-    served = simulation.outcome_of(simulation.callers).served
+def assert_none_starves(simulation, since=0.0):
+    """Check that each priority is served a quarter as often as all in a span."""
+    served = simulation.outcome_of(simulation.callers_between(since)).served
+    shares = simulation.shares(since)
     assert all(share[1] >= served / 4 for share in shares.values())
 
 
@@ -92,7 +97,7 @@
     simulation.run(lambda at: 1.4 * CAPACITY, SECONDS)
     shares = simulation.shares()
     assert_in_order(shares)
-    assert_none_starves(shares, simulation)
+    assert_none_starves(simulation)
     assert shares[0][1] >= 0.95
 
 
@@ -141,7 +146,7 @@
     simulation.run(burst_rate, SECONDS, burst_weights)
     shares = simulation.shares(5)
     assert_in_order(shares)
-    assert_none_starves(shares, simulation)
+    assert_none_starves(simulation, 5)
 
 
 def test_most_urgent_are_served_most_often_while_engines_are_lost():
@@ -153,4 +158,4 @@
     simulation.run(burst_rate, SECONDS, burst_weights)
     shares = simulation.shares(5)
     assert_in_order({rank: served for rank, (_, *served) in shares.items()})
-    assert_none_starves(shares, simulation)
+    assert_none_starves(simulation, 5)
