--- a/shallotpath/swarm/tests/test_transfer.py
+++ b/shallotpath/swarm/tests/test_transfer.py
@@ -7,9 +7,15 @@
 
 from shallotpath.core import EPOCH
 from shallotpath.gateway import UNIX_EPOCH
-from shallotpath.swarm import RollingUpdate, SwarmMember, SwarmPlan, UploadPacer
+from shallotpath.swarm import (
+    ORIGIN,
+    RollingUpdate,
+    SwarmMember,
+    SwarmPlan,
+    UploadPacer,
+)
 
-from .simulation import Swarm
+from .simulation import CHUNK_BYTES, LINK_BYTES_PER_S, Swarm
 
 # New weights must serve within 8 s. Of these, running requests need about 1.5 s to end
 # and the engine needs 0.3 s to load.
@@ -59,9 +65,18 @@
 
 def test_transfer_reports_a_stall_once_the_origin_fails():
     # Guards against a transfer that waits for a failed origin and reports nothing.
-    swarm = Swarm({"a": 2}, origin_fails_at_s=0.5)
-    swarm.run(timedelta(seconds=2))
-    assert swarm.plans_by_id["a-0"].stalled
+    # All members must see it, also those that do not ask the origin themselves.
+    swarm = Swarm({"a": 20}, origin_fails_at_s=0.5)
+    swarm.run(timedelta(seconds=1))
+    assert not any(
+        plan.stalled(EPOCH + timedelta(seconds=1))
+        for plan in swarm.plans_by_id.values()
+    )
+    swarm.run(timedelta(seconds=3))
+    assert all(
+        plan.stalled(EPOCH + timedelta(seconds=4))
+        for plan in swarm.plans_by_id.values()
+    )
 
 
 def test_corrupt_chunks_are_fetched_again():
@@ -176,6 +191,56 @@
 NARROW_LINK = {"c-2": 0.1}
 
 
+@pytest.mark.parametrize("corrupt_fraction", [0.0, 0.06])
+def test_slow_origin_sends_one_copy_to_a_large_swarm(corrupt_fraction):
+    # Load pattern: 40 members, and an origin whose link is no wider than theirs. Guards
+    # against members that all fetch what is still on its way to the assigned ones.
+    swarm = Swarm(
+        {"a": 14, "b": 13, "c": 13},
+        origin_region="b",
+        link_factor_by_id={ORIGIN: 0.5},
+        corrupt_fraction=corrupt_fraction,
+    )
+    result = swarm.run()
+    assert len(result.seconds_by_id) == 40
+    assert result.origin_chunks <= 1.3 * 96
+
+
+def test_very_slow_origin_is_not_asked_again_for_what_it_is_sending():
+    # Load pattern: the link of the origin has a fourteenth of its bandwidth. Guards
+    # against time-outs below the time that a chunk takes, which waste all that is sent.
+    swarm = Swarm(REGIONS, origin_region="b", link_factor_by_id={ORIGIN: 0.07})
+    result = swarm.run(timedelta(seconds=60))
+    assert len(result.seconds_by_id) == 10
+    assert result.origin_chunks <= 1.3 * 96
+
+
+def test_origin_that_was_down_sends_one_copy():
+    # Load pattern: the origin fails for 6 s soon after an announcement. Guards against
+    # members that all ask it for the same chunks once it is back.
+    result = Swarm(
+        {"a": 14, "b": 13, "c": 13},
+        origin_region="b",
+        origin_fails_at_s=0.5,
+        origin_is_back_at_s=6.5,
+    ).run()
+    assert len(result.seconds_by_id) == 40
+    assert result.last_s <= 6.5 + 1.5 * 96 * CHUNK_BYTES / LINK_BYTES_PER_S
+    assert result.origin_chunks <= 1.3 * 96
+
+
+def test_one_narrow_link_in_eight_does_not_multiply_the_copies():
+    # Load pattern: 40 members, of which six have a link at a tenth. Guards against
+    # chunks that only such members hold and that all others wait for.
+    narrow = {f"{region}-{n}": 0.1 for region in "abc" for n in (2, 10)}
+    swarm = Swarm(
+        {"a": 14, "b": 13, "c": 13}, origin_region="b", link_factor_by_id=narrow
+    )
+    result = swarm.run()
+    assert len(result.seconds_by_id.keys() - narrow.keys()) == 34
+    assert result.origin_chunks <= 1.3 * 96
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_transfer_over_a_link_that_is_narrow_leaves_room_for_callers(seed):
     # Load pattern: the link of one member has a tenth of its bandwidth during a
