--- a/shallotpath/gateway/_completion.py
+++ b/shallotpath/gateway/_completion.py
@@ -46,7 +46,6 @@
 
     __slots__ = (
         "answer_times",
-        "first_tokens",
         "reporting_services_",
         "server_loads",
         "service_of",
@@ -58,7 +57,6 @@
         self.service_of = service_of
         self.server_loads = ServerLoads()
         self.answer_times = AnswerTimes()
-        self.first_tokens = AnswerTimes()
         # Services of which an upstream has reported its load.
         self.reporting_services_: set[str] = set()
         # Those of which one has reported its slowness, as it shares its VM.
@@ -103,20 +101,6 @@
             service, upstream_id, route, duration=duration, now=now
         )
 
-    def record_first_token(
-        self, service: str, upstream_id: str, duration: timedelta, now: datetime
-    ) -> None:
-        """Record the time to the first token of an engine."""
-        self.first_tokens.record(service, upstream_id, "", duration=duration, now=now)
-
-    def unread_lifetime(self, upstream_id: str) -> timedelta | None:
-        """Return how long the prompt of a peer's request counts as unread.
-
-        `None` where engines have their VMs to themselves, or before it is known.
-        """
-        service = self.service_of(upstream_id)
-        return None if service is None else self.first_tokens.usual(service)
-
     def peer_lifetime(self, upstream_id: str) -> timedelta | None:
         """Return how long a request of a peer counts if it has not been heard of since.
 
--- a/shallotpath/gateway/_loads.py
+++ b/shallotpath/gateway/_loads.py
@@ -257,8 +257,7 @@
         self._add_peer_load(upstream_id, share)
         if share.unread_tokens:
             tokens = EntryLoad(0, share.unread_tokens, 0, share.yielding_tokens)
-            lifetime = self.completions.unread_lifetime(upstream_id)
-            expires_at = now + min(lifetime or UNREAD_MAX_AGE, UNREAD_MAX_AGE)
+            expires_at = now + UNREAD_MAX_AGE
             self.unread_.append(_UnreadTokens(expires_at, loads, upstream_id, tokens))
         # Short requests end long before their entry's next message says so.
         lifetime = self.completions.peer_lifetime(upstream_id)
--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -64,11 +64,9 @@
         now: datetime,
     ) -> None:
         """Compare a prediction with the time that an engine took."""
-        completions = self.loads.completions
-        if completions.shares_vms(service):
+        if self.loads.completions.shares_vms(service):
             error = duration - (prediction.first_token - prediction.correction)
             self.errors.record(service, self.region_of(upstream), error, now)
-            completions.record_first_token(service, upstream.id, duration, now)
 
     def region_cost(self, call: GatewayCall, service: Service) -> timedelta:
         """Return what is added to the cost of upstreams in other regions.
