--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -149,9 +149,9 @@
 
 
 def _describe_correction(placement: Placement) -> str:
-    """Return the part of the prediction that earlier errors account for."""
+    """Return by how much first tokens of the region came later than predicted."""
     correction = placement.prediction.correction
-    return f" of_that_learnt={milliseconds(correction)}" if correction else ""
+    return f" came_later_by={milliseconds(correction)}" if correction else ""
 
 
 def _describe_start_deadline(placement: Placement, now: datetime) -> str:
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -233,7 +233,7 @@
         best, best_cost = None, None
         for upstream in upstreams:
             prediction = self.predictor.predict(call, service, upstream, now)
-            cost = prediction.first_token
+            cost = prediction.first_token + prediction.correction
             if not _starts_in_time(start_deadlines_by_id[upstream.id], prediction, now):
                 cost += LATE_START_PENALTY
             if not self._is_same_region(upstream):
--- a/shallotpath/gateway/_engine_model.py
+++ b/shallotpath/gateway/_engine_model.py
@@ -46,7 +46,7 @@
 
     wait: timedelta
     prefill: timedelta
-    # Part of the wait that stands for errors of earlier predictions.
+    # Time by which first tokens of the region came later than predicted, not included.
     correction: timedelta = timedelta()
 
     @property
--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -52,7 +52,7 @@
         if not self.loads.completions.shares_vms(service.id):
             return predicted
         delay = self.errors.delay(service.id, self.region_of(upstream), now)
-        return Prediction(predicted.wait + delay, predicted.prefill, delay)
+        return Prediction(predicted.wait, predicted.prefill, delay)
 
     def record_first_token(
         self,
@@ -65,13 +65,13 @@
     ) -> None:
         """Compare a prediction with the time that an engine took."""
         if self.loads.completions.shares_vms(service):
-            error = duration - (prediction.first_token - prediction.correction)
+            error = duration - prediction.first_token
             self.errors.record(service, self.region_of(upstream), error, now)
 
     def region_cost(self, call: GatewayCall, service: Service) -> timedelta:
         """Return what is added to the cost of upstreams in other regions.
 
-        The delay of the links to them is part of the predictions.
+        The delay that their answers show comes on top, as correction of predictions.
         """
         if service.engine is None:
             usual_time = self.loads.completions.usual_time(service.id, call.route.id)
--- a/shallotpath/gateway/_server_load.py
+++ b/shallotpath/gateway/_server_load.py
@@ -60,7 +60,6 @@
     """Hold the last report of an upstream and what it is worth now."""
 
     load: ServerLoad
-    received_at: datetime
     # From 1 for a new report to 0 for one that is too old.
     weight: float
 
@@ -89,7 +88,7 @@
             return None
         load, received_at = known
         weight = _weight(now - received_at)
-        return LoadFigure(load, received_at, weight) if weight > 0 else None
+        return LoadFigure(load, weight) if weight > 0 else None
 
 
 def _weight(age: timedelta) -> float:
