--- a/shallotpath/gateway/_prediction_errors.py
+++ b/shallotpath/gateway/_prediction_errors.py
@@ -53,7 +53,7 @@
         known.count += 1
 
     def delay(self, service: str, region: str, now: datetime) -> timedelta:
-        """Return the time to add in comparisons, zero where predictions were not too low.
+        """Return by how much first tokens come late, zero where they come early.
 
         Predictions that were too high are kept: they hold back what would fill engines
         before the entries hear of each other's requests.
