--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -306,7 +306,7 @@
                 now,
                 priority=query.engine_priority,
             )
-            cost = prediction.first_token
+            cost = prediction.first_token + prediction.correction
             if not _starts_in_time(start_deadlines_by_id[upstream.id], prediction, now):
                 cost += LATE_START_PENALTY
             if not self._is_same_region(upstream):
--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -61,7 +61,7 @@
         if not self.loads.completions.shares_vms(service.id):
             return predicted
         delay = self.errors.delay(service.id, self.region_of(upstream), now)
-        return replace(predicted, wait=predicted.wait + delay, correction=delay)
+        return replace(predicted, correction=delay)
 
     def record_first_token(
         self,
@@ -73,16 +73,14 @@
         now: datetime,
     ) -> None:
         """Compare a prediction with the time that an engine took."""
-        completions = self.loads.completions
-        if completions.shares_vms(service):
-            error = duration - (prediction.first_token - prediction.correction)
+        if self.loads.completions.shares_vms(service):
+            error = duration - prediction.first_token
             self.errors.record(service, self.region_of(upstream), error, now)
-            completions.record_first_token(service, upstream.id, duration, now)
 
     def region_cost(self, call: GatewayCall, service: Service) -> timedelta:
         """Return what is added to the cost of upstreams in other regions.
 
-        The delay of the links to them is part of the predictions.
+        The delay that their answers show comes on top, as correction of predictions.
         """
         if service.engine is None:
             usual_time = self.loads.completions.usual_time(service.id, call.route.id)
