Cut windows at the time that most entries agree on

A process that starts with a wrong wall clock counted in other windows, and as holder reported windows of the future, after which nobody reported the present. Entries send their clock with their counts; the holder takes the median and tells it. Leases stay on the steady clock.

--- a/shallotpath/duties/__init__.py
+++ b/shallotpath/duties/__init__.py
@@ -6,6 +6,7 @@
 counts time in which the VM is suspended.
 """
 
+from ._fleet_time import FleetTime
 from ._lease import Lease, LeaseRules, Proposal
 from ._record import (
     LeaseRecord,
@@ -15,11 +16,12 @@
     encode_record,
 )
 from ._usage import EntryUsage, RunCounter, UsageLedger
-from ._windows import CANDIDATES, UsageRules
+from ._windows import CANDIDATES, UsageRules, from_unix_ms, unix_ms
 
 __all__ = [
     "CANDIDATES",
     "EntryUsage",
+    "FleetTime",
     "Lease",
     "LeaseRecord",
     "LeaseRules",
@@ -31,4 +33,6 @@
     "WindowReport",
     "decode_record",
     "encode_record",
+    "from_unix_ms",
+    "unix_ms",
 ]
--- a/shallotpath/duties/_usage.py
+++ b/shallotpath/duties/_usage.py
@@ -17,6 +17,8 @@
     entry: str
     incarnation: int
     counts_by_window: dict[int, dict[str, int]]
+    # Unix time on the sender's uncorrected clock.
+    sent_ms: int = 0
 
 
 class RunCounter:
@@ -37,14 +39,16 @@
             self._prune(window)
         counts[team] += 1
 
-    def usage(self, entry: str, incarnation: int, oldest: int = 0) -> EntryUsage:
+    def usage(
+        self, entry: str, incarnation: int, *, oldest: int = 0, sent_ms: int = 0
+    ) -> EntryUsage:
         """Return the counts from a window on, to send to the holder."""
         counts = {
             window: dict(counts)
             for window, counts in self.counts_by_window_.items()
             if window >= oldest
         }
-        return EntryUsage(entry, incarnation, counts)
+        return EntryUsage(entry, incarnation, counts, sent_ms)
 
     def _prune(self, newest: int) -> None:
         oldest = newest - self.rules.kept_windows
--- a/shallotpath/duties/_windows.py
+++ b/shallotpath/duties/_windows.py
@@ -68,3 +68,13 @@
     def kept_windows(self) -> int:
         """Return how many windows an entry keeps counts of."""
         return -(-self.due // self.window) + 2
+
+
+def unix_ms(at: datetime) -> int:
+    """Return a time as Unix milliseconds."""
+    return (at - UNIX_EPOCH) // timedelta(milliseconds=1)
+
+
+def from_unix_ms(value: int) -> datetime:
+    """Return the time of Unix milliseconds."""
+    return UNIX_EPOCH + timedelta(milliseconds=value)
--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -14,6 +14,7 @@
 from ..duties import (
     CANDIDATES,
     EntryUsage,
+    FleetTime,
     Lease,
     LeaseRecord,
     LeaseRecordError,
@@ -24,6 +25,8 @@
     WindowReport,
     decode_record,
     encode_record,
+    from_unix_ms,
+    unix_ms,
 )
 from ..platform import (
     DUTY_TOPIC,
@@ -45,6 +48,9 @@
 
 RUN_COUNTS_PATH = "/run-counts"
 HOLDER_QUERY = "holder"
+TIME_QUERY = "time_ms"
+# Digits of Unix milliseconds until the year 2286.
+MAX_TIME_DIGITS = 13
 LEASE_KEY = "lease"
 # Calls to entries at a time, so that their answers do not fill the holder's link.
 PARALLEL_PULLS = 24
@@ -87,7 +93,9 @@
         self.peers = peers
         self.store = store
         self.caller = caller
+        # Leases are measured on the steady clock, windows on the time of the fleet.
         self.clock = clock
+        self.time = FleetTime(clock)
         self.reporter = reporter
         self.is_leaving = is_leaving
         self.send = send
@@ -100,7 +108,7 @@
             settings.address, own.id, self._may_send, lease_rules.hold_time
         )
         # Windows that ended earlier were counted by nobody.
-        self.handled_ = self.rules.newest_settled(clock.now())
+        self.handled_ = self.rules.newest_settled(self.time.now())
         self.confirmed_: set[int] = set()
         self.must_read_ = True
         # Entries that have answered for a window after its end.
@@ -122,16 +130,19 @@
     def record_begun(self, team: str) -> None:
         """Count a request that an upstream has begun to run."""
         if team:
-            self.counter.count(team, self.clock.now())
+            self.counter.count(team, self.time.now())
 
     def answer_counts(self, request: web.BaseRequest) -> web.Response:
         """Answer a holder's request for the counts of this entry."""
         self.collector_ = (request.query.get(HOLDER_QUERY, ""), self.clock.now())
+        told_ms = request.query.get(TIME_QUERY, "")
+        if told_ms.isdecimal() and len(told_ms) <= MAX_TIME_DIGITS:
+            self.time.adopt(from_unix_ms(int(told_ms)))
         return web.Response(body=msgspec.msgpack.encode(self._own_usage()))
 
     def merge_counts(self, usage: EntryUsage) -> None:
         """Take over counts that an entry sent between a holder's requests."""
-        self.ledger.merge(usage, self.clock.now())
+        self.ledger.merge(usage, self.time.now())
 
     async def push(self) -> None:
         """Send the counts to the holder again and again until the process stops.
@@ -149,13 +160,18 @@
         address = self.peers.address(holder)
         if address is None or now - asked_at > self.rules.window * PUSHED_WINDOWS:
             return
-        usage = self._own_usage(self.rules.number(now) - 1)
+        usage = self._own_usage(self.rules.number(self.time.now()) - 1)
         # A larger one is not sent; the holder asks for it at the end of the window.
         if len(encode_message(usage)) <= MAX_DATAGRAM_BYTES:
             self.send(usage, [address])
 
     def _own_usage(self, oldest: int = 0) -> EntryUsage:
-        return self.counter.usage(self.own.id, self.incarnation, oldest)
+        return self.counter.usage(
+            self.own.id,
+            self.incarnation,
+            oldest=oldest,
+            sent_ms=unix_ms(self.clock.now()),
+        )
 
     def status(self) -> dict[str, object]:
         """Return who holds the duties as far as this entry knows."""
@@ -167,17 +183,20 @@
             "released": record.released if record else None,
             "age_s": None if age is None else age.total_seconds(),
             "held_here": self.lease.holds(now),
+            "clock_correction_s": self.time.correction.total_seconds(),
             "last_window": record.last_window if record else None,
         }
 
     async def step(self) -> timedelta:
         """Do what is due and return the time until the next step."""
-        now = self.clock.now()
+        now = self.time.now()
         reportable = self.rules.reportable(now)
+        # The clock may have been ahead before it was corrected.
+        self.handled_ = min(self.handled_, reportable.stop - 1)
         window = max(self.handled_ + 1, reportable.start)
         if window not in reportable:
             return self.rules.settled_at(window) - now
-        acts_at = self._acts_at(window, now)
+        acts_at = self._acts_at(window)
         if acts_at is None:
             self.handled_ = window
             return timedelta()
@@ -190,8 +209,9 @@
             return timedelta()
         return wait
 
-    def _acts_at(self, window: int, now: datetime) -> datetime | None:
+    def _acts_at(self, window: int) -> datetime | None:
         """Return when this entry looks after a window, `None` if others do."""
+        now = self.clock.now()
         if self.is_leaving():
             return None
         record = self.lease.record
@@ -222,13 +242,20 @@
                     return None
             if not self.lease.may_propose(now):
                 return self.lease.takeover_at() - now
-            if record is not None and self._next_report(now) is not None:
+            if record is not None and self._next_report() is not None:
                 # The last holder may not have sent these, and they are due first.
                 wait = await self._append_and_deliver()
                 if wait is not None or not self.lease.is_own:
                     return wait
+        return await self._report(window)
+
+    async def _report(self, window: int) -> timedelta | None:
+        """Collect the counts of a window, record them and send them."""
         missing = await self._collect(window)
-        now, complete_by = self.clock.now(), self.rules.complete_by(window)
+        now, complete_by = self.time.now(), self.rules.complete_by(window)
+        if now < self.rules.settled_at(window):
+            # The entries' clocks have shown that the own one was ahead.
+            return timedelta()
         if missing and now < complete_by:
             return min(COLLECT_PAUSE, complete_by - now)
         if missing:
@@ -252,7 +279,7 @@
         last = record.last_window if record else None
         if record is None and not self.lease.is_empty:
             # The record is lost: any window that had ended may have been reported.
-            last = self.rules.number(self.lease.seen_at_)
+            last = self.rules.number(self.lease.seen_at_ + self.time.correction)
         unconfirmed = [
             report
             for report in (record.unconfirmed if record else ())
@@ -270,7 +297,7 @@
         gives_up_at = self.clock.now() + self.lease.rules.duration
         while True:
             now = self.clock.now()
-            report = self._next_report(now)
+            report = self._next_report()
             if report is None:
                 return None
             if now >= gives_up_at:
@@ -286,7 +313,8 @@
             if not await self._send(report):
                 await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
-    def _next_report(self, now: datetime) -> WindowReport | None:
+    def _next_report(self) -> WindowReport | None:
+        now = self.time.now()
         for report in self.lease.record.unconfirmed:
             is_open = report.window not in self.confirmed_
             if is_open and now < self.rules.due_at(report.window):
@@ -325,7 +353,7 @@
             token=self.lease.token,
             requests=sum(report.counts_by_team.values()),
             teams=len(report.counts_by_team),
-            late_s=(self.clock.now() - self.rules.end(report.window)).total_seconds(),
+            late_s=(self.time.now() - self.rules.end(report.window)).total_seconds(),
         )
         return True
 
@@ -414,28 +442,34 @@
         if self.collected_window_ != window:
             self.collected_window_ = window
             self.answered_.clear()
-            self.ledger.prune(now)
+            self.ledger.prune(self.time.now())
         active = [
             peer
             for peer in self.peers.active_entries(now)
             if peer.id not in self.answered_
         ]
         limit = asyncio.Semaphore(PARALLEL_PULLS)
+        offsets: list[timedelta] = []
 
         async def pull(peer: PeerAddress) -> None:
             async with limit:
-                if await self._pull(peer):
-                    self.answered_.add(peer.id)
+                offset = await self._pull(peer)
+            if offset is not None:
+                self.answered_.add(peer.id)
+                offsets.append(offset)
 
         await asyncio.gather(*map(pull, active))
-        self.ledger.merge(self._own_usage(), self.clock.now())
+        self.time.compare(offsets)
+        self.ledger.merge(self._own_usage(), self.time.now())
         return sorted(peer.id for peer in active if peer.id not in self.answered_)
 
-    async def _pull(self, peer: PeerAddress) -> bool:
-        url = (
-            f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}"
-            f"?{HOLDER_QUERY}={self.own.id}"
-        )
+    async def _pull(self, peer: PeerAddress) -> timedelta | None:
+        """Merge the counts of an entry and return how far its clock is ahead."""
+        asked_at = self.clock.now()
+        query = f"{HOLDER_QUERY}={self.own.id}"
+        if self.time.is_agreed:
+            query += f"&{TIME_QUERY}={unix_ms(self.time.now())}"
+        url = f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}?{query}"
         try:
             body = await self.caller.call(
                 "GET", url, PULL_TIMEOUT, max_bytes=MAX_USAGE_BYTES
@@ -443,6 +477,8 @@
             usage = msgspec.msgpack.decode(body, type=EntryUsage)
         except (CallError, msgspec.DecodeError, RecursionError):
             self.reporter.count("usage_pulls_failed")
-            return False
-        self.ledger.merge(usage, self.clock.now())
-        return True
+            return None
+        self.ledger.merge(usage, self.time.now())
+        return from_unix_ms(usage.sent_ms) - (
+            asked_at + (self.clock.now() - asked_at) / 2
+        )
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -164,10 +164,10 @@
     async def run(self, duration, *, frozen=()):
         """Advance all clocks in steps of 200 ms."""
         for _ in range(duration // (0.2 * SECOND)):
-            self.clock.advance(0.2 * SECOND)
+            for clock in (self.clock, *(entry[1] for entry in self.entries.values())):
+                clock.advance(0.2 * SECOND)
             for number, (name, entry) in enumerate(self.entries.items()):
                 duties, clock = entry[:2]
-                clock.advance(0.2 * SECOND)
                 if name in self.down or name in frozen:
                     continue
                 self._gossip(duties, clock.now(), frozen)
@@ -369,6 +369,20 @@
     play(scenario, skews_s=(0, 0.3, -0.3))
 
 
+@pytest.mark.parametrize("skewed", range(3))
+@pytest.mark.parametrize("skew_s", [-3600, 7, 3600])
+def test_wrong_clock_of_one_entry_spoils_no_window(skewed, skew_s):
+    # Guards against counts in other windows, and a holder that reports the future.
+    async def scenario(fleet):
+        await fleet.run(60 * SECOND)
+        reported = fleet.interface.counts_by_window
+        for window in range(WINDOW + 5, WINDOW + 11):
+            assert reported[window] == {"team-0": 25, "team-1": 25, "team-2": 25}
+        assert max(reported) <= WINDOW + 11
+
+    play(scenario, skews_s=[skew_s * (number == skewed) for number in range(3)])
+
+
 def test_entry_that_dies_loses_only_what_it_has_not_sent():
     # Guards against counts of a whole window that are lost with one process.
     async def scenario(fleet):
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -100,8 +100,15 @@
 def test_items_of_counts_keep_their_positions():
     # Guards against counts that are taken for those of another entry or start.
     payload = DATAGRAMS["runs", "full"]
-    _, (_, entry, incarnation, counts) = msgspec.msgpack.decode(payload, strict=False)
-    expected = EntryUsage(entry=entry, incarnation=incarnation, counts_by_window=counts)
+    _, (_, entry, incarnation, counts, sent_ms) = msgspec.msgpack.decode(
+        payload, strict=False
+    )
+    expected = EntryUsage(
+        entry=entry,
+        incarnation=incarnation,
+        counts_by_window=counts,
+        sent_ms=sent_ms,
+    )
     assert decode_datagram(payload) == expected
 
 
