--- a/shallotpath/duties/_fleet_time.py
+++ b/shallotpath/duties/_fleet_time.py
@@ -47,8 +47,8 @@
     def compare(self, offsets: Iterable[timedelta]) -> None:
         """Take over the median of other clocks' offsets from the steady clock."""
         known = [timedelta(), *offsets]
-        self.is_agreed = len(known) >= MIN_CLOCKS
-        if self.is_agreed:
+        if len(known) >= MIN_CLOCKS:
+            self.is_agreed = True
             # A majority outweighs what single processes have told.
             self.offsets_.clear()
             self.offsets_.append(median_low(known))
--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -1,4 +1,4 @@
-"""Duties of an entry: holds the lease, collects counts and reports usage."""
+"""Duties of an entry: hold the lease and report usage."""
 
 from __future__ import annotations
 
@@ -6,9 +6,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from datetime import datetime, timedelta
-
-import msgspec
-from aiohttp import web
+from random import Random
 
 from ..core import Clock, PlatformError, rendezvous_order
 from ..duties import (
@@ -19,14 +17,10 @@
     LeaseRecord,
     LeaseRecordError,
     LeaseRules,
-    RunCounter,
-    UsageLedger,
     UsageRules,
     WindowReport,
     decode_record,
     encode_record,
-    from_unix_ms,
-    unix_ms,
 )
 from ..platform import (
     DUTY_TOPIC,
@@ -38,30 +32,13 @@
     OffsetConflictError,
     StoreClient,
 )
-from ..replication import (
-    MAX_DATAGRAM_BYTES,
-    PeerAddress,
-    PeerTable,
-    encode_message,
-)
+from ..replication import PeerAddress, PeerTable
 from ._reporter import LineReporter
+from ._run_counts import RunCounts
 
-RUN_COUNTS_PATH = "/run-counts"
-HOLDER_QUERY = "holder"
-TIME_QUERY = "time_ms"
-# Digits of Unix milliseconds until the year 2286.
-MAX_TIME_DIGITS = 13
 LEASE_KEY = "lease"
-# Calls to entries at a time, so that their answers do not fill the holder's link.
-PARALLEL_PULLS = 24
-PULL_TIMEOUT = timedelta(milliseconds=500)
 # Time after which entries that did not answer are asked again.
 COLLECT_PAUSE = timedelta(milliseconds=600)
-# An entry that dies loses the requests of at most this time.
-PUSH_INTERVAL = timedelta(seconds=1)
-# Windows after which a holder that no longer asks gets no more counts.
-PUSHED_WINDOWS = 3
-MAX_USAGE_BYTES = 1 << 20
 # Time between attempts after a failed call.
 RETRY_PAUSE = timedelta(milliseconds=300)
 # Least part of a lease in which a call is begun.
@@ -84,24 +61,32 @@
         store: StoreClient,
         caller: HttpCaller,
         clock: Clock,
+        random: Random,
         reporter: LineReporter,
         is_leaving: Callable[[], bool],
         send: Callable[[EntryUsage, Iterable[PeerAddress]], None],
     ) -> None:
         self.own = own
-        self.incarnation = incarnation
         self.peers = peers
         self.store = store
-        self.caller = caller
         # Leases are measured on the steady clock, windows on the time of the fleet.
         self.clock = clock
         self.time = FleetTime(clock)
         self.reporter = reporter
         self.is_leaving = is_leaving
-        self.send = send
         self.rules = UsageRules(settings.usage_window, settings.usage_due)
-        self.counter = RunCounter(self.rules)
-        self.ledger = UsageLedger(self.rules)
+        self.counts = RunCounts(
+            self.rules,
+            own,
+            incarnation,
+            peers=peers,
+            caller=caller,
+            clock=clock,
+            time=self.time,
+            random=random,
+            reporter=reporter,
+            send=send,
+        )
         lease_rules = LeaseRules.within(settings.lease, settings.wake_slack)
         self.lease = Lease(own.id, incarnation, lease_rules)
         self.client = DutyClient(
@@ -111,68 +96,23 @@
         self.handled_ = self.rules.newest_settled(self.time.now())
         self.confirmed_: set[int] = set()
         self.must_read_ = True
-        # Entries that have answered for a window after its end.
-        self.collected_window_: int | None = None
-        self.answered_: set[str] = set()
-        # The last holder that asked for counts, and when.
-        self.collector_: tuple[str, datetime] | None = None
 
     async def run(self) -> None:
-        """Report windows for as long as the process runs."""
+        """Report windows and send counts for as long as the process runs."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._report_windows())
+            tasks.create_task(self.counts.push())
+
+    async def _report_windows(self) -> None:
         while True:
             pause = await self.step()
             await asyncio.sleep(max(pause.total_seconds(), 0.01))
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Send the last counts and close the connections."""
+        self.counts.push_once()
         await self.client.close()
 
-    def record_begun(self, team: str) -> None:
-        """Count a request that an upstream has begun to run."""
-        if team:
-            self.counter.count(team, self.time.now())
-
-    def answer_counts(self, request: web.BaseRequest) -> web.Response:
-        """Answer a holder's request for the counts of this entry."""
-        self.collector_ = (request.query.get(HOLDER_QUERY, ""), self.clock.now())
-        told_ms = request.query.get(TIME_QUERY, "")
-        if told_ms.isdecimal() and len(told_ms) <= MAX_TIME_DIGITS:
-            self.time.adopt(from_unix_ms(int(told_ms)))
-        return web.Response(body=msgspec.msgpack.encode(self._own_usage()))
-
-    def merge_counts(self, usage: EntryUsage) -> None:
-        """Take over counts that an entry sent between a holder's requests."""
-        self.ledger.merge(usage, self.time.now())
-
-    async def push(self) -> None:
-        """Send the counts to the holder again and again until the process stops.
-
-        Without them, a process that dies would take the counts of a window with it.
-        """
-        while True:
-            await asyncio.sleep(PUSH_INTERVAL.total_seconds())
-            self.push_counts()
-
-    def push_counts(self) -> None:
-        """Send the newest counts to the holder, if one has asked lately."""
-        now = self.clock.now()
-        holder, asked_at = self.collector_ or ("", now)
-        address = self.peers.address(holder)
-        if address is None or now - asked_at > self.rules.window * PUSHED_WINDOWS:
-            return
-        usage = self._own_usage(self.rules.number(self.time.now()) - 1)
-        # A larger one is not sent; the holder asks for it at the end of the window.
-        if len(encode_message(usage)) <= MAX_DATAGRAM_BYTES:
-            self.send(usage, [address])
-
-    def _own_usage(self, oldest: int = 0) -> EntryUsage:
-        return self.counter.usage(
-            self.own.id,
-            self.incarnation,
-            oldest=oldest,
-            sent_ms=unix_ms(self.clock.now()),
-        )
-
     def status(self) -> dict[str, object]:
         """Return who holds the duties as far as this entry knows."""
         now = self.clock.now()
@@ -251,7 +191,7 @@
 
     async def _report(self, window: int) -> timedelta | None:
         """Collect the counts of a window, record them and send them."""
-        missing = await self._collect(window)
+        missing = await self.counts.collect(window)
         now, complete_by = self.time.now(), self.rules.complete_by(window)
         if now < self.rules.settled_at(window):
             # The entries' clocks have shown that the own one was ahead.
@@ -288,7 +228,7 @@
         ]
         for window in self.rules.reportable(now):
             if last is None or window > last:
-                unconfirmed.append(self.ledger.report(window))
+                unconfirmed.append(self.counts.ledger.report(window))
                 last = window
         return {"last_window": last, "unconfirmed": tuple(unconfirmed)}
 
@@ -435,50 +375,3 @@
             outcome="conflict" if conflict else "failed",
         )
         self.reporter.event("duty_store_failed", call=call, detail=error.message)
-
-    async def _collect(self, window: int) -> list[str]:
-        """Ask entries for their counts and return those that have not answered."""
-        now = self.clock.now()
-        if self.collected_window_ != window:
-            self.collected_window_ = window
-            self.answered_.clear()
-            self.ledger.prune(self.time.now())
-        active = [
-            peer
-            for peer in self.peers.active_entries(now)
-            if peer.id not in self.answered_
-        ]
-        limit = asyncio.Semaphore(PARALLEL_PULLS)
-        offsets: list[timedelta] = []
-
-        async def pull(peer: PeerAddress) -> None:
-            async with limit:
-                offset = await self._pull(peer)
-            if offset is not None:
-                self.answered_.add(peer.id)
-                offsets.append(offset)
-
-        await asyncio.gather(*map(pull, active))
-        self.time.compare(offsets)
-        self.ledger.merge(self._own_usage(), self.time.now())
-        return sorted(peer.id for peer in active if peer.id not in self.answered_)
-
-    async def _pull(self, peer: PeerAddress) -> timedelta | None:
-        """Merge the counts of an entry and return how far its clock is ahead."""
-        asked_at = self.clock.now()
-        query = f"{HOLDER_QUERY}={self.own.id}"
-        if self.time.is_agreed:
-            query += f"&{TIME_QUERY}={unix_ms(self.time.now())}"
-        url = f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}?{query}"
-        try:
-            body = await self.caller.call(
-                "GET", url, PULL_TIMEOUT, max_bytes=MAX_USAGE_BYTES
-            )
-            usage = msgspec.msgpack.decode(body, type=EntryUsage)
-        except (CallError, msgspec.DecodeError, RecursionError):
-            self.reporter.count("usage_pulls_failed")
-            return None
-        self.ledger.merge(usage, self.time.now())
-        return from_unix_ms(usage.sent_ms) - (
-            asked_at + (self.clock.now() - asked_at) / 2
-        )
--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -49,11 +49,12 @@
     PlacementItem,
     SuspectItem,
 )
-from ._duties import RUN_COUNTS_PATH, DutyRunner
+from ._duties import DutyRunner
 from ._evidence import decode_evidence, encode_evidence
 from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._records import apply_each
+from ._run_counts import RUN_COUNTS_PATH
 from ._topics import TopicReplica
 
 # Long-poll time of a read of the upstreams. An upstream that leaves must get no request
@@ -179,18 +180,18 @@
             store=self.store_,
             caller=self.caller_,
             clock=self.clock,
+            random=self.random,
             reporter=self.reporter,
             is_leaving=lambda: self.leaving_,
             send=self.gossip_.send,
         )
-        self.parts.on_begun = self.duties_.record_begun
+        self.parts.on_begun = self.duties_.counts.record_begun
         self.keep_running(self.duties_.run)
-        self.keep_running(self.duties_.push)
 
     async def answer_role_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a holder's request for this entry's counts."""
         if request.path == RUN_COUNTS_PATH and self.duties_ is not None:
-            return self.duties_.answer_counts(request)
+            return await self.duties_.counts.answer(request)
         return await super().answer_role_request(request)
 
     async def drain(self) -> None:
@@ -226,11 +227,9 @@
         await self.caller_listener_.stop()
         await self.readiness_listener_.stop()
         self.pool.close()
-        if self.duties_ is not None:
-            self.duties_.push_counts()
-        await super().stop()
         if self.duties_ is not None:
             await self.duties_.close()
+        await super().stop()
 
     @property
     def remote_interval(self) -> timedelta:
@@ -347,7 +346,7 @@
     def handle_usage(self, usage: EntryUsage) -> None:
         """Take over counts of a peer for the report that this entry may send."""
         if self.duties_ is not None:
-            self.duties_.merge_counts(usage)
+            self.duties_.counts.merge(usage)
 
     def handle_placement(self, placed: PlacementItem) -> None:
         """Count a peer's request until its next gossip message has its loads."""
@@ -378,8 +377,10 @@
                 ),
                 "available": self.breaker.is_available(record.id, now),
             }
+        duties = {"duties": self.duties_.status()} if self.duties_ else {}
         return (
             super().status()
+            | duties
             | {
                 "ready": self.ready,
                 "active": self.caller_listener_.active,
@@ -387,7 +388,6 @@
                 "refused_parts": self.suspects.parts.refused,
                 "upstreams": upstreams,
             }
-            | ({"duties": self.duties_.status()} if self.duties_ else {})
         )
 
     async def _read_upstreams(self) -> None:
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -120,6 +120,8 @@
         self.entries = {}
         self.addresses = {}
         self.down = set()
+        # Two entries that do not reach each other.
+        self.cut = set()
 
     async def start(self, name, ports, *, skew=timedelta(), incarnation=1):
         clock = ManualClock(self.clock.now() + skew)
@@ -147,10 +149,11 @@
             store=StoreClient(Endpoint(HOST, store_port), session),
             caller=HttpCaller(session),
             clock=clock,
+            random=Random(1),
             reporter=reporter,
             is_leaving=lambda: False,
             send=lambda usage, peers: [
-                self.entries[peer.id][0].merge_counts(usage) for peer in peers
+                self.entries[peer.id][0].counts.merge(usage) for peer in peers
             ],
         )
         self.entries[name] = (duties, clock, session, runner, reporter)
@@ -159,7 +162,10 @@
     async def _answer(self, name, request):
         if name in self.down:
             request.transport.abort()
-        return self.entries[name][0].answer_counts(request)
+        asked_by = request.headers["User-Agent"]
+        if {name, asked_by} == self.cut:
+            request.transport.abort()
+        return await self.entries[name][0].counts.answer(request)
 
     async def run(self, duration, *, frozen=()):
         """Advance all clocks in steps of 200 ms."""
@@ -171,14 +177,15 @@
                 if name in self.down or name in frozen:
                     continue
                 self._gossip(duties, clock.now(), frozen)
-                duties.record_begun(f"team-{number}")
+                duties.counts.record_begun(f"team-{number}")
                 await duties.step()
 
     def _gossip(self, duties, now, frozen):
         for name, address in self.addresses.items():
             if name not in self.down and name not in frozen:
                 sequence = 1 + int(now.timestamp() * 1000)
-                duties.peers.update(GossipMessage(address, 1, sequence, "a"), now)
+                domain = f"zone-{name}"
+                duties.peers.update(GossipMessage(address, 1, sequence, domain), now)
 
     def holder(self):
         now = [d.status()["holder"] for d, *_ in self.entries.values()]
@@ -316,6 +323,20 @@
     play(scenario)
 
 
+def test_counts_come_through_a_third_domain():
+    # Guards against low counts while two domains do not reach each other.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        holder = fleet.holder()
+        fleet.cut = {holder, next(name for name in fleet.entries if name != holder)}
+        await fleet.run(15 * SECOND)
+        reported = fleet.interface.counts_by_window
+        for window in (WINDOW + 2, WINDOW + 3):
+            assert reported[window] == {"team-0": 25, "team-1": 25, "team-2": 25}
+
+    play(scenario)
+
+
 def test_lost_answers_of_the_store_change_no_report():
     # Guards against a second report with other counts after an append took effect.
     async def scenario(fleet):
@@ -390,7 +411,7 @@
         holder = fleet.holder()
         victim = next(name for name in fleet.entries if name != holder)
         await fleet.run(2 * SECOND)
-        fleet.entries[victim][0].push_counts()
+        fleet.entries[victim][0].counts.push_once()
         fleet.down.add(victim)
         await fleet.run(12 * SECOND)
         team = f"team-{list(fleet.entries).index(victim)}"
