--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -44,7 +44,12 @@
 # Least part of a lease in which a call is begun.
 MIN_CALL_TIME = timedelta(milliseconds=200)
 MAX_CALL_TIME = timedelta(milliseconds=800)
-_TOO_MANY_REQUESTS = 429
+# Lowest rate of calls that the settings can ask for.
+MIN_CALL_RATE = 0.1
+# Request Timeout and Too Many Requests.
+_RETRIED = frozenset({408, 429})
+# Statuses of a call with a token below one that was seen.
+_CONFLICTS = frozenset({409, 412})
 _CLIENT_ERROR = range(400, 500)
 
 
@@ -74,6 +79,11 @@
         self.time = FleetTime(clock)
         self.reporter = reporter
         self.is_leaving = is_leaving
+        self.checks_token = settings.checks_token
+        # Keeps the holder's calls within the rate that the interface accepts.
+        self.call_pause = timedelta(
+            seconds=1 / max(settings.calls_per_s, MIN_CALL_RATE)
+        )
         self.rules = UsageRules(settings.usage_window, settings.usage_due)
         self.counts = RunCounts(
             self.rules,
@@ -96,6 +106,8 @@
         self.handled_ = self.rules.newest_settled(self.time.now())
         self.confirmed_: set[int] = set()
         self.must_read_ = True
+        # The interface has seen a higher token.
+        self.is_outdated_ = False
 
     async def run(self) -> None:
         """Report windows and send counts for as long as the process runs."""
@@ -240,7 +252,8 @@
             report = self._next_report()
             if report is None:
                 return None
-            if now >= gives_up_at:
+            if now >= gives_up_at or self.is_outdated_:
+                self.is_outdated_ = False
                 await self._release("the interface does not accept reports")
                 return None
             if self.lease.time_left(now) < MIN_CALL_TIME:
@@ -250,8 +263,9 @@
                     # The store took most of the lease to answer.
                     await asyncio.sleep(RETRY_PAUSE.total_seconds())
                 continue
-            if not await self._send(report):
-                await asyncio.sleep(RETRY_PAUSE.total_seconds())
+            was_sent = await self._send(report)
+            pause = self.call_pause if was_sent else max(self.call_pause, RETRY_PAUSE)
+            await asyncio.sleep(pause.total_seconds())
 
     def _next_report(self) -> WindowReport | None:
         now = self.time.now()
@@ -276,8 +290,12 @@
             self._report_failure(report, error.message, "not_sent")
             return False
         except CallError as error:
+            is_outdated = self.checks_token and error.status in _CONFLICTS
+            self.is_outdated_ = is_outdated
             is_final = (
-                error.status in _CLIENT_ERROR and error.status != _TOO_MANY_REQUESTS
+                error.status in _CLIENT_ERROR
+                and error.status not in _RETRIED
+                and not is_outdated
             )
             self._report_failure(
                 report, error.message, "rejected" if is_final else "failed"
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -89,6 +89,8 @@
     def __init__(self, clock):
         self.clock = clock
         self.refused = set()
+        # Tokens that are rejected, where the interface checks them.
+        self.stale_tokens = set()
         self.counts_by_window = {}
         self.calls = []
 
@@ -97,6 +99,8 @@
         if holder in self.refused:
             return web.Response(status=503)
         token = int(request.headers["Shallotpath-Fencing-Token"])
+        if token in self.stale_tokens:
+            return web.Response(status=412)
         self.calls.append((self.clock.now(), holder, token))
         fields = json.loads(await request.read())
         known = self.counts_by_window.setdefault(fields["window"], fields["counts"])
@@ -139,7 +143,6 @@
                 lease=3 * SECOND,
                 wake_slack=0.3 * SECOND,
                 usage_window=RULES.window,
-                usage_tolerance=0.05,
                 usage_due=RULES.due,
                 reports_usage=True,
             ),
@@ -311,6 +314,19 @@
     play(scenario)
 
 
+def test_holder_with_a_lower_token_does_not_give_up_the_window():
+    # Guards against a report that counts as sent though a higher token was seen.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        fleet.interface.stale_tokens = {fleet.entries[fleet.holder()][0].lease.token}
+        for duties, *_ in fleet.entries.values():
+            duties.checks_token = True
+        await fleet.run(25 * SECOND)
+        assert WINDOW + 4 in fleet.interface.counts_by_window
+
+    play(scenario)
+
+
 def test_holder_without_its_peers_reports_in_time():
     # Guards against a report that waits for entries for too long, or that is dropped.
     async def scenario(fleet):
@@ -441,7 +457,6 @@
             lease=0.2 * SECOND,
             wake_slack=0.02 * SECOND,
             usage_window=0.2 * SECOND,
-            usage_tolerance=0.05,
             usage_due=0.4 * SECOND,
             reports_usage=True,
         )
--- a/shallotpath/platform/_settings.py
+++ b/shallotpath/platform/_settings.py
@@ -47,8 +47,6 @@
     wake_slack: timedelta
     # Length of the windows of the wall clock for which usage is reported.
     usage_window: timedelta
-    # Share by which a count may differ from the truth.
-    usage_tolerance: float
     # Time after the end of a window by which its report is due.
     usage_due: timedelta
     reports_usage: bool
@@ -173,7 +171,6 @@
         lease=timedelta(milliseconds=reader.number("bounds.leaseMs", 3000)),
         wake_slack=timedelta(milliseconds=reader.number("bounds.thawSlackMs", 300)),
         usage_window=timedelta(seconds=window_s),
-        usage_tolerance=reader.number("bounds.usageOff", 0.05),
         usage_due=timedelta(seconds=reader.number("bounds.usageLateS", 10)),
         reports_usage=window_s > 0
         and USAGE_DUTY in reader.texts("cloud.duties", default=USAGE_DUTY),
