--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -116,6 +116,8 @@
             tasks.create_task(self.counts.push())
 
     async def _report_windows(self) -> None:
+        # A takeover waits from the first sight of the last record.
+        await self._read()
         while True:
             pause = await self.step()
             await asyncio.sleep(max(pause.total_seconds(), 0.01))
