--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -53,6 +53,7 @@
 from ._evidence import decode_evidence, encode_evidence
 from ._gossip import remote_interval
 from ._member import MemberProcess
+from ._predictions import report_predictions
 from ._records import apply_each
 from ._run_counts import RUN_COUNTS_PATH
 from ._topics import TopicReplica
@@ -97,7 +98,7 @@
         self.upstreams = UpstreamTable()
         self.upstreams.notices.on_notice = self._report_notice
         self.breaker = Breaker()
-        self.loads = LoadTracker(self._send_placement)
+        self.loads = LoadTracker(self._send_placement, self.upstreams.service_id)
         self.evidence_found_ = asyncio.Event()
         self.suspects = CrashSuspects(
             PartSuspects(
@@ -146,7 +147,7 @@
             self.parts, self.operator, self.is_configuration_fresh, self.reporter
         )
         self.caller_listener_: Listener | None = None
-        self.readiness_listener_ = Listener(self._answer_probe)
+        self.readiness_listener_ = self.listeners.readiness(self._answer_probe)
         self.upstream_topic_: TopicReplica | None = None
         self.duties_: DutyRunner | None = None
 
@@ -164,7 +165,9 @@
         self.keep_running(self._send_evidence)
         self._start_duties()
         readiness, callers = self.settings.readiness, self.settings.callers
-        self.caller_listener_ = Listener(self.forwarder.handle, memory=self.memory)
+        self.caller_listener_ = self.listeners.callers(
+            self.forwarder.handle, memory=self.memory
+        )
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
 
@@ -263,8 +266,12 @@
         """Apply the connection limits of a new configuration to the listener."""
         catalog = self.operator.catalog
         if catalog is not None and self.caller_listener_ is not None:
+            limits = catalog.limits
             self.caller_listener_.set_limits(
-                catalog.limits.idle_timeout, catalog.limits.body_bytes
+                limits.idle_timeout,
+                limits.body_bytes,
+                max_header=limits.header_bytes,
+                header_timeout=limits.header_timeout,
             )
 
     def apply_upstreams(
@@ -493,6 +500,7 @@
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
             self._measure_memory()
+            report_predictions(self.dispatcher.predictor, self.clock, self.reporter)
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
                 self.upstreams.upstreams_by_id_.keys(), self.clock.now()
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -33,6 +33,7 @@
 from ._failures import FailureRecorder
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
+from ._measurements import record_answer_time, record_first_token
 from ._memory import FREE_SHARE, MIN_ALLOWANCE_BYTES, HeldKind, Lease
 from ._parts import ForwarderParts
 from ._responses import BufferedResponse, refusal, relayed_headers
@@ -194,6 +195,7 @@
             self.parts.pool,
             self.parts.header_codec,
             upstreams.notices,
+            self.parts.dispatcher.loads.completions,
             journal=self.journal,
             lease=self.lease,
         )
@@ -219,6 +221,7 @@
             await self._exchange(attempt, placement)
             response = await self._relay(attempt, key)
             self._record_answer(attempt)
+            record_answer_time(self.parts, self.call, attempt)
             attempt.finish()
             self.parts.dispatcher.breaker.record_success(upstream.id)
             self.parts.suspects.completed(self.call.fingerprint)
@@ -372,6 +375,8 @@
             complete = self._complete_events(chunk)
             self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
+                if not attempt.events:
+                    record_first_token(self.parts, self.call, attempt)
                 attempt.count_events(complete)
                 if attempt.answer_begun:
                     self._record_answer(attempt)
