--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from datetime import datetime, timedelta
 from random import Random
+from typing import TYPE_CHECKING
 
 from ..core import Clock, PlatformError, rendezvous_order
 from ..duties import (
@@ -36,11 +37,16 @@
 from ._reporter import LineReporter
 from ._run_counts import RunCounts
 
+if TYPE_CHECKING:
+    from ._member import MemberProcess
+
 LEASE_KEY = "lease"
 # Time after which entries that did not answer are asked again.
 COLLECT_PAUSE = timedelta(milliseconds=600)
-# Time between attempts after a failed call.
+# Time between attempts after a failed call, doubled for each further one at the store.
 RETRY_PAUSE = timedelta(milliseconds=300)
+MAX_RETRY_PAUSE = timedelta(seconds=1)
+MAX_DOUBLINGS = 4
 # Least part of a lease in which a call is begun.
 MIN_CALL_TIME = timedelta(milliseconds=200)
 MAX_CALL_TIME = timedelta(milliseconds=800)
@@ -108,6 +114,25 @@
         self.must_read_ = True
         # The interface has seen a higher token.
         self.is_outdated_ = False
+        # Calls of the store that have failed in a row.
+        self.store_failures_ = 0
+
+    @classmethod
+    def of_process(cls, process: MemberProcess, settings: DutySettings) -> DutyRunner:
+        """Return the duties of a process whose sockets are open."""
+        return cls(
+            settings,
+            process.address,
+            process.incarnation_,
+            peers=process.peers,
+            store=process.store_,
+            caller=process.caller_,
+            clock=process.clock,
+            random=process.random,
+            reporter=process.reporter,
+            is_leaving=lambda: process.leaving_,
+            send=process.gossip_.send,
+        )
 
     async def run(self) -> None:
         """Report windows and send counts for as long as the process runs."""
@@ -187,7 +212,7 @@
     async def _serve(self, window: int) -> timedelta | None:
         """Report a window; return when to go on, or `None` if it is done."""
         if (self.must_read_ or not self.lease.is_own) and not await self._read():
-            return RETRY_PAUSE
+            return self._next_retry()
         now, record = self.clock.now(), self.lease.record
         if not self.lease.is_own:
             if record is not None and not record.released:
@@ -224,7 +249,7 @@
 
     async def _append_and_deliver(self, **changes: object) -> timedelta | None:
         if not await self._append(**changes):
-            return RETRY_PAUSE
+            return self._next_retry()
         return await self._deliver()
 
     def _final_counts(self, now: datetime) -> dict[str, object]:
@@ -260,7 +285,7 @@
                 return None
             if self.lease.time_left(now) < MIN_CALL_TIME:
                 if not await self._append():
-                    return RETRY_PAUSE
+                    return self._next_retry()
                 if self.lease.time_left(self.clock.now()) < MIN_CALL_TIME:
                     # The store took most of the lease to answer.
                     await asyncio.sleep(RETRY_PAUSE.total_seconds())
@@ -348,6 +373,7 @@
         was_own = self.lease.is_own
         self.lease.observe(record, offset, page.end, self.clock.now())
         self.must_read_ = False
+        self.store_failures_ = 0
         self.reporter.count("duty_reads", outcome="answered")
         if was_own and not self.lease.is_own:
             self.reporter.gauge("duty_held", 0)
@@ -375,6 +401,7 @@
             self._store_failed("append", error)
             return False
         self.lease.accepted(proposal, started_at, self.clock.now())
+        self.store_failures_ = 0
         self.reporter.count("duty_appends", outcome="accepted")
         self.reporter.gauge("duty_held", 0 if proposal.record.released else 1)
         if not was_own:
@@ -394,4 +421,11 @@
             "duty_appends" if call == "append" else "duty_reads",
             outcome="conflict" if conflict else "failed",
         )
-        self.reporter.event("duty_store_failed", call=call, detail=error.message)
+        self.store_failures_ += 1
+        if conflict or self.store_failures_ == 1:
+            self.reporter.event("duty_store_failed", call=call, detail=error.message)
+
+    def _next_retry(self) -> timedelta:
+        """Return the pause before the store is called again."""
+        doublings = min(max(0, self.store_failures_ - 1), MAX_DOUBLINGS)
+        return min(RETRY_PAUSE * 2**doublings, MAX_RETRY_PAUSE)
--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -175,19 +175,7 @@
         duties = self.settings.duties
         if duties is None or not duties.reports_usage:
             return
-        self.duties_ = DutyRunner(
-            duties,
-            self.address,
-            self.incarnation_,
-            peers=self.peers,
-            store=self.store_,
-            caller=self.caller_,
-            clock=self.clock,
-            random=self.random,
-            reporter=self.reporter,
-            is_leaving=lambda: self.leaving_,
-            send=self.gossip_.send,
-        )
+        self.duties_ = DutyRunner.of_process(self, duties)
         self.parts.on_begun = self.duties_.counts.record_begun
         self.keep_running(self.duties_.run)
 
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -291,6 +291,23 @@
     play(scenario)
 
 
+def test_store_that_refuses_is_asked_less_often():
+    # Guards against calls that grow with the length of an outage, and a line for each.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        duties, _, _, _, reporter = fleet.entries[fleet.holder()]
+        fleet.store.refused |= set(fleet.entries)
+        await fleet.run(5 * SECOND)
+        pauses = [await duties.step() for _ in range(4)]
+        assert pauses[-1] == SECOND
+        assert [kind for kind, _ in reporter.events].count("duty_store_failed") == 1
+        fleet.store.refused.clear()
+        await fleet.run(10 * SECOND)
+        assert WINDOW + 2 in fleet.interface.counts_by_window
+
+    play(scenario)
+
+
 def test_holder_without_the_interface_steps_down():
     # Guards against reports that stay with a holder that cannot send them.
     async def scenario(fleet):
