--- a/shallotpath/duties/_lease.py
+++ b/shallotpath/duties/_lease.py
@@ -93,7 +93,7 @@
 
     @property
     def is_own(self) -> bool:
-        """Check whether the last record known is of this process and not released."""
+        """Check whether this process has written the last record known."""
         record = self.record_
         return record is not None and record.holder == self.holder
 
