--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -1,4 +1,4 @@
-"""Duties of an entry: holds the lease, collects counts and reports usage."""
+"""Duties of an entry: hold the lease and report usage."""
 
 from __future__ import annotations
 
@@ -6,20 +6,18 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from datetime import datetime, timedelta
-
-import msgspec
-from aiohttp import web
+from random import Random
+from typing import TYPE_CHECKING
 
 from ..core import Clock, PlatformError, rendezvous_order
 from ..duties import (
     CANDIDATES,
     EntryUsage,
+    FleetTime,
     Lease,
     LeaseRecord,
     LeaseRecordError,
     LeaseRules,
-    RunCounter,
-    UsageLedger,
     UsageRules,
     WindowReport,
     decode_record,
@@ -35,33 +33,29 @@
     OffsetConflictError,
     StoreClient,
 )
-from ..replication import (
-    MAX_DATAGRAM_BYTES,
-    PeerAddress,
-    PeerTable,
-    encode_message,
-)
+from ..replication import PeerAddress, PeerTable
 from ._reporter import LineReporter
+from ._run_counts import RunCounts
+
+if TYPE_CHECKING:
+    from ._member import MemberProcess
 
-RUN_COUNTS_PATH = "/run-counts"
-HOLDER_QUERY = "holder"
 LEASE_KEY = "lease"
-# Calls to entries at a time, so that their answers do not fill the holder's link.
-PARALLEL_PULLS = 24
-PULL_TIMEOUT = timedelta(milliseconds=500)
 # Time after which entries that did not answer are asked again.
 COLLECT_PAUSE = timedelta(milliseconds=600)
-# An entry that dies loses the requests of at most this time.
-PUSH_INTERVAL = timedelta(seconds=1)
-# Windows after which a holder that no longer asks gets no more counts.
-PUSHED_WINDOWS = 3
-MAX_USAGE_BYTES = 1 << 20
-# Time between attempts after a failed call.
+# Time between attempts after a failed call, doubled for each further one at the store.
 RETRY_PAUSE = timedelta(milliseconds=300)
+MAX_RETRY_PAUSE = timedelta(seconds=1)
+MAX_DOUBLINGS = 4
 # Least part of a lease in which a call is begun.
 MIN_CALL_TIME = timedelta(milliseconds=200)
 MAX_CALL_TIME = timedelta(milliseconds=800)
-_TOO_MANY_REQUESTS = 429
+# Lowest rate of calls that the settings can ask for.
+MIN_CALL_RATE = 0.1
+# Request Timeout and Too Many Requests.
+_RETRIED = frozenset({408, 429})
+# Statuses of a call with a token below one that was seen.
+_CONFLICTS = frozenset({409, 412})
 _CLIENT_ERROR = range(400, 500)
 
 
@@ -78,85 +72,86 @@
         store: StoreClient,
         caller: HttpCaller,
         clock: Clock,
+        random: Random,
         reporter: LineReporter,
         is_leaving: Callable[[], bool],
         send: Callable[[EntryUsage, Iterable[PeerAddress]], None],
     ) -> None:
         self.own = own
-        self.incarnation = incarnation
         self.peers = peers
         self.store = store
-        self.caller = caller
+        # Leases are measured on the steady clock, windows on the time of the fleet.
         self.clock = clock
+        self.time = FleetTime(clock)
         self.reporter = reporter
         self.is_leaving = is_leaving
-        self.send = send
+        self.checks_token = settings.checks_token
+        # Keeps the holder's calls within the rate that the interface accepts.
+        self.call_pause = timedelta(
+            seconds=1 / max(settings.calls_per_s, MIN_CALL_RATE)
+        )
         self.rules = UsageRules(settings.usage_window, settings.usage_due)
-        self.counter = RunCounter(self.rules)
-        self.ledger = UsageLedger(self.rules)
+        self.counts = RunCounts(
+            self.rules,
+            own,
+            incarnation,
+            peers=peers,
+            caller=caller,
+            clock=clock,
+            time=self.time,
+            random=random,
+            reporter=reporter,
+            send=send,
+        )
         lease_rules = LeaseRules.within(settings.lease, settings.wake_slack)
         self.lease = Lease(own.id, incarnation, lease_rules)
         self.client = DutyClient(
             settings.address, own.id, self._may_send, lease_rules.hold_time
         )
         # Windows that ended earlier were counted by nobody.
-        self.handled_ = self.rules.newest_settled(clock.now())
+        self.handled_ = self.rules.newest_settled(self.time.now())
         self.confirmed_: set[int] = set()
         self.must_read_ = True
-        # Entries that have answered for a window after its end.
-        self.collected_window_: int | None = None
-        self.answered_: set[str] = set()
-        # The last holder that asked for counts, and when.
-        self.collector_: tuple[str, datetime] | None = None
+        # The interface has seen a higher token.
+        self.is_outdated_ = False
+        # Calls of the store that have failed in a row.
+        self.store_failures_ = 0
+
+    @classmethod
+    def of_process(cls, process: MemberProcess, settings: DutySettings) -> DutyRunner:
+        """Return the duties of a process whose sockets are open."""
+        return cls(
+            settings,
+            process.address,
+            process.incarnation_,
+            peers=process.peers,
+            store=process.store_,
+            caller=process.caller_,
+            clock=process.clock,
+            random=process.random,
+            reporter=process.reporter,
+            is_leaving=lambda: process.leaving_,
+            send=process.gossip_.send,
+        )
 
     async def run(self) -> None:
-        """Report windows for as long as the process runs."""
+        """Report windows and send counts for as long as the process runs."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._report_windows())
+            tasks.create_task(self.counts.push())
+
+    async def _report_windows(self) -> None:
+        # A takeover waits from the first sight of the last record.
+        await self._read()
         while True:
             pause = await self.step()
             await asyncio.sleep(max(pause.total_seconds(), 0.01))
 
     async def close(self) -> None:
-        """Close the connections."""
+        """Send the last counts and close the connections."""
+        self.counts.push_once()
         await self.client.close()
 
-    def record_begun(self, team: str) -> None:
-        """Count a request that an upstream has begun to run."""
-        if team:
-            self.counter.count(team, self.clock.now())
-
-    def answer_counts(self, request: web.BaseRequest) -> web.Response:
-        """Answer a holder's request for the counts of this entry."""
-        self.collector_ = (request.query.get(HOLDER_QUERY, ""), self.clock.now())
-        return web.Response(body=msgspec.msgpack.encode(self._own_usage()))
-
-    def merge_counts(self, usage: EntryUsage) -> None:
-        """Take over counts that an entry sent between a holder's requests."""
-        self.ledger.merge(usage, self.clock.now())
-
-    async def push(self) -> None:
-        """Send the counts to the holder again and again until the process stops.
-
-        Without them, a process that dies would take the counts of a window with it.
-        """
-        while True:
-            await asyncio.sleep(PUSH_INTERVAL.total_seconds())
-            self.push_counts()
-
-    def push_counts(self) -> None:
-        """Send the newest counts to the holder, if one has asked lately."""
-        now = self.clock.now()
-        holder, asked_at = self.collector_ or ("", now)
-        address = self.peers.address(holder)
-        if address is None or now - asked_at > self.rules.window * PUSHED_WINDOWS:
-            return
-        usage = self._own_usage(self.rules.number(now) - 1)
-        # A larger one is not sent; the holder asks for it at the end of the window.
-        if len(encode_message(usage)) <= MAX_DATAGRAM_BYTES:
-            self.send(usage, [address])
-
-    def _own_usage(self, oldest: int = 0) -> EntryUsage:
-        return self.counter.usage(self.own.id, self.incarnation, oldest)
-
     def status(self) -> dict[str, object]:
         """Return who holds the duties as far as this entry knows."""
         now = self.clock.now()
@@ -167,17 +162,20 @@
             "released": record.released if record else None,
             "age_s": None if age is None else age.total_seconds(),
             "held_here": self.lease.holds(now),
+            "clock_correction_s": self.time.correction.total_seconds(),
             "last_window": record.last_window if record else None,
         }
 
     async def step(self) -> timedelta:
         """Do what is due and return the time until the next step."""
-        now = self.clock.now()
+        now = self.time.now()
         reportable = self.rules.reportable(now)
+        # The clock may have been ahead before it was corrected.
+        self.handled_ = min(self.handled_, reportable.stop - 1)
         window = max(self.handled_ + 1, reportable.start)
         if window not in reportable:
             return self.rules.settled_at(window) - now
-        acts_at = self._acts_at(window, now)
+        acts_at = self._acts_at(window)
         if acts_at is None:
             self.handled_ = window
             return timedelta()
@@ -190,8 +188,9 @@
             return timedelta()
         return wait
 
-    def _acts_at(self, window: int, now: datetime) -> datetime | None:
+    def _acts_at(self, window: int) -> datetime | None:
         """Return when this entry looks after a window, `None` if others do."""
+        now = self.clock.now()
         if self.is_leaving():
             return None
         record = self.lease.record
@@ -213,7 +212,7 @@
     async def _serve(self, window: int) -> timedelta | None:
         """Report a window; return when to go on, or `None` if it is done."""
         if (self.must_read_ or not self.lease.is_own) and not await self._read():
-            return RETRY_PAUSE
+            return self._next_retry()
         now, record = self.clock.now(), self.lease.record
         if not self.lease.is_own:
             if record is not None and not record.released:
@@ -222,13 +221,20 @@
                     return None
             if not self.lease.may_propose(now):
                 return self.lease.takeover_at() - now
-            if record is not None and self._next_report(now) is not None:
+            if record is not None and self._next_report() is not None:
                 # The last holder may not have sent these, and they are due first.
                 wait = await self._append_and_deliver()
                 if wait is not None or not self.lease.is_own:
                     return wait
-        missing = await self._collect(window)
-        now, complete_by = self.clock.now(), self.rules.complete_by(window)
+        return await self._report(window)
+
+    async def _report(self, window: int) -> timedelta | None:
+        """Collect the counts of a window, record them and send them."""
+        missing = await self.counts.collect(window)
+        now, complete_by = self.time.now(), self.rules.complete_by(window)
+        if now < self.rules.settled_at(window):
+            # The entries' clocks have shown that the own one was ahead.
+            return timedelta()
         if missing and now < complete_by:
             return min(COLLECT_PAUSE, complete_by - now)
         if missing:
@@ -243,7 +249,7 @@
 
     async def _append_and_deliver(self, **changes: object) -> timedelta | None:
         if not await self._append(**changes):
-            return RETRY_PAUSE
+            return self._next_retry()
         return await self._deliver()
 
     def _final_counts(self, now: datetime) -> dict[str, object]:
@@ -252,7 +258,7 @@
         last = record.last_window if record else None
         if record is None and not self.lease.is_empty:
             # The record is lost: any window that had ended may have been reported.
-            last = self.rules.number(self.lease.seen_at_)
+            last = self.rules.number(self.lease.seen_at_ + self.time.correction)
         unconfirmed = [
             report
             for report in (record.unconfirmed if record else ())
@@ -261,7 +267,7 @@
         ]
         for window in self.rules.reportable(now):
             if last is None or window > last:
-                unconfirmed.append(self.ledger.report(window))
+                unconfirmed.append(self.counts.ledger.report(window))
                 last = window
         return {"last_window": last, "unconfirmed": tuple(unconfirmed)}
 
@@ -270,23 +276,26 @@
         gives_up_at = self.clock.now() + self.lease.rules.duration
         while True:
             now = self.clock.now()
-            report = self._next_report(now)
+            report = self._next_report()
             if report is None:
                 return None
-            if now >= gives_up_at:
+            if now >= gives_up_at or self.is_outdated_:
+                self.is_outdated_ = False
                 await self._release("the interface does not accept reports")
                 return None
             if self.lease.time_left(now) < MIN_CALL_TIME:
                 if not await self._append():
-                    return RETRY_PAUSE
+                    return self._next_retry()
                 if self.lease.time_left(self.clock.now()) < MIN_CALL_TIME:
                     # The store took most of the lease to answer.
                     await asyncio.sleep(RETRY_PAUSE.total_seconds())
                 continue
-            if not await self._send(report):
-                await asyncio.sleep(RETRY_PAUSE.total_seconds())
+            was_sent = await self._send(report)
+            pause = self.call_pause if was_sent else max(self.call_pause, RETRY_PAUSE)
+            await asyncio.sleep(pause.total_seconds())
 
-    def _next_report(self, now: datetime) -> WindowReport | None:
+    def _next_report(self) -> WindowReport | None:
+        now = self.time.now()
         for report in self.lease.record.unconfirmed:
             is_open = report.window not in self.confirmed_
             if is_open and now < self.rules.due_at(report.window):
@@ -308,8 +317,12 @@
             self._report_failure(report, error.message, "not_sent")
             return False
         except CallError as error:
+            is_outdated = self.checks_token and error.status in _CONFLICTS
+            self.is_outdated_ = is_outdated
             is_final = (
-                error.status in _CLIENT_ERROR and error.status != _TOO_MANY_REQUESTS
+                error.status in _CLIENT_ERROR
+                and error.status not in _RETRIED
+                and not is_outdated
             )
             self._report_failure(
                 report, error.message, "rejected" if is_final else "failed"
@@ -325,7 +338,7 @@
             token=self.lease.token,
             requests=sum(report.counts_by_team.values()),
             teams=len(report.counts_by_team),
-            late_s=(self.clock.now() - self.rules.end(report.window)).total_seconds(),
+            late_s=(self.time.now() - self.rules.end(report.window)).total_seconds(),
         )
         return True
 
@@ -360,6 +373,7 @@
         was_own = self.lease.is_own
         self.lease.observe(record, offset, page.end, self.clock.now())
         self.must_read_ = False
+        self.store_failures_ = 0
         self.reporter.count("duty_reads", outcome="answered")
         if was_own and not self.lease.is_own:
             self.reporter.gauge("duty_held", 0)
@@ -387,6 +401,7 @@
             self._store_failed("append", error)
             return False
         self.lease.accepted(proposal, started_at, self.clock.now())
+        self.store_failures_ = 0
         self.reporter.count("duty_appends", outcome="accepted")
         self.reporter.gauge("duty_held", 0 if proposal.record.released else 1)
         if not was_own:
@@ -406,43 +421,11 @@
             "duty_appends" if call == "append" else "duty_reads",
             outcome="conflict" if conflict else "failed",
         )
-        self.reporter.event("duty_store_failed", call=call, detail=error.message)
-
-    async def _collect(self, window: int) -> list[str]:
-        """Ask entries for their counts and return those that have not answered."""
-        now = self.clock.now()
-        if self.collected_window_ != window:
-            self.collected_window_ = window
-            self.answered_.clear()
-            self.ledger.prune(now)
-        active = [
-            peer
-            for peer in self.peers.active_entries(now)
-            if peer.id not in self.answered_
-        ]
-        limit = asyncio.Semaphore(PARALLEL_PULLS)
-
-        async def pull(peer: PeerAddress) -> None:
-            async with limit:
-                if await self._pull(peer):
-                    self.answered_.add(peer.id)
-
-        await asyncio.gather(*map(pull, active))
-        self.ledger.merge(self._own_usage(), self.clock.now())
-        return sorted(peer.id for peer in active if peer.id not in self.answered_)
-
-    async def _pull(self, peer: PeerAddress) -> bool:
-        url = (
-            f"http://{peer.host}:{peer.port}{RUN_COUNTS_PATH}"
-            f"?{HOLDER_QUERY}={self.own.id}"
-        )
-        try:
-            body = await self.caller.call(
-                "GET", url, PULL_TIMEOUT, max_bytes=MAX_USAGE_BYTES
-            )
-            usage = msgspec.msgpack.decode(body, type=EntryUsage)
-        except (CallError, msgspec.DecodeError, RecursionError):
-            self.reporter.count("usage_pulls_failed")
-            return False
-        self.ledger.merge(usage, self.clock.now())
-        return True
+        self.store_failures_ += 1
+        if conflict or self.store_failures_ == 1:
+            self.reporter.event("duty_store_failed", call=call, detail=error.message)
+
+    def _next_retry(self) -> timedelta:
+        """Return the pause before the store is called again."""
+        doublings = min(max(0, self.store_failures_ - 1), MAX_DOUBLINGS)
+        return min(RETRY_PAUSE * 2**doublings, MAX_RETRY_PAUSE)
--- a/shallotpath/fleet/tests/test_duties.py
+++ b/shallotpath/fleet/tests/test_duties.py
@@ -89,6 +89,8 @@
     def __init__(self, clock):
         self.clock = clock
         self.refused = set()
+        # Tokens that are rejected, where the interface checks them.
+        self.stale_tokens = set()
         self.counts_by_window = {}
         self.calls = []
 
@@ -97,6 +99,8 @@
         if holder in self.refused:
             return web.Response(status=503)
         token = int(request.headers["Shallotpath-Fencing-Token"])
+        if token in self.stale_tokens:
+            return web.Response(status=412)
         self.calls.append((self.clock.now(), holder, token))
         fields = json.loads(await request.read())
         known = self.counts_by_window.setdefault(fields["window"], fields["counts"])
@@ -120,6 +124,8 @@
         self.entries = {}
         self.addresses = {}
         self.down = set()
+        # Two entries that do not reach each other.
+        self.cut = set()
 
     async def start(self, name, ports, *, skew=timedelta(), incarnation=1):
         clock = ManualClock(self.clock.now() + skew)
@@ -137,7 +143,6 @@
                 lease=3 * SECOND,
                 wake_slack=0.3 * SECOND,
                 usage_window=RULES.window,
-                usage_tolerance=0.05,
                 usage_due=RULES.due,
                 reports_usage=True,
             ),
@@ -147,10 +152,11 @@
             store=StoreClient(Endpoint(HOST, store_port), session),
             caller=HttpCaller(session),
             clock=clock,
+            random=Random(1),
             reporter=reporter,
             is_leaving=lambda: False,
             send=lambda usage, peers: [
-                self.entries[peer.id][0].merge_counts(usage) for peer in peers
+                self.entries[peer.id][0].counts.merge(usage) for peer in peers
             ],
         )
         self.entries[name] = (duties, clock, session, runner, reporter)
@@ -159,26 +165,30 @@
     async def _answer(self, name, request):
         if name in self.down:
             request.transport.abort()
-        return self.entries[name][0].answer_counts(request)
+        asked_by = request.headers["User-Agent"]
+        if {name, asked_by} == self.cut:
+            request.transport.abort()
+        return await self.entries[name][0].counts.answer(request)
 
     async def run(self, duration, *, frozen=()):
         """Advance all clocks in steps of 200 ms."""
         for _ in range(duration // (0.2 * SECOND)):
-            self.clock.advance(0.2 * SECOND)
+            for clock in (self.clock, *(entry[1] for entry in self.entries.values())):
+                clock.advance(0.2 * SECOND)
             for number, (name, entry) in enumerate(self.entries.items()):
                 duties, clock = entry[:2]
-                clock.advance(0.2 * SECOND)
                 if name in self.down or name in frozen:
                     continue
                 self._gossip(duties, clock.now(), frozen)
-                duties.record_begun(f"team-{number}")
+                duties.counts.record_begun(f"team-{number}")
                 await duties.step()
 
     def _gossip(self, duties, now, frozen):
         for name, address in self.addresses.items():
             if name not in self.down and name not in frozen:
                 sequence = 1 + int(now.timestamp() * 1000)
-                duties.peers.update(GossipMessage(address, 1, sequence, "a"), now)
+                domain = f"zone-{name}"
+                duties.peers.update(GossipMessage(address, 1, sequence, domain), now)
 
     def holder(self):
         now = [d.status()["holder"] for d, *_ in self.entries.values()]
@@ -281,6 +291,23 @@
     play(scenario)
 
 
+def test_store_that_refuses_is_asked_less_often():
+    # Guards against calls that grow with the length of an outage, and a line for each.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        duties, _, _, _, reporter = fleet.entries[fleet.holder()]
+        fleet.store.refused |= set(fleet.entries)
+        await fleet.run(5 * SECOND)
+        pauses = [await duties.step() for _ in range(4)]
+        assert pauses[-1] == SECOND
+        assert [kind for kind, _ in reporter.events].count("duty_store_failed") == 1
+        fleet.store.refused.clear()
+        await fleet.run(10 * SECOND)
+        assert WINDOW + 2 in fleet.interface.counts_by_window
+
+    play(scenario)
+
+
 def test_holder_without_the_interface_steps_down():
     # Guards against reports that stay with a holder that cannot send them.
     async def scenario(fleet):
@@ -304,6 +331,19 @@
     play(scenario)
 
 
+def test_holder_with_a_lower_token_does_not_give_up_the_window():
+    # Guards against a report that counts as sent though a higher token was seen.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        fleet.interface.stale_tokens = {fleet.entries[fleet.holder()][0].lease.token}
+        for duties, *_ in fleet.entries.values():
+            duties.checks_token = True
+        await fleet.run(25 * SECOND)
+        assert WINDOW + 4 in fleet.interface.counts_by_window
+
+    play(scenario)
+
+
 def test_holder_without_its_peers_reports_in_time():
     # Guards against a report that waits for entries for too long, or that is dropped.
     async def scenario(fleet):
@@ -316,6 +356,20 @@
     play(scenario)
 
 
+def test_counts_come_through_a_third_domain():
+    # Guards against low counts while two domains do not reach each other.
+    async def scenario(fleet):
+        await fleet.run(12 * SECOND)
+        holder = fleet.holder()
+        fleet.cut = {holder, next(name for name in fleet.entries if name != holder)}
+        await fleet.run(15 * SECOND)
+        reported = fleet.interface.counts_by_window
+        for window in (WINDOW + 2, WINDOW + 3):
+            assert reported[window] == {"team-0": 25, "team-1": 25, "team-2": 25}
+
+    play(scenario)
+
+
 def test_lost_answers_of_the_store_change_no_report():
     # Guards against a second report with other counts after an append took effect.
     async def scenario(fleet):
@@ -369,6 +423,20 @@
     play(scenario, skews_s=(0, 0.3, -0.3))
 
 
+@pytest.mark.parametrize("skewed", range(3))
+@pytest.mark.parametrize("skew_s", [-3600, 7, 3600])
+def test_wrong_clock_of_one_entry_spoils_no_window(skewed, skew_s):
+    # Guards against counts in other windows, and a holder that reports the future.
+    async def scenario(fleet):
+        await fleet.run(60 * SECOND)
+        reported = fleet.interface.counts_by_window
+        for window in range(WINDOW + 5, WINDOW + 11):
+            assert reported[window] == {"team-0": 25, "team-1": 25, "team-2": 25}
+        assert max(reported) <= WINDOW + 11
+
+    play(scenario, skews_s=[skew_s * (number == skewed) for number in range(3)])
+
+
 def test_entry_that_dies_loses_only_what_it_has_not_sent():
     # Guards against counts of a whole window that are lost with one process.
     async def scenario(fleet):
@@ -376,7 +444,7 @@
         holder = fleet.holder()
         victim = next(name for name in fleet.entries if name != holder)
         await fleet.run(2 * SECOND)
-        fleet.entries[victim][0].push_counts()
+        fleet.entries[victim][0].counts.push_once()
         fleet.down.add(victim)
         await fleet.run(12 * SECOND)
         team = f"team-{list(fleet.entries).index(victim)}"
@@ -406,7 +474,6 @@
             lease=0.2 * SECOND,
             wake_slack=0.02 * SECOND,
             usage_window=0.2 * SECOND,
-            usage_tolerance=0.05,
             usage_due=0.4 * SECOND,
             reports_usage=True,
         )
