--- a/shallotpath/gateway/_prediction.py
+++ b/shallotpath/gateway/_prediction.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import datetime, timedelta
 
+from ..admission import UNRANKED
 from ._call import GatewayCall
 from ._catalog import Service
 from ._completion import predict_completion
@@ -41,18 +43,25 @@
         service: Service,
         upstream: Upstream,
         now: datetime,
+        *,
+        priority: int | None = None,
     ) -> Prediction:
-        """Predict the time to the response, or to the first token of an engine."""
+        """Predict the time to the response, or to the first token of an engine.
+
+        The priority is the one that the engine orders requests by; without it, that of
+        a service with one priority.
+        """
         load = self.loads.load(upstream.id, upstream.record.address, now)
         if service.engine is None:
             return self._predict_completion(call, service, upstream, load, now)
-        if not call.is_retry:
-            load = load.ahead_of_urgent(service.engine.slots)
+        if priority is None:
+            priority = UNRANKED.engine_priority(is_retry=call.is_retry)
+        load = load.ahead_of(priority, service.engine.slots)
         predicted = predict_first_token(service.engine, load, call.prompt_tokens)
         if not self.loads.completions.shares_vms(service.id):
             return predicted
         delay = self.errors.delay(service.id, self.region_of(upstream), now)
-        return Prediction(predicted.wait + delay, predicted.prefill, delay)
+        return replace(predicted, wait=predicted.wait + delay, correction=delay)
 
     def record_first_token(
         self,
