--- a/shallotpath/gateway/tests/test_completion.py
+++ b/shallotpath/gateway/tests/test_completion.py
@@ -122,7 +122,8 @@
 
 def test_work_leaves_a_busy_region_for_an_idle_one_and_comes_back():
     # Load pattern: one region gets more than its share. Guards against a region whose
-    # callers wait for longer than others, and against work that stays away.
+    # callers wait for longer than others, against work that stays away, and against
+    # requests that go to another region although they would hardly wait.
     records = [
         make_record(0, "a-1", "desk", slots=6),
         make_record(1, "b-1", "desk", slots=6),
@@ -130,9 +131,12 @@
     dispatcher = make_desk(domain="a-1")
     for record in records:
         dispatcher.upstreams.apply(record, EPOCH)
-    for n in range(20):
-        dispatcher.loads.sent(f"k{n}", "u0", 0, EPOCH)
     now = EPOCH + ms(500)
+    for n in range(4):
+        dispatcher.loads.sent(f"k{n}", "u0", 0, EPOCH)
+    assert dispatcher.choose(desk_call(0, now), (), now).upstream.id == "u0"
+    for n in range(4, 20):
+        dispatcher.loads.sent(f"k{n}", "u0", 0, EPOCH)
     assert dispatcher.choose(desk_call(1, now), (), now).upstream.id == "u1"
     for n in range(20):
         dispatcher.loads.ended(f"k{n}")
