--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -6,9 +6,12 @@
 from datetime import timedelta
 from enum import StrEnum
 
+from ..admission import Rank
 from ..core import rendezvous_score
 
 _SCORE_RANGE = 2**64
+# Priority of the team, then that of the route; 0 is the most urgent.
+Priority = tuple[int, int]
 
 
 class RouteKind(StrEnum):
@@ -57,6 +60,9 @@
 
     id: str
     address: str
+    # Bandwidth of its link and connections that it accepts, `None` if not given.
+    bytes_per_s: float | None = None
+    max_connections: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,6 +121,17 @@
     regions: frozenset[str]
 
 
+def combined_priority(route: Route, team_priority: int | None) -> Priority:
+    """Return the priority of a team's requests on a route.
+
+    That of the team takes precedence, and that of the route orders requests of teams
+    with equal ones.
+    """
+    if team_priority is None:
+        return (route.priority, route.priority)
+    return (team_priority, route.priority)
+
+
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
     """Limit what a caller may send and how long it may stay idle."""
@@ -137,10 +154,33 @@
     limits: CallerLimits
     requires_keys: bool
     routes_by_host_: dict[str, list[Route]] = field(default_factory=dict)
+    priorities_by_service_: dict[str, tuple[Priority, ...]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda r: len(r.prefix), reverse=True):
             self.routes_by_host_.setdefault(route.host.lower(), []).append(route)
+        self._collect_priorities()
+
+    def _collect_priorities(self) -> None:
+        teams = self.teams_by_key.values()
+        of_teams = {team.priority for team in teams}
+        priorities_by_service: dict[str, set[Priority]] = {}
+        for route in self.routes:
+            callers = of_teams | {None} if route.public or not teams else of_teams
+            priorities = {combined_priority(route, priority) for priority in callers}
+            for share in route.shares:
+                known = priorities_by_service.setdefault(share.service, set())
+                known.update(priorities)
+        self.priorities_by_service_ = {
+            service: tuple(sorted(priorities))
+            for service, priorities in priorities_by_service.items()
+        }
+
+    def rank(self, service: str, priority: Priority) -> Rank:
+        """Return the rank of a priority among those of a service."""
+        return Rank.of(priority, self.priorities_by_service_.get(service, ()))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path."""
