Close answers that are not taken when there is no room

Cause: a connection whose request is complete was never closed, so clients that do not take their answers could keep a listener full. aiohttp forgets the transport of a connection that it closes, which then stayed open until the client had taken the rest. A request that cannot be parsed wrote a traceback each.

Change: an answer of which 48 KiB were not taken in 60 s gives way after all other connections that may be closed, and only when there is no room. The table keeps the transport itself. Malformed requests are counted (`malformed`). A process without a limit on descriptors takes 65,536 for one.

--- a/shallotpath/connections/_limits.py
+++ b/shallotpath/connections/_limits.py
@@ -10,6 +10,8 @@
 from heapq import nsmallest
 from typing import Protocol
 
+# Used where neither the settings nor the operating system have a limit.
+UNLIMITED_DESCRIPTORS = 1 << 16
 # Descriptors that are left for files, as on the users' machines.
 FILE_DESCRIPTORS = 200
 # A request of a caller takes a descriptor on each side, so callers get as much as is
@@ -25,6 +27,9 @@
 DEFAULT_HEADER_BYTES = 64 * 1024
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=75)
+# Time in which a client takes 48 KiB of its answer, the distance between the marks at
+# which asyncio pauses and resumes writing. Only checked if there is no room.
+READ_TIMEOUT = timedelta(seconds=60)
 # Least average rate of a body, beyond the idle timeout. A line of 2400 bit/s is faster.
 MIN_BODY_BYTES_PER_S = 256
 # Reasons to refuse a request whose head is not complete.
@@ -44,8 +49,10 @@
     BODY = 3
     # The next request.
     KEPT = 4
+    # A client that has taken nothing of its answer for `READ_TIMEOUT`.
+    UNREAD = 5
     # An answer, which an upstream may be working on. Such a connection is never closed.
-    BUSY = 5
+    BUSY = 6
 
 
 class Holder(Protocol):
@@ -100,6 +107,8 @@
     def for_process(cls, max_descriptors: int | None = None) -> DescriptorShares:
         """Return the shares within the limit that the process has or is given."""
         limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if limit == resource.RLIM_INFINITY:
+            limit = UNLIMITED_DESCRIPTORS
         return cls(limit if max_descriptors is None else min(limit, max_descriptors))
 
     @property
--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 
-from ._limits import Phase
+from ._limits import READ_TIMEOUT, Phase
 from ._parsing import ParsingAccount
 from ._reads import READER_LOW_WATER_BYTES, SmallReads
 
@@ -52,6 +53,8 @@
         "read_buffer_",
         "received_bytes_",
         "table",
+        "tcp_transport_",
+        "unread_since_",
         "was_held_",
     )
 
@@ -69,6 +72,10 @@
         now = table.clock.now()
         self.parsing = ParsingAccount()
         self.payload_ = None
+        # aiohttp forgets its transport when it closes, which takes until a client has
+        # taken what is left of its answer.
+        self.tcp_transport_: asyncio.BaseTransport | None = None
+        self.unread_since_: datetime | None = None
         self.received_bytes_ = 0
         self.last_received_at_ = now
         # Start of the incomplete head or body.
@@ -84,18 +91,29 @@
     def phase(self) -> Phase:
         """Return what the connection waits for."""
         request = self._current_request
+        if self.transport is None:
+            return Phase.DISCARDED
+        if self._is_answer_unread():
+            return Phase.UNREAD
         if request is not None:
             return Phase.BUSY if request.content.is_eof() else Phase.BODY
+        return self._phase_without_request()
+
+    def _phase_without_request(self) -> Phase:
         if self._messages:
             return Phase.BUSY
         if self._is_body_incomplete():
             return Phase.DISCARDED
-        if self.transport is not None and self.transport.get_write_buffer_size():
+        if self.transport.get_write_buffer_size():
             return Phase.BUSY
         if self.incomplete_since_ is not None:
             return Phase.HEAD
         return Phase.KEPT if self._request_count else Phase.SILENT
 
+    def _is_answer_unread(self) -> bool:
+        since = self.unread_since_
+        return since is not None and self.table.clock.now() - since > READ_TIMEOUT
+
     @property
     def held_since(self) -> datetime:
         """Return when the phase began."""
@@ -123,6 +141,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enter the connection in the table."""
+        self.tcp_transport_ = transport
         super().connection_made(transport)
         self.table.opened(self)
 
@@ -131,6 +150,16 @@
         self.table.lost(self)
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Note that the client takes its answer more slowly than it comes."""
+        self.unread_since_ = self.table.clock.now()
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Note that the client has taken a part of its answer."""
+        self.unread_since_ = None
+        super().resume_writing()
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes and note how far the head or body has come."""
         clock = self.table.clock
@@ -139,7 +168,8 @@
         in_body = self._is_body_incomplete()
         super().data_received(data)
         now = clock.now()
-        self.last_received_at_ = now
+        if data:
+            self.last_received_at_ = now
         if self._request_count != requests:
             # The parser is at the body of the newest request or behind it.
             self.payload_ = self._messages[-1][1] if self._messages else None
@@ -156,9 +186,16 @@
                 self.table.end(self, "large_head")
         self.table.parsed(self, now - begun_at)
 
+    def log_exception(self, *args: object, **options: object) -> None:
+        """Log a failure of a handler; count requests that cannot be parsed."""
+        if isinstance(options.get("exc_info"), HttpProcessingError):
+            self.table.closed.record("malformed")
+        else:
+            super().log_exception(*args, **options)
+
     def end(self, reason: str) -> None:
         """Refuse the incomplete request, or close the connection if there is none."""
-        phase, transport = self.phase, self.transport
+        phase, transport = self.phase, self.tcp_transport_
         if transport is None or phase is Phase.BUSY:
             return
         if phase is Phase.BODY:
