--- a/shallotpath/forwarding/_journal.py
+++ b/shallotpath/forwarding/_journal.py
@@ -57,7 +57,8 @@
         predicted = milliseconds(placement.prediction.first_token)
         self.steps.append(
             f"{self._elapsed(now)} to {upstream.id} version={placement.version} "
-            f"predicted={predicted} age={age}{_describe_start_deadline(placement, now)}"
+            f"predicted={predicted}{_describe_correction(placement)} age={age}"
+            f"{_describe_start_deadline(placement, now)}"
         )
 
     def sent(self, connection: int, request_count: int) -> None:
@@ -71,6 +72,11 @@
         )
         self.steps.append(f"discarded status {status} for request {request_id!r:.80}")
 
+    def unreadable_load(self, upstream_id: str) -> None:
+        """Record that an upstream reported its load in a form that cannot be read."""
+        self.reporter.count("server_loads_unreadable")
+        self.steps.append(f"unreadable load report of {upstream_id}")
+
     def failed(self, failure: Failure, events: int, now: datetime) -> None:
         """Record how an attempt failed and how many events it had relayed."""
         relayed = f" events={events}" if events else ""
@@ -142,6 +148,12 @@
         return f"+{milliseconds(now - self.arrived_at)}ms"
 
 
+def _describe_correction(placement: Placement) -> str:
+    """Return the part of the prediction that earlier errors account for."""
+    correction = placement.prediction.correction
+    return f" of_that_learnt={milliseconds(correction)}" if correction else ""
+
+
 def _describe_start_deadline(placement: Placement, now: datetime) -> str:
     """Return how long outdated weights may still be used; empty for current ones."""
     if placement.start_deadline is None:
