--- a/shallotpath/cli/_node.py
+++ b/shallotpath/cli/_node.py
@@ -4,8 +4,9 @@
 
 import asyncio
 
-from ..connections import ConnectionLimits, ConnectionTable, DescriptorShares
+from ..connections import DescriptorShares
 from ..nodes import Process
+from ..runtime import make_table
 from ..telemetry import make_admin_app
 from ..webserver import serve
 
@@ -14,8 +15,8 @@
     """Start, wait for the stop signal, drain within the configured limit and stop."""
     await process.start()
     admin = make_admin_app(process.telemetry, process.status)
-    limits = ConnectionLimits(DescriptorShares.for_process().monitoring)
-    table = ConnectionTable(limits, clock=process.clock)
+    connections = DescriptorShares.for_process().monitoring
+    table = make_table("control", connections, process.telemetry, process.clock)
     async with serve(admin, *process.settings.http, table):
         await stopping.wait()
         limit = process.settings.drain.total_seconds()
--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -189,7 +189,7 @@
     def log_exception(self, *args: object, **options: object) -> None:
         """Log a failure of a handler; count requests that cannot be parsed."""
         if isinstance(options.get("exc_info"), HttpProcessingError):
-            self.table.closed.record("malformed")
+            self.table.record_closed("malformed")
         else:
             super().log_exception(*args, **options)
 
@@ -220,7 +220,7 @@
 
     def refuse_for_memory(self) -> None:
         """Refuse the incomplete body because others need its memory."""
-        self.table.closed.record("no_memory")
+        self.table.record_closed("no_memory")
         self.refuse_body(503, "memory is short")
 
     def hold(self) -> None:
--- a/shallotpath/connections/_table.py
+++ b/shallotpath/connections/_table.py
@@ -49,14 +49,27 @@
         self.counts_by_reason[reason] += 1
         if self.count is not None:
             self.count(reason)
-        now, count = self.clock.now(), self.counts_by_reason[reason]
-        last_at, reported = self.reported_by_reason_.get(reason, (None, 0))
-        if self.report is None or (
-            last_at is not None and now - last_at < LOG_INTERVAL
-        ):
+        self.report_due()
+
+    @property
+    def has_unreported(self) -> bool:
+        """Check whether connections were counted that are not reported yet."""
+        return self.report is not None and any(
+            count > self.reported_by_reason_[reason][1]
+            for reason, count in self.counts_by_reason.items()
+        )
+
+    def report_due(self) -> None:
+        """Report the reasons whose last report is a second old."""
+        if self.report is None:
             return
-        self.reported_by_reason_[reason] = now, count
-        self.report(reason, count - reported)
+        now = self.clock.now()
+        for reason, count in self.counts_by_reason.items():
+            last_at, reported = self.reported_by_reason_.get(reason, (None, 0))
+            is_due = last_at is None or now - last_at >= LOG_INTERVAL
+            if is_due and count > reported:
+                self.reported_by_reason_[reason] = now, count
+                self.report(reason, count - reported)
 
 
 class ParsingTurns:
@@ -114,6 +127,7 @@
         self.connections_: set[GuardedConnection] = set()
         self.incomplete_: set[GuardedConnection] = set()
         self.check_: asyncio.TimerHandle | None = None
+        self.report_timer_: asyncio.TimerHandle | None = None
 
     def set_client_limits(
         self, header_bytes: int, header_timeout: timedelta, idle_timeout: timedelta
@@ -165,14 +179,30 @@
         """Refuse what a connection sends; one with a request in progress is kept."""
         if connection.phase is not Phase.BUSY:
             self._forget(connection)
-            self.closed.record(reason)
+            self.record_closed(reason)
             connection.end(reason)
         elif reason in HEAD_REASONS:
             self.incomplete_.discard(connection)
-            self.closed.record(reason)
+            self.record_closed(reason)
             # Close the connection once the requests that came before are answered.
             connection.close()
 
+    def record_closed(self, reason: str) -> None:
+        """Count a closed connection or a refused request."""
+        self.closed.record(reason)
+        self._schedule_report()
+
+    def _schedule_report(self) -> None:
+        if self.report_timer_ is None and self.closed.has_unreported:
+            loop = asyncio.get_running_loop()
+            interval_s = LOG_INTERVAL.total_seconds()
+            self.report_timer_ = loop.call_later(interval_s, self._report)
+
+    def _report(self) -> None:
+        self.report_timer_ = None
+        self.closed.report_due()
+        self._schedule_report()
+
     def _forget(self, connection: GuardedConnection) -> None:
         self.connections_.discard(connection)
         self.incomplete_.discard(connection)
--- a/shallotpath/connections/tests/test_decisions.py
+++ b/shallotpath/connections/tests/test_decisions.py
@@ -175,6 +175,8 @@
     for _ in range(5):
         closed.record("no_room")
     closed.record("slow_head")
+    assert closed.has_unreported
     clock.advance(seconds(1))
-    closed.record("no_room")
-    assert lines == [("no_room", 1), ("slow_head", 1), ("no_room", 5)]
+    closed.report_due()
+    assert lines == [("no_room", 1), ("slow_head", 1), ("no_room", 4)]
+    assert not closed.has_unreported
--- a/shallotpath/runtime/__init__.py
+++ b/shallotpath/runtime/__init__.py
@@ -20,6 +20,7 @@
 )
 from ._security import Security, check_keys
 from ._shell import Shell, Telemetry
+from ._tables import make_table
 from ._timeouts import AgentTimeouts, EntryTimeouts
 from ._transport import Transport, peer_identity
 from ._weights import AgentWeights
@@ -52,6 +53,7 @@
     "Transport",
     "WeightsPort",
     "check_keys",
+    "make_table",
     "peer_identity",
     "status_of",
 ]
--- a/shallotpath/runtime/_entry.py
+++ b/shallotpath/runtime/_entry.py
@@ -9,12 +9,7 @@
 from aiohttp import web
 
 from ..config import ConfigurationView
-from ..connections import (
-    BodyBudget,
-    ConnectionLimits,
-    ConnectionTable,
-    DescriptorShares,
-)
+from ..connections import BodyBudget, DescriptorShares
 from ..core import Code, RunState
 from ..membership import Member, MembershipView
 from ..streams import SlowReaderBudget
@@ -32,6 +27,7 @@
 from ._ports import RetryPort, RouterPort
 from ._problem import ProblemError
 from ._shell import Shell
+from ._tables import make_table
 from ._timeouts import EntryTimeouts
 
 DRAIN_POLL_S = 0.02
@@ -125,7 +121,12 @@
         app.router.add_route("*", "/{service}/{path:.*}", self._handle)
         self.web_server_ = GuardedServer(
             app,
-            self._make_table(),
+            make_table(
+                "callers",
+                DescriptorShares.for_process().callers,
+                self.shell.telemetry,
+                self.shell.clock,
+            ),
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             max_line_size=self.limits.header_bytes,
@@ -134,23 +135,6 @@
         )
         await self.web_server_.start(self.host, self.port)
 
-    def _make_table(self) -> ConnectionTable:
-        telemetry = self.shell.telemetry
-
-        def report(reason: str, count: int) -> None:
-            fields = {"reason": reason, "count": str(count)}
-            telemetry.log("connections_closed", fields)
-
-        def count(reason: str) -> None:
-            telemetry.count("connections_closed", {"reason": reason}, 1)
-
-        return ConnectionTable(
-            ConnectionLimits(DescriptorShares.for_process().callers),
-            clock=self.shell.clock,
-            report=report,
-            count=count,
-        )
-
     async def drain(self) -> None:
         """Refuse new requests and wait until those in flight have ended."""
         self.refuse_new_work()
