Release held connections whose body has arrived

A connection that waits for its parsing turn may get the rest of its body from what aiohttp had kept. If it was then chosen to be refused it stayed paused, and its next request was not read. The new test times out without the release and passes with it.

--- a/shallotpath/connections/_table.py
+++ b/shallotpath/connections/_table.py
@@ -173,7 +173,15 @@
             return
         refused = self.turns.add(connection, cost)
         if refused is not None:
-            refused.table.end(refused, "costly_parsing")
+            refused.table.refuse_costly(refused)
+
+    def refuse_costly(self, connection: GuardedConnection) -> None:
+        """Refuse a connection that waits for its turn."""
+        if connection.phase in (Phase.UNREAD, Phase.BUSY):
+            # What it waited with was parsed meanwhile, when aiohttp resumed it.
+            connection.release()
+        else:
+            self.end(connection, "costly_parsing")
 
     def end(self, connection: GuardedConnection, reason: str) -> None:
         """Refuse what a connection sends; one with a request in progress is kept."""
--- a/shallotpath/connections/tests/test_connections.py
+++ b/shallotpath/connections/tests/test_connections.py
@@ -153,6 +153,22 @@
         unread[1].close()
 
 
+async def test_held_connection_whose_body_has_arrived_is_not_refused():
+    # Guards against a kept connection that stays paused after its answer.
+    async with running() as world:
+        request = HEAD + b"Content-Length: 2\r\n\r\nab"
+        reader, writer = await world.call(request)
+        await world.until(Phase.BUSY)
+        (connection,) = world.table.connections_
+        connection.hold()
+        world.table.refuse_costly(connection)
+        world.released.set()
+        for _ in range(2):
+            assert b" 200 " in await first_line(reader)
+            await reader.readuntil(b"ok")
+            writer.write(request)
+
+
 async def test_held_connection_reads_again_after_its_turn():
     # Guards against connections that stay paused, or are read although they are held.
     async with running() as world:
