--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Collection, Iterable
 from contextlib import suppress
-from datetime import datetime, timedelta
+from datetime import timedelta
+from functools import partial
 from heapq import nlargest
 
 from aiohttp import web
@@ -33,7 +34,6 @@
     PlacementRules,
     Retries,
     RetryBudget,
-    UpstreamRecord,
     UpstreamTable,
     WriteTime,
 )
@@ -49,12 +49,14 @@
     PlacementItem,
     SuspectItem,
 )
+from ._demand import demand_items, update_peer_demand
 from ._duties import RUN_COUNTS_PATH, DutyRunner
 from ._evidence import decode_evidence, encode_evidence
 from ._gossip import remote_interval
 from ._member import MemberProcess
 from ._predictions import report_predictions
 from ._records import apply_each
+from ._reports import report_held, report_levels, report_notice
 from ._topics import TopicReplica
 
 # Long-poll time of a read of the upstreams. An upstream that leaves must get no request
@@ -95,7 +97,7 @@
     def __init__(self, settings: ProcessSettings, **options) -> None:
         super().__init__(settings, engine=False, **options)
         self.upstreams = UpstreamTable()
-        self.upstreams.notices.on_notice = self._report_notice
+        self.upstreams.notices.on_notice = partial(report_notice, self.reporter)
         self.breaker = Breaker()
         self.loads = LoadTracker(self._send_placement, self.upstreams.service_id)
         self.evidence_found_ = asyncio.Event()
@@ -330,6 +332,7 @@
             SuspectItem(fingerprint, ids) for fingerprint, ids in suspects.items()
         )
         parts = self.suspects.parts.recent(self.clock.now(), PARTS_PER_MESSAGE)
+        message.demands.extend(demand_items(self.dispatcher.demand, self.clock.now()))
         message.parts.extend(map(encode_evidence, parts))
         return message
 
@@ -345,6 +348,8 @@
             if not self.subsets.knows(message.sender.id):
                 self.entries_changed_.set()
             self.loads.update_peer_loads(message.sender.id, message.shares, now)
+            demand, sender = self.dispatcher.demand, message.sender.id
+            update_peer_demand(demand, sender, message.demands, now)
         for report in message.engines:
             self.loads.update_engine_report(report, now)
         for suspect in message.suspects:
@@ -451,25 +456,6 @@
             self.evidence_found_.clear()
             self.publish()
 
-    def _report_notice(
-        self, record: UpstreamRecord, closed_until: datetime | None
-    ) -> None:
-        """Report that an upstream leaves, or wants no requests until a time."""
-        fields = {} if closed_until is None else {"until": closed_until.isoformat()}
-        self.reporter.event(
-            "upstream_leaving" if closed_until is None else "upstream_closed",
-            upstream=record.id,
-            address=record.address,
-            born_ms=record.started_ms,
-            **fields,
-        )
-
-    def _measure_memory(self) -> None:
-        """Set the metrics of the bytes that are held for requests."""
-        for kind, size in self.memory.held_by_kind.items():
-            self.reporter.gauge("request_bytes", size, kind=kind)
-        self.reporter.gauge("slowed_reads", self.memory.slowed_reads)
-
     def _report_memory(self, tight: bool) -> None:
         """Report that the budget for requests is nearly used up, or not any more."""
         self.reporter.event(
@@ -499,7 +485,8 @@
             await asyncio.sleep(PRUNE_INTERVAL.total_seconds())
             self.forwarder.check_deadlines(self.clock.now())
             self.pool.prune(set(self.upstreams.upstreams_by_id_))
-            self._measure_memory()
+            report_held(self.memory, self.reporter)
+            report_levels(self.dispatcher, self.reporter, self.clock.now())
             report_predictions(self.dispatcher.predictor, self.clock, self.reporter)
             self.suspects.parts.expire(self.clock.now())
             self.upstreams.notices.prune(
