Withdraw requests on outdated weights sooner from other regions

In each trace an entry had sent the request to another region and withdrawn it 350 ms before the bound (its caller had the 502 at 27.67 s), but it arrived at 27.86 to 27.94 s and began after 28.0 s: new weights fill the links between regions, and the withdrawal waits behind the same queue.

Change: such requests start 1 s before the bound at the latest, those of the own region 350 ms as before.

--- a/shallotpath/gateway/_eligibility.py
+++ b/shallotpath/gateway/_eligibility.py
@@ -18,6 +18,9 @@
 # A request on outdated weights must start before the version bound. The margin covers
 # the latency of the acknowledgement and of the request.
 VERSION_MARGIN = timedelta(milliseconds=350)
+# The same for upstreams in other regions: while new weights fill the links between
+# regions, a request and then its withdrawal each wait there for half a second.
+REMOTE_VERSION_MARGIN = timedelta(milliseconds=1000)
 
 
 class Eligibility:
@@ -127,7 +130,7 @@
     ) -> bool:
         """Check whether newer weights than those of an upstream are announced."""
         version = self.usable_version(call, upstream, now)
-        return self.start_deadline(call.model, version) is not None
+        return self.start_deadline(call.model, version, upstream) is not None
 
     def _is_sound(self, upstream: Upstream, now: datetime) -> bool:
         """Check whether an upstream answered its last requests."""
@@ -180,15 +183,20 @@
             held_version = upstream.record.versions_by_model.get(call.model, 0)
         if not held_version:
             return None
-        start_deadline = self.start_deadline(call.model, held_version)
+        start_deadline = self.start_deadline(call.model, held_version, upstream)
         return held_version if start_deadline is None or now < start_deadline else None
 
-    def start_deadline(self, model: str, held_version: int) -> datetime | None:
+    def start_deadline(
+        self, model: str, held_version: int, upstream: Upstream
+    ) -> datetime | None:
         """Return the latest start of requests on outdated weights."""
         outdated_since = self.operator.outdated_since(model, held_version)
         if outdated_since is None:
             return None
-        return outdated_since + self.rules.version_bound - VERSION_MARGIN
+        own_region = self.rules.regions_by_domain.get(self.rules.domain, "")
+        is_remote = self.region_of(upstream) != own_region
+        margin = REMOTE_VERSION_MARGIN if is_remote else VERSION_MARGIN
+        return outdated_since + self.rules.version_bound - margin
 
     def region_of(self, upstream: Upstream) -> str:
         """Return the region of an upstream."""
--- a/shallotpath/gateway/tests/test_dispatcher.py
+++ b/shallotpath/gateway/tests/test_dispatcher.py
@@ -98,6 +98,18 @@
     assert rejection.reason is RejectReason.NO_WEIGHTS
 
 
+def test_request_on_outdated_weights_leaves_time_to_withdraw_it_from_a_region():
+    # Load pattern: new weights fill the links between regions as the bound of the old
+    # ones ends. Guards against a request that arrives late and begins because its
+    # withdrawal waits behind the same queue.
+    dispatcher = make_dispatcher([make_record(1, "b-1")])
+    dispatcher.operator.apply(WeightsAnnounced("m", 2), WriteTime(EPOCH))
+    early = dispatcher.choose(make_call(1), (), EPOCH + ms(6000))
+    assert early.start_deadline == EPOCH + ms(7000)
+    late = dispatcher.choose(make_call(2), (), EPOCH + ms(7100))
+    assert late.reason is RejectReason.NO_WEIGHTS
+
+
 def test_engine_that_is_loading_weights_gets_no_requests():
     # Guards against requests to an engine that doesn't accept any.
     dispatcher = make_dispatcher([make_record(1), make_record(2)])
