Order requests by the priorities of routes only

Cause: where all routes of a service are alike and only some teams are urgent, the order by priority was in force too.

--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -221,7 +221,6 @@
             team=team.id if team else "",
             priority=route.priority if team_priority is None else team_priority,
             regions=team.regions if team else frozenset(),
-            team_priority=team_priority,
             arrived_at=arrived_at,
             caller_timeout=fields.caller_timeout or route.timeout,
             fingerprint=digest.hexdigest(),
--- a/shallotpath/gateway/_call.py
+++ b/shallotpath/gateway/_call.py
@@ -7,7 +7,7 @@
 from datetime import datetime, timedelta
 from hashlib import blake2b
 
-from ._catalog import Priority, Route, combined_priority
+from ._catalog import Route
 
 # A caller that arrives with less than this share of the route's timeout left is
 # retrying after a rejection. The timeouts of first attempts vary by a seventh.
@@ -44,8 +44,6 @@
     # Time for which the caller waits, counted from its arrival.
     caller_timeout: timedelta
     fingerprint: str
-    # Priority of the team if it has one.
-    team_priority: int | None = None
     # When this entry stops, if a stop is planned.
     stops_at: datetime | None = None
     model: str = ""
@@ -56,11 +54,6 @@
     # Names of the parts that other requests to the model may have too.
     shared_parts: tuple[str, ...] = ()
 
-    @property
-    def combined_priority(self) -> Priority:
-        """Return the priority by which the request competes with others."""
-        return combined_priority(self.route, self.team_priority)
-
     @property
     def ends_at(self) -> datetime:
         """Return when the timeout of the caller or the route, or the entry, ends."""
--- a/shallotpath/gateway/_catalog.py
+++ b/shallotpath/gateway/_catalog.py
@@ -10,8 +10,6 @@
 from ..core import rendezvous_score
 
 _SCORE_RANGE = 2**64
-# Priority of the team, then that of the route; 0 is the most urgent.
-Priority = tuple[int, int]
 
 
 class RouteKind(StrEnum):
@@ -121,17 +119,6 @@
     regions: frozenset[str]
 
 
-def combined_priority(route: Route, team_priority: int | None) -> Priority:
-    """Return the priority of a team's requests on a route.
-
-    That of the team takes precedence, and that of the route orders requests of teams
-    with equal ones.
-    """
-    if team_priority is None:
-        return (route.priority, route.priority)
-    return (team_priority, route.priority)
-
-
 @dataclass(slots=True, frozen=True)
 class CallerLimits:
     """Limit what a caller may send and how long it may stay idle."""
@@ -154,9 +141,7 @@
     limits: CallerLimits
     requires_keys: bool
     routes_by_host_: dict[str, list[Route]] = field(default_factory=dict)
-    priorities_by_service_: dict[str, tuple[Priority, ...]] = field(
-        default_factory=dict
-    )
+    priorities_by_service_: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda r: len(r.prefix), reverse=True):
@@ -164,23 +149,19 @@
         self._collect_priorities()
 
     def _collect_priorities(self) -> None:
-        teams = self.teams_by_key.values()
-        of_teams = {team.priority for team in teams}
-        priorities_by_service: dict[str, set[Priority]] = {}
+        priorities_by_service: dict[str, set[int]] = {}
         for route in self.routes:
-            callers = of_teams | {None} if route.public or not teams else of_teams
-            priorities = {combined_priority(route, priority) for priority in callers}
             for share in route.shares:
                 known = priorities_by_service.setdefault(share.service, set())
-                known.update(priorities)
+                known.add(route.priority)
         self.priorities_by_service_ = {
             service: tuple(sorted(priorities))
             for service, priorities in priorities_by_service.items()
         }
 
-    def rank(self, service: str, priority: Priority) -> Rank:
-        """Return the rank of a priority among those of a service."""
-        return Rank.of(priority, self.priorities_by_service_.get(service, ()))
+    def rank(self, service: str, route: Route) -> Rank:
+        """Return the rank of a route among those that lead to a service."""
+        return Rank.of(route.priority, self.priorities_by_service_.get(service, ()))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path."""
--- a/shallotpath/gateway/_dispatcher.py
+++ b/shallotpath/gateway/_dispatcher.py
@@ -109,7 +109,7 @@
         service = self.operator.catalog.services_by_id.get(call.service)
         if service is None:
             return self.rejections.reject(call, RejectReason.NO_UPSTREAM, now)
-        rank = self.operator.catalog.rank(call.service, call.combined_priority)
+        rank = self.operator.catalog.rank(call.service, call.route)
         if service.engine is None or not rank.ordered:
             decision = self._choose(Query(call, service), excluded, now)
         else:
@@ -242,7 +242,7 @@
             u.id: self.eligibility.usable_version(call, u, now) for u in upstreams
         }
         start_deadlines_by_id = {
-            u.id: self.eligibility.start_deadline(call.model, versions_by_id[u.id])
+            u.id: self.eligibility.start_deadline(call.model, versions_by_id[u.id], u)
             for u in upstreams
         }
         upstream, prediction = self._best_upstream(
--- a/shallotpath/gateway/tests/test_decision_replay.py
+++ b/shallotpath/gateway/tests/test_decision_replay.py
@@ -84,7 +84,7 @@
 
 def test_equal_priorities_leave_each_decision_as_recorded():
     # Guards against a change of placement, of rejections or of random choices in
-    # deployments whose routes and teams have equal priorities.
+    # deployments whose routes have equal priorities.
     assert list(decisions()) == RECORDED.read_text().split()
 
 
