Report that priorities of teams order nothing in the check of a configuration

Cause: since only the priorities of routes order requests, but the check still warned that those of teams override them, so it said something else than the programs.

--- a/shallotpath/validation/_rules.py
+++ b/shallotpath/validation/_rules.py
@@ -180,8 +180,7 @@
 def _check_priorities(
     routes: Iterable[Route], teams: Sequence[Team]
 ) -> Iterator[Finding]:
-    """Find priorities out of range or overridden by those of the teams."""
-    routes = list(routes)
+    """Find priorities out of range, and those of teams, which order nothing."""
     for kind, items in (("route", routes), ("team", teams)):
         for item in items:
             priority = item.priority
@@ -191,15 +190,12 @@
                     f"{kind} {item.id}",
                     f"priority {priority} is not between 0 and {MAX_PRIORITY}",
                 )
-    if not teams or any(team.priority is None for team in teams):
-        return
-    keyed = [route for route in routes if not route.public]
-    if len({route.priority for route in keyed}) > 1:
+    if len({team.priority for team in teams}) > 1:
         yield _warning(
-            "route-priority-unused",
+            "team-priority-unused",
             "teams",
-            "every team has a priority, which goes before that of the route; the "
-            "priorities of routes that need a key have no effect",
+            "requests are ordered by the priorities of routes; those of teams have no "
+            "effect",
         )
 
 
