--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -23,7 +23,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
+# Loopback addresses of this run alone, so that no other connection takes their ports.
+NETWORK = f"127.{64 | os.getpid() >> 8 & 63}.{os.getpid() & 255}"
+HOST = f"{NETWORK}.200"
 HEARTBEAT_S = 1.2
 SERVERS = "keyed.servers"
 OPERATOR = "keyed.op"
@@ -304,11 +306,8 @@
             writer.close()
 
     def echo(self, request: Request) -> dict[str, str]:
-        """Return the headers that name the request and the worker."""
-        return {
-            "Shallotpath-Request-Id": request.id,
-            "Shallotpath-Instance-Id": self.id,
-        }
+        """Return the header that names the request."""
+        return {"Shallotpath-Request-Id": request.id}
 
     def seal(self, request: Request) -> dict[str, str]:
         """Return the headers of an answer of a run, and note the run."""
@@ -337,7 +336,7 @@
     @property
     def host(self) -> str:
         """Return the loopback address of the machine."""
-        return f"127.0.50.{self.number + 1}"
+        return f"{NETWORK}.{self.number + 1}"
 
     def settings(self) -> str:
         """Return the settings file in the platform's format."""
