Report who ends a connection that owes an answer

The log could not tell the three hypotheses apart: a request whose handler failed was logged as caller_gone, and nothing said whether the entry or the caller had closed a connection, why, or how old the configuration was.

Each connection that ends while a whole request is not answered now has a line answer_cut and a counter answers_cut with who ended it and why, and the age of the configuration. A handler that fails is logged as error; an answer that has begun is then cut by us with that reason, as aiohttp closes such connections without a word.

--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -56,7 +56,7 @@
 from ._member import MemberProcess
 from ._predictions import report_predictions
 from ._records import apply_each
-from ._reports import report_held, report_levels, report_notice
+from ._reports import CutReporter, report_held, report_levels, report_notice
 from ._run_counts import RUN_COUNTS_PATH
 from ._topics import TopicReplica
 
@@ -113,6 +113,7 @@
         self.subsets = EntrySubsets(settings.node, settings.region)
         self.discovery_period_ = DiscoveryPeriod(self.clock.now())
         self.entries_changed_ = asyncio.Event()
+        self.cuts = CutReporter(self.reporter, self.clock)
         rules = PlacementRules(
             domain=settings.domain,
             regions_by_domain=settings.regions_by_domain,
@@ -168,7 +169,7 @@
         self._start_duties()
         readiness, callers = self.settings.readiness, self.settings.callers
         self.caller_listener_ = self.listeners.callers(
-            self.forwarder.handle, memory=self.memory
+            self.forwarder.handle, memory=self.memory, on_cut=self.cuts.report
         )
         await self.caller_listener_.start(callers.host, callers.port)
         await self.readiness_listener_.start(readiness.host, readiness.port)
@@ -256,6 +257,7 @@
         """Apply the connection limits of a new configuration to the listener."""
         catalog = self.operator.catalog
         if catalog is not None and self.caller_listener_ is not None:
+            self.cuts.configured(catalog.version)
             limits = catalog.limits
             self.caller_listener_.set_limits(
                 limits.idle_timeout,
--- a/shallotpath/fleet/_reports.py
+++ b/shallotpath/fleet/_reports.py
@@ -4,7 +4,8 @@
 
 from datetime import datetime
 
-from ..forwarding import MemoryBudget
+from ..core import Clock
+from ..forwarding import MemoryBudget, milliseconds
 from ..gateway import Dispatcher, UpstreamRecord
 from ._reporter import LineReporter
 
@@ -38,3 +39,32 @@
         born_ms=record.started_ms,
         **fields,
     )
+
+
+class CutReporter:
+    """Report connections that end while they owe an answer."""
+
+    __slots__ = ("clock", "configured_at_", "reporter", "version_")
+
+    def __init__(self, reporter: LineReporter, clock: Clock) -> None:
+        self.reporter = reporter
+        self.clock = clock
+        self.version_: int | None = None
+        self.configured_at_ = clock.now()
+
+    def configured(self, version: int) -> None:
+        """Record that a configuration is in force."""
+        if version != self.version_:
+            self.version_, self.configured_at_ = version, self.clock.now()
+
+    def report(self, by: str, reason: str) -> None:
+        """Log and count who ended a connection, and the age of the configuration."""
+        age = self.clock.now() - self.configured_at_
+        self.reporter.count("answers_cut", by=by, reason=reason)
+        self.reporter.event(
+            "answer_cut",
+            by=by,
+            reason=reason,
+            configuration=self.version_,
+            configuration_age_ms=milliseconds(age),
+        )
--- a/shallotpath/forwarding/_caller.py
+++ b/shallotpath/forwarding/_caller.py
@@ -87,9 +87,7 @@
         self.lease.hold(HeldKind.UNSENT, unsent_bytes)
         return unsent_bytes
 
-    def abort(self) -> web.StreamResponse:
+    def abort(self, reason: str = "memory") -> web.StreamResponse:
         """Abort the connection so that the response is seen as truncated."""
-        transport = self.request.transport
-        if transport is not None:
-            transport.abort()
+        self.request.protocol.cut(reason)
         return self.response_ or web.Response(status=502)
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -119,7 +119,7 @@
             return self._timeout_response()
         except CallerDisconnectedError:
             self.outcome_ = "caller_gone"
-            return self.caller_.abort()
+            return self.caller_.abort(self.outcome_)
         finally:
             # The caller may still read a whole response slowly.
             self.lease.on_shed = self.caller_.abort
@@ -452,7 +452,7 @@
         """Return the response for a request that is not retried any more."""
         if self.caller_.started:
             self.outcome_ = "broken_off"
-            return self.caller_.abort()
+            return self.caller_.abort(failure.kind)
         if self.error_response_ is not None:
             self.outcome_ = "upstream_failed"
             return self._build_response(self.error_response_)
@@ -478,7 +478,7 @@
             self.outcome_ = "shed"
             self.journal.shed(self.parts.clock.now())
         if self.caller_.started:
-            return self.caller_.abort()
+            return self.caller_.abort(self.outcome_)
         if self.send_count_ == 0:
             return refusal(503, "no upstream could be reached in time")
         return refusal(504, detail)
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -98,6 +98,9 @@
         except asyncio.CancelledError:
             outcome = "caller_gone"
             raise
+        except Exception:
+            outcome, status = "error", 500
+            raise
         finally:
             catalog = self.operator.catalog
             version = catalog.version if catalog else 0
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -19,6 +19,8 @@
 # The lease of a request among its values.
 LEASE = web.RequestKey("lease", Lease)
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+# Called with who ended a connection on which an answer was owed, and why.
+CutReport = Callable[[str, str], None]
 
 BACKLOG = 1024
 # Connections accepted in one iteration of the event loop. Each one brings a request,
@@ -34,17 +36,56 @@
 class _CallerConnection(GuardedConnection):
     """Track whether a request has arrived that is not answered yet."""
 
-    __slots__ = ("request_pending_",)
+    __slots__ = ("caller_ended_", "cut_reason_", "on_cut", "request_pending_")
 
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(
+        self, *args: object, on_cut: CutReport | None = None, **options: object
+    ) -> None:
+        super().__init__(*args, **options)
+        self.on_cut = on_cut
         self.request_pending_ = False
+        # Whether the caller closed its side first, and why this process closed its own.
+        self.caller_ended_ = False
+        self.cut_reason_ = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what the kernel holds for a caller that reads slowly."""
         limit_kernel_buffer(transport, socket.SO_SNDBUF)
         super().connection_made(transport)
 
+    @property
+    def owes_answer(self) -> bool:
+        """Check whether a whole request has arrived that is not answered."""
+        request = self._current_request
+        if request is not None:
+            return request.content.is_eof()
+        return bool(self._messages)
+
+    def eof_received(self) -> None:
+        """Record that the caller ends the connection."""
+        self.caller_ended_ = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report an answer that the connection still owes."""
+        if self.owes_answer and not self.cut_reason_:
+            by_caller = self.caller_ended_ or exc is not None
+            self._report_cut("caller" if by_caller else "entry", "closed")
+        super().connection_lost(exc)
+
+    def cut(self, reason: str) -> None:
+        """Abort the connection, so that its answer is seen as truncated."""
+        transport = self.tcp_transport_
+        if transport is None or transport.is_closing():
+            return
+        self.cut_reason_ = reason
+        self._report_cut("entry", reason)
+        transport.abort()
+
+    def _report_cut(self, by: str, reason: str) -> None:
+        if self.on_cut is not None:
+            self.on_cut(by, reason)
+
     def data_received(self, data: bytes) -> None:
         """Record that bytes of a request have arrived."""
         self.request_pending_ = True
@@ -75,8 +116,10 @@
         max_body: int = DEFAULT_MAX_BODY_BYTES,
         memory: MemoryBudget | None = None,
         table: ConnectionTable | None = None,
+        on_cut: CutReport | None = None,
     ) -> None:
         self.handler = handler
+        self.on_cut = on_cut
         self.memory = memory or MemoryBudget()
         self.table = table or ConnectionTable()
         self.idle_timeout = idle_timeout
@@ -157,6 +200,11 @@
                 await response.prepare(request)
                 await response.write_eof()
             return response
+        except Exception:
+            # aiohttp closes the connection without a word if the answer has begun.
+            if request.writer.output_size > 0:
+                request.protocol.cut("error")
+            raise
         finally:
             lease.close()
             self.active_ -= 1
@@ -168,6 +216,7 @@
         return _CallerConnection(
             self.server_,
             self.table,
+            on_cut=self.on_cut,
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
--- /dev/null
+++ b/shallotpath/forwarding/tests/test_answer_cuts.py
@@ -0,0 +1,80 @@
+"""Test that a connection that ends while it owes an answer is reported."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from shallotpath.forwarding import Listener
+
+from .helpers import HOST, make_request
+
+
+async def begin(request):
+    """Begin an answer."""
+    response = web.StreamResponse()
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(b"x")
+    return response
+
+
+async def end_by_caller(request):
+    await asyncio.sleep(5)
+
+
+async def end_by_error(request):
+    await begin(request)
+    raise ValueError
+
+
+async def end_by_close(request):
+    await begin(request)
+    request.protocol.force_close()
+    await asyncio.sleep(5)
+
+
+async def answer_whole(request):
+    return web.Response()
+
+
+@pytest.mark.parametrize(
+    ("handler", "expected"),
+    [
+        (end_by_caller, [("caller", "closed")]),
+        (end_by_error, [("entry", "error")]),
+        (end_by_close, [("entry", "closed")]),
+        (answer_whole, []),
+    ],
+)
+async def test_connection_that_ends_before_its_answer_is_reported(handler, expected):
+    # Guards against answers that are lost without a line that says who ended them.
+    cuts = []
+    listener = Listener(handler, on_cut=lambda *cut: cuts.append(cut))
+    port = await listener.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(make_request())
+    if handler is answer_whole:
+        await reader.readuntil(b"\r\n\r\n")
+    elif handler is end_by_caller:
+        await asyncio.sleep(0.1)
+    else:
+        await reader.read()
+    writer.close()
+    await asyncio.sleep(0.1)
+    await listener.stop()
+    assert cuts == expected
+
+
+async def test_incomplete_request_is_not_reported():
+    # Guards against lines for callers that leave before they have asked for anything.
+    cuts = []
+    listener = Listener(answer_whole, on_cut=lambda *cut: cuts.append(cut))
+    port = await listener.start(HOST, 0)
+    _, writer = await asyncio.open_connection(HOST, port)
+    writer.write(make_request()[:-8])
+    await asyncio.sleep(0.1)
+    writer.close()
+    await asyncio.sleep(0.1)
+    await listener.stop()
+    assert cuts == []
