Keep a silent upstream until another one has begun to answer

Callers saw a stream end without its last events, or a 502 or 503, although the upstream that had their request was only silent for a moment and then went on.

Cause: at the limit of a silence the entry closed its connection to the silent upstream and sent the request to another one. If that one refused, failed, reset or was silent as well, no attempt was left. The class: a promise (the request at the first upstream) is given up for one that has not been made yet.

Change: the request goes to the other upstream as a hedge beside the first attempt. Whichever answers first is relayed and the others are closed; an error, a refusal or a loss of one ends nothing while another is open. A hedge has answered once its whole body, or the first event behind the last one that the caller has, is there. Attempts, retry budget and placement count as before. Sending to one upstream is a class of its own (_sending.py).

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -50,6 +50,8 @@
     def __init__(self, failure: Failure) -> None:
         super().__init__(failure.detail)
         self.failure = failure
+        # Whether the failure has been recorded.
+        self.recorded = False
 
 
 def release_frames(error: BaseException) -> None:
@@ -214,6 +216,14 @@
         record = self.placement.upstream.record
         self.pool.release(record.id, connection, self.fields_.keep_alive)
 
+    def count_for(self, lease: Lease) -> None:
+        """Count unread bytes for another lease from now on."""
+        self.lease = lease
+        if self.connection_ is not None:
+            self.connection_.return_lease()
+            self.connection_.lease = lease
+            self.connection_.count_unread()
+
     def abort(self) -> None:
         """Close the connection, which makes the upstream cancel the request."""
         connection, self.connection_ = self.connection_, None
--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -4,9 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from datetime import datetime, timedelta
+from datetime import timedelta
 from functools import partial
 
 from aiohttp import web
@@ -20,33 +18,28 @@
     Rejection,
     RouteKind,
 )
-from ._attempt import (
-    Attempt,
-    AttemptError,
-    encode_request,
-    release_frames,
-    wait_for_task,
-)
+from ._attempt import Attempt, AttemptError, release_frames
 from ._caller import CallerDisconnectedError, CallerResponse
 from ._deadlines import expire
 from ._events import EndlessEventError, EventSplitter
 from ._failures import FailureRecorder
+from ._hedges import Hedges
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
 from ._measurements import record_answer_time, record_first_token
 from ._memory import FREE_SHARE, MIN_ALLOWANCE_BYTES, HeldKind, Lease
 from ._parts import ForwarderParts
 from ._responses import BufferedResponse, refusal, relayed_headers
-from ._wire import OutgoingFields
+from ._sending import Outgoing, Sending
 
 # The upstream stops work at the deadline; this leaves time for its response to arrive.
 DEADLINE_GRACE = timedelta(milliseconds=60)
-# A repeatable request is retried elsewhere if its upstream sends nothing for this many
+# A repeatable request is sent elsewhere too if its upstream sends nothing for this many
 # target latencies of the route.
 SILENCE_IN_TARGET_LATENCIES = 3
 MIN_SILENCE_LIMIT = timedelta(milliseconds=300)
-# A stream is resumed elsewhere if its upstream completes no event for this many gap
-# targets of the route.
+# A stream is asked for elsewhere too if its upstream completes no event for this many
+# gap targets of the route.
 STALL_IN_GAP_TARGETS = 2
 MIN_STALL_LIMIT = timedelta(milliseconds=800)
 # Responses up to this size are buffered before the first byte is sent to the caller,
@@ -58,9 +51,6 @@
 # Upstreams that are tried after a failed connect or an expired placement. They do not
 # count as attempts, as the request reached no upstream.
 MAX_UNSENT_RETRIES = 4
-# A connect takes up to 400 ms. A placement that is older when its request could be sent
-# was delayed, and its upstream may have left meanwhile.
-MAX_PLACEMENT_AGE = timedelta(milliseconds=800)
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
@@ -90,13 +80,13 @@
         self.send_count_ = 0
         self.unsent_attempts_ = 0
         self.tried_ids_: set[str] = set()
-        self.attempt_: Attempt | None = None
+        self.outgoing_ = Outgoing(parts, request, call, body, journal)
+        self.sending_: Sending | None = None
+        self.hedges_ = Hedges(self._open_hedge)
         self.caller_ = CallerResponse(request, lease)
         self.events_ = EventSplitter()
         self.error_response_: BufferedResponse | None = None
         self.may_have_run_ = False
-        # Already chosen for a request whose upstream is silent.
-        self.next_placement_: Placement | None = None
         # Why there was no other upstream for the last retry.
         self.rejection_: Rejection | None = None
         self.outcome_ = "served"
@@ -134,10 +124,9 @@
                 return await self._attempt(decision)
             except AttemptError as error:
                 failure = error.failure
+                self._note_failure(error, self.sending_)
                 release_frames(error)
-            self._note_failure(failure)
-            next_placement, self.next_placement_ = self.next_placement_, None
-            next_placement = next_placement or self._choose_retry(failure)
+            next_placement = self._choose_retry(failure, self.sending_)
             if next_placement is None:
                 return await self._final_failure_response(failure)
             decision = next_placement
@@ -147,11 +136,11 @@
             self.call, self.tried_ids_, self.parts.clock.now()
         )
 
-    def _choose_retry(self, failure: Failure) -> Placement | None:
+    def _choose_retry(self, failure: Failure, failed: Sending) -> Placement | None:
         """Return where to retry, charged to the retry budget; None if not allowed."""
         if self.caller_.started and not self._resumable:
             return None
-        if self._crashes_upstreams(failure):
+        if self._crashes_upstreams(failure, failed):
             return None
         if failure.kind in (FailureKind.UNREACHABLE, FailureKind.EXPIRED):
             self.unsent_attempts_ += 1
@@ -171,13 +160,13 @@
         )
         return next_placement if allowed else None
 
-    def _crashes_upstreams(self, failure: Failure) -> bool:
+    def _crashes_upstreams(self, failure: Failure, failed: Sending) -> bool:
         """Check whether a part of the prompt may crash the next upstream too."""
         suspects, shared_parts = self.parts.suspects.parts, self.call.shared_parts
         if suspects.find_refused(shared_parts, self.parts.clock.now()):
             return True
         lost_unanswered = (
-            failure.kind is FailureKind.LOST and not self.attempt_.answer_begun
+            failure.kind is FailureKind.LOST and not failed.attempt.answer_begun
         )
         return lost_unanswered and suspects.is_suspected(shared_parts)
 
@@ -187,141 +176,139 @@
         return route.kind is RouteKind.STREAM and route.resumable
 
     async def _attempt(self, placement: Placement) -> web.StreamResponse:
-        upstream = placement.upstream
-        self.tried_ids_.add(upstream.id)
-        upstreams = self.parts.dispatcher.upstreams
-        attempt = Attempt(
-            placement,
-            self.parts.pool,
-            self.parts.header_codec,
-            upstreams.notices,
-            self.parts.dispatcher.loads.completions,
-            journal=self.journal,
-            lease=self.lease,
-        )
-        self.attempt_ = attempt
-        loads = self.parts.dispatcher.loads
-        # Callers choose the ids of requests and may use one twice at a time.
-        key = f"{next(self.parts.attempt_numbers)}"
-        now = self.parts.clock.now()
-        loads.sent(
-            key,
-            upstream.id,
-            self.call.prompt_tokens,
-            now,
-            yielding=placement.yielding,
-            rank_priority=placement.rank_priority,
-        )
+        self.events_.discard_pending()
+        self.sending_ = self._make_sending(placement, self.lease)
         try:
-            await attempt.connect(
-                self.call.request_id, repeatable=self.call.route.repeatable
-            )
-            self._check_deadline()
-            self._check_placement(placement, now)
+            await self.sending_.connect()
             self.send_count_ += 1
-            await self._exchange(attempt, placement)
-            response = await self._relay(attempt, key)
+            response = await self._relay_answer()
+            sending, attempt = self.sending_, self.sending_.attempt
             self._record_answer(attempt)
             record_answer_time(self.parts, self.call, attempt)
             attempt.finish()
-            self.parts.dispatcher.breaker.record_success(upstream.id)
+            self.parts.dispatcher.breaker.record_success(sending.upstream_id)
             self.parts.suspects.completed(self.call.fingerprint)
             return response
         finally:
-            loads.ended(key)
-            attempt.abort()
-            self._return_memory()
-
-    def _return_memory(self) -> None:
-        """Give back what an attempt held, but for a kept server error."""
-        self.lease.drop(HeldKind.EVENT, HeldKind.RESPONSE, HeldKind.ERROR)
-        if self.error_response_ is not None:
-            self.lease.hold(HeldKind.ERROR, len(self.error_response_.body))
-
-    def _check_deadline(self) -> None:
-        """Raise `TimeoutError` if the deadline of the request has passed."""
-        if self.call.time_left(self.parts.clock.now()) <= timedelta():
-            raise TimeoutError
-
-    def _check_placement(self, placement: Placement, placed_at: datetime) -> None:
-        """Raise `AttemptError` if the decision to send does not hold any more."""
-        now = self.parts.clock.now()
-        start_deadline = placement.start_deadline
-        outdated = start_deadline is not None and now >= start_deadline
-        if outdated or now - placed_at > MAX_PLACEMENT_AGE:
-            raise AttemptError(
-                Failure(FailureKind.EXPIRED, f"placed {now - placed_at} ago")
+            self.hedges_.close()
+            self.sending_.close()
+            if self.error_response_ is not None:
+                self.lease.hold(HeldKind.ERROR, len(self.error_response_.body))
+
+    def _make_sending(self, placement: Placement, lease: Lease) -> Sending:
+        self.tried_ids_.add(placement.upstream.id)
+        return Sending(self.outgoing_, placement, lease, self.events_.last_id)
+
+    async def _relay_answer(self) -> web.StreamResponse:
+        """Relay the answer of the upstream, or of a hedge that answers before it."""
+        task = asyncio.ensure_future(self.sending_.send())
+        limit = None
+        if self.call.route.repeatable:
+            limit = IdleLimit(
+                self._head_limit(self.sending_.placement),
+                self.parts.clock,
+                "no response",
             )
-        if not self.parts.dispatcher.upstreams.is_current(placement.upstream, now):
-            raise AttemptError(Failure(FailureKind.EXPIRED, "the upstream has left"))
-
-    async def _exchange(self, attempt: Attempt, placement: Placement) -> None:
-        now = self.parts.clock.now()
-        outgoing_fields = OutgoingFields(
-            upstream_id=placement.upstream.id,
-            time_left=self.call.time_left(now),
-            team=self.call.team,
-            version=placement.version,
-            priority=placement.priority if self.call.model else None,
-            last_event_id=self.events_.last_id,
-        )
-        headers = self.parts.header_codec.outgoing(
-            self.request.raw_headers, outgoing_fields
-        )
-        payload = encode_request(
-            self.request.method, self.request.raw_path, headers, self.body
-        )
-        task = asyncio.ensure_future(attempt.exchange(payload, self.call.request_id))
         try:
-            async with self._start_timeout(placement, now):
-                if not await wait_for_task(task, self._head_limit(placement)):
-                    self._retry_elsewhere_if_possible("no response")
-                await task
+            await self._wait(task, limit)
         finally:
             task.cancel()
+        response = None
+        while response is None:
+            response = await self._relay(self.sending_)
+        return response
+
+    async def _wait(self, task: asyncio.Task[object], limit: IdleLimit | None) -> bool:
+        """Wait for the next part of the answer and raise if there is none.
 
-    @asynccontextmanager
-    async def _start_timeout(
-        self, placement: Placement, now: datetime
-    ) -> AsyncIterator[None]:
-        """Raise `AttemptError` if a request on outdated weights starts too late."""
-        if placement.start_deadline is None:
-            yield
+        Return `False` if a hedge has answered in its place. With a limit, start a
+        hedge whenever it is reached, if a retry is allowed.
+        """
+        while True:
+            limit_s = None if limit is None or task.done() else limit.remaining_s
+            ended = await self.hedges_.wait(task, limit_s)
+            if ended is not None:
+                if ended.error is None:
+                    self._switch_to(ended.sending)
+                    return False
+                self._note_failure(ended.error, ended.sending)
+                self._start_hedge(ended.error.failure, ended.sending)
+            elif not task.done():
+                limit.renew()
+                failure = Failure(FailureKind.SILENT, limit.detail)
+                if self._start_hedge(failure, self.sending_):
+                    self._note_failure(AttemptError(failure), self.sending_)
+            if not task.done():
+                continue
+            error = task.exception()
+            if error is None or self.hedges_.is_empty:
+                self.hedges_.close()
+                await task
+                return True
+            if not isinstance(error, AttemptError):
+                raise error
+            # The hedges may still answer.
+            self._note_failure(error, self.sending_)
+
+    def _start_hedge(self, failure: Failure, failed: Sending) -> bool:
+        """Send the request to another upstream too, if a retry is allowed."""
+        placement = self._choose_retry(failure, failed)
+        if placement is None:
+            return False
+        self.journal.placed(placement, self.parts.clock.now())
+        self.hedges_.start(self._make_sending(placement, self.lease.budget.open()))
+        return True
+
+    async def _open_hedge(self, sending: Sending) -> None:
+        """Send the request as a hedge and read until the answer has begun."""
+        await sending.connect()
+        self.send_count_ += 1
+        await sending.send()
+        if sending.is_stream:
+            events = EventSplitter()
+            while chunk := await sending.read_ahead():
+                if self._complete_events(events, chunk):
+                    return
+            sending.attempt.check_stream_end(events.take_pending())
             return
-        try:
-            async with self.parts.deadlines.until(placement.start_deadline, now):
-                yield
-        except TimeoutError as error:
-            detail = "not started before its weights were outdated"
-            raise AttemptError(Failure(FailureKind.OUTDATED, detail)) from error
-
-    def _head_limit(self, placement: Placement) -> float | None:
-        if not self.call.route.repeatable:
-            return None
+        self._check_resumable(sending.attempt)
+        while not sending.ended and sending.chunk_bytes <= self._buffer_limit():
+            await sending.read_ahead()
+        if sending.attempt.status >= _SERVER_ERROR:
+            if sending.ended:
+                self.error_response_ = self._buffered(sending, sending.take_all())
+            detail = f"status {sending.attempt.status}"
+            raise AttemptError(Failure(FailureKind.FAILED, detail))
+
+    def _switch_to(self, sending: Sending) -> None:
+        """Take the answer of a hedge in place of that of a silent upstream."""
+        self.hedges_.close()
+        self.sending_.close()
+        self.events_.discard_pending()
+        sending.adopt(self.lease)
+        self.sending_ = sending
+
+    def _head_limit(self, placement: Placement) -> timedelta:
         targets = SILENCE_IN_TARGET_LATENCIES * self.call.route.target_latency
-        limit = max(MIN_SILENCE_LIMIT, targets) + placement.prediction.first_token
-        return limit.total_seconds()
-
-    def _retry_elsewhere_if_possible(self, detail: str) -> None:
-        """Raise if a retry is allowed; otherwise the upstream may still respond."""
-        failure = Failure(FailureKind.SILENT, detail)
-        self.next_placement_ = self._choose_retry(failure)
-        if self.next_placement_ is not None:
-            raise AttemptError(failure)
-
-    async def _relay(self, attempt: Attempt, key: str) -> web.StreamResponse:
-        is_stream = self.call.route.kind is RouteKind.STREAM and attempt.is_event_stream
-        if attempt.status == _OK and is_stream:
-            return await self._relay_stream(attempt, key)
+        return max(MIN_SILENCE_LIMIT, targets) + placement.prediction.first_token
+
+    async def _relay(self, sending: Sending) -> web.StreamResponse | None:
+        """Relay an answer; return `None` if a hedge has taken its place."""
+        if sending.is_stream:
+            return await self._relay_stream(sending)
+        self._check_resumable(sending.attempt)
+        self._record_begun(sending.attempt)
+        return await self._relay_plain(sending)
+
+    def _check_resumable(self, attempt: Attempt) -> None:
+        """Raise `AttemptError` if an answer cannot continue a stream that has begun."""
         if self.caller_.started:
             detail = f"status {attempt.status}, no events, to a resumed stream"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
-        self._record_begun(attempt)
-        return await self._relay_plain(attempt)
 
-    async def _relay_plain(self, attempt: Attempt) -> web.StreamResponse:
+    async def _relay_plain(self, sending: Sending) -> web.StreamResponse | None:
         chunks: deque[bytes] = deque()
-        size = 0
+        attempt, size = sending.attempt, 0
         limit = max(
             MIN_STALL_LIMIT,
             SILENCE_IN_TARGET_LATENCIES * self.call.route.target_latency,
@@ -330,21 +317,23 @@
         is_error = attempt.status >= _SERVER_ERROR
         kind = HeldKind.ERROR if is_error else HeldKind.RESPONSE
         while size <= MIN_ALLOWANCE_BYTES or size <= self._buffer_limit():
-            chunk = await self._read_or_retry(attempt, idle_limit)
+            chunk = await self._read(sending, idle_limit)
+            if chunk is None:
+                return None
             if not chunk:
-                return self._respond_buffered(attempt, b"".join(chunks))
+                return self._respond_buffered(sending, b"".join(chunks))
             chunks.append(chunk)
             size += len(chunk)
-            self.lease.hold(kind, size)
+            self.lease.hold(kind, size + sending.chunk_bytes)
         if is_error and self.call.route.repeatable:
             detail = f"status {attempt.status} with a long body"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
         await self._start_response(attempt)
         while chunks:
             size -= len(chunks[0])
-            self.lease.hold(kind, size)
+            self.lease.hold(kind, size + sending.chunk_bytes)
             await self.caller_.write(chunks.popleft())
-        while chunk := await attempt.read():
+        while chunk := await sending.read():
             await self.caller_.write(chunk)
         return await self.caller_.end()
 
@@ -352,28 +341,29 @@
         """Return how much of a response may be held before it is passed on."""
         return min(MAX_BUFFERED_BYTES, self.lease.budget.allowance(FREE_SHARE))
 
-    def _respond_buffered(self, attempt: Attempt, body: bytes) -> web.StreamResponse:
-        buffered = BufferedResponse(
-            attempt.status,
-            attempt.message_.reason,
-            relayed_headers(attempt.message_.headers),
-            body,
+    def _buffered(self, sending: Sending, body: bytes) -> BufferedResponse:
+        message = sending.attempt.message_
+        return BufferedResponse(
+            message.code, message.reason, relayed_headers(message.headers), body
         )
+
+    def _respond_buffered(self, sending: Sending, body: bytes) -> web.StreamResponse:
+        buffered = self._buffered(sending, body)
         if buffered.status >= _SERVER_ERROR:
             self.error_response_ = buffered
             if self.call.route.repeatable:
-                attempt.finish()
+                sending.attempt.finish()
                 detail = f"status {buffered.status}"
                 raise AttemptError(Failure(FailureKind.FAILED, detail))
             self.outcome_ = "upstream_failed"
         return self._build_response(buffered)
 
-    async def _relay_stream(self, attempt: Attempt, key: str) -> web.StreamResponse:
-        self.events_.discard_pending()
+    async def _relay_stream(self, sending: Sending) -> web.StreamResponse | None:
+        attempt = sending.attempt
         stall = max(MIN_STALL_LIMIT, STALL_IN_GAP_TARGETS * self.call.route.gap_target)
         idle_limit = IdleLimit(stall, self.parts.clock, "pause in the stream")
-        while chunk := await self._read_or_retry(attempt, idle_limit):
-            complete = self._complete_events(chunk)
+        while chunk := await self._read(sending, idle_limit):
+            complete = self._complete_events(self.events_, chunk)
             self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
                 if not attempt.events:
@@ -381,12 +371,14 @@
                 attempt.count_events(complete)
                 if attempt.answer_begun:
                     self._record_answer(attempt)
-                self.parts.dispatcher.loads.first_token(key)
+                self.parts.dispatcher.loads.first_token(sending.key)
                 self._record_begun(attempt)
                 await self._start_response(attempt)
                 await self.caller_.write(complete)
                 # The time in which a slow caller blocked the write does not count.
                 idle_limit.renew()
+        if chunk is None:
+            return None
         rest = self.events_.take_pending()
         attempt.check_stream_end(rest)
         await self._start_response(attempt)
@@ -406,21 +398,19 @@
             now = self.parts.clock.now()
             self.parts.suspects.parts.record_answer(self.call.shared_parts, now)
 
-    def _complete_events(self, chunk: bytes) -> bytes:
+    def _complete_events(self, events: EventSplitter, chunk: bytes) -> bytes:
         try:
-            return self.events_.feed(chunk)
+            return events.feed(chunk)
         except EndlessEventError as error:
             raise AttemptError(Failure(FailureKind.GARBLED, str(error))) from error
 
-    async def _read_or_retry(self, attempt: Attempt, idle_limit: IdleLimit) -> bytes:
-        task = asyncio.ensure_future(attempt.read())
+    async def _read(self, sending: Sending, idle_limit: IdleLimit) -> bytes | None:
+        """Return the next bytes; `None` if a hedge has answered in their place."""
+        if not self.call.route.repeatable or sending.has_chunks:
+            return await sending.read()
+        task = asyncio.ensure_future(sending.read())
         try:
-            if not self.call.route.repeatable:
-                return await task
-            while not await wait_for_task(task, idle_limit.remaining_s):
-                idle_limit.renew()
-                self._retry_elsewhere_if_possible(idle_limit.detail)
-            return await task
+            return task.result() if await self._wait(task, idle_limit) else None
         finally:
             task.cancel()
 
@@ -441,12 +431,16 @@
         self.lease.hold(HeldKind.UNSENT, 2 * len(buffered.body))
         return buffered.build()
 
-    def _note_failure(self, failure: Failure) -> None:
-        now = self.parts.clock.now()
-        self.journal.failed(failure, self.attempt_.events, now)
+    def _note_failure(self, error: AttemptError, sending: Sending) -> None:
+        """Record a failure once."""
+        if error.recorded:
+            return
+        error.recorded = True
+        now, failure = self.parts.clock.now(), error.failure
+        self.journal.failed(failure, sending.attempt.events, now)
         if failure.run is not RunState.NO:
             self.may_have_run_ = True
-        self.failures.record(self.call, self.attempt_, failure, now)
+        self.failures.record(self.call, sending.attempt, failure, now)
 
     async def _final_failure_response(self, failure: Failure) -> web.StreamResponse:
         """Return the response for a request that is not retried any more."""
--- /dev/null
+++ b/shallotpath/forwarding/_hedges.py
@@ -0,0 +1,91 @@
+"""Ask other upstreams for an answer whose upstream is silent, and keep that one too."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ._attempt import AttemptError, release_frames
+from ._sending import Sending
+
+
+@dataclass(slots=True, frozen=True)
+class HedgeEnd:
+    """Tell how a hedge ended: with the beginning of an answer, or with an error."""
+
+    sending: Sending
+    error: AttemptError | None
+
+
+class Hedges:
+    """Run the same request at other upstreams until one of them begins to answer.
+
+    A silent upstream may go on at any moment, and another one may refuse or fail, so
+    neither is given up for the other before it has answered.
+    """
+
+    __slots__ = ("open_", "sendings_by_task_")
+
+    def __init__(self, open_hedge: Callable[[Sending], Awaitable[None]]) -> None:
+        # Returns once the answer has begun; raises `AttemptError`.
+        self.open_ = open_hedge
+        self.sendings_by_task_: dict[asyncio.Task[None], Sending] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Check whether no hedge is in progress."""
+        return not self.sendings_by_task_
+
+    def start(self, sending: Sending) -> None:
+        """Start a hedge."""
+        task = asyncio.ensure_future(self._run(sending))
+        self.sendings_by_task_[task] = sending
+
+    async def wait(
+        self, task: asyncio.Task[object], limit_s: float | None
+    ) -> HedgeEnd | None:
+        """Wait until a task or a hedge has ended, or the time is over.
+
+        Return the hedge, or `None` if the task has ended or no one has.
+        """
+        waiting = {*self.sendings_by_task_}
+        if not task.done():
+            waiting.add(task)
+        done, _ = await asyncio.wait(
+            waiting, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if task in done or not done:
+            return None
+        ended = done.pop()
+        sending = self.sendings_by_task_.pop(ended)
+        error = ended.exception()
+        if error is not None and not isinstance(error, AttemptError):
+            raise error
+        return HedgeEnd(sending, error)
+
+    def close(self) -> None:
+        """End all hedges."""
+        for task, sending in self.sendings_by_task_.items():
+            if task.done():
+                # An exception that nobody asks for would be logged.
+                task.exception()
+            task.cancel()
+            _end(sending)
+        self.sendings_by_task_.clear()
+
+    async def _run(self, sending: Sending) -> None:
+        try:
+            await self.open_(sending)
+        except AttemptError as error:
+            release_frames(error)
+            _end(sending)
+            raise
+        except BaseException:
+            _end(sending)
+            raise
+
+
+def _end(sending: Sending) -> None:
+    sending.close()
+    sending.lease.close()
