Pause an upstream for a silence only if it sends nothing to anyone

At the limit of a silence (0.3 s and up) the upstream was paused as unreachable, for 0.25 s to 2 s, and its idle connections were closed, however many others it answered meanwhile. Its other callers paid: they were placed worse or refused, and waited for new connections.

Change: the pool notes when bytes of each upstream came on any connection. It is paused if nothing has come since the silence of the late answer began, or in the last 0.3 s; only those idle connections are closed that carried nothing since the silence began, as a connection may be dead while others work.

Measured: the new test of an upstream with one late answer fails without the change (paused, five requests elsewhere) and passes with it; one that answers nobody is still paused.

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -108,6 +108,8 @@
         self.answer_recorded = False
         self.sent_at: datetime | None = None
         self.head_at: datetime | None = None
+        # When the last part of the answer was read, or the request was sent.
+        self.heard_at: datetime | None = None
         self.begun_recorded = False
 
     @property
@@ -145,7 +147,7 @@
             detail = "the connection closed before the request was sent"
             raise AttemptError(Failure(FailureKind.EXPIRED, detail))
         try:
-            self.sent_at = self.pool.clock.now()
+            self.sent_at = self.heard_at = self.pool.clock.now()
             self.connection_.send(payload, request_id)
             self.journal.sent(self.connection_.number, self.connection_.request_count_)
             await self._read_head(request_id)
@@ -172,6 +174,7 @@
                 Failure(FailureKind.LOST, repr(self.connection_.close_error_))
             )
         if chunk:
+            self.heard_at = self.pool.clock.now()
             self.connection_.consumed(len(chunk))
         self.body_bytes_ += len(chunk)
         if self.body_bytes_ > MAX_RESPONSE_BYTES:
--- a/shallotpath/forwarding/_connection.py
+++ b/shallotpath/forwarding/_connection.py
@@ -38,6 +38,8 @@
 # Time in which the connections of an upstream are used for one request each, after it
 # sent a response that no request was waiting for.
 SINGLE_USE_PERIOD = timedelta(seconds=30)
+# An upstream from which bytes came within this time is not silent as a whole.
+RECENTLY_HEARD = timedelta(milliseconds=300)
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _LINE_BREAKS = b"\r\n"
 # End of a body in chunks without trailers, and of any body in chunks.
@@ -67,6 +69,7 @@
         number: int,
         reporter: Reporter,
         on_stutter: Callable[[str], None],
+        on_heard: Callable[[str], None],
     ) -> None:
         super().__init__(loop)
         self.upstream_id = upstream_id
@@ -75,6 +78,7 @@
         self.number = number
         self.reporter = reporter
         self.on_stutter = on_stutter
+        self.on_heard = on_heard
         self.request_count_ = 0
         # Hashes of the ids of all requests that the connection has carried.
         self.carried_ids_: set[int] = set()
@@ -117,6 +121,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; abort if any arrive while the connection is idle."""
+        self.on_heard(self.upstream_id)
         if data and not self.awaiting_response_:
             self._report_unexpected(data)
             self.abort()
@@ -272,6 +277,8 @@
         self.opened_ = 0
         self.single_use_until_by_id_: dict[str, datetime] = {}
         self.idle_by_id_: dict[str, deque[UpstreamConnection]] = {}
+        # When the last bytes of each upstream arrived, on any connection.
+        self.heard_at_by_id_: dict[str, datetime] = {}
 
     async def acquire(
         self, upstream_id: str, address: str, request_id: str, *, repeatable: bool
@@ -331,6 +338,8 @@
                     connection.close()
             if not idle:
                 del self.idle_by_id_[upstream_id]
+        for upstream_id in self.heard_at_by_id_.keys() - known_ids:
+            del self.heard_at_by_id_[upstream_id]
         for upstream_id, until in list(self.single_use_until_by_id_.items()):
             if now >= until:
                 del self.single_use_until_by_id_[upstream_id]
@@ -340,6 +349,27 @@
         for connection in self.idle_by_id_.pop(upstream_id, ()):
             connection.abort()
 
+    def is_silent(self, upstream_id: str, since: datetime) -> bool:
+        """Check whether an upstream has sent nothing on any connection lately.
+
+        Bytes that came before the silence of one answer, which began at `since`, do not
+        count, nor do those from before other answers have stopped as well.
+        """
+        heard_at = self.heard_at_by_id_.get(upstream_id)
+        now = self.clock.now()
+        return heard_at is None or heard_at <= max(since, now - RECENTLY_HEARD)
+
+    def drop_unheard(self, upstream_id: str, since: datetime) -> None:
+        """Abort the idle connections on which nothing has come since a time.
+
+        A connection may have fallen silent for good while others of its upstream work.
+        """
+        idle = self.idle_by_id_.get(upstream_id, deque())
+        for connection in list(idle):
+            if connection.idle_since_ <= since:
+                idle.remove(connection)
+                connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         self.prune(set())
@@ -358,6 +388,9 @@
         self.single_use_until_by_id_[upstream_id] = until
         self.drop(upstream_id)
 
+    def _record_heard(self, upstream_id: str) -> None:
+        self.heard_at_by_id_[upstream_id] = self.clock.now()
+
     def _usable(self, connection: UpstreamConnection, now: datetime) -> bool:
         return connection.is_reusable and now < connection.idle_until_
 
@@ -373,6 +406,7 @@
             number=self.opened_,
             reporter=self.reporter,
             on_stutter=self.record_stutter,
+            on_heard=self._record_heard,
         )
         try:
             host, port = check_host_port(address)
--- a/shallotpath/forwarding/_failures.py
+++ b/shallotpath/forwarding/_failures.py
@@ -57,8 +57,7 @@
                 self.pool.drop(upstream.id)
                 self._record_crash(upstream.id, failure.kind, now)
             case FailureKind.SILENT:
-                self.breaker.record_unreachable(upstream.id, now)
-                self.pool.drop(upstream.id)
+                self._record_silence(upstream.id, attempt.heard_at, now)
             case FailureKind.LOST:
                 self.breaker.record_failure(upstream.id, now)
                 self._record_loss(call, attempt, now)
@@ -67,6 +66,12 @@
             case _:
                 pass
 
+    def _record_silence(self, upstream_id: str, since: datetime, now: datetime) -> None:
+        """Record that an upstream sends nothing, unless only one answer is late."""
+        if self.pool.is_silent(upstream_id, since):
+            self.breaker.record_unreachable(upstream_id, now)
+        self.pool.drop_unheard(upstream_id, since)
+
     def _record_loss(self, call: GatewayCall, attempt: Attempt, now: datetime) -> None:
         record = attempt.placement.upstream.record
         unanswered_parts = () if attempt.answer_begun else call.shared_parts
--- a/shallotpath/forwarding/tests/test_silent_upstreams.py
+++ b/shallotpath/forwarding/tests/test_silent_upstreams.py
@@ -14,6 +14,7 @@
     make_world,
     ms,
     reply,
+    request_id,
     reset,
     silence,
     stream_head,
@@ -212,3 +213,43 @@
             refused = "503" in head and "Shallotpath-Server-Seal" not in head
             assert refused or event_ids(body) == [1, 2, 3, 4, 5]
         assert held(world) == (0, {})
+
+
+async def test_one_late_answer_does_not_pause_an_upstream_that_answers_others():
+    # Guards against callers who are refused, or wait for new connections, because one
+    # answer of a sound upstream is late.
+    async def work(reader, writer, head):
+        if request_id(head) == "q1":
+            await asyncio.sleep(0.7)
+        await reply()(reader, writer, head)
+
+    async with make_world(Upstream(work), Upstream(reply())) as world:
+        parts = world.forwarder.parts
+        late = asyncio.ensure_future(call_first(world))
+        await asyncio.sleep(0.05)
+        parts.dispatcher.breaker.record_unreachable("u1", parts.clock.now())
+        await world.call(number=2)
+        await asyncio.sleep(0.15)
+        opened = parts.pool.opened_
+        for number in range(3, 8):
+            parts.dispatcher.breaker.record_unreachable("u1", parts.clock.now())
+            await world.call(number=number)
+            await asyncio.sleep(0.04)
+        assert parts.dispatcher.breaker.is_available("u0", parts.clock.now())
+        await late
+        # The late request went to the other upstream too, on a connection of its own.
+        assert parts.pool.opened_ == opened + 1
+
+
+async def test_upstream_that_sends_nothing_is_paused():
+    # Guards against requests that are sent to an upstream which answers nobody, on
+    # connections that may be dead.
+    upstreams = Upstream(reply(), silence), Upstream(reply())
+    async with make_world(*upstreams) as world:
+        parts = world.forwarder.parts
+        await call_first(world)
+        assert parts.pool.idle_by_id_["u0"]
+        prefer_first(world)
+        await world.call(number=2)
+        assert not parts.dispatcher.breaker.is_available("u0", parts.clock.now())
+        assert not parts.pool.idle_by_id_.get("u0")
