Count a hedge as an attempt from its start

While a hedge was still connecting it did not count, so that a second one could be started: with slow connects a request ran at four upstreams where its route allows three (BUDGET). A hedge now counts from its choice and is given back if the request was not sent. Whether attempts are left is asked before an upstream is chosen, as a choice counts against limits of that upstream and was repeated at each limit of a silence.

Measured: test_hedges_keep_to_the_attempts_of_the_route fails on the code before (4 of 3) and passes; 60 tests of the forwarder and 193 of gateway/ pass.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -51,6 +51,7 @@
 # Upstreams that are tried after a failed connect or an expired placement. They do not
 # count as attempts, as the request reached no upstream.
 MAX_UNSENT_RETRIES = 4
+UNSENT_FAILURES = frozenset({FailureKind.UNREACHABLE, FailureKind.EXPIRED})
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
@@ -138,14 +139,8 @@
 
     def _choose_retry(self, failure: Failure, failed: Sending) -> Placement | None:
         """Return where to retry, charged to the retry budget; None if not allowed."""
-        if self.caller_.started and not self._resumable:
-            return None
-        if self._crashes_upstreams(failure, failed):
+        if not self._may_retry(failure, failed):
             return None
-        if failure.kind in (FailureKind.UNREACHABLE, FailureKind.EXPIRED):
-            self.unsent_attempts_ += 1
-            if self.unsent_attempts_ > MAX_UNSENT_RETRIES:
-                return None
         next_placement = self._choose_upstream()
         if isinstance(next_placement, Rejection):
             self.journal.rejected(next_placement, self.parts.clock.now())
@@ -160,6 +155,20 @@
         )
         return next_placement if allowed else None
 
+    def _may_retry(self, failure: Failure, failed: Sending) -> bool:
+        """Check whether to choose another upstream, which counts against its limits."""
+        if self.caller_.started and not self._resumable:
+            return False
+        if self._crashes_upstreams(failure, failed):
+            return False
+        if failure.kind in UNSENT_FAILURES:
+            self.unsent_attempts_ += 1
+            if self.unsent_attempts_ > MAX_UNSENT_RETRIES:
+                return False
+        return self.send_count_ == 0 or self.parts.retries.is_allowed(
+            self.call, failure, self.send_count_, self.parts.clock.now()
+        )
+
     def _crashes_upstreams(self, failure: Failure, failed: Sending) -> bool:
         """Check whether a part of the prompt may crash the next upstream too."""
         suspects, shared_parts = self.parts.suspects.parts, self.call.shared_parts
@@ -231,6 +240,8 @@
                 if ended.error is None:
                     self._switch_to(ended.sending)
                     return False
+                if ended.error.failure.kind in UNSENT_FAILURES:
+                    self.send_count_ -= 1
                 self._note_failure(ended.error, ended.sending)
                 self._start_hedge(ended.error.failure, ended.sending)
             elif not task.done():
@@ -256,13 +267,14 @@
         if placement is None:
             return False
         self.journal.placed(placement, self.parts.clock.now())
+        # Counted from now on, so that no other hedge exceeds the attempts allowed.
+        self.send_count_ += 1
         self.hedges_.start(self._make_sending(placement, self.lease.budget.open()))
         return True
 
     async def _open_hedge(self, sending: Sending) -> None:
         """Send the request as a hedge and read until the answer has begun."""
         await sending.connect()
-        self.send_count_ += 1
         await sending.send()
         if sending.is_stream:
             events = EventSplitter()
--- a/shallotpath/forwarding/tests/test_silent_upstreams.py
+++ b/shallotpath/forwarding/tests/test_silent_upstreams.py
@@ -143,6 +143,25 @@
         assert held(world) == (0, {})
 
 
+async def test_hedges_keep_to_the_attempts_of_the_route():
+    # Guards against a request that runs at more upstreams than its route allows while
+    # connections to some of them are slow to open.
+    upstreams = [Upstream(silence) for _ in range(4)]
+    async with make_world(*upstreams, **STREAM) as world:
+        pool, reached = world.forwarder.parts.pool, []
+        open_connection = pool.open
+
+        async def open_slowly(upstream_id, address):
+            reached.append(upstream_id)
+            await asyncio.sleep(0.35)
+            return await open_connection(upstream_id, address)
+
+        pool.open = open_slowly
+        await world.call(caller_timeout=2500)
+        assert len(set(reached)) == 3
+        assert sum(len(upstream.requests) for upstream in upstreams) == 3
+
+
 async def test_caller_that_leaves_ends_all_that_it_asked_for():
     # Guards against upstreams that work on for a caller who has left.
     ended = [asyncio.Event(), asyncio.Event()]
--- a/shallotpath/gateway/_retries.py
+++ b/shallotpath/gateway/_retries.py
@@ -21,6 +21,16 @@
     def __init__(self, budget: RetryBudget) -> None:
         self.budget = budget
 
+    def is_allowed(
+        self, call: GatewayCall, failure: Failure, attempts: int, now: datetime
+    ) -> bool:
+        """Check whether a request may be sent once more, apart from the budget."""
+        if failure.run is not RunState.NO and not call.route.repeatable:
+            return False
+        if attempts >= max(1, call.route.max_attempts):
+            return False
+        return call.time_left(now) >= MIN_TIME_LEFT
+
     def try_acquire(
         self,
         call: GatewayCall,
@@ -29,10 +39,6 @@
         now: datetime,
     ) -> bool:
         """Return whether to retry; if so, spend a retry of the budget."""
-        if failure.run is not RunState.NO and not call.route.repeatable:
-            return False
-        if attempts >= max(1, call.route.max_attempts):
-            return False
-        if call.time_left(now) < MIN_TIME_LEFT:
+        if not self.is_allowed(call, failure, attempts, now):
             return False
         return self.budget.try_spend(call.service, now)
