Keep a hedge until the first upstream has completed a part of its answer

Callers got the 500 or 502 of an upstream, a 504 or a broken stream, although another upstream was about to answer the same request.

Cause: the bytes that ended the silence of the first upstream, a head alone or a part of an event too, closed the hedges. If that answer then was an error, was cut, came byte by byte or went no further, the attempts were used up. A hedge had to bring a whole body or event, the first upstream only a byte: again a promise given up for one not yet kept.

Change: hedges are closed when the first upstream has completed an event, its whole body, or more than is buffered. If its answer fails before, the hedges go on, its connection is closed at once and its load is no longer counted. Results of tasks that are not needed are taken, so that the event loop logs no exception that was never retrieved.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -4,8 +4,10 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Coroutine
 from datetime import timedelta
 from functools import partial
+from typing import TypeVar
 
 from aiohttp import web
 
@@ -23,7 +25,7 @@
 from ._deadlines import expire
 from ._events import EndlessEventError, EventSplitter
 from ._failures import FailureRecorder
-from ._hedges import Hedges
+from ._hedges import HedgeEnd, Hedges, discard
 from ._idle_limit import IdleLimit
 from ._journal import RequestJournal
 from ._measurements import record_answer_time, record_first_token
@@ -54,6 +56,7 @@
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
+_T = TypeVar("_T")
 
 
 class Exchange:
@@ -191,9 +194,7 @@
             return response
         finally:
             self.hedges_.close()
-            self.sending_.close()
-            if self.error_response_ is not None:
-                self.lease.hold(HeldKind.ERROR, len(self.error_response_.body))
+            self._close_sending()
 
     def _make_sending(self, placement: Placement, lease: Lease) -> Sending:
         self.tried_ids_.add(placement.upstream.id)
@@ -201,54 +202,61 @@
 
     async def _relay_answer(self) -> web.StreamResponse:
         """Relay the answer of the upstream, or of a hedge that answers before it."""
-        task = asyncio.ensure_future(self.sending_.send())
         limit = None
         if self.call.route.repeatable:
-            limit = IdleLimit(
-                self._head_limit(self.sending_.placement),
-                self.parts.clock,
-                "no response",
-            )
-        try:
-            await self._wait(task, limit)
-        finally:
-            task.cancel()
+            limit = self._make_head_limit()
         response = None
         while response is None:
-            response = await self._relay(self.sending_)
+            try:
+                if not self.sending_.has_head:
+                    await self._wait(self.sending_.send(), limit)
+                response = await self._relay(self.sending_)
+            except AttemptError as error:
+                await self._fall_back(error)
         return response
 
-    async def _wait(self, task: asyncio.Task[object], limit: IdleLimit | None) -> bool:
-        """Wait for the next part of the answer and raise if there is none.
+    async def _wait(
+        self, part: Coroutine[None, None, _T], limit: IdleLimit | None
+    ) -> _T | None:
+        """Return the next part of the answer; `None` if a hedge has answered.
 
-        Return `False` if a hedge has answered in its place. With a limit, start a
-        hedge whenever it is reached, if a retry is allowed.
+        With a limit, start a hedge whenever it is reached, if a retry is allowed.
         """
-        while True:
-            limit_s = None if limit is None or task.done() else limit.remaining_s
-            ended = await self.hedges_.wait(task, limit_s)
-            if ended is not None:
-                if ended.error is None:
-                    self._switch_to(ended.sending)
-                    return False
-                self._note_failure(ended.error, ended.sending)
-                self._start_hedge(ended.error.failure, ended.sending)
-            elif not task.done():
-                limit.renew()
-                failure = Failure(FailureKind.SILENT, limit.detail)
-                if self._start_hedge(failure, self.sending_):
-                    self._note_failure(AttemptError(failure), self.sending_)
-            if not task.done():
-                continue
-            error = task.exception()
-            if error is None or self.hedges_.is_empty:
-                self.hedges_.close()
-                await task
-                return True
-            if not isinstance(error, AttemptError):
-                raise error
-            # The hedges may still answer.
-            self._note_failure(error, self.sending_)
+        task = asyncio.ensure_future(part)
+        try:
+            while not task.done():
+                limit_s = None if limit is None else limit.remaining_s
+                ended = await self.hedges_.wait(task, limit_s)
+                if ended is not None:
+                    if self._take(ended):
+                        return None
+                elif not task.done():
+                    limit.renew()
+                    failure = Failure(FailureKind.SILENT, limit.detail)
+                    if self._start_hedge(failure, self.sending_):
+                        self._note_failure(AttemptError(failure), self.sending_)
+            return task.result()
+        finally:
+            discard(task)
+
+    async def _fall_back(self, error: AttemptError) -> None:
+        """Take the answer of a hedge after a failure; raise if none answers."""
+        self._note_failure(error, self.sending_)
+        release_frames(error)
+        self._close_sending()
+        while not self.hedges_.is_empty:
+            if self._take(await self.hedges_.wait(None, None)):
+                return
+        raise error
+
+    def _take(self, ended: HedgeEnd) -> bool:
+        """Switch to a hedge that has answered; try another one if it has failed."""
+        if ended.error is None:
+            self._switch_to(ended.sending)
+            return True
+        self._note_failure(ended.error, ended.sending)
+        self._start_hedge(ended.error.failure, ended.sending)
+        return False
 
     def _start_hedge(self, failure: Failure, failed: Sending) -> bool:
         """Send the request to another upstream too, if a retry is allowed."""
@@ -276,21 +284,29 @@
             await sending.read_ahead()
         if sending.attempt.status >= _SERVER_ERROR:
             if sending.ended:
-                self.error_response_ = self._buffered(sending, sending.take_all())
+                self.error_response_ = sending.buffered(sending.take_all())
             detail = f"status {sending.attempt.status}"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
 
     def _switch_to(self, sending: Sending) -> None:
         """Take the answer of a hedge in place of that of a silent upstream."""
         self.hedges_.close()
-        self.sending_.close()
+        self._close_sending()
         self.events_.discard_pending()
         sending.adopt(self.lease)
         self.sending_ = sending
 
-    def _head_limit(self, placement: Placement) -> timedelta:
+    def _close_sending(self) -> None:
+        """End the request at its upstream; keep the memory of a server error."""
+        self.sending_.close()
+        if self.error_response_ is not None:
+            self.lease.hold(HeldKind.ERROR, len(self.error_response_.body))
+
+    def _make_head_limit(self) -> IdleLimit:
         targets = SILENCE_IN_TARGET_LATENCIES * self.call.route.target_latency
-        return max(MIN_SILENCE_LIMIT, targets) + placement.prediction.first_token
+        predicted = self.sending_.placement.prediction.first_token
+        limit = max(MIN_SILENCE_LIMIT, targets) + predicted
+        return IdleLimit(limit, self.parts.clock, "no response")
 
     async def _relay(self, sending: Sending) -> web.StreamResponse | None:
         """Relay an answer; return `None` if a hedge has taken its place."""
@@ -328,6 +344,7 @@
         if is_error and self.call.route.repeatable:
             detail = f"status {attempt.status} with a long body"
             raise AttemptError(Failure(FailureKind.FAILED, detail))
+        self.hedges_.close()
         await self._start_response(attempt)
         while chunks:
             size -= len(chunks[0])
@@ -341,14 +358,8 @@
         """Return how much of a response may be held before it is passed on."""
         return min(MAX_BUFFERED_BYTES, self.lease.budget.allowance(FREE_SHARE))
 
-    def _buffered(self, sending: Sending, body: bytes) -> BufferedResponse:
-        message = sending.attempt.message_
-        return BufferedResponse(
-            message.code, message.reason, relayed_headers(message.headers), body
-        )
-
     def _respond_buffered(self, sending: Sending, body: bytes) -> web.StreamResponse:
-        buffered = self._buffered(sending, body)
+        buffered = sending.buffered(body)
         if buffered.status >= _SERVER_ERROR:
             self.error_response_ = buffered
             if self.call.route.repeatable:
@@ -366,6 +377,7 @@
             complete = self._complete_events(self.events_, chunk)
             self.lease.hold(HeldKind.EVENT, self.events_.pending_bytes)
             if complete:
+                self.hedges_.close()
                 if not attempt.events:
                     record_first_token(self.parts, self.call, attempt)
                 attempt.count_events(complete)
@@ -381,6 +393,7 @@
             return None
         rest = self.events_.take_pending()
         attempt.check_stream_end(rest)
+        self.hedges_.close()
         await self._start_response(attempt)
         await self.caller_.write(rest)
         return await self.caller_.end()
@@ -408,11 +421,7 @@
         """Return the next bytes; `None` if a hedge has answered in their place."""
         if not self.call.route.repeatable or sending.has_chunks:
             return await sending.read()
-        task = asyncio.ensure_future(sending.read())
-        try:
-            return task.result() if await self._wait(task, idle_limit) else None
-        finally:
-            task.cancel()
+        return await self._wait(sending.read(), idle_limit)
 
     async def _start_response(self, attempt: Attempt) -> None:
         if self.caller_.started:
--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -43,14 +43,14 @@
         self.sendings_by_task_[task] = sending
 
     async def wait(
-        self, task: asyncio.Task[object], limit_s: float | None
+        self, task: asyncio.Task[object] | None, limit_s: float | None
     ) -> HedgeEnd | None:
         """Wait until a task or a hedge has ended, or the time is over.
 
         Return the hedge, or `None` if the task has ended or no one has.
         """
         waiting = {*self.sendings_by_task_}
-        if not task.done():
+        if task is not None:
             waiting.add(task)
         done, _ = await asyncio.wait(
             waiting, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
@@ -67,10 +67,7 @@
     def close(self) -> None:
         """End all hedges."""
         for task, sending in self.sendings_by_task_.items():
-            if task.done():
-                # An exception that nobody asks for would be logged.
-                task.exception()
-            task.cancel()
+            discard(task)
             _end(sending)
         self.sendings_by_task_.clear()
 
@@ -86,6 +83,14 @@
             raise
 
 
+def discard(task: asyncio.Task[object]) -> None:
+    """Cancel a task whose result is not needed any more."""
+    if task.done() and not task.cancelled():
+        # An exception that nobody asks for would be logged.
+        task.exception()
+    task.cancel()
+
+
 def _end(sending: Sending) -> None:
     sending.close()
     sending.lease.close()
--- a/shallotpath/forwarding/_sending.py
+++ b/shallotpath/forwarding/_sending.py
@@ -15,6 +15,7 @@
 from ._journal import RequestJournal
 from ._memory import HeldKind, Lease
 from ._parts import ForwarderParts
+from ._responses import BufferedResponse, relayed_headers
 from ._wire import OutgoingFields
 
 # A connect takes up to 400 ms. A placement that is older when its request could be sent
@@ -92,6 +93,11 @@
         """Check whether the whole body was read ahead."""
         return self.ended_
 
+    @property
+    def has_head(self) -> bool:
+        """Check whether the head of the answer was read."""
+        return self.attempt.message_ is not None
+
     @property
     def is_stream(self) -> bool:
         """Check whether the answer is a stream of events."""
@@ -154,6 +160,13 @@
         self.chunks_.clear()
         return body
 
+    def buffered(self, body: bytes) -> BufferedResponse:
+        """Return the answer with its whole body."""
+        message = self.attempt.message_
+        return BufferedResponse(
+            message.code, message.reason, relayed_headers(message.headers), body
+        )
+
     def adopt(self, lease: Lease) -> None:
         """Count what the answer holds for another lease from now on."""
         own, self.lease = self.lease, lease
--- /dev/null
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -0,0 +1,95 @@
+"""Test a request that is sent to other upstreams while its first one is silent."""
+
+import asyncio
+
+import pytest
+
+from .helpers import (
+    Upstream,
+    answer,
+    chunk,
+    make_world,
+    reply,
+    reset_connection,
+    silence,
+    stream_head,
+)
+from .test_silent_upstreams import STREAM, call_first, event, event_ids, held
+
+
+def late(delay_s, step):
+    """Return a step that begins after a delay."""
+
+    async def delayed(reader, writer, head):
+        await asyncio.sleep(delay_s)
+        return await step(reader, writer, head)
+
+    return delayed
+
+
+async def cut_body(reader, writer, head):
+    """Send the head and a part of the body, then reset the connection."""
+    writer.write(answer(head, b"ok", extra=["Content-Type: a/b"])[:-1])
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    reset_connection(writer)
+    return False
+
+
+async def trickle(reader, writer, head):
+    """Send the head, then a byte of the body every 50 ms."""
+    writer.write(answer(head, b"x" * 100)[:-100])
+    for _ in range(100):
+        writer.write(b"x")
+        await asyncio.sleep(0.05)
+
+
+async def only_head(reader, writer, head):
+    writer.write(answer(head, b"x" * 100)[:-100])
+    return await silence(reader, writer, head)
+
+
+@pytest.mark.parametrize(
+    "end", [late(0.5, reply(status="500 Failed")), late(0.5, cut_body)]
+)
+async def test_failure_of_the_first_upstream_does_not_end_a_hedge(end):
+    # Guards against an error for a caller whose answer another upstream is working on,
+    # because the first one has begun to answer and then fails.
+    upstreams = Upstream(end), Upstream(late(0.6, reply(b"second")))
+    async with make_world(*upstreams) as world:
+        head, body = await call_first(world)
+        assert "200 OK" in head
+        assert body == b"second"
+        assert held(world) == (0, {})
+
+
+@pytest.mark.parametrize("end", [trickle, late(0.5, only_head)])
+async def test_answer_in_small_parts_does_not_end_a_hedge(end):
+    # Guards against a 504 because an upstream that sends its answer byte by byte, or
+    # only its head, ends the attempt at another one.
+    upstreams = Upstream(end), Upstream(late(0.3, reply(b"second")))
+    async with make_world(*upstreams) as world:
+        head, body = await call_first(world)
+        assert "200 OK" in head
+        assert body == b"second"
+        assert held(world) == (0, {})
+
+
+async def test_part_of_an_event_does_not_end_a_hedge():
+    # Guards against a stream that is broken off because its upstream sends a part of
+    # an event and then nothing.
+    async def part(reader, writer, head):
+        writer.write(stream_head(head) + event(1))
+        await asyncio.sleep(1.0)
+        writer.write(chunk(b"id: 2"))
+        return await silence(reader, writer, head)
+
+    async def go_on(reader, writer, head):
+        await asyncio.sleep(0.4)
+        writer.write(stream_head(head) + event(2) + event(3) + chunk(b""))
+
+    upstreams = Upstream(part), Upstream(go_on)
+    async with make_world(*upstreams, **{**STREAM, "max_attempts": 2}) as world:
+        _, body = await call_first(world)
+        assert event_ids(body) == [1, 2, 3]
+        assert held(world) == (0, {})
