Ask another upstream if a hedge is silent after the first attempt has failed

A request waited for one silent upstream until its deadline and got a 504, though attempts were left.

Cause: the limit of a silence ended with the first attempt. Once that had failed, nothing limited the wait for its hedge.

Change: the wait for hedges alone has the limit of a head, and a further hedge is started there if a retry is allowed.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -244,8 +244,14 @@
         self._note_failure(error, self.sending_)
         release_frames(error)
         self._close_sending()
+        limit = self._make_head_limit()
         while not self.hedges_.is_empty:
-            if self._take(await self.hedges_.wait(None, None)):
+            ended = await self.hedges_.wait(None, limit.remaining_s)
+            if ended is None:
+                limit.renew()
+                failure = Failure(FailureKind.SILENT, limit.detail)
+                self._start_hedge(failure, self.sending_)
+            elif self._take(ended):
                 return
         raise error
 
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -10,6 +10,7 @@
     chunk,
     make_world,
     reply,
+    reset,
     reset_connection,
     silence,
     stream_head,
@@ -93,3 +94,13 @@
         _, body = await call_first(world)
         assert event_ids(body) == [1, 2, 3]
         assert held(world) == (0, {})
+
+
+async def test_silent_hedge_is_followed_by_another_one_if_the_first_upstream_fails():
+    # Guards against a request that waits for one silent upstream until its deadline
+    # because the connection to the first one is lost.
+    first = late(0.4, reset)
+    upstreams = Upstream(first), Upstream(silence), Upstream(silence)
+    async with make_world(*upstreams, max_attempts=3) as world:
+        await call_first(world)
+        assert [len(upstream.requests) for upstream in upstreams] == [1, 1, 1]
