Do not retry a request after its hedge was lost with a suspected part

A prompt with a part that crashes upstreams was sent to a third one: the crash of a hedge allowed no retry, but an error of the first upstream, recorded after it or before it, did.

Cause: the decision on the next attempt was made anew from the failure of the first upstream when no hedge was left.

Change: an exchange remembers that one of its attempts was lost with a suspected part, and the last failure decides on a retry.

Evidence: both cases of the new test (crash before and behind the error) reach the third upstream on the commit before, and do not now.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -90,6 +90,8 @@
         self.events_ = EventSplitter()
         self.error_response_: BufferedResponse | None = None
         self.may_have_run_ = False
+        # Whether an upstream was lost to a part of the prompt that is suspected.
+        self.crashing_ = False
         # Why there was no other upstream for the last retry.
         self.rejection_: Rejection | None = None
         self.outcome_ = "served"
@@ -168,10 +170,10 @@
         suspects, shared_parts = self.parts.suspects.parts, self.call.shared_parts
         if suspects.find_refused(shared_parts, self.parts.clock.now()):
             return True
-        lost_unanswered = (
-            failure.kind is FailureKind.LOST and not failed.attempt.answer_begun
-        )
-        return lost_unanswered and suspects.is_suspected(shared_parts)
+        if failure.kind is FailureKind.LOST and not failed.attempt.answer_begun:
+            # Another attempt may fail later, in a way that would allow a retry.
+            self.crashing_ |= suspects.is_suspected(shared_parts)
+        return self.crashing_
 
     @property
     def _resumable(self) -> bool:
@@ -253,6 +255,9 @@
                 self._start_hedge(failure, self.sending_)
             elif self._take(ended):
                 return
+            else:
+                # The last failure decides on a retry.
+                error, self.sending_ = ended.error, ended.sending
         raise error
 
     def _take(self, ended: HedgeEnd) -> bool:
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -104,3 +104,19 @@
     async with make_world(*upstreams, max_attempts=3) as world:
         await call_first(world)
         assert [len(upstream.requests) for upstream in upstreams] == [1, 1, 1]
+
+
+@pytest.mark.parametrize("crash_s", [0.05, 0.4])
+async def test_hedge_that_is_lost_with_a_suspected_part_is_the_last_one(crash_s):
+    # Guards against a prompt that crashes one upstream after the other, because an
+    # error of the first one allows the retry that the crash of the hedge does not.
+    error = late(0.5, reply(status="500 Failed"))
+    upstreams = Upstream(error), Upstream(late(crash_s, reset)), Upstream(reply())
+    async with make_world(*upstreams, max_attempts=3) as world:
+        parts = world.forwarder.parts
+        parts.suspects.parts.record_crash("c", [["/p1"]], parts.clock.now())
+        for _ in range(2):
+            parts.dispatcher.breaker.record_unreachable("u2", parts.clock.now())
+        head, _ = await call_first(world, parts=("p1", "own"))
+        assert "500 Failed" in head
+        assert [len(upstream.requests) for upstream in upstreams] == [1, 1, 0]
