Count hedges that still connect as attempts

A request could run at more upstreams than its route allows (rule BUDGET): an attempt counted once its connection was there, and while a hedge connected (up to 0.4 s) the next limit of the silence (0.3 s and up) started another one.

Change: hedges that are still connecting count as attempts.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -160,9 +160,8 @@
         if self.send_count_ == 0:
             return next_placement
         now = self.parts.clock.now()
-        allowed = self.parts.retries.try_acquire(
-            self.call, failure, self.send_count_, now
-        )
+        attempts = self.send_count_ + self.hedges_.unsent
+        allowed = self.parts.retries.try_acquire(self.call, failure, attempts, now)
         return next_placement if allowed else None
 
     def _crashes_upstreams(self, failure: Failure, failed: Sending) -> bool:
--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -37,6 +37,14 @@
         """Check whether no hedge is in progress."""
         return not self.sendings_by_task_
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of hedges that are still connecting."""
+        return sum(
+            sending.attempt.sent_at is None
+            for sending in self.sendings_by_task_.values()
+        )
+
     def start(self, sending: Sending) -> None:
         """Start a hedge."""
         task = asyncio.ensure_future(self._run(sending))
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -37,6 +37,18 @@
     return False
 
 
+def connect_late(world, delay_s):
+    """Delay all connects after the first one."""
+    pool = world.forwarder.parts.pool
+    acquire, delays = pool.acquire, iter([0])
+
+    async def acquire_late(*args, **options):
+        await asyncio.sleep(next(delays, delay_s))
+        return await acquire(*args, **options)
+
+    pool.acquire = acquire_late
+
+
 async def trickle(reader, writer, head):
     """Send the head, then a byte of the body every 50 ms."""
     writer.write(answer(head, b"x" * 100)[:-100])
@@ -120,3 +132,13 @@
         head, _ = await call_first(world, parts=("p1", "own"))
         assert "500 Failed" in head
         assert [len(upstream.requests) for upstream in upstreams] == [1, 1, 0]
+
+
+async def test_hedge_that_still_connects_counts_as_an_attempt():
+    # Guards against a request that runs at more upstreams than its route allows, as
+    # connecting to them takes longer than the limit of a silence.
+    upstreams = [Upstream(silence) for _ in range(3)]
+    async with make_world(*upstreams) as world:
+        connect_late(world, 0.39)
+        await call_first(world)
+        assert sum(len(upstream.requests) for upstream in upstreams) == 2
