Choose no upstream for a retry that is not allowed

A request whose upstream was silent chose another one at each limit of the silence, every 0.3 s and up, also when its attempts or the retry budget were used up. Each choice counted as a request in the limit of the chosen upstream, so that others were refused there, and each cost the time of a choice. With hedges this goes on until the deadline.

Change: the retry is taken from the budget before the upstream is chosen, and given back if there is none.

Now there is one for each request.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -151,18 +151,21 @@
             self.unsent_attempts_ += 1
             if self.unsent_attempts_ > MAX_UNSENT_RETRIES:
                 return None
-        next_placement = self._choose_upstream()
-        if isinstance(next_placement, Rejection):
-            self.journal.rejected(next_placement, self.parts.clock.now())
-            self.rejection_ = next_placement
-            return None
+        now, retries = self.parts.clock.now(), self.parts.retries
         # A request that reached no upstream needs no retry from the budget.
-        if self.send_count_ == 0:
-            return next_placement
-        now = self.parts.clock.now()
+        charged = self.send_count_ > 0
         attempts = self.send_count_ + self.hedges_.unsent
-        allowed = self.parts.retries.try_acquire(self.call, failure, attempts, now)
-        return next_placement if allowed else None
+        # A placement counts against the limits of its upstream, so this comes first.
+        if charged and not retries.try_acquire(self.call, failure, attempts, now):
+            return None
+        next_placement = self._choose_upstream()
+        if isinstance(next_placement, Placement):
+            return next_placement
+        if charged:
+            retries.give_back(self.call)
+        self.journal.rejected(next_placement, now)
+        self.rejection_ = next_placement
+        return None
 
     def _crashes_upstreams(self, failure: Failure, failed: Sending) -> bool:
         """Check whether a part of the prompt may crash the next upstream too."""
@@ -203,9 +206,7 @@
 
     async def _relay_answer(self) -> web.StreamResponse:
         """Relay the answer of the upstream, or of a hedge that answers before it."""
-        limit = None
-        if self.call.route.repeatable:
-            limit = self._make_head_limit()
+        limit = self._make_head_limit() if self.call.route.repeatable else None
         response = None
         while response is None:
             try:
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from shallotpath.gateway import Dispatcher
+
 from .helpers import (
     Upstream,
     answer,
@@ -142,3 +144,21 @@
         connect_late(world, 0.39)
         await call_first(world)
         assert sum(len(upstream.requests) for upstream in upstreams) == 2
+
+
+@pytest.mark.parametrize("limit", [{"max_attempts": 2}, {"budget": 1}])
+async def test_silence_without_a_retry_places_no_request(limit, monkeypatch):
+    # Guards against placements in vain: each one counts as a request in the limit of a
+    # cold upstream, and others are refused for it.
+    placed = []
+    choose = Dispatcher.choose
+
+    def choose_counted(*args):
+        placed.append(choose(*args))
+        return placed[-1]
+
+    monkeypatch.setattr(Dispatcher, "choose", choose_counted)
+    upstreams = [Upstream(silence) for _ in range(4)]
+    async with make_world(*upstreams, **{"max_attempts": 3} | limit) as world:
+        await call_first(world)
+    assert len(placed) == sum(len(upstream.requests) for upstream in upstreams)
--- a/shallotpath/gateway/_budget.py
+++ b/shallotpath/gateway/_budget.py
@@ -66,6 +66,10 @@
         usage.retries.append(now)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Give back the retry that was spent last."""
+        self.uses_by_service_[service].retries.pop()
+
     def _recent_usage(self, service: str, now: datetime) -> _Usage:
         usage = self.uses_by_service_.setdefault(service, _Usage())
         start = now - self.limit.window
--- a/shallotpath/gateway/_retries.py
+++ b/shallotpath/gateway/_retries.py
@@ -36,3 +36,7 @@
         if call.time_left(now) < MIN_TIME_LEFT:
             return False
         return self.budget.try_spend(call.service, now)
+
+    def give_back(self, call: GatewayCall) -> None:
+        """Give back the last retry, as there is no upstream for it."""
+        self.budget.give_back(call.service)
