Keep the first attempt if the deadline passes while a hedge connects

A hedge whose connect ended behind the deadline ended the request with a 504, although the first upstream had 60 ms more, the grace in which its answer may still arrive.

Change: such a hedge has failed as expired, and ends nothing else.

--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from ..gateway import Failure, FailureKind
 from ._attempt import AttemptError, release_frames
 from ._sending import Sending
 
@@ -86,6 +87,11 @@
             release_frames(error)
             _end(sending)
             raise
+        except TimeoutError as error:
+            # The deadline passed in the connect; the first attempt has its grace left.
+            _end(sending)
+            detail = "the deadline has passed"
+            raise AttemptError(Failure(FailureKind.EXPIRED, detail)) from error
         except BaseException:
             _end(sending)
             raise
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -11,6 +11,7 @@
     answer,
     chunk,
     make_world,
+    ms,
     reply,
     reset,
     reset_connection,
@@ -162,3 +163,13 @@
     async with make_world(*upstreams, **{"max_attempts": 3} | limit) as world:
         await call_first(world)
     assert len(placed) == sum(len(upstream.requests) for upstream in upstreams)
+
+
+async def test_hedge_that_connects_too_late_does_not_end_the_first_attempt():
+    # Guards against a 504 for an answer that comes within the grace of the deadline.
+    upstreams = Upstream(late(0.73, reply(b"first"))), Upstream(silence)
+    async with make_world(*upstreams, timeout=ms(700)) as world:
+        connect_late(world, 0.405)
+        _, body = await call_first(world)
+        assert body == b"first"
+        assert held(world) == (0, {})
