--- a/shallotpath/gateway/_retries.py
+++ b/shallotpath/gateway/_retries.py
@@ -21,16 +21,6 @@
     def __init__(self, budget: RetryBudget) -> None:
         self.budget = budget
 
-    def is_allowed(
-        self, call: GatewayCall, failure: Failure, attempts: int, now: datetime
-    ) -> bool:
-        """Check whether a request may be sent once more, apart from the budget."""
-        if failure.run is not RunState.NO and not call.route.repeatable:
-            return False
-        if attempts >= max(1, call.route.max_attempts):
-            return False
-        return call.time_left(now) >= MIN_TIME_LEFT
-
     def try_acquire(
         self,
         call: GatewayCall,
@@ -39,6 +29,14 @@
         now: datetime,
     ) -> bool:
         """Return whether to retry; if so, spend a retry of the budget."""
-        if not self.is_allowed(call, failure, attempts, now):
+        if failure.run is not RunState.NO and not call.route.repeatable:
+            return False
+        if attempts >= max(1, call.route.max_attempts):
+            return False
+        if call.time_left(now) < MIN_TIME_LEFT:
             return False
         return self.budget.try_spend(call.service, now)
+
+    def give_back(self, call: GatewayCall) -> None:
+        """Give back the last retry, as there is no upstream for it."""
+        self.budget.give_back(call.service)
