Fail attempts whose answer has no final status or another protocol

An upstream in trouble can answer with a status such as 000 or 600, or with another protocol version. 600 to 999 and the versions 0.9 and 2.0 were relayed to the caller, as were RTSP heads; 000 to 099 and 104 to 199 were taken for interim responses and waited for until the time-out (504). The parser accepts all of them, and only statuses below 200 were looked at.

httpheads says which heads are answers: HTTP/1.0 and 1.1, final statuses 200 to 599, interim ones 100 to 199 without a body and without 101. BoundedConnection closes the connection at any other head, so the attempt fails as garbled at once; clients of the store, engines and peers use the same connection.

--- a/shallotpath/forwarding/_attempt.py
+++ b/shallotpath/forwarding/_attempt.py
@@ -17,6 +17,7 @@
     Placement,
     UpstreamNotices,
 )
+from ..httpheads import is_interim
 from ._bounded import EndlessAnswerError, MalformedAnswerError
 from ._connection import ConnectionPool, UnreachableError, UpstreamConnection
 from ._events import count_events
@@ -37,8 +38,6 @@
 # Largest response body that is relayed: 16 times the default limit for request bodies.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MIN_EVENTS_OF_ANSWER = 2
-_MIN_FINAL_STATUS = 200
-_SWITCHING_PROTOCOLS = 101
 # Statuses that tell a caller that its request did not run. Unless the upstream marks
 # the request as not executed, that is unproven and they are not relayed.
 _NOT_EXECUTED_STATUSES = frozenset({408, 429, 503})
@@ -239,10 +238,7 @@
         while mismatched_count <= MAX_MISMATCHED_RESPONSES:
             message, payload = await self.connection_.next_response()
             # The connection limits the number of interim (1xx) responses.
-            if (
-                message.code < _MIN_FINAL_STATUS
-                and message.code != _SWITCHING_PROTOCOLS
-            ):
+            if is_interim(message.code):
                 continue
             fields = self.header_codec.read_response(message.headers)
             # Without an id, only the first response on a connection is certain to
@@ -293,8 +289,6 @@
 
     def _check_status(self) -> None:
         status, fields = self.status, self.fields_
-        if status < _MIN_FINAL_STATUS:
-            raise AttemptError(Failure(FailureKind.GARBLED, f"status {status}"))
         if status == _MISDIRECTED_REQUEST:
             raise AttemptError(self._misdirected_failure(fields))
         if fields.not_executed and status in _REFUSAL_STATUSES:
--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -9,6 +9,7 @@
 from aiohttp.http import RawResponseMessage
 
 from ..connections import SmallReads
+from ..httpheads import describe_fault, is_other_protocol
 
 # Longest status line or header field that an upstream may send.
 MAX_HEADER_BYTES = 32768
@@ -22,6 +23,8 @@
 # takes long.
 MAX_PARSE_BYTES = 16 * 1024
 _HEAD_END = b"\r\n\r\n"
+# First bytes of a head that are kept; they hold the name of its protocol.
+_HEAD_START_BYTES = 8
 MAX_CONTENT_LENGTH_DIGITS = 19
 
 
@@ -45,6 +48,8 @@
         self.received_bytes_ = 0
         self.bodies_: list[StreamReader] = []
         self.status_ = 0
+        # The first bytes of the head that is being received.
+        self.head_start_ = b""
         # Bytes received after the last response that began no other one yet.
         self.trailing_bytes_ = 0
         self.chunked_ = False
@@ -54,6 +59,7 @@
     def restart(self) -> None:
         """Reset the counters for a new request."""
         self.received_bytes_ = self.trailing_bytes_ = 0
+        self.head_start_ = b""
         self.bodies_.clear()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -79,6 +85,9 @@
             self.received_bytes_ += end - start
             if self.ended:
                 self.trailing_bytes_ += end - start
+            if self.in_head and len(self.head_start_) < _HEAD_START_BYTES:
+                head_start = (self.head_start_ + data[start:end]).lstrip(_HEAD_END)
+                self.head_start_ = head_start[:_HEAD_START_BYTES]
             self.parse(data[start:end])
             start = end
             self._close_if_oversized()
@@ -90,8 +99,15 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], *sizes: int
     ) -> None:
-        """Record a parsed response head and its body."""
+        """Record a parsed response head and its body; fail if it is no answer."""
         message, body = data
+        fault = describe_fault(message.version, message.code, message.headers)
+        if is_other_protocol(self.head_start_):
+            fault = f"a head that begins with {self.head_start_!r}"
+        self.head_start_ = b""
+        if fault:
+            self.fail_and_close(MalformedAnswerError(fault))
+            return
         self.bodies_.append(body)
         self.trailing_bytes_ = 0
         self.status_ = message.code
--- /dev/null
+++ b/shallotpath/httpheads.py
@@ -0,0 +1,40 @@
+"""Decide which heads of HTTP responses are answers in the protocol."""
+
+from __future__ import annotations
+
+from aiohttp import HttpVersion, HttpVersion10, HttpVersion11
+from multidict import CIMultiDictProxy
+
+# Statuses that end a request; each lower one from 100 on announces a later response.
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = range(100, 200)
+# Accepts an upgrade of the connection, which no client here asks for.
+_SWITCHING_PROTOCOLS = 101
+_VERSIONS = frozenset({HttpVersion10, HttpVersion11})
+# The parser also takes names of other protocols.
+_PROTOCOL = b"HTTP/"
+
+
+def is_interim(status: int) -> bool:
+    """Check whether another response follows one with this status."""
+    return status in INTERIM_STATUSES
+
+
+def describe_fault(
+    version: HttpVersion, status: int, headers: CIMultiDictProxy[str]
+) -> str:
+    """Describe why a head is no answer; return an empty string if it is one."""
+    if version not in _VERSIONS:
+        return f"HTTP version {version.major}.{version.minor}"
+    if status in FINAL_STATUSES:
+        return ""
+    if not is_interim(status) or status == _SWITCHING_PROTOCOLS:
+        return f"status {status:03}"
+    if "Transfer-Encoding" in headers or headers.get("Content-Length", "0") != "0":
+        return f"interim status {status} with a body"
+    return ""
+
+
+def is_other_protocol(start: bytes) -> bool:
+    """Check whether the first bytes of a head name another protocol than HTTP."""
+    return not _PROTOCOL.startswith(start[: len(_PROTOCOL)])
--- a/shallotpath/platform/_session.py
+++ b/shallotpath/platform/_session.py
@@ -13,11 +13,10 @@
 
 from ..core import PlatformError
 from ..forwarding import BoundedConnection
+from ..httpheads import is_interim
 
 # Time for which an idle connection stays open.
 KEEP_ALIVE_S = 10.0
-# Lower statuses (1xx) belong to interim responses.
-_FIRST_FINAL_STATUS = 200
 
 
 class SessionConnection(BoundedConnection):
@@ -30,7 +29,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if any follow the response."""
-        if data and self.ended and self.status_ >= _FIRST_FINAL_STATUS:
+        if data and self.ended and not is_interim(self.status_):
             self.abort()
             return
         super().data_received(data)
