Fail calls of agents and tools whose answer has no final status

An agent's client took the statuses 000, 600 and 999 for the answer to a run, which is relayed to the caller for plain services (read in the code, not run from end to end). An order that an engine answered so counted as rejected, though it may have run, and after an interim response with a body a run waited without a limit: aiohttp's client accepts all of them.

The connections of webclient.open_session close at a head that httpheads does not take for an answer, so the call fails like one without an answer.

--- a/shallotpath/webclient.py
+++ b/shallotpath/webclient.py
@@ -2,26 +2,57 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
 from typing import Any
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
 from .core import DECODING_ERRORS
+from .httpheads import describe_fault
 
 
 class TooLongError(aiohttp.ClientError):
     """Report a body that is longer than its limit."""
 
 
+class MalformedHeadError(aiohttp.ClientError):
+    """Report a response whose head is no answer in the protocol."""
+
+
+class _CheckedConnection(ResponseHandler):
+    """Close the connection at a head that is no answer in the protocol."""
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], *sizes: int
+    ) -> None:
+        """Pass on a parsed head and its body; fail if the head is no answer."""
+        message, _ = data
+        fault = describe_fault(message.version, message.code, message.headers)
+        if not fault:
+            super().feed_data(data, *sizes)
+            return
+        self.abort()
+        # abort() clears an exception that was set before it.
+        self.set_exception(MalformedHeadError(fault))
+
+
+class _Connector(aiohttp.TCPConnector):
+    def __init__(self) -> None:
+        super().__init__(limit=0, force_close=True)
+        self._factory = partial(_CheckedConnection, asyncio.get_running_loop())
+
+
 def open_session(**options: Any) -> aiohttp.ClientSession:
     """Return a session that opens a connection for each call.
 
     Responses do not name the call that they answer, so a late second copy of one would
     be taken for the response to the next call on its connection.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    return aiohttp.ClientSession(connector=connector, **options)
+    return aiohttp.ClientSession(connector=_Connector(), **options)
 
 
 async def read_body(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
