Fail attempts whose answer has control characters in its head

The parser accepts control characters in a reason and in field values; the server that writes the head to the caller raises at them. The caller got a 500 of the entry with a traceback in the log, no other upstream was tried, and on streams the body of this 500 came in chunks behind a Content-Length.

--- a/shallotpath/forwarding/_bounded.py
+++ b/shallotpath/forwarding/_bounded.py
@@ -101,7 +101,7 @@
     ) -> None:
         """Record a parsed response head and its body; fail if it is no answer."""
         message, body = data
-        fault = describe_fault(message.version, message.code, message.headers)
+        fault = describe_fault(message)
         if is_other_protocol(self.head_start_):
             fault = f"a head that begins with {self.head_start_!r}"
         self.head_start_ = b""
--- a/shallotpath/forwarding/tests/test_malformed_heads.py
+++ b/shallotpath/forwarding/tests/test_malformed_heads.py
@@ -61,6 +61,27 @@
         await asyncio.gather(*(u.lost.wait() for u in upstreams if u.requests))
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("HTTP/1.1 200 O\x01K", "X-A: a"),
+        ("HTTP/1.1 500 \x00", "X-A: a"),
+        ("HTTP/1.1 200 OK", "X-A: a\x02b"),
+        ("HTTP/1.1 200 OK", "Content-Type: text/event-stream\x7f"),
+    ],
+)
+async def test_control_character_fails_its_attempt(line, field, kind, caplog):
+    # Guards against an error of the entry in place of another upstream's answer, and
+    # against one whose body has other framing than its head announces.
+    upstreams = [Upstream(begin(line, "length", extra=[field])) for _ in range(2)]
+    status, _, garbled = await call(*upstreams, **KINDS[kind])
+    sent = sum(len(upstream.requests) for upstream in upstreams)
+    assert (status, sent) == ("502", 2 if kind in ("repeatable", "resumable") else 1)
+    assert garbled
+    assert not caplog.records
+
+
 @pytest.mark.parametrize("line", LINES)
 async def test_stream_is_resumed_behind_a_malformed_head(line):
     # Guards against a stream that ends with its first malformed answer.
--- a/shallotpath/httpheads.py
+++ b/shallotpath/httpheads.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from aiohttp import HttpVersion, HttpVersion10, HttpVersion11
-from multidict import CIMultiDictProxy
+import re
+
+from aiohttp import HttpVersion10, HttpVersion11
+from aiohttp.http import RawResponseMessage
 
 # Statuses that end a request; each lower one from 100 on announces a later response.
 FINAL_STATUSES = range(200, 600)
@@ -13,6 +15,9 @@
 _VERSIONS = frozenset({HttpVersion10, HttpVersion11})
 # The parser also takes names of other protocols.
 _PROTOCOL = b"HTTP/"
+# Not allowed in a reason or field value (RFC 9110, section 5.5), and aiohttp's server
+# fails when it writes them, but the parser accepts them.
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def is_interim(status: int) -> bool:
@@ -20,12 +25,13 @@
     return status in INTERIM_STATUSES
 
 
-def describe_fault(
-    version: HttpVersion, status: int, headers: CIMultiDictProxy[str]
-) -> str:
+def describe_fault(message: RawResponseMessage) -> str:
     """Describe why a head is no answer; return an empty string if it is one."""
+    version, status, headers = message.version, message.code, message.headers
     if version not in _VERSIONS:
         return f"HTTP version {version.major}.{version.minor}"
+    if any(map(_CONTROL_CHARACTER.search, (message.reason, *headers.values()))):
+        return "control character in a head"
     if status in FINAL_STATUSES:
         return ""
     if not is_interim(status) or status == _SWITCHING_PROTOCOLS:
--- a/shallotpath/webclient.py
+++ b/shallotpath/webclient.py
@@ -31,7 +31,7 @@
     ) -> None:
         """Pass on a parsed head and its body; fail if the head is no answer."""
         message, _ = data
-        fault = describe_fault(message.version, message.code, message.headers)
+        fault = describe_fault(message)
         if not fault:
             super().feed_data(data, *sizes)
             return
