Fail attempts whose answer has a transfer coding other than chunked

No upstream is told that another coding is understood. The body was relayed with its coding, or with the framing of its chunks, as the whole body of a success, and without the field that names the coding.

--- a/shallotpath/forwarding/tests/test_malformed_heads.py
+++ b/shallotpath/forwarding/tests/test_malformed_heads.py
@@ -20,6 +20,7 @@
     "chunks": (b"Transfer-Encoding: chunked", chunk(event(1)) + b"0\r\n\r\n"),
     "none": (b"X-Framing: none", event(1)),
 }
+CODINGS = ["gzip, chunked", "chunked, gzip", "xchunked", "gzip", "chunked, chunked"]
 LINES = [f"HTTP/1.1 {s} X" for s in ("000", "001", "099", "101", "199", "600", "999")]
 LINES += ["HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "RTSP/1.0 200 OK"]
 
@@ -82,6 +83,22 @@
     assert not caplog.records
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("codings", CODINGS)
+async def test_unknown_transfer_coding_fails_its_attempt(codings, kind):
+    # Guards against an encoded body, or the framing of its chunks, relayed as the body
+    # of a success.
+    async def step(reader, writer, head):
+        extra = [f"Transfer-Encoding: {codings}"]
+        body = FRAMINGS["chunks"][1]
+        writer.write(answer(head, b"", extra=extra, length=False) + body)
+        await writer.drain()
+        return False
+
+    status, _, garbled = await call(Upstream(step), **KINDS[kind])
+    assert (status, garbled > 0) == ("502", True)
+
+
 @pytest.mark.parametrize("line", LINES)
 async def test_stream_is_resumed_behind_a_malformed_head(line):
     # Guards against a stream that ends with its first malformed answer.
--- a/shallotpath/httpheads.py
+++ b/shallotpath/httpheads.py
@@ -27,13 +27,20 @@
 
 def describe_fault(message: RawResponseMessage) -> str:
     """Describe why a head is no answer; return an empty string if it is one."""
-    version, status, headers = message.version, message.code, message.headers
+    version, headers = message.version, message.headers
     if version not in _VERSIONS:
         return f"HTTP version {version.major}.{version.minor}"
     if any(map(_CONTROL_CHARACTER.search, (message.reason, *headers.values()))):
         return "control character in a head"
-    if status in FINAL_STATUSES:
-        return ""
+    codings = headers.getall("Transfer-Encoding", [])
+    if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        # The body would be relayed with its coding, which the caller is not told.
+        return f"transfer codings {codings}"
+    return "" if message.code in FINAL_STATUSES else _describe_interim_fault(message)
+
+
+def _describe_interim_fault(message: RawResponseMessage) -> str:
+    status, headers = message.code, message.headers
     if not is_interim(status) or status == _SWITCHING_PROTOCOLS:
         return f"status {status:03}"
     if "Transfer-Encoding" in headers or headers.get("Content-Length", "0") != "0":
