Follow no redirects in calls to engines, stores, origins and peers

aiohttp's client follows them by default. An order or a record was sent again to the address in the redirect, and the answer from there counted as that of the engine or store.

--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -94,7 +94,12 @@
         limit = aiohttp.ClientTimeout(total=timeout.total_seconds())
         try:
             async with self.session.request(
-                method, url, data=body, headers=headers, timeout=limit
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=limit,
+                allow_redirects=False,
             ) as response:
                 payload = await read_body(response, max_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -136,6 +136,7 @@
                 params=query,
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
+                allow_redirects=False,
             ) as response:
                 payload = await read_body(response, MAX_PAGE_BYTES)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
