Count an answer as pending until the kernel has taken it

Cause: Listener._serve counted a request as answered when its last write had returned, with up to 64 KiB in the transport. A planned stop saw no open request, went on, and ended the event loop with these bytes.

Change: a request is in progress until the transport is empty, and a closing connection with unsent bytes counts as active. What is unsent at the end of a stop is reported as cut.

--- a/shallotpath/connections/_limits.py
+++ b/shallotpath/connections/_limits.py
@@ -27,8 +27,9 @@
 DEFAULT_HEADER_BYTES = 64 * 1024
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=75)
-# Time in which a client takes 48 KiB of its answer, the distance between the marks at
-# which asyncio pauses and resumes writing. Only checked if there is no room.
+# Time in which a client takes up to 64 KiB of its answer: the distance between the
+# marks at which asyncio pauses and resumes writing, or the rest once all is written.
+# Only checked if there is no room.
 READ_TIMEOUT = timedelta(seconds=60)
 # Least average rate of a body, beyond the idle timeout. A line of 2400 bit/s is faster.
 MIN_BODY_BYTES_PER_S = 256
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -36,7 +36,13 @@
 class _CallerConnection(GuardedConnection):
     """Track whether a request has arrived that is not answered yet."""
 
-    __slots__ = ("caller_ended_", "cut_reason_", "on_cut", "request_pending_")
+    __slots__ = (
+        "caller_ended_",
+        "cut_reason_",
+        "on_cut",
+        "request_pending_",
+        "written_",
+    )
 
     def __init__(
         self, *args: object, on_cut: CutReport | None = None, **options: object
@@ -44,6 +50,8 @@
         super().__init__(*args, **options)
         self.on_cut = on_cut
         self.request_pending_ = False
+        # Whether the whole answer has been written; a part of it may be unsent.
+        self.written_ = False
         # Whether the caller closed its side first, and why this process closed its own.
         self.caller_ended_ = False
         self.cut_reason_ = ""
@@ -61,6 +69,17 @@
             return request.content.is_eof()
         return bool(self._messages)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that the kernel has not taken yet."""
+        transport = self.tcp_transport_
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    @property
+    def is_pending(self) -> bool:
+        """Check whether a request is in progress or a part of its answer is unsent."""
+        return self.request_pending_ or self.unsent_bytes > 0
+
     def eof_received(self) -> None:
         """Record that the caller ends the connection."""
         self.caller_ended_ = True
@@ -68,7 +87,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report an answer that the connection still owes."""
-        if self.owes_answer and not self.cut_reason_:
+        # A transport that closes by itself has sent everything.
+        sent = self.written_ and exc is None
+        if self.owes_answer and not sent and not self.cut_reason_:
             by_caller = self.caller_ended_ or exc is not None
             self._report_cut("caller" if by_caller else "entry", "closed")
         super().connection_lost(exc)
@@ -82,6 +103,13 @@
         self._report_cut("entry", reason)
         transport.abort()
 
+    def cut_unsent(self, reason: str) -> None:
+        """Abort the connection if it closes with an answer that is not sent."""
+        if self.unsent_bytes:
+            self.cut_reason_ = reason
+            self._report_cut("entry", reason)
+            self.tcp_transport_.abort()
+
     def _report_cut(self, by: str, reason: str) -> None:
         if self.on_cut is not None:
             self.on_cut(by, reason)
@@ -94,11 +122,28 @@
     def mark_begun(self) -> None:
         """Record that a request is in progress; it may have come before an answer."""
         self.request_pending_ = True
+        self.written_ = False
 
     def mark_answered(self) -> None:
-        """Record that the whole answer has been written."""
+        """Record that no request is in progress any more."""
         self.request_pending_ = False
 
+    async def wait_sent(self) -> None:
+        """Wait until the kernel has taken the whole answer, which has been written.
+
+        The kernel delivers what it holds even if the process ends.
+        """
+        self.written_ = True
+        transport = self.transport
+        if transport is None or not self.unsent_bytes:
+            return
+        # Writing resumes only once nothing is left.
+        transport.set_write_buffer_limits(high=0)
+        try:
+            await self._drain_helper()
+        finally:
+            transport.set_write_buffer_limits()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request may be in progress."""
         if not self.request_pending_ and self.transport is not None:
@@ -131,16 +176,14 @@
 
     @property
     def active(self) -> int:
-        """Return the number of requests whose answer is not written yet.
+        """Return the number of requests whose answer is not sent yet.
 
         A request counts from its arrival, as its handler starts one iteration of the
-        event loop later.
+        event loop later, until the kernel has taken its answer.
         """
         if self.server_ is None:
             return self.active_
-        arrived = sum(
-            connection.request_pending_ for connection in self.server_.connections
-        )
+        arrived = sum(connection.is_pending for connection in self.server_.connections)
         return max(self.active_, arrived)
 
     async def start(self, host: str, port: int) -> int:
@@ -185,11 +228,15 @@
     async def stop(self) -> None:
         """Close all connections."""
         self.close()
-        if self.server_ is not None:
-            await self.server_.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
+        if self.server_ is None:
+            return
+        connections = list(self.server_.connections)
+        await self.server_.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
+        for connection in connections:
+            connection.cut_unsent("stopped")
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle a request; it counts as answered once its response is written."""
+        """Handle a request; it counts as answered once its response is sent."""
         self.active_ += 1
         request.protocol.mark_begun()
         request[LEASE] = lease = self.memory.open()
@@ -199,6 +246,7 @@
             if transport is not None and not transport.is_closing():
                 await response.prepare(request)
                 await response.write_eof()
+                await request.protocol.wait_sent()
             return response
         except Exception:
             # aiohttp closes the connection without a word if the answer has begun.
