Let go of the body of an answer once it is written

Cause: aiohttp's handler keeps the response of an idle connection until its next request, with a body of up to 256 KiB. The lease of the request was closed before, so neither these bytes nor up to 64 KiB in the transport were counted.

Change: the listener clears the body after the last write, and the lease counts the transport's bytes until the kernel has taken them. While memory is short such a connection is cut, also if its caller has closed its side.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 from aiohttp import web
 
@@ -15,6 +16,7 @@
     limit_kernel_buffer,
 )
 from ._memory import Lease, MemoryBudget
+from ._responses import release_body
 
 # The lease of a request among its values.
 LEASE = web.RequestKey("lease", Lease)
@@ -97,7 +99,7 @@
     def cut(self, reason: str) -> None:
         """Abort the connection, so that its answer is seen as truncated."""
         transport = self.tcp_transport_
-        if transport is None or transport.is_closing():
+        if transport is None or (transport.is_closing() and not self.unsent_bytes):
             return
         self.cut_reason_ = reason
         self._report_cut("entry", reason)
@@ -106,9 +108,7 @@
     def cut_unsent(self, reason: str) -> None:
         """Abort the connection if it closes with an answer that is not sent."""
         if self.unsent_bytes:
-            self.cut_reason_ = reason
-            self._report_cut("entry", reason)
-            self.tcp_transport_.abort()
+            self.cut(reason)
 
     def _report_cut(self, by: str, reason: str) -> None:
         if self.on_cut is not None:
@@ -246,6 +246,12 @@
             if transport is not None and not transport.is_closing():
                 await response.prepare(request)
                 await response.write_eof()
+                release_body(response)
+                # The caller may take the rest slowly.
+                lease.keep_unsent(
+                    request.protocol.unsent_bytes,
+                    on_shed=partial(request.protocol.cut, "memory"),
+                )
                 await request.protocol.wait_sent()
             return response
         except Exception:
--- a/shallotpath/forwarding/_memory.py
+++ b/shallotpath/forwarding/_memory.py
@@ -97,6 +97,12 @@
             if self.bytes_by_kind_.get(kind):
                 self.hold(kind, 0)
 
+    def keep_unsent(self, size: int, on_shed: Callable[[], None]) -> None:
+        """Count only the rest of an answer that has been written."""
+        self.on_shed = on_shed
+        self.drop(*self.bytes_by_kind_.keys() - {HeldKind.UNSENT})
+        self.hold(HeldKind.UNSENT, size)
+
     def close(self) -> None:
         """Give back everything."""
         self.drop(*self.bytes_by_kind_)
--- a/shallotpath/forwarding/tests/test_unsent_answers.py
+++ b/shallotpath/forwarding/tests/test_unsent_answers.py
@@ -1,12 +1,14 @@
 """Test answers that their callers take more slowly than they are written."""
 
 import asyncio
+import gc
 import socket
+import weakref
 
 import pytest
 from aiohttp import web
 
-from shallotpath.forwarding import Listener
+from shallotpath.forwarding import Listener, MemoryBudget
 
 from .helpers import HOST, make_request
 
@@ -98,3 +100,72 @@
     await listener.stop()
     assert received.endswith(b"\r\n0\r\n\r\n")
     assert cuts == []
+
+
+class Token:
+    """Tell whether the body that it belongs to still exists."""
+
+
+class TrackedBody(bytes):
+    """A body that can be followed; objects of bytes take no weak references."""
+
+
+async def test_idle_connection_does_not_hold_the_body_of_its_last_answer():
+    # Guards against kept connections that fill the memory of an entry.
+    tokens = []
+
+    async def answer(request):
+        body = TrackedBody(1000)
+        body.token = Token()
+        tokens.append(weakref.ref(body.token))
+        return web.Response(body=body)
+
+    listener = Listener(answer)
+    port = await listener.start(HOST, 0)
+    connection = await ask(port)
+    async with asyncio.timeout(5):
+        await read(connection, until=lambda: tokens and listener.active == 0)
+    gc.collect()
+    assert [token() for token in tokens] == [None]
+    assert len(listener.server_.connections) == 1
+    connection.close()
+    await listener.stop()
+
+
+async def test_unsent_bytes_of_an_answer_count_until_they_are_taken():
+    # Guards against bytes outside the memory budget after the answer is written.
+    memory = MemoryBudget()
+    listener = Listener(answer_slow_reader, memory=memory)
+    port = await listener.start(HOST, 0)
+    connection = await ask(port)
+    await asyncio.sleep(0.2)
+    held_bytes = memory.held_bytes
+    async with asyncio.timeout(5):
+        await read(connection, until=lambda: listener.active == 0)
+    connection.close()
+    await listener.stop()
+    assert held_bytes >= UNSENT_BYTES
+    assert memory.held_bytes == 0
+
+
+@pytest.mark.parametrize("half_closed", [False, True])
+async def test_unsent_answers_are_cut_while_memory_is_short(half_closed):
+    # Guards against callers that read nothing and use up the budget together.
+    cuts = []
+    memory = MemoryBudget(3 * UNSENT_BYTES)
+    listener = Listener(
+        answer_slow_reader, memory=memory, on_cut=lambda *cut: cuts.append(cut)
+    )
+    port = await listener.start(HOST, 0)
+    connections = []
+    for _ in range(4):
+        connections.append(await ask(port))
+        await asyncio.sleep(0.05)
+        if half_closed:
+            connections[-1].shutdown(socket.SHUT_WR)
+    await asyncio.sleep(0.3)
+    assert memory.held_bytes <= memory.limit_bytes
+    assert cuts == [("entry", "memory")] * 2
+    for connection in connections:
+        connection.close()
+    await listener.stop()
