Answer a failed request while connections close

Cause: Listener._serve closed the connection of a request whose handler had failed before aiohttp could write its 500.

Change: in a stop a connection closes after an answer; a failed request is left to aiohttp, which answers and closes.

Result: test_failed_request_is_answered_while_connections_close in pytest shallotpath/forwarding/tests/test_answer_cuts.py fails on the code before and passes after.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -260,6 +260,7 @@
         request.protocol.mark_begun()
         request[LEASE] = lease = self.memory.open()
         lease.hold(HeldKind.HEAD, head_bytes(request.raw_headers, request.raw_path))
+        answered = False
         try:
             response = await self.handler(request)
             transport = request.transport
@@ -273,6 +274,7 @@
                     on_shed=partial(request.protocol.cut, "memory"),
                 )
                 await request.protocol.wait_sent()
+            answered = True
             return response
         except Exception:
             # aiohttp closes the connection without a word if the answer has begun.
@@ -282,9 +284,13 @@
         finally:
             self.active_ -= 1
             request.protocol.mark_answered()
-            request.protocol.keep(lease)
-            if self.closing_:
-                request.protocol.close_if_idle()
+            if not answered:
+                # aiohttp closes the connection, after a 500 if there is no answer yet.
+                lease.close()
+            else:
+                request.protocol.keep(lease)
+                if self.closing_:
+                    request.protocol.close_if_idle()
 
     def _build_connection(self) -> _CallerConnection:
         return _CallerConnection(
--- a/shallotpath/forwarding/tests/test_answer_cuts.py
+++ b/shallotpath/forwarding/tests/test_answer_cuts.py
@@ -78,3 +78,19 @@
     await asyncio.sleep(0.1)
     await listener.stop()
     assert cuts == []
+
+
+async def test_failed_request_is_answered_while_connections_close():
+    # Guards against a connection that closes without a word because its handler failed.
+    async def fail(request):
+        listener.close_idle()
+        raise ValueError
+
+    listener = Listener(fail)
+    port = await listener.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(make_request())
+    received = await reader.read()
+    writer.close()
+    await listener.stop()
+    assert received.startswith(b"HTTP/1.1 500")
