Answer requests that have arrived behind another before a stop closes

Cause: the end of a request marked its connection as idle although another request had been read behind it, and answers in a stop said Connection: close with requests queued behind them, which aiohttp then drops.

Change: a connection with a queued request, or a head that has arrived in part, is not idle, and an answer closes its connection only if nothing is queued.

Result: test_request_behind_another_is_answered_while_connections_close (2 cases, pytest shallotpath/forwarding/tests/test_answer_cuts.py) and test_stop_answers_a_request_that_has_arrived_behind_another (test_forwarder.py) fail on the code before and pass after.

--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -114,6 +114,11 @@
         since = self.unread_since_
         return since is not None and self.table.clock.now() - since > READ_TIMEOUT
 
+    @property
+    def is_in_head(self) -> bool:
+        """Check whether the head of a request has arrived in part."""
+        return self.incomplete_since_ is not None and not self._is_body_incomplete()
+
     @property
     def held_since(self) -> datetime:
         """Return when the phase began."""
--- a/shallotpath/forwarding/_caller.py
+++ b/shallotpath/forwarding/_caller.py
@@ -35,10 +35,13 @@
     async def start(
         self, status: int, reason: str, headers: CIMultiDict, *, close: bool
     ) -> None:
-        """Write the head, and close the connection after the response if asked to."""
+        """Write the head, and close the connection after the response if asked to.
+
+        It stays open for a request that has arrived already.
+        """
         response = web.StreamResponse(status=status, reason=reason, headers=headers)
         response.enable_chunked_encoding()
-        if close:
+        if close and not self.request.protocol.has_next:
             response.force_close()
         self.response_ = response
         try:
--- a/shallotpath/forwarding/_forwarder.py
+++ b/shallotpath/forwarding/_forwarder.py
@@ -88,7 +88,8 @@
                     response = await exchange.run()
                     outcome = exchange.outcome
             status = response.status
-            if self.parts.stopping and not response.prepared:
+            stays_open = response.prepared or request.protocol.has_next
+            if self.parts.stopping and not stays_open:
                 response.force_close()
             return response
         except MemoryFullError:
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -72,6 +72,11 @@
         request = self._current_request
         if request is not None:
             return request.content.is_eof()
+        return self.has_next
+
+    @property
+    def has_next(self) -> bool:
+        """Check whether another request has arrived behind the one in progress."""
         return bool(self._messages)
 
     @property
@@ -144,8 +149,8 @@
             self.kept_ = None
 
     def mark_answered(self) -> None:
-        """Record that no request is in progress any more."""
-        self.request_pending_ = False
+        """Record the end of a request; others may have arrived behind it."""
+        self.request_pending_ = self.has_next or self.is_in_head
 
     async def wait_sent(self) -> None:
         """Wait until the kernel has taken the whole answer, which has been written.
--- a/shallotpath/forwarding/tests/test_answer_cuts.py
+++ b/shallotpath/forwarding/tests/test_answer_cuts.py
@@ -94,3 +94,28 @@
     writer.close()
     await listener.stop()
     assert received.startswith(b"HTTP/1.1 500")
+
+
+@pytest.mark.parametrize("early_bytes", [len(make_request()), 10])
+async def test_request_behind_another_is_answered_while_connections_close(early_bytes):
+    # Guards against requests that were read, in whole or in part, and get no answer.
+    begun = asyncio.Event()
+
+    async def answer(request):
+        begun.set()
+        await asyncio.sleep(0.1)
+        return web.Response()
+
+    listener = Listener(answer)
+    port = await listener.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(make_request())
+    await begun.wait()
+    writer.write(make_request()[:early_bytes])
+    listener.close_idle()
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(make_request()[early_bytes:])
+    received = await reader.read()
+    writer.close()
+    await listener.stop()
+    assert received.startswith(b"HTTP/1.1 200")
--- a/shallotpath/forwarding/tests/test_forwarder.py
+++ b/shallotpath/forwarding/tests/test_forwarder.py
@@ -365,6 +365,18 @@
         assert (await read_answer(reader))[1] == b"second"
 
 
+async def test_stop_answers_a_request_that_has_arrived_behind_another():
+    # Guards against requests that were read and are dropped behind `Connection: close`.
+    async with make_world(Upstream(reply(b"first"), reply(b"second"))) as world:
+        parts = world.forwarder.parts
+        parts.stops_at = parts.clock.now() + ms(5000)
+        reader, writer = await world.connect()
+        writer.write(make_request(number=1) + make_request(number=2))
+        assert (await read_answer(reader))[1] == b"first"
+        assert (await read_answer(reader))[1] == b"second"
+        assert await asyncio.wait_for(reader.read(), 0.5) == b""
+
+
 @pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
 async def test_request_that_is_complete_only_late_before_a_stop_is_refused(kind):
     # Guards against requests that are taken and passed on late in the grace period and
