Keep a connection that waits for its turn after its answer

Cause: of too many connections with costly bytes one is refused. If it had been answered meanwhile, it was reset, although the kernel may hold its next request.

Change: such a connection is read again, as one with a request in progress.

Result: test_held_connection_that_is_kept_is_not_closed in pytest shallotpath/connections/tests/test_connections.py fails on the code before (reset by the entry) and passes after.

--- a/shallotpath/connections/_table.py
+++ b/shallotpath/connections/_table.py
@@ -177,8 +177,9 @@
 
     def refuse_costly(self, connection: GuardedConnection) -> None:
         """Refuse a connection that waits for its turn."""
-        if connection.phase in (Phase.UNREAD, Phase.BUSY):
-            # What it waited with was parsed meanwhile, when aiohttp resumed it.
+        if connection.phase in (Phase.KEPT, Phase.UNREAD, Phase.BUSY):
+            # What it waited with was parsed meanwhile, when aiohttp resumed it. A kept
+            # connection may have its next request in the kernel.
             connection.release()
         else:
             self.end(connection, "costly_parsing")
--- a/shallotpath/connections/tests/test_connections.py
+++ b/shallotpath/connections/tests/test_connections.py
@@ -169,6 +169,22 @@
             writer.write(request)
 
 
+async def test_held_connection_that_is_kept_is_not_closed():
+    # Guards against a request in the kernel whose connection ends for an earlier one.
+    async with running() as world:
+        world.released.set()
+        request = HEAD + b"Content-Length: 2\r\n\r\nab"
+        reader, writer = await world.call(request)
+        await reader.readuntil(b"ok")
+        await world.until(Phase.KEPT)
+        (connection,) = world.table.connections_
+        connection.hold()
+        writer.write(request)
+        await asyncio.sleep(0.05)
+        world.table.refuse_costly(connection)
+        assert b" 200 " in await first_line(reader)
+
+
 async def test_held_connection_reads_again_after_its_turn():
     # Guards against connections that stay paused, or are read although they are held.
     async with running() as world:
