Report an answer that is cut off for want of room

Cause: a connection whose client does not take its answer is aborted when there is no room. The report of answers that are cut off took a written answer on a connection without an error for a sent one.

Change: the connection is cut with its reason, as for want of memory.

Result: test_answer_that_gives_way_to_others_is_reported in pytest shallotpath/forwarding/tests/test_unsent_answers.py fails on the code before and passes after.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -13,6 +13,7 @@
 from ..connections import (
     ConnectionTable,
     GuardedConnection,
+    Phase,
     limit_kernel_buffer,
 )
 from ._memory import HeldKind, Lease, MemoryBudget, head_bytes
@@ -114,6 +115,13 @@
         self._report_cut("entry", reason)
         transport.abort()
 
+    def end(self, reason: str) -> None:
+        """Report an answer that is cut off because its client does not take it."""
+        if self.phase in (Phase.UNREAD, Phase.DISCARDED) and self.unsent_bytes:
+            self.cut(reason)
+        else:
+            super().end(reason)
+
     def cut_unsent(self, reason: str) -> None:
         """Abort the connection if it closes with an answer that is not sent."""
         if self.unsent_bytes:
--- a/shallotpath/forwarding/tests/test_unsent_answers.py
+++ b/shallotpath/forwarding/tests/test_unsent_answers.py
@@ -4,10 +4,13 @@
 import gc
 import socket
 import weakref
+from datetime import timedelta
 
 import pytest
 from aiohttp import web
 
+from shallotpath.connections import ConnectionLimits, ConnectionTable
+from shallotpath.connections import _protocol as protocol
 from shallotpath.forwarding import HeldKind, Listener, MemoryBudget
 
 from .helpers import HOST, make_request
@@ -86,6 +89,25 @@
     assert cuts == [("entry", "stopped")]
 
 
+async def test_answer_that_gives_way_to_others_is_reported(monkeypatch):
+    # Guards against answers that are cut off for want of room without a line.
+    monkeypatch.setattr(protocol, "READ_TIMEOUT", timedelta(milliseconds=100))
+    cuts = []
+    table = ConnectionTable(ConnectionLimits(connections=1))
+    listener = Listener(
+        answer_slow_reader, table=table, on_cut=lambda *cut: cuts.append(cut)
+    )
+    port = await listener.start(HOST, 0)
+    connections = [await ask(port)]
+    await asyncio.sleep(0.3)
+    connections.append(await ask(port))
+    await asyncio.sleep(0.1)
+    assert cuts == [("entry", "no_room")]
+    for connection in connections:
+        connection.close()
+    await listener.stop()
+
+
 async def test_answer_that_is_taken_in_full_is_not_reported():
     # Guards against lines for callers that leave once they have their slow answers.
     cuts = []
