Let go of the bodies of answers in every server

Cause: as at the listeners of the platform, idle connections of the project's own interface keep the response of their last request.

Change: the connection that all servers use releases the body after the write.

Result: test_idle_connection_lets_go_of_its_last_answer in pytest shallotpath/connections/tests/test_connections.py fails without the release and passes with it.

--- a/shallotpath/connections/__init__.py
+++ b/shallotpath/connections/__init__.py
@@ -9,7 +9,7 @@
     overdue_reason,
 )
 from ._parsing import ParsingAccount, ParsingQueue
-from ._protocol import BodyRefusedError, GuardedConnection
+from ._protocol import BodyRefusedError, GuardedConnection, release_body
 from ._reads import (
     KERNEL_BUFFER_BYTES,
     READ_BYTES,
@@ -38,4 +38,5 @@
     "choose_closed",
     "limit_kernel_buffer",
     "overdue_reason",
+    "release_body",
 ]
--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -28,6 +29,19 @@
 BODY_STATUS_BY_REASON = {"slow_body": 408}
 
 
+@singledispatch
+def release_body(response: web.StreamResponse) -> None:
+    """Let go of the body of a response that has been written.
+
+    aiohttp keeps the response until the connection brings another request.
+    """
+
+
+@release_body.register
+def _(response: web.Response) -> None:
+    response.body = None
+
+
 class BodyRefusedError(Exception):
     """Report that the rest of a body is not received; the request has not run."""
 
@@ -114,6 +128,12 @@
         since = self.unread_since_
         return since is not None and self.table.clock.now() - since > READ_TIMEOUT
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that the kernel has not taken yet."""
+        transport = self.tcp_transport_
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     @property
     def is_in_head(self) -> bool:
         """Check whether the head of a request has arrived in part."""
@@ -191,6 +211,14 @@
                 self.table.end(self, "large_head")
         self.table.parsed(self, now - begun_at)
 
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: object
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response and let go of its body."""
+        result = await super().finish_response(request, resp, start_time)
+        release_body(result[0])
+        return result
+
     def log_exception(self, *args: object, **options: object) -> None:
         """Log a failure of a handler; count requests that cannot be parsed."""
         if isinstance(options.get("exc_info"), HttpProcessingError):
--- a/shallotpath/connections/tests/test_connections.py
+++ b/shallotpath/connections/tests/test_connections.py
@@ -1,7 +1,9 @@
 """Connections of a listener on loopback addresses."""
 
 import asyncio
+import gc
 import socket
+import sys
 from contextlib import asynccontextmanager, suppress
 from datetime import timedelta
 
@@ -199,3 +201,17 @@
         assert connection.waits_for_client
         writer.write(b"1\r\na\r\n" * 20_000 + b"0\r\n\r\n")
         assert b" 200 " in await first_line(reader)
+
+
+async def test_idle_connection_lets_go_of_its_last_answer():
+    # Guards against kept connections that fill the memory of a process.
+    async with running() as world:
+        world.answer = bytearray(b"ok")
+        world.released.set()
+        before = sys.getrefcount(world.answer)
+        reader, _ = await world.call(HEAD + b"Content-Length: 0\r\n\r\n")
+        await reader.readuntil(b"ok")
+        await world.until(Phase.KEPT)
+        gc.collect()
+        after = sys.getrefcount(world.answer)
+        assert after == before
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -15,9 +15,9 @@
     GuardedConnection,
     Phase,
     limit_kernel_buffer,
+    release_body,
 )
 from ._memory import HeldKind, Lease, MemoryBudget, head_bytes
-from ._responses import release_body
 
 # The lease of a request among its values.
 LEASE = web.RequestKey("lease", Lease)
@@ -80,12 +80,6 @@
         """Check whether another request has arrived behind the one in progress."""
         return bool(self._messages)
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the bytes of answers that the kernel has not taken yet."""
-        transport = self.tcp_transport_
-        return 0 if transport is None else transport.get_write_buffer_size()
-
     @property
     def is_pending(self) -> bool:
         """Check whether a request is in progress or a part of its answer is unsent."""
--- a/shallotpath/forwarding/_responses.py
+++ b/shallotpath/forwarding/_responses.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import singledispatch
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -42,19 +41,6 @@
     return relayed
 
 
-@singledispatch
-def release_body(response: web.StreamResponse) -> None:
-    """Let go of the body of a response that has been written.
-
-    aiohttp keeps the response until the connection brings another request.
-    """
-
-
-@release_body.register
-def _(response: web.Response) -> None:
-    response.body = None
-
-
 def refusal(
     status: int, detail: str, retry_after: timedelta | None = None
 ) -> web.Response:
