Wait for unsent answers in a stop of the project's own interface

Cause: aiohttp's shutdown waits for handlers, not for what the transports still hold of their answers.

Change: the stop also waits until all answers are sent, for one more shutdown time at most.

Result: test_stop_of_an_application_waits_until_answers_are_sent in pytest shallotpath/forwarding/tests/test_unsent_answers.py fails on the code before and passes after.

--- a/shallotpath/connections/_table.py
+++ b/shallotpath/connections/_table.py
@@ -140,6 +140,11 @@
             idle_timeout=idle_timeout,
         )
 
+    @property
+    def has_unsent(self) -> bool:
+        """Check whether the kernel has not taken all answers yet."""
+        return any(connection.unsent_bytes for connection in self.connections_)
+
     def opened(self, connection: GuardedConnection) -> None:
         """Add a connection and close others, or itself, if there are too many."""
         limit = self.limits.connections
--- a/shallotpath/forwarding/tests/test_unsent_answers.py
+++ b/shallotpath/forwarding/tests/test_unsent_answers.py
@@ -12,6 +12,7 @@
 from shallotpath.connections import ConnectionLimits, ConnectionTable
 from shallotpath.connections import _protocol as protocol
 from shallotpath.forwarding import HeldKind, Listener, MemoryBudget
+from shallotpath.webserver import GuardedServer
 
 from .helpers import HOST, make_request
 
@@ -77,6 +78,27 @@
     assert len(received) > UNSENT_BYTES
 
 
+async def test_stop_of_an_application_waits_until_answers_are_sent():
+    # Guards against the same in the servers of the project's own interface.
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer_slow_reader)
+    table = ConnectionTable()
+    server = GuardedServer(app, table)
+    await server.start(HOST, 0)
+    connection = await ask(int(server.url.rpartition(":")[2]))
+    await asyncio.sleep(0.2)
+    async with asyncio.timeout(5):
+        stopping = asyncio.ensure_future(server.stop())
+        await asyncio.sleep(0.2)
+        received = await read(connection, until=stopping.done)
+        for other in list(table.connections_):
+            other.tcp_transport_.abort()
+        received += await read(connection, until=lambda: False)
+        await stopping
+    connection.close()
+    assert received.endswith(b"\r\n0\r\n\r\n")
+
+
 async def test_stop_reports_answers_that_are_not_sent():
     # Guards against answers that are cut off at the end of a stop without a line.
     cuts = []
--- a/shallotpath/webserver.py
+++ b/shallotpath/webserver.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from aiohttp import web
 
@@ -20,6 +20,7 @@
 # the listeners of the platform's processes.
 ACCEPT_BATCH = 16
 BACKLOG = 1024
+SENT_POLL_INTERVAL_S = 0.02
 
 
 class GuardedServer:
@@ -38,6 +39,7 @@
         **options,
     ) -> None:
         self.table = table
+        self.shutdown_timeout_s = shutdown_timeout_s
         self.options = {"access_log": None} | options
         self.runner = web.AppRunner(
             app,
@@ -62,10 +64,17 @@
         self.url = f"http://{bound_host}:{bound_port}"
 
     async def stop(self) -> None:
-        """Stop accepting connections and close those that exist."""
+        """Stop accepting connections, and close those that exist once they are sent.
+
+        Both the requests in progress and unsent answers get the time of a shutdown.
+        """
         if self.tcp_server_ is not None:
             self.tcp_server_.close()
         await self.runner.cleanup()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.shutdown_timeout_s):
+                while self.table.has_unsent:  # noqa: ASYNC110
+                    await asyncio.sleep(SENT_POLL_INTERVAL_S)
 
     def _build_connection(self) -> GuardedConnection:
         loop = asyncio.get_running_loop()
