Report a queued request whose connection ends after a sent answer

Cause: the report took a connection whose last written answer was sent as one that owes nothing, also with another request queued behind it.

Change: a queued request is owed an answer.

Result: test_request_behind_an_answer_that_is_sent_is_reported in pytest shallotpath/forwarding/tests/test_unsent_answers.py fails on the code before and passes after.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -93,7 +93,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report an answer that the connection still owes."""
         # A transport that closes by itself has sent everything.
-        sent = self.written_ and exc is None
+        sent = self.written_ and exc is None and not self.has_next
         if self.owes_answer and not sent and not self.cut_reason_:
             by_caller = self.caller_ended_ or exc is not None
             self._report_cut("caller" if by_caller else "entry", "closed")
--- a/shallotpath/forwarding/tests/test_unsent_answers.py
+++ b/shallotpath/forwarding/tests/test_unsent_answers.py
@@ -130,6 +130,22 @@
     await listener.stop()
 
 
+async def test_request_behind_an_answer_that_is_sent_is_reported():
+    # Guards against a queued request that gets no answer and no line.
+    cuts = []
+    listener = Listener(answer_slow_reader, on_cut=lambda *cut: cuts.append(cut))
+    port = await listener.start(HOST, 0)
+    connection = await ask(port)
+    await asyncio.get_running_loop().sock_sendall(connection, make_request())
+    await asyncio.sleep(0.2)
+    connection.shutdown(socket.SHUT_WR)
+    async with asyncio.timeout(5):
+        await read(connection, until=lambda: False)
+    connection.close()
+    await listener.stop()
+    assert cuts == [("caller", "closed")]
+
+
 async def test_answer_that_is_taken_in_full_is_not_reported():
     # Guards against lines for callers that leave once they have their slow answers.
     cuts = []
