--- a/shallotpath/connections/_table.py
+++ b/shallotpath/connections/_table.py
@@ -140,6 +140,11 @@
             idle_timeout=idle_timeout,
         )
 
+    @property
+    def has_unsent(self) -> bool:
+        """Check whether the kernel has not taken all answers yet."""
+        return any(connection.unsent_bytes for connection in self.connections_)
+
     def opened(self, connection: GuardedConnection) -> None:
         """Add a connection and close others, or itself, if there are too many."""
         limit = self.limits.connections
@@ -177,8 +182,9 @@
 
     def refuse_costly(self, connection: GuardedConnection) -> None:
         """Refuse a connection that waits for its turn."""
-        if connection.phase in (Phase.UNREAD, Phase.BUSY):
-            # What it waited with was parsed meanwhile, when aiohttp resumed it.
+        if connection.phase in (Phase.KEPT, Phase.UNREAD, Phase.BUSY):
+            # What it waited with was parsed meanwhile, when aiohttp resumed it. A kept
+            # connection may have its next request in the kernel.
             connection.release()
         else:
             self.end(connection, "costly_parsing")
--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -6,15 +6,18 @@
 import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 
 from aiohttp import web
 
 from ..connections import (
     ConnectionTable,
     GuardedConnection,
+    Phase,
     limit_kernel_buffer,
+    release_body,
 )
-from ._memory import Lease, MemoryBudget
+from ._memory import HeldKind, Lease, MemoryBudget, head_bytes
 
 # The lease of a request among its values.
 LEASE = web.RequestKey("lease", Lease)
@@ -36,7 +39,14 @@
 class _CallerConnection(GuardedConnection):
     """Track whether a request has arrived that is not answered yet."""
 
-    __slots__ = ("caller_ended_", "cut_reason_", "on_cut", "request_pending_")
+    __slots__ = (
+        "caller_ended_",
+        "cut_reason_",
+        "kept_",
+        "on_cut",
+        "request_pending_",
+        "written_",
+    )
 
     def __init__(
         self, *args: object, on_cut: CutReport | None = None, **options: object
@@ -44,6 +54,10 @@
         super().__init__(*args, **options)
         self.on_cut = on_cut
         self.request_pending_ = False
+        # Whether the whole answer has been written; a part of it may be unsent.
+        self.written_ = False
+        # Lease of the last request, whose head aiohttp keeps until the next one.
+        self.kept_: Lease | None = None
         # Whether the caller closed its side first, and why this process closed its own.
         self.caller_ended_ = False
         self.cut_reason_ = ""
@@ -59,8 +73,18 @@
         request = self._current_request
         if request is not None:
             return request.content.is_eof()
+        return self.has_next
+
+    @property
+    def has_next(self) -> bool:
+        """Check whether another request has arrived behind the one in progress."""
         return bool(self._messages)
 
+    @property
+    def is_pending(self) -> bool:
+        """Check whether a request is in progress or a part of its answer is unsent."""
+        return self.request_pending_ or self.unsent_bytes > 0
+
     def eof_received(self) -> None:
         """Record that the caller ends the connection."""
         self.caller_ended_ = True
@@ -68,20 +92,35 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report an answer that the connection still owes."""
-        if self.owes_answer and not self.cut_reason_:
+        # A transport that closes by itself has sent everything.
+        sent = self.written_ and exc is None and not self.has_next
+        if self.owes_answer and not sent and not self.cut_reason_:
             by_caller = self.caller_ended_ or exc is not None
             self._report_cut("caller" if by_caller else "entry", "closed")
+        self.release_kept()
         super().connection_lost(exc)
 
     def cut(self, reason: str) -> None:
         """Abort the connection, so that its answer is seen as truncated."""
         transport = self.tcp_transport_
-        if transport is None or transport.is_closing():
+        if transport is None or (transport.is_closing() and not self.unsent_bytes):
             return
         self.cut_reason_ = reason
         self._report_cut("entry", reason)
         transport.abort()
 
+    def end(self, reason: str) -> None:
+        """Report an answer that is cut off because its client does not take it."""
+        if self.phase in (Phase.UNREAD, Phase.DISCARDED) and self.unsent_bytes:
+            self.cut(reason)
+        else:
+            super().end(reason)
+
+    def cut_unsent(self, reason: str) -> None:
+        """Abort the connection if it closes with an answer that is not sent."""
+        if self.unsent_bytes:
+            self.cut(reason)
+
     def _report_cut(self, by: str, reason: str) -> None:
         if self.on_cut is not None:
             self.on_cut(by, reason)
@@ -94,10 +133,42 @@
     def mark_begun(self) -> None:
         """Record that a request is in progress; it may have come before an answer."""
         self.request_pending_ = True
+        self.written_ = False
+        self.release_kept()
+
+    def keep(self, lease: Lease) -> None:
+        """Count the head of a request until the next one, or until the end."""
+        if self.transport is None:
+            lease.close()
+            return
+        lease.keep_head(on_shed=self.close_if_idle)
+        self.kept_ = lease
+
+    def release_kept(self) -> None:
+        """Give back what the last request holds."""
+        if self.kept_ is not None:
+            self.kept_.close()
+            self.kept_ = None
 
     def mark_answered(self) -> None:
-        """Record that the whole answer has been written."""
-        self.request_pending_ = False
+        """Record the end of a request; others may have arrived behind it."""
+        self.request_pending_ = self.has_next or self.is_in_head
+
+    async def wait_sent(self) -> None:
+        """Wait until the kernel has taken the whole answer, which has been written.
+
+        The kernel delivers what it holds even if the process ends.
+        """
+        self.written_ = True
+        transport = self.transport
+        if transport is None or not self.unsent_bytes:
+            return
+        # Writing resumes only once nothing is left.
+        transport.set_write_buffer_limits(high=0)
+        try:
+            await self._drain_helper()
+        finally:
+            transport.set_write_buffer_limits()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request may be in progress."""
@@ -131,16 +202,14 @@
 
     @property
     def active(self) -> int:
-        """Return the number of requests whose answer is not written yet.
+        """Return the number of requests whose answer is not sent yet.
 
         A request counts from its arrival, as its handler starts one iteration of the
-        event loop later.
+        event loop later, until the kernel has taken its answer.
         """
         if self.server_ is None:
             return self.active_
-        arrived = sum(
-            connection.request_pending_ for connection in self.server_.connections
-        )
+        arrived = sum(connection.is_pending for connection in self.server_.connections)
         return max(self.active_, arrived)
 
     async def start(self, host: str, port: int) -> int:
@@ -185,20 +254,34 @@
     async def stop(self) -> None:
         """Close all connections."""
         self.close()
-        if self.server_ is not None:
-            await self.server_.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
+        if self.server_ is None:
+            return
+        connections = list(self.server_.connections)
+        await self.server_.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
+        for connection in connections:
+            connection.cut_unsent("stopped")
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle a request; it counts as answered once its response is written."""
+        """Handle a request; it counts as answered once its response is sent."""
         self.active_ += 1
         request.protocol.mark_begun()
         request[LEASE] = lease = self.memory.open()
+        lease.hold(HeldKind.HEAD, head_bytes(request.raw_headers, request.raw_path))
+        answered = False
         try:
             response = await self.handler(request)
             transport = request.transport
             if transport is not None and not transport.is_closing():
                 await response.prepare(request)
                 await response.write_eof()
+                release_body(response)
+                # The caller may take the rest slowly.
+                lease.keep_unsent(
+                    request.protocol.unsent_bytes,
+                    on_shed=partial(request.protocol.cut, "memory"),
+                )
+                await request.protocol.wait_sent()
+            answered = True
             return response
         except Exception:
             # aiohttp closes the connection without a word if the answer has begun.
@@ -206,11 +289,15 @@
                 request.protocol.cut("error")
             raise
         finally:
-            lease.close()
             self.active_ -= 1
             request.protocol.mark_answered()
-            if self.closing_:
-                request.protocol.close_if_idle()
+            if not answered:
+                # aiohttp closes the connection, after a 500 if there is no answer yet.
+                lease.close()
+            else:
+                request.protocol.keep(lease)
+                if self.closing_:
+                    request.protocol.close_if_idle()
 
     def _build_connection(self) -> _CallerConnection:
         return _CallerConnection(
