Resume a generation under the retry policy of the entries

On the project's own interface, callers saw a stream end with an error event when their agent was lost, its engine crashed or it was silent for 0.6 s behind the first token, whatever other agents there were.

Cause: an attempt whose head has come is known to have run, and the retry policy allows no second run of such a call. A resumed generation is none: it goes on behind the last token on the same weights. The tests replaced the policy by one that allows every retry.

Change: for a generation, a run that began is passed to the policy as one of unknown outcome.

--- a/shallotpath/runtime/_entry_calls.py
+++ b/shallotpath/runtime/_entry_calls.py
@@ -116,10 +116,14 @@
         if not session.call.may_retry(failure.code, failure.run):
             return None
         now = self.shell.clock.now()
+        # A resumed generation goes on behind the last token, so no run is repeated.
+        run = failure.run
+        if session.call.generation and run is RunState.YES:
+            run = RunState.UNKNOWN
         delay = self.retries.next(
             session.request.call,
             failure.code,
-            failure.run,
+            run,
             tries,
             now,
             retry_after=failure.retry_after,
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -7,8 +7,9 @@
 import pytest
 from aiohttp import ClientError, web
 
-from shallotpath.config import DomainState, Team
+from shallotpath.config import DomainState, StaticConfiguration, Team
 from shallotpath.core import Code, DrainRequested
+from shallotpath.routing import RetryPolicy
 from shallotpath.runtime import EntryLimits, EntryTimeouts
 from shallotpath.standins import serve
 from shallotpath.streams import _reader
@@ -76,6 +77,19 @@
         assert upstreams[1].engine.counters_["tokens"] < 40
 
 
+async def test_stream_of_a_crashed_engine_is_resumed_under_the_retry_policy():
+    # Guards against a stream that ends with an error though another agent could go on,
+    # as its first part counts as a run that must not be repeated.
+    upstreams = [Upstream(name, "fold-model", token_interval_s=0.02) for name in "ab"]
+    async with system(upstreams) as entry:
+        policy = RetryPolicy(StaticConfiguration(), Random(1))
+        entry.retries.started, entry.retries.next = policy.started, policy.next
+        answer = asyncio.create_task(entry.generate(max_tokens=40))
+        await until(lambda: upstreams[0].engine.counters_["tokens"] >= 10)
+        upstreams[0].engine.crash()
+        assert await answer == expected_stream("crane", 40)
+
+
 async def test_a_stream_is_not_resumed_on_other_weights():
     # Guards against a response that mixes tokens of two versions.
     configuration = make_configuration()
