Keep a silent agent if no other one can take its request

On the project's own interface a repeatable request left its agent after 0.6 s of silence, also where there was no other agent. It then came back to the same silent agent until its attempts were used up, and the caller got an error although the agent went on after a second.

Change: the entry asks the router first whether another agent could take the request. The silence after which an agent is lost (5 s) holds as before.

The tests of runtime/ pass.

--- a/shallotpath/runtime/_exchanges.py
+++ b/shallotpath/runtime/_exchanges.py
@@ -60,6 +60,7 @@
             timeouts.ping_interval, timeouts.silence, timeouts.lost_after
         )
         self.exchanges_by_id_: dict[str, Exchange] = {}
+        self.calls_by_id_: dict[str, Call] = {}
         self.ids_by_peer_: dict[str, set[str]] = {}
 
     def register(self) -> None:
@@ -72,6 +73,7 @@
         """Send an attempt and return whether the send queue accepted it."""
         request_id = exchange.submit.request_id
         self.exchanges_by_id_[request_id] = exchange
+        self.calls_by_id_[request_id] = call
         self.ids_by_peer_.setdefault(exchange.member.address, set()).add(request_id)
         self.router.started(exchange.member.id)
         address = exchange.member.address
@@ -84,6 +86,7 @@
         """Remove an attempt; cancel it at the agent unless the agent knows its end."""
         submit = exchange.submit
         del self.exchanges_by_id_[submit.request_id]
+        del self.calls_by_id_[submit.request_id]
         self._remove_from_peer(exchange.member.address, submit.request_id)
         self.budget.remove(submit.request_id)
         self.router.ended(exchange.member.id)
@@ -119,7 +122,12 @@
         return silence >= self.timeouts.fail_over_after
 
     def _fail_over(self, exchange: Exchange, now: datetime) -> None:
-        if exchange.submit.repeatable and self.is_silent(exchange.member, now):
+        """Give up a silent agent if another one can take the request."""
+        member = exchange.member
+        if not exchange.submit.repeatable or not self.is_silent(member, now):
+            return
+        call = self.calls_by_id_[exchange.submit.request_id]
+        if self.router.choose(call, {member.id}, now) is not None:
             exchange.fail(Code.UPSTREAM_LOST, exchange.run)
 
     def _on_message(self, peer: str, message: Message) -> None:
--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -415,6 +415,21 @@
                 await target.drain()
 
 
+class PausedLink(SilentLink):
+    """Forward TCP; hold back all data while `flowing` is not set."""
+
+    def __init__(self, address):
+        super().__init__(address)
+        self.flowing = asyncio.Event()
+        self.flowing.set()
+
+    async def _copy(self, source, target, generation):
+        while data := await source.read(65536):
+            await self.flowing.wait()
+            target.write(data)
+            await target.drain()
+
+
 class FaultyTransport:
     """Drop, duplicate and reorder the frames that a process sends."""
 
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -17,6 +17,7 @@
 from .parts import (
     TIMEOUT_S,
     FaultyTransport,
+    PausedLink,
     SilentLink,
     Upstream,
     expected_stream,
@@ -146,6 +147,24 @@
         assert "connection_replaced" in kinds
 
 
+async def test_a_silent_agent_is_kept_if_no_other_one_can_take_its_request():
+    # Guards against a stream that ends with an error because the only agent was silent
+    # for a second.
+    upstream = Upstream("a", "fold-model", token_interval_s=0.02)
+    async with (
+        system([upstream], timeouts=EntryTimeouts()) as entry,
+        PausedLink(upstream.shell.peer.address_) as link,
+    ):
+        entry.router.members[0] = member_at(upstream.member, link.address)
+        answer = asyncio.create_task(entry.generate(max_tokens=60))
+        await until(lambda: upstream.engine.counters_["tokens"] >= 10)
+        link.flowing.clear()
+        await asyncio.sleep(1.0)
+        link.flowing.set()
+        assert await answer == expected_stream("crane", 60)
+        assert upstream.engine.counters_["runs"] == 1
+
+
 async def test_a_frozen_agent_is_given_up_and_the_call_repeated_elsewhere():
     # Guards against a stream that hangs on an agent that no new connection reaches.
     upstreams = [Upstream(name, "fold-model", token_interval_s=0.02) for name in "ab"]
