Free an answered request without a garbage collection

Every request, with its body and its answer, stayed in memory until the next full garbage collection, and the memory budget no longer counted it.

Cause: the hedges of an exchange kept a bound method of the exchange, a cycle of references.

Change: the method is passed when a hedge is started, and only its task refers to it.

--- a/shallotpath/forwarding/_exchange.py
+++ b/shallotpath/forwarding/_exchange.py
@@ -85,7 +85,7 @@
         self.tried_ids_: set[str] = set()
         self.outgoing_ = Outgoing(parts, request, call, body, journal)
         self.sending_: Sending | None = None
-        self.hedges_ = Hedges(self._open_hedge)
+        self.hedges_ = Hedges()
         self.caller_ = CallerResponse(request, lease)
         self.events_ = EventSplitter()
         self.error_response_: BufferedResponse | None = None
@@ -275,7 +275,8 @@
         if placement is None:
             return False
         self.journal.placed(placement, self.parts.clock.now())
-        self.hedges_.start(self._make_sending(placement, self.lease.budget.open()))
+        hedge = self._make_sending(placement, self.lease.budget.open())
+        self.hedges_.start(hedge, self._open_hedge)
         return True
 
     async def _open_hedge(self, sending: Sending) -> None:
--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -26,11 +26,9 @@
     neither is given up for the other before it has answered.
     """
 
-    __slots__ = ("open_", "sendings_by_task_")
+    __slots__ = ("sendings_by_task_",)
 
-    def __init__(self, open_hedge: Callable[[Sending], Awaitable[None]]) -> None:
-        # Returns once the answer has begun; raises `AttemptError`.
-        self.open_ = open_hedge
+    def __init__(self) -> None:
         self.sendings_by_task_: dict[asyncio.Task[None], Sending] = {}
 
     @property
@@ -46,9 +44,15 @@
             for sending in self.sendings_by_task_.values()
         )
 
-    def start(self, sending: Sending) -> None:
-        """Start a hedge."""
-        task = asyncio.ensure_future(self._run(sending))
+    def start(
+        self, sending: Sending, open_hedge: Callable[[Sending], Awaitable[None]]
+    ) -> None:
+        """Start a hedge; `open_hedge` returns once the answer has begun.
+
+        It is not kept, as a reference back to the exchange would keep the request in
+        memory until a garbage collection.
+        """
+        task = asyncio.ensure_future(_run(sending, open_hedge))
         self.sendings_by_task_[task] = sending
 
     async def wait(
@@ -80,21 +84,24 @@
             _end(sending)
         self.sendings_by_task_.clear()
 
-    async def _run(self, sending: Sending) -> None:
-        try:
-            await self.open_(sending)
-        except AttemptError as error:
-            release_frames(error)
-            _end(sending)
-            raise
-        except TimeoutError as error:
-            # The deadline passed in the connect; the first attempt has its grace left.
-            _end(sending)
-            detail = "the deadline has passed"
-            raise AttemptError(Failure(FailureKind.EXPIRED, detail)) from error
-        except BaseException:
-            _end(sending)
-            raise
+
+async def _run(
+    sending: Sending, open_hedge: Callable[[Sending], Awaitable[None]]
+) -> None:
+    try:
+        await open_hedge(sending)
+    except AttemptError as error:
+        release_frames(error)
+        _end(sending)
+        raise
+    except TimeoutError as error:
+        # The deadline passed in the connect; the first attempt has its grace left.
+        _end(sending)
+        detail = "the deadline has passed"
+        raise AttemptError(Failure(FailureKind.EXPIRED, detail)) from error
+    except BaseException:
+        _end(sending)
+        raise
 
 
 def discard(task: asyncio.Task[object]) -> None:
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -1,9 +1,11 @@
 """Test a request that is sent to other upstreams while its first one is silent."""
 
 import asyncio
+import gc
 
 import pytest
 
+from shallotpath.forwarding._exchange import Exchange
 from shallotpath.gateway import Dispatcher
 
 from .helpers import (
@@ -182,3 +184,22 @@
         parts = world.forwarder.parts
         await call_first(world)
         assert parts.dispatcher.breaker.is_available("u0", parts.clock.now())
+
+
+@pytest.mark.parametrize(
+    "first", [reply(), silence, reset, late(0.5, reply()), late(0.5, reset)]
+)
+async def test_answered_request_is_freed_without_a_collection(first):
+    # Guards against bodies and answers that stay in memory, uncounted, until the next
+    # full garbage collection.
+    upstreams = Upstream(first), Upstream(late(0.3, reply()))
+    async with make_world(*upstreams) as world:
+        gc.collect()
+        gc.disable()
+        try:
+            await call_first(world)
+            await asyncio.sleep(0.05)
+            alive = [o for o in gc.get_objects() if isinstance(o, Exchange)]
+        finally:
+            gc.enable()
+        assert not alive
