Never close a connection whose request has been read for want of room

Cause: a connection counts as busy from its queue of requests or from its current request. aiohttp sets the latter when the task of the handler begins, one iteration of the event loop after the request has left the queue. In between the connection seemed kept or silent, and such connections are closed first.

Change: a connection that has had a request and does not wait for the next one is busy.

--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -104,6 +104,9 @@
             return Phase.BUSY
         if self._is_body_incomplete():
             return Phase.DISCARDED
+        if self._request_count and self._waiter is None:
+            # A request was taken from the queue and its handler has not begun.
+            return Phase.BUSY
         if self.transport.get_write_buffer_size():
             return Phase.BUSY
         if self.incomplete_since_ is not None:
--- a/shallotpath/forwarding/tests/test_answer_cuts.py
+++ b/shallotpath/forwarding/tests/test_answer_cuts.py
@@ -5,6 +5,7 @@
 import pytest
 from aiohttp import web
 
+from shallotpath.connections._limits import Phase
 from shallotpath.forwarding import Listener
 
 from .helpers import HOST, make_request
@@ -78,3 +79,26 @@
     await asyncio.sleep(0.1)
     await listener.stop()
     assert cuts == []
+
+
+async def test_connection_is_busy_from_its_request_to_its_answer():
+    # Guards against a connection that is closed for want of room although its request
+    # has been read: in the iteration before its handler runs it seemed idle.
+    begun, ended, phases = asyncio.Event(), asyncio.Event(), []
+
+    async def handle(request):
+        begun.set()
+        await ended.wait()
+        return web.Response()
+
+    listener = Listener(handle)
+    port = await listener.start(HOST, 0)
+    _, writer = await asyncio.open_connection(HOST, port)
+    writer.write(make_request())
+    while not begun.is_set():
+        phases += [connection.phase for connection in listener.table.connections_]
+        await asyncio.sleep(0)
+    ended.set()
+    writer.close()
+    await listener.stop()
+    assert set(phases[phases.index(Phase.BUSY) :]) == {Phase.BUSY}
