Follow no redirects in calls to engines, stores, origins and peers

aiohttp's client follows them by default. An order or a record was sent again to the address in the redirect, and the answer from there counted as that of the engine or store. The protocol has no redirects.

--- a/shallotpath/platform/_session.py
+++ b/shallotpath/platform/_session.py
@@ -17,6 +17,7 @@
 
 # Time for which an idle connection stays open.
 KEEP_ALIVE_S = 10.0
+_REDIRECTS = range(300, 400)
 
 
 class SessionConnection(BoundedConnection):
@@ -35,6 +36,19 @@
         super().data_received(data)
 
 
+class RedirectedError(aiohttp.ClientError):
+    """Report a redirect, which the protocol does not have."""
+
+
+class _Response(aiohttp.ClientResponse):
+    async def start(self, connection: aiohttp.connector.Connection) -> _Response:
+        """Read the head; fail at a redirect, which the session would follow."""
+        await super().start(connection)
+        if self.status in _REDIRECTS:
+            raise RedirectedError(f"status {self.status}")
+        return self
+
+
 class _Connector(aiohttp.TCPConnector):
     def __init__(self, **options) -> None:
         super().__init__(limit=0, **options)
@@ -81,7 +95,7 @@
     may_send: Callable[[], bool], send_limit: timedelta
 ) -> aiohttp.ClientSession:
     """Return a session for calls that only the holder of a lease may send."""
-    return aiohttp.ClientSession(connector=_GuardedConnector(may_send, send_limit))
+    return _open(_GuardedConnector(may_send, send_limit))
 
 
 def open_session() -> aiohttp.ClientSession:
@@ -90,7 +104,7 @@
     Responses do not name the call that they answer, so a late second copy of one would
     be taken for the response to the next call on its connection.
     """
-    return aiohttp.ClientSession(connector=_Connector(force_close=True))
+    return _open(_Connector(force_close=True))
 
 
 def open_chunk_session() -> aiohttp.ClientSession:
@@ -99,5 +113,8 @@
     The digest of a chunk tells it from all others, but not from an earlier state of the
     same chunk.
     """
-    connector = _Connector(keepalive_timeout=KEEP_ALIVE_S)
-    return aiohttp.ClientSession(connector=connector)
+    return _open(_Connector(keepalive_timeout=KEEP_ALIVE_S))
+
+
+def _open(connector: _Connector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=connector, response_class=_Response)
--- a/shallotpath/runtime/_engine_client.py
+++ b/shallotpath/runtime/_engine_client.py
@@ -101,7 +101,9 @@
         """Cancel a run; an engine that does not answer has lost it or will end it."""
         try:
             async with self.session.delete(
-                f"{self.url}/run/{run_id}", timeout=ClientTimeout(STATE_TIMEOUT_S)
+                f"{self.url}/run/{run_id}",
+                timeout=ClientTimeout(STATE_TIMEOUT_S),
+                allow_redirects=False,
             ):
                 pass
         except (ClientError, TimeoutError, OSError):
@@ -111,7 +113,9 @@
         """Return the state of the engine."""
         try:
             async with self.session.get(
-                f"{self.url}/state", timeout=ClientTimeout(STATE_TIMEOUT_S)
+                f"{self.url}/state",
+                timeout=ClientTimeout(STATE_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     raise EngineBusyError(f"/state answered {response.status}")
@@ -137,6 +141,7 @@
                 data=body,
                 headers=headers,
                 timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+                allow_redirects=False,
             )
         except ClientConnectorError as error:
             raise EngineRunError(RunState.NO, f"no connection: {error}") from error
--- a/shallotpath/runtime/_platform_client.py
+++ b/shallotpath/runtime/_platform_client.py
@@ -93,7 +93,11 @@
     ) -> dict:
         try:
             async with self.session.request(
-                method, self.url + path, timeout=ClientTimeout(timeout), **kwargs
+                method,
+                self.url + path,
+                timeout=ClientTimeout(timeout),
+                allow_redirects=False,
+                **kwargs,
             ) as response:
                 await self._check_status(response, path)
                 return await read_json(response, MAX_PAGE_BYTES)
@@ -103,7 +107,10 @@
     async def _request_bytes(self, method: str, path: str, max_bytes: int) -> bytes:
         try:
             async with self.session.request(
-                method, self.url + path, timeout=ClientTimeout(CHUNK_TIMEOUT_S)
+                method,
+                self.url + path,
+                timeout=ClientTimeout(CHUNK_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 await self._check_status(response, path)
                 return await read_body(response, max_bytes)
--- a/shallotpath/runtime/_weights_engine.py
+++ b/shallotpath/runtime/_weights_engine.py
@@ -39,7 +39,9 @@
         """Read the engine's state."""
         try:
             async with self.session.get(
-                f"{self.url}/state", timeout=ClientTimeout(STATE_TIMEOUT_S)
+                f"{self.url}/state",
+                timeout=ClientTimeout(STATE_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 if response.status != STATUS_OK:
                     return None
@@ -65,6 +67,7 @@
                 data=encode_manifest(manifest),
                 headers={"Content-Type": "application/json"},
                 timeout=ClientTimeout(CHUNK_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 if response.status != STATUS_OK:
                     return None
@@ -79,6 +82,7 @@
                 f"{self.url}/weights/{digest}/{index}",
                 data=payload,
                 timeout=ClientTimeout(CHUNK_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 return response.status == STATUS_OK
         except NETWORK_ERRORS:
@@ -90,6 +94,7 @@
             async with self.session.get(
                 f"{self.url}/weights/{digest}/{index}",
                 timeout=ClientTimeout(CHUNK_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 if response.status != STATUS_OK:
                     return None
@@ -106,7 +111,10 @@
         }
         try:
             async with self.session.post(
-                f"{self.url}/orders", json=body, timeout=ClientTimeout(ORDER_TIMEOUT_S)
+                f"{self.url}/orders",
+                json=body,
+                timeout=ClientTimeout(ORDER_TIMEOUT_S),
+                allow_redirects=False,
             ) as response:
                 if response.status == STATUS_OK:
                     answer = await read_json(response, MAX_STATE_BYTES)
