--- a/shallotpath/platform/tests/test_malformed_heads.py
+++ b/shallotpath/platform/tests/test_malformed_heads.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from shallotpath import webclient
 from shallotpath.core import PlatformError
 from shallotpath.forwarding.tests.helpers import HOST, Upstream, answer, reply
 from shallotpath.forwarding.tests.test_malformed_heads import LINES
@@ -53,11 +54,11 @@
     url = f"http://{HOST}:{await other.start()}/"
     upstream = Upstream(reply(b"", status=status, extra=[f"Location: {url}"]))
     address = Endpoint(HOST, await upstream.start())
-    async with open_session() as session:
+    async with open_session() as session, webclient.open_session() as web_session:
         for call in (
             EngineClient(address, HttpCaller(session)).load("m", 1, 0),
             StoreClient(address, session).put("keyed.t", "k", b"v"),
-            RunningEngineClient(session, f"http://{address}").order(ORDER),
+            RunningEngineClient(web_session, f"http://{address}").order(ORDER),
         ):
             with suppress(PlatformError):
                 assert await call == OrderRejected(ORDER)
