Apply a longer idle timeout to open connections too

Callers stay idle on kept connections for up to four fifths of the limit in force.

Change: the timer of an idle connection looks at the limit in force. A shorter limit leaves open connections as they are.

Measured: test_longer_idle_timeout_holds_for_open_connections fails without the change (closed after 0.2 s) and passes.

--- a/shallotpath/forwarding/_ingress.py
+++ b/shallotpath/forwarding/_ingress.py
@@ -42,6 +42,7 @@
     __slots__ = (
         "caller_ended_",
         "cut_reason_",
+        "idle_timeout",
         "kept_",
         "on_cut",
         "request_pending_",
@@ -49,10 +50,16 @@
     )
 
     def __init__(
-        self, *args: object, on_cut: CutReport | None = None, **options: object
+        self,
+        *args: object,
+        on_cut: CutReport | None = None,
+        idle_timeout: Callable[[], timedelta],
+        **options: object,
     ) -> None:
         super().__init__(*args, **options)
         self.on_cut = on_cut
+        # Returns the limit that is in force.
+        self.idle_timeout = idle_timeout
         self.request_pending_ = False
         # Whether the whole answer has been written; a part of it may be unsent.
         self.written_ = False
@@ -170,6 +177,20 @@
         finally:
             transport.set_write_buffer_limits()
 
+    def _process_keepalive(self) -> None:
+        """Close the connection if it is idle, unless a longer limit is in force by now.
+
+        aiohttp knows the limit of the time at which the connection was opened.
+        """
+        longer_s = self.idle_timeout().total_seconds() - self._keepalive_timeout
+        close_at_s = self._next_keepalive_close_time + longer_s
+        if longer_s > 0 and self._loop.time() < close_at_s:
+            self._keepalive_handle = self._loop.call_at(
+                close_at_s, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request may be in progress."""
         if not self.request_pending_ and self.transport is not None:
@@ -234,7 +255,7 @@
         max_header: int,
         header_timeout: timedelta,
     ) -> None:
-        """Set new limits; idle connections that exist are closed as before."""
+        """Set new limits; a longer idle timeout also holds for open connections."""
         self.max_body = max_body
         self.idle_timeout = idle_timeout
         self.table.set_client_limits(max_header, header_timeout, idle_timeout)
@@ -304,6 +325,7 @@
             self.server_,
             self.table,
             on_cut=self.on_cut,
+            idle_timeout=lambda: self.idle_timeout,
             loop=asyncio.get_running_loop(),
             auto_decompress=False,
             access_log=None,
--- a/shallotpath/forwarding/tests/test_answer_cuts.py
+++ b/shallotpath/forwarding/tests/test_answer_cuts.py
@@ -1,6 +1,7 @@
 """Test that a connection that ends while it owes an answer is reported."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 from aiohttp import web
@@ -143,3 +144,20 @@
     writer.close()
     await listener.stop()
     assert set(phases[phases.index(Phase.BUSY) :]) == {Phase.BUSY}
+
+
+async def test_longer_idle_timeout_holds_for_open_connections():
+    # Guards against kept connections that close under the next request of a caller who
+    # goes by the limit that a configuration has raised.
+    listener = Listener(answer_whole, idle_timeout=timedelta(seconds=0.2))
+    port = await listener.start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    for limit_s in (0.6, 0.2):
+        limit = timedelta(seconds=limit_s)
+        listener.set_limits(limit, 1024, max_header=1024, header_timeout=limit)
+        writer.write(make_request())
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.4)
+        assert reader.at_eof() is (limit_s < 0.4)
+    writer.close()
+    await listener.stop()
