Let a hedge be ended for want of memory

What a hedge held could not be freed while memory was short: its lease had nothing to call, and the lease of the request was too small to be chosen.

Change: the hedge alone is ended. It counts as an attempt that has expired.

Evidence: in the new test a hedge holds 200 kB of an incomplete event with a limit of 100 kB.

--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -54,6 +54,7 @@
         """
         task = asyncio.ensure_future(_run(sending, open_hedge))
         self.sendings_by_task_[task] = sending
+        sending.lease.on_shed = task.cancel
 
     async def wait(
         self, task: asyncio.Task[object] | None, limit_s: float | None
@@ -72,6 +73,9 @@
             return None
         ended = done.pop()
         sending = self.sendings_by_task_.pop(ended)
+        if ended.cancelled():
+            failure = Failure(FailureKind.EXPIRED, "ended for want of memory")
+            return HedgeEnd(sending, AttemptError(failure))
         error = ended.exception()
         if error is not None and not isinstance(error, AttemptError):
             raise error
--- a/shallotpath/forwarding/tests/test_hedges.py
+++ b/shallotpath/forwarding/tests/test_hedges.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from shallotpath.forwarding import MemoryBudget
 from shallotpath.forwarding._exchange import Exchange
 from shallotpath.gateway import Dispatcher
 
@@ -203,3 +204,20 @@
         finally:
             gc.enable()
         assert not alive
+
+
+async def test_hedge_is_ended_for_want_of_memory():
+    # Guards against hedges that exceed the memory of the process, as none of them can
+    # be ended alone.
+    async def fill(reader, writer, head):
+        writer.write(stream_head(head) + chunk(b"id: 1\ndata: " + 200_000 * b"x"))
+        return await silence(reader, writer, head)
+
+    memory = MemoryBudget(100_000)
+    first = Upstream(late(1.0, reply(b"id: 1\n\n")))
+    async with make_world(first, Upstream(fill), memory=memory, **STREAM) as world:
+        answer = asyncio.ensure_future(call_first(world))
+        await asyncio.sleep(0.7)
+        assert memory.held_bytes < memory.limit_bytes
+        assert (await answer)[1] == b"id: 1\n\n"
+        assert held(world) == (0, {})
