Keep a reload signal at the end of a stop from ending the program

The event loop's handler ends with the loop, and the default action holds until the interpreter has ended. No answer was lost, all sockets were closed.

Change: the signal is ignored from the end of the stop on.

--- a/shallotpath/cli/_fleet_program.py
+++ b/shallotpath/cli/_fleet_program.py
@@ -46,3 +46,6 @@
     await stopping.wait()
     await process.drain()
     await process.stop()
+    # The handler of the event loop ends with it, and the interpreter only later.
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
