Order records and ends of a topic by era and offset

Cause: a replica kept the record with the higher offset and never lowered its end, so that after the store came back from an older copy the records written again stayed unseen up to the old end. Change: Store-Era is read from all answers of the store and sent to peers in gossip and pages. A higher era makes all topics of a process fall back and be listed anew, once a region if a listing reaches the others in time; answers of a lower era are dropped. Records of earlier eras stay in use until their key is written again or a bounded time has passed. Messages of the release before count as of an unknown era, below all others.

--- a/shallotpath/fleet/_discovery.py
+++ b/shallotpath/fleet/_discovery.py
@@ -46,14 +46,20 @@
     async def find_members(self) -> None:
         """Contact the seeds, register in the store and read the other members."""
         self._contact_seeds()
+        value = msgspec.json.encode(self.address)
         registered = False
         while True:
             try:
                 if not registered:
-                    value = msgspec.json.encode(self.address)
                     await self.store.put(MEMBER_TOPIC, self.settings.node, value)
                     registered = True
                 page = await self.store.newest(MEMBER_TOPIC)
+                # The store may have lost it; the next round is soon enough, as seeds
+                # and peers know this process.
+                registered = any(
+                    record.key == self.settings.node and record.value == value
+                    for record in page.records
+                )
                 self._learn(page.records)
                 self.send_gossip(self.peers.unseen())
             except PlatformError as error:
--- a/shallotpath/fleet/_member.py
+++ b/shallotpath/fleet/_member.py
@@ -34,6 +34,7 @@
 )
 from ._announcements import AnnouncementExchange
 from ._discovery import Discovery
+from ._eras import OPERATOR_RETENTION, UPSTREAM_RETENTION, EraFollower, Retention
 from ._gossip import (
     REMOTE_REGION_INTERVAL,
     GossipSocket,
@@ -111,6 +112,7 @@
         self.gossip_ = GossipSocket(self.receive, self.reporter)
         self.operator_topic_: TopicReplica | None = None
         self.topics_by_name_: dict[str, TopicReplica] = {}
+        self.eras_ = EraFollower(self.clock, self.reporter, self.topics_by_name_.values)
         self.listeners = ListenerFactory(settings, self.clock, self.reporter)
         self.peer_listener_ = self.listeners.peers(self.answer_peer)
         self.metrics_listener_ = self.listeners.metrics(self.answer_monitoring)
@@ -125,12 +127,13 @@
         self.reporter.event("start", role="mate" if self.engine else "edge")
         self.session_ = open_session()
         self.caller_ = HttpCaller(self.session_)
-        self.store_ = StoreClient(self.settings.store, self.session_)
+        self.store_ = StoreClient(self.settings.store, self.session_, self.eras_.era)
         self.operator_topic_ = self.add_topic(
             OPERATOR_TOPIC,
             self.apply_operator,
             OPERATOR_READ_WAIT,
             OPERATOR_PULL_SPREAD,
+            OPERATOR_RETENTION,
         )
         self.operator_topic_.on_update = self.broadcast_change
         host, port = self.settings.host, self.settings.peer_port
@@ -208,6 +211,7 @@
         apply: Apply,
         wait: timedelta,
         pull_spread: timedelta = timedelta(),
+        retention: Retention = UPSTREAM_RETENTION,
     ) -> TopicReplica:
         """Add a replica of a topic, which peers may pull records from."""
         topic = TopicReplica(
@@ -220,7 +224,10 @@
             apply=apply,
             wait=wait,
             pull_spread=pull_spread,
+            retention=retention,
         )
+        topic.on_era = self.eras_.learn
+        topic.fall(self.eras_.era.era)
         self.topics_by_name_[name] = topic
         return topic
 
@@ -267,6 +274,8 @@
             if self.sequence_ % MESSAGES_PER_ADDRESS_SAMPLE == 0
             else [],
             announcements=self.announcements_.items(now),
+            era=self.eras_.era.era,
+            era_age_s=self.eras_.age_s(now),
         )
 
     def publish(self) -> None:
@@ -301,14 +310,13 @@
             # A process that has just started gets the state before the next round.
             self.gossip_.send(self.gossip_message(), [message.sender])
         self.announcements_.merge(message, now)
+        self.eras_.learn(message.era, message.era_age_s)
+        remote = not self.is_in_own_region(message.sender)
         for item in message.topics:
-            topic = self.topics_by_name_.get(item.name)
-            if topic is None:
-                continue
-            topic.confirm_from_peer(item)
-            if item.end > topic.end and self.may_pull(topic, message):
-                remote = not self.is_in_own_region(message.sender)
-                self.spawn(topic.catch_up(message.sender, item.end, remote=remote))
+            topic, end, era = self.topics_by_name_.get(item.name), item.end, message.era
+            is_behind = topic is not None and topic.receive(item, era)
+            if is_behind and self.may_pull(topic, message):
+                self.spawn(topic.catch_up(message.sender, end, remote=remote, era=era))
         self.handle_message(message)
 
     def may_pull(self, topic: TopicReplica, message: GossipMessage) -> bool:
@@ -376,6 +384,7 @@
                 for model, target in self.operator.targets_by_model_.items()
             },
             "topic_ages_s": ages,
+            "store_era": self.eras_.era.era,
             "peers": [peer.id for peer in self.peers.live(now)],
             "entries": self.peers.entries(now),
         }
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -13,21 +13,29 @@
 
 from ..core import Clock, FrameError, PlatformError
 from ..gateway import WriteTime
-from ..platform import CallError, HistoryLostError, HttpCaller, StoreClient
+from ..platform import (
+    CallError,
+    HistoryLostError,
+    HttpCaller,
+    LateAnswerError,
+    StoreClient,
+    TopicPage,
+)
 from ..replication import (
+    EraPage,
     KeyedRecord,
     KeyedReplica,
     ListingPage,
     PeerAddress,
-    RecordItem,
     RecordPage,
-    ReplicaPage,
     TopicItem,
     decode_page,
+    decode_replica_page,
     encode_message,
+    encode_replica_page,
     pack_records,
-    unpack_records,
 )
+from ._eras import UPSTREAM_RETENTION, Retention
 from ._reporter import LineReporter
 
 FIRST_RETRY = timedelta(milliseconds=100)
@@ -38,6 +46,9 @@
 # another region already has.
 REMOTE_PULL_DELAY = timedelta(milliseconds=150)
 PULL_TIMEOUT = timedelta(milliseconds=800)
+# Largest random delay of a listing after a fall of the store: a listing and a pull take
+# some tens of milliseconds, and changes have to take effect within 2 s.
+LISTING_SPREAD = timedelta(milliseconds=250)
 
 # Time from one answer of the store to the next read of a process that reads the topic
 # continuously.
@@ -56,6 +67,11 @@
 # Query field of a pull by a process that takes a listing in place of removals.
 # Releases before this field take no listings.
 LISTINGS_QUERY = "listings"
+# Query field with the era of the asking process. Releases before it have none.
+ERA_QUERY = "era"
+
+# Keys that a log line names at most.
+MAX_REPORTED_KEYS = 8
 
 # Takes new records and their write time, `None` if this process cannot tell it.
 Apply = Callable[[list[KeyedRecord], WriteTime | None], None]
@@ -76,6 +92,7 @@
         apply: Apply,
         wait: timedelta = timedelta(),
         pull_spread: timedelta = timedelta(),
+        retention: Retention = UPSTREAM_RETENTION,
     ) -> None:
         self.topic = topic
         self.store = store
@@ -88,7 +105,12 @@
         self.wait = wait
         # Maximum random delay of a pull, as a peer notifies many replicas at once.
         self.pull_spread = pull_spread
+        self.retention = retention
         self.replica_ = KeyedReplica()
+        # When a process first learned of the era of this replica.
+        self.fell_at_: datetime | None = None
+        # Last confirmation before the era rose, while records may be written again.
+        self.confirmed_before_fall_: datetime | None = None
         self.listed_ = False
         self.confirmed_at_: datetime | None = None
         self.store_lost_at_: datetime | None = None
@@ -98,10 +120,12 @@
         self.pulling_ = False
         self.waiting_ = False
         self.retry_ = FIRST_RETRY
-        # The last page sent to peers and its start: most ask for the same one.
-        self.page_cache_: tuple[int, RecordPage] | None = None
+        # The last page sent to peers, its start and its end: most ask for the same one.
+        self.page_cache_: tuple[tuple[int, int], RecordPage] | None = None
         # Called after new records came from the store or from another region.
         self.on_update: Callable[[], None] | None = None
+        # Called with the era that a page of a peer names, and its age in seconds.
+        self.on_era: Callable[[int, float | None], None] | None = None
         # Called with the time of a newer confirmation by the store, before its records
         # are applied.
         self.before_apply: Callable[[datetime], None] | None = None
@@ -111,6 +135,27 @@
         """Return the offset up to which the replica is complete."""
         return self.replica_.end
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store that the replica follows."""
+        return self.replica_.era
+
+    @property
+    def retained(self) -> int:
+        """Return the number of records in use that the era does not have."""
+        return self.replica_.retained
+
+    def fall(self, era: int) -> None:
+        """Enter a higher era; the topic has to be listed again."""
+        if era <= self.era:
+            return
+        self.replica_.fall(era)
+        self.listed_ = False
+        self.page_cache_ = None
+        self.fell_at_ = self._look()
+        self.confirmed_before_fall_ = self.confirmed_at_
+        self.reporter.gauge("records_retained", self.retained, topic=self.topic)
+
     def age(self, now: datetime) -> timedelta | None:
         """Return the time since the store confirmed the replica, here or at a peer."""
         return None if self.confirmed_at_ is None else now - self.confirmed_at_
@@ -143,22 +188,26 @@
 
     async def read_once(self) -> bool:
         """Read new records from the store and return whether it answered."""
-        asked_at = self._look()
+        asked_at, lists = self._look(), not self.listed_
         try:
-            if self.listed_:
-                page = await self.store.read(self.topic, self.end, self.wait)
-                newer = self.replica_.merge(page.records, page.end)
-            else:
-                page = await self.store.newest(self.topic)
-                newer = self.replica_.replace(page.records, page.end)
-                self.listed_ = True
+            page = await (self._list() if lists else self._read())
+            if page is None:
+                return True
         except HistoryLostError as error:
             self.reporter.event("history_lost", topic=self.topic, detail=error.message)
             self.listed_ = False
             return True
+        except LateAnswerError as error:
+            self.reporter.event("late_answer", topic=self.topic, detail=error.message)
+            return False
         except PlatformError as error:
             self._store_lost(error)
             return False
+        if lists:
+            newer = self.replica_.replace(page.records, page.end, era=page.era)
+            self.listed_ = True
+        else:
+            newer = self.replica_.merge(page.records, page.end, page.era)
         time = self._record_time(asked_at)
         self._store_back()
         if page.unreadable:
@@ -167,43 +216,76 @@
                 "unreadable_records", topic=self.topic, count=page.unreadable
             )
         self._confirm(newer, self._suspended_wait(asked_at), time)
-        if newer and self.on_update is not None:
+        # Peers wait for a listing after a fall even if nothing in it is new.
+        if (newer or lists) and self.on_update is not None:
             self.on_update()
         return True
 
+    async def _read(self) -> TopicPage | None:
+        """Return the records after the end, `None` if they are of another era."""
+        asked_in = self.era
+        page = await self.store.read(self.topic, self.end, self.wait)
+        return page if asked_in == self.era else None
+
+    async def _list(self) -> TopicPage | None:
+        """Return a listing, `None` if a peer's has come or it is of an earlier era.
+
+        Readers of a region learn of a fall at the same time, and one listing is enough.
+        """
+        if self.confirmed_before_fall_ is not None:
+            await asyncio.sleep((LISTING_SPREAD * self.random.random()).total_seconds())
+            if self.listed_ or self.pulling_:
+                return None
+        page = await self.store.newest(self.topic)
+        return None if page.era < self.era else page
+
     def confirm_from_peer(self, item: TopicItem) -> None:
-        """Take over the confirmation of a peer that has the same records."""
+        """Take over the confirmation of a peer of the same era and records."""
         now = self._look()
         if self.suspended_ and now - self.resumed_at_ < RESUME_MESSAGE_DELAY:
             return
         if item.end == self.end and item.age_s is not None and self.listed_:
             self._confirm([], timedelta(seconds=item.age_s), None)
 
+    def receive(self, item: TopicItem, era: int) -> bool:
+        """Take over what a peer of an era says; return whether it has newer records."""
+        if era == self.era:
+            self.confirm_from_peer(item)
+        return self.is_behind(item.end, era)
+
+    def is_behind(self, end: int, era: int) -> bool:
+        """Check whether an end in an era is newer than the own one."""
+        return (era, end) > (self.era, self.end)
+
     def item(self, now: datetime) -> TopicItem:
         """Return the offset and the age of this replica to send to peers."""
-        age = self.age(now)
+        # Before the listing in an era, the confirmation is of an earlier one.
+        age = self.age(now) if self.listed_ else None
         # Rounded up, so that the age cannot shrink as replicas confirm each other.
         age_s = None if age is None else ceil(age.total_seconds() * 100) / 100
         return TopicItem(self.topic, self.end, age_s)
 
-    async def catch_up(self, peer: PeerAddress, end: int, *, remote: bool) -> None:
+    async def catch_up(
+        self, peer: PeerAddress, end: int, *, remote: bool, era: int | None = None
+    ) -> None:
         """Pull newer records from a peer; notify the own region of remote ones."""
-        if remote and not await self._still_behind(end):
+        era = self.era if era is None else era
+        if remote and not await self._still_behind(end, era):
             return
-        if self.pulling_ or end <= self.end:
+        if self.pulling_ or not self.is_behind(end, era):
             return
         self.pulling_ = True
         try:
             await asyncio.sleep(
                 (self.pull_spread * self.random.random()).total_seconds()
             )
-            newer = end > self.end and await self._pull(peer)
+            newer = self.is_behind(end, era) and await self._pull(peer)
         finally:
             self.pulling_ = False
         if newer and remote and self.on_update is not None:
             self.on_update()
 
-    async def _still_behind(self, end: int) -> bool:
+    async def _still_behind(self, end: int, era: int) -> bool:
         """Wait for peers of the own region; check whether records are still missing."""
         if self.waiting_:
             return False
@@ -212,57 +294,59 @@
             await asyncio.sleep(REMOTE_PULL_DELAY.total_seconds())
         finally:
             self.waiting_ = False
-        return end > self.end
+        return self.is_behind(end, era)
 
-    def page_after(self, offset: int, *, takes_listings: bool = True) -> bytes:
-        """Return the encoded records after an offset, for a peer.
+    def page_after(
+        self, offset: int, *, takes_listings: bool = True, era: int | None = None
+    ) -> bytes:
+        """Return the encoded records after an offset in an era, for a peer.
 
         A peer that does not take listings gets a page that it ignores where only a
         listing would tell it of all removals.
         """
+        if era is not None and era < self.era:
+            offset = 0
         page = self._page_after(offset)
-        if isinstance(page, ListingPage) and not takes_listings:
+        is_listing = isinstance(page, ListingPage) and page.kept_keys is not None
+        if is_listing and not takes_listings:
             return encode_message(RecordPage(page.end, pack_records([]), None))
-        age = self.age(self.clock.now())
-        age_s = None if age is None else age.total_seconds()
-        return encode_message(structs.replace(page, age_s=age_s))
+        now = self.clock.now()
+        age = self.age(now) if self.listed_ else None
+        ages = {"age_s": None if age is None else age.total_seconds()}
+        if isinstance(page, EraPage) and self.fell_at_ is not None:
+            ages["era_age_s"] = (now - self.fell_at_).total_seconds()
+        return encode_message(structs.replace(page, **ages))
 
     def _page_after(self, offset: int) -> RecordPage:
-        cached = self.page_cache_
-        if cached is not None and (cached[0], cached[1].end) == (offset, self.end):
-            return cached[1]
-        missing = self.replica_.page_after(offset)
-        packed = pack_records(
-            [RecordItem(r.key, r.value, r.offset) for r in missing.records]
-        )
-        if missing.kept_keys is None:
-            page = RecordPage(missing.end, packed)
-        else:
-            page = ListingPage(missing.end, packed, kept_keys=missing.kept_keys)
-        self.page_cache_ = (offset, page)
-        return page
+        key = (offset, self.end)
+        if self.page_cache_ is None or self.page_cache_[0] != key:
+            page = encode_replica_page(self.replica_.page_after(offset))
+            self.page_cache_ = (key, page)
+        return self.page_cache_[1]
 
     async def _pull(self, peer: PeerAddress) -> bool:
         url = (
             f"http://{peer.host}:{peer.port}/records"
             f"?topic={self.topic}&after={self.end}&{LISTINGS_QUERY}=1"
+            f"&{ERA_QUERY}={self.era}"
         )
         asked_at = self._look()
         try:
             page = decode_page(await self.caller.call("GET", url, PULL_TIMEOUT))
-            items = unpack_records(page.packed)
+            missing = decode_replica_page(page)
         except (CallError, FrameError) as error:
             self.reporter.count("peer_pulls_failed", topic=self.topic)
             self.reporter.event(
                 "peer_pull_failed", peer=peer.id, topic=self.topic, detail=error.message
             )
             return False
-        if page.age_s is None:
-            # The peer has restarted since it sent its offset.
+        if page.age_s is None or missing.era < self.era:
+            # The peer has restarted, or the era has risen, since it sent its offset.
             return False
-        records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
-        kept_keys = page.kept_keys if isinstance(page, ListingPage) else None
-        newer = self.replica_.apply_page(ReplicaPage(records, page.end, kept_keys))
+        if isinstance(page, EraPage) and self.on_era is not None:
+            self.on_era(page.era, page.era_age_s)
+        newer = self.replica_.apply_page(missing)
+        self.page_cache_ = None
         self.listed_ = True
         self.reporter.count("peer_pulls", topic=self.topic)
         # Write times come with the peer's gossip message, if the peer knows them.
@@ -275,6 +359,9 @@
         if self.confirmed_at_ is None:
             return None
         now = self._look()
+        if self.confirmed_before_fall_ is not None:
+            # The store may have had the record in the time that it lost.
+            return WriteTime(self.confirmed_before_fall_, exact=False)
         followed = asked_at - self.confirmed_at_ <= MAX_FOLLOWED_GAP
         # An answer may stay unread in the socket while the VM is suspended.
         answered_in_time = now - asked_at <= self.wait + MAX_FOLLOWED_GAP
@@ -312,6 +399,35 @@
         if newer:
             self.page_cache_ = None
             self.apply(newer, time)
+        self._expire()
+
+    def _expire(self) -> None:
+        """Drop records of earlier eras once the store had time to get them again.
+
+        The time has to be confirmed by the store, which may be away again meanwhile.
+        """
+        if self.fell_at_ is None or not self.listed_:
+            return
+        expires_at = self.fell_at_ + self.retention.time
+        if self.confirmed_at_ < expires_at or not self.replica_.is_retaining:
+            return
+        self.confirmed_before_fall_ = None
+        before = self.retained
+        changed = self.replica_.expire(keeps_removals=self.retention.keeps_removals)
+        if self.retained == before:
+            return
+        self.page_cache_ = None
+        self.reporter.gauge("records_retained", self.retained, topic=self.topic)
+        self.reporter.event(
+            "retained_dropped",
+            topic=self.topic,
+            era=self.era,
+            dropped=before - self.retained,
+            kept=self.retained,
+            changed=[record.key for record in changed[:MAX_REPORTED_KEYS]],
+        )
+        if changed:
+            self.apply(changed, None)
 
     def _look(self) -> datetime:
         """Return the time, and record a suspension of the process before it."""
@@ -354,11 +470,15 @@
 ) -> web.Response:
     """Answer a peer's request for the records of a topic after an offset."""
     topic = topics_by_name.get(request.query.get("topic", ""))
+    era = request.query.get(ERA_QUERY)
     try:
         after = int(request.query.get("after", "0"))
+        era = None if era is None else int(era)
     except ValueError:
-        return web.Response(status=400, text="after must be an integer offset\n")
+        return web.Response(status=400, text="after and era must be integers\n")
     if topic is None:
         return web.Response(status=404, text="unknown topic\n")
     takes_listings = LISTINGS_QUERY in request.query
-    return web.Response(body=topic.page_after(after, takes_listings=takes_listings))
+    return web.Response(
+        body=topic.page_after(after, takes_listings=takes_listings, era=era)
+    )
--- a/shallotpath/platform/__init__.py
+++ b/shallotpath/platform/__init__.py
@@ -15,6 +15,7 @@
     HttpCaller,
     OriginClient,
 )
+from ._era import LateAnswerError, StoreEra
 from ._headers import PlatformHeaderCodec
 from ._names import DUTY_TOPIC, MEMBER_TOPIC, OPERATOR_TOPIC, UPSTREAM_TOPIC
 from ._records import RecordError, decode_operator_record, decode_upstream
@@ -46,6 +47,7 @@
     "HeldModel",
     "HistoryLostError",
     "HttpCaller",
+    "LateAnswerError",
     "LeaseEndedError",
     "OffsetConflictError",
     "OriginClient",
@@ -53,6 +55,7 @@
     "ProcessSettings",
     "RecordError",
     "StoreClient",
+    "StoreEra",
     "TopicPage",
     "decode_configuration",
     "decode_operator_record",
--- a/shallotpath/platform/_names.py
+++ b/shallotpath/platform/_names.py
@@ -36,6 +36,9 @@
 DUTY_HOLDER = "Shallotpath-Duty-Holder"
 FENCING_TOKEN = "Shallotpath-Fencing-Token"
 
+# Sent by the store in all answers; rises when the store comes back from an older copy.
+STORE_ERA = "Store-Era"
+
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 MEMBER_TOPIC = "keyed.shallot-members"
--- a/shallotpath/platform/_store.py
+++ b/shallotpath/platform/_store.py
@@ -10,9 +10,11 @@
 import msgspec
 
 from ..core import PlatformError
-from ..replication import KeyedRecord
+from ..replication import UNKNOWN_ERA, KeyedRecord
 from ..webclient import read_body
 from ._decoding import DECODING_ERRORS, describe_error
+from ._era import StoreEra
+from ._names import STORE_ERA
 from ._settings import Endpoint
 
 # A healthy store responds in about 4 ms and may take 60 times as long. The limit is
@@ -49,16 +51,24 @@
     end: int
     # Records whose key or value cannot be decoded; other programs write records too.
     unreadable: int = 0
+    # Era of the store in which the offsets are counted.
+    era: int = UNKNOWN_ERA
 
 
 class StoreClient:
-    """Read and write keyed topics."""
+    """Read and write keyed topics; track the era of the store."""
 
-    __slots__ = ("address", "session")
+    __slots__ = ("address", "era", "session")
 
-    def __init__(self, address: Endpoint, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        address: Endpoint,
+        session: aiohttp.ClientSession,
+        era: StoreEra | None = None,
+    ) -> None:
         self.address = address
         self.session = session
+        self.era = era or StoreEra()
 
     async def newest(self, topic: str) -> TopicPage:
         """Return the newest record of each key.
@@ -68,9 +78,15 @@
         """
         records: list[KeyedRecord] = []
         query = {"topic": topic, "part": "0"}
-        first_end, unreadable, listed_bytes = None, 0, 0
+        first_end, first_era, unreadable, listed_bytes = None, None, 0, 0
         while True:
-            body = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
+            body, era = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise PlatformError(
+                    f"listing of {topic} has pages of eras {first_era} and {era}; "
+                    "the topic will be listed again"
+                )
             listed_bytes += len(body)
             if listed_bytes > MAX_LISTING_BYTES:
                 raise PlatformError(
@@ -82,13 +98,13 @@
                 if first_end is None:
                     first_end = int(page["end"])
                 for item in page["items"]:
-                    record = _decode_item(item)
+                    record = _decode_item(item, era)
                     if record is None:
                         unreadable += 1
                     else:
                         records.append(record)
                 if not page.get("hasMore"):
-                    return TopicPage(records, first_end, unreadable)
+                    return TopicPage(records, first_end, unreadable, era)
                 query["after"] = page["items"][-1]["key"]
             except DECODING_ERRORS as error:
                 raise PlatformError(
@@ -105,8 +121,8 @@
         if wait:
             query["waitMs"] = str(int(wait / timedelta(milliseconds=1)))
             timeout = wait + LONG_POLL_MARGIN
-        body = await self._call("GET", "/log-read", query, timeout)
-        return _decode_page(body, offset)
+        body, era = await self._call("GET", "/log-read", query, timeout)
+        return _decode_page(body, offset, era)
 
     async def put(
         self, topic: str, key: str, value: bytes, *, at: int | None = None
@@ -127,7 +143,9 @@
         query: dict[str, str],
         timeout: timedelta,
         body: bytes | None = None,
-    ) -> bytes:
+    ) -> tuple[bytes, int]:
+        """Return the body of an answer and the era of the store."""
+        asked_in = self.era.era
         url = f"http://{self.address}{path}"
         try:
             async with self.session.request(
@@ -142,6 +160,7 @@
             raise PlatformError(
                 f"store did not respond to {path}: {error!r}; the call will be retried"
             ) from error
+        era = self.era.check_answer(response.headers.get(STORE_ERA), asked_in)
         if response.status == _GONE:
             raise HistoryLostError(
                 f"store has no records of {query['topic']} from {query.get('from')}; "
@@ -157,7 +176,7 @@
                 f"store returned status {response.status} for {path}; "
                 "the call will be retried"
             )
-        return payload
+        return payload, era
 
 
 def _decode_json(body: bytes) -> dict:
@@ -170,15 +189,15 @@
         ) from error
 
 
-def _decode_item(item: dict) -> KeyedRecord | None:
+def _decode_item(item: dict, era: int) -> KeyedRecord | None:
     try:
         value = base64.b64decode(item["value"])
-        return KeyedRecord(str(item["key"]), value, int(item["offset"]))
+        return KeyedRecord(str(item["key"]), value, int(item["offset"]), era)
     except DECODING_ERRORS:
         return None
 
 
-def _decode_page(body: bytes, offset: int) -> TopicPage:
+def _decode_page(body: bytes, offset: int, era: int = UNKNOWN_ERA) -> TopicPage:
     """Decode a page; skip records that cannot be decoded but count their offsets."""
     records: list[KeyedRecord] = []
     position, unreadable = _HEADER_BYTES, 0
@@ -187,22 +206,22 @@
         end = start + int.from_bytes(body[position:start], "big")
         if end > len(body):
             break
-        record = _decode_record(body[start:end], offset)
+        record = _decode_record(body[start:end], offset, era)
         if record is None:
             unreadable += 1
         else:
             records.append(record)
         offset += 1
         position = end
-    return TopicPage(records, offset, unreadable)
+    return TopicPage(records, offset, unreadable, era)
 
 
-def _decode_record(content: bytes, offset: int) -> KeyedRecord | None:
+def _decode_record(content: bytes, offset: int, era: int) -> KeyedRecord | None:
     # The first byte is the length of the key; an empty value removes the key.
     if not content or len(content) <= content[0]:
         return None
     key, value = content[1 : 1 + content[0]], content[1 + content[0] :]
     try:
-        return KeyedRecord(key.decode(), value or None, offset)
+        return KeyedRecord(key.decode(), value or None, offset, era)
     except UnicodeDecodeError:
         return None
--- a/shallotpath/replication/__init__.py
+++ b/shallotpath/replication/__init__.py
@@ -6,6 +6,7 @@
     ChunkItem,
     Datagram,
     DemandItem,
+    EraPage,
     GossipMessage,
     ListingPage,
     PartItem,
@@ -13,22 +14,27 @@
     PlacementItem,
     RecordItem,
     RecordPage,
+    RetainedItem,
     SuspectItem,
     TopicItem,
     decode_datagram,
     decode_page,
+    decode_replica_page,
     encode_message,
+    encode_replica_page,
     pack_records,
     unpack_records,
 )
 from ._peers import PeerTable
-from ._replica import KeyedRecord, KeyedReplica, ReplicaPage
+from ._replica import UNKNOWN_ERA, KeyedRecord, KeyedReplica, ReplicaPage
 
 __all__ = [
+    "UNKNOWN_ERA",
     "MAX_DATAGRAM_BYTES",
     "ChunkItem",
     "Datagram",
     "DemandItem",
+    "EraPage",
     "KeyedRecord",
     "KeyedReplica",
     "AnnouncementsItem",
@@ -41,11 +47,14 @@
     "RecordItem",
     "RecordPage",
     "ReplicaPage",
+    "RetainedItem",
     "SuspectItem",
     "TopicItem",
     "decode_datagram",
     "decode_page",
+    "decode_replica_page",
     "encode_message",
+    "encode_replica_page",
     "pack_records",
     "unpack_records",
 ]
--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -13,6 +13,7 @@
 from ..core import FrameError
 from ..duties import EntryUsage
 from ..gateway import EngineReport, EntryLoad
+from ._replica import UNKNOWN_ERA, KeyedRecord, ReplicaPage
 
 PROTOCOL = 6
 # Larger datagrams are split into more IP fragments, and the loss of one fragment
@@ -122,6 +123,10 @@
     parts: list[PartItem] = []
     # Demand at the sending entry, for services with several priorities.
     demands: list[DemandItem] = []
+    # Era of the store in which the ends of `topics` are counted.
+    era: int = UNKNOWN_ERA
+    # Seconds since a process first learned of the era; `None` with an unknown one.
+    era_age_s: float | None = None
 
 
 class RecordItem(msgspec.Struct, frozen=True, array_like=True):
@@ -151,6 +156,60 @@
     kept_keys: list[str] | None = None
 
 
+class RetainedItem(RecordItem, frozen=True, array_like=True):
+    """Carry a record of an earlier era that the sender still uses."""
+
+    era: int = UNKNOWN_ERA
+
+
+class EraPage(ListingPage, frozen=True, array_like=True):
+    """Carry records of a known era of the store.
+
+    Releases before eras read it as a listing, or as a page of records without
+    `kept_keys`.
+    """
+
+    era: int = UNKNOWN_ERA
+    era_age_s: float | None = None
+    # Records below this offset may have been in the copy that the store came back from.
+    copied_below: int | None = None
+    retained: list[RetainedItem] = []
+
+
+def encode_replica_page(page: ReplicaPage) -> RecordPage:
+    """Return the message for a page of a replica, without its ages."""
+    packed = pack_records([RecordItem(r.key, r.value, r.offset) for r in page.records])
+    if page.era == UNKNOWN_ERA:
+        if page.kept_keys is None:
+            return RecordPage(page.end, packed)
+        return ListingPage(page.end, packed, kept_keys=page.kept_keys)
+    return EraPage(
+        page.end,
+        packed,
+        kept_keys=page.kept_keys,
+        era=page.era,
+        copied_below=page.copied_below,
+        retained=[RetainedItem(r.key, r.value, r.offset, r.era) for r in page.retained],
+    )
+
+
+def decode_replica_page(page: RecordPage) -> ReplicaPage:
+    """Return the page that a message carries or raise `FrameError`."""
+    items = unpack_records(page.packed)
+    kept_keys = page.kept_keys if isinstance(page, ListingPage) else None
+    if not isinstance(page, EraPage):
+        records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
+        return ReplicaPage(records, page.end, kept_keys)
+    return ReplicaPage(
+        [KeyedRecord(r.key, r.value, r.offset, page.era) for r in items],
+        page.end,
+        kept_keys,
+        page.era,
+        tuple(KeyedRecord(r.key, r.value, r.offset, r.era) for r in page.retained),
+        page.copied_below,
+    )
+
+
 def pack_records(records: list[RecordItem]) -> bytes:
     """Encode and compress records; large configurations shrink to a tenth."""
     return zlib.compress(msgspec.msgpack.encode(records), FASTEST_ZLIB_LEVEL)
@@ -188,12 +247,14 @@
     return _decode(payload, Datagram)
 
 
-def decode_page(payload: bytes) -> RecordPage | ListingPage:
+def decode_page(payload: bytes) -> RecordPage:
     """Decode a page of records or raise `FrameError`."""
-    page = _decode(payload, ListingPage)
+    page = _decode(payload, EraPage)
+    if page.era != UNKNOWN_ERA:
+        return page
     if page.kept_keys is None:
         return RecordPage(page.end, page.packed, page.age_s)
-    return page
+    return ListingPage(page.end, page.packed, page.age_s, page.kept_keys)
 
 
 def _decode(payload: bytes, expected):
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -10,16 +10,20 @@
 from shallotpath.duties import EntryUsage
 from shallotpath.gateway import EngineReport, EntryLoad
 from shallotpath.replication import (
+    UNKNOWN_ERA,
     AnnouncementsItem,
     ChunkItem,
     Datagram,
     DemandItem,
+    EraPage,
     GossipMessage,
+    ListingPage,
     PartItem,
     PeerAddress,
     PlacementItem,
     RecordItem,
     RecordPage,
+    RetainedItem,
     SuspectItem,
     TopicItem,
     decode_datagram,
@@ -46,6 +50,12 @@
     for kind, variants in RECORDED["datagrams_without_demands"].items()
     for variant, datagram in variants.items()
 }
+# Recorded from the release before messages had the era of the store.
+NEWS_WITHOUT_ERAS = {
+    variant: bytes.fromhex(datagram)
+    for variant, datagram in RECORDED["news_without_eras"].items()
+}
+ERA_PAGE = bytes.fromhex(RECORDED["era_page"])
 PAGES = {name: bytes.fromhex(page) for name, page in RECORDED["pages"].items()}
 PACKED = bytes.fromhex(RECORDED["records"])
 
@@ -76,6 +86,10 @@
     return sent == known
 
 
+def without_era(message):
+    return msgspec.structs.replace(message, era=UNKNOWN_ERA, era_age_s=None)
+
+
 def make_address(sent):
     peer, host, port, engine = sent
     return PeerAddress(id=peer, host=host, port=port, engine=engine)
@@ -141,7 +155,7 @@
     payload = DATAGRAMS["news", "full"]
     _, (_, sender, incarnation, sequence, domain, leaving, *lists) = read(payload)
     topics, shares, engines, chunks, suspects, peers, *lists = lists
-    announcements, parts, demands = lists
+    announcements, parts, demands, era, era_age_s = lists
     expected = GossipMessage(
         sender=make_address(sender),
         incarnation=incarnation,
@@ -180,6 +194,8 @@
             )
             for service, rank, offered, refused, work_s, target_s in demands
         ],
+        era=era,
+        era_age_s=era_age_s,
     )
     assert decode_datagram(payload) == expected
     assert encode_message(expected) == payload
@@ -191,7 +207,7 @@
     before = NEWS_WITHOUT_PARTS[variant]
     decoded = decode_datagram(before)
     assert decoded.parts == []
-    expected = msgspec.structs.replace(decode_datagram(DATAGRAMS["news", variant]))
+    expected = without_era(decode_datagram(DATAGRAMS["news", variant]))
     expected.parts.clear()
     expected.demands.clear()
     for share in expected.shares.values():
@@ -212,12 +228,48 @@
         share.waiting.clear()
     if kind == "news":
         assert decoded.demands == []
+        expected = without_era(expected)
         expected.demands.clear()
     assert decoded == expected
     # The release before reads the items that it knows and ignores the rest.
     assert holds(read(DATAGRAMS[kind, variant]), read(before))
 
 
+@pytest.mark.parametrize("variant", NEWS_WITHOUT_ERAS)
+def test_messages_with_and_without_eras_are_read_by_both_releases(variant):
+    # Guards against peers that drop each other's messages in a rolling update.
+    before = NEWS_WITHOUT_ERAS[variant]
+    decoded = decode_datagram(before)
+    assert decoded.era == UNKNOWN_ERA
+    assert decoded == without_era(decode_datagram(DATAGRAMS["news", variant]))
+    # The release before reads the items that it knows and ignores the rest.
+    assert holds(read(DATAGRAMS["news", variant]), read(before))
+
+
+def test_page_of_an_era_is_a_listing_to_the_release_before():
+    # Guards against fields of the era that take the positions of known ones.
+    _, (end, packed, age, kept_keys, era, era_age, below, retained) = read(ERA_PAGE)
+    page = EraPage(
+        end=end,
+        packed=packed,
+        age_s=age,
+        kept_keys=kept_keys,
+        era=era,
+        era_age_s=era_age,
+        copied_below=below,
+        retained=[
+            RetainedItem(key=key, value=value, offset=offset, era=of_era)
+            for key, value, offset, of_era in retained
+        ],
+    )
+    assert decode_page(ERA_PAGE) == page
+    assert encode_message(page) == ERA_PAGE
+    assert fields_at_default(page) == []
+    _, listing = msgspec.msgpack.decode(ERA_PAGE, type=tuple[int, ListingPage])
+    assert (listing.end, listing.age_s) == (end, age)
+    assert listing.kept_keys == kept_keys
+
+
 def test_items_of_a_placed_request_keep_their_positions():
     # Guards against sender and upstream, or two load figures, that swap positions.
     payload = DATAGRAMS["placed", "full"]
