Keep tokens and holders of a lease apart across eras of the store

Cause: tokens were the offset of the record, and a log that is empty or holds an own record could be written at once. After the store comes back from an older copy, offsets are given out again and the copy lacks the records of later holders, so that two processes could act, with one token. Change: tokens begin with the era. A rise of the era ends the lease; every process waits the time of a takeover from when it learned of the era. An append that is acknowledged in another era is not taken as made. Reports recorded in the lost time are kept by those who know them.

--- a/shallotpath/duties/_lease.py
+++ b/shallotpath/duties/_lease.py
@@ -11,6 +11,9 @@
 
 # A tenth covers a call on its way and clocks that differ in speed.
 MARGIN_SHARE = 0.1
+# Tokens of an era begin above those of all eras before. A log with as many records in
+# an era would need years.
+TOKENS_PER_ERA = 2**32
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +62,9 @@
     """
 
     __slots__ = (
+        "earlier_record_",
         "end_",
+        "era_",
         "holder",
         "node",
         "offset_",
@@ -74,6 +79,10 @@
         # A restarted process knows nothing of calls that its predecessor has sent.
         self.holder = f"{node}#{incarnation}"
         self.rules = rules
+        # Era of the log; 0 if it never fell back to an older copy, as far as known.
+        self.era_ = 0
+        # Last record of the eras before.
+        self.earlier_record_: LeaseRecord | None = None
         # End of the log; `None` before the first read.
         self.end_: int | None = None
         self.record_: LeaseRecord | None = None
@@ -91,16 +100,42 @@
         """Return the fencing token of the last record, 0 without one."""
         return self.record_.token if self.record_ else 0
 
+    @property
+    def era(self) -> int:
+        """Return the era of the log."""
+        return self.era_
+
+    @property
+    def earlier_record(self) -> LeaseRecord | None:
+        """Return the last record known of the eras before, `None` if there is none."""
+        return self.earlier_record_
+
     @property
     def is_own(self) -> bool:
-        """Check whether this process has written the last record known."""
+        """Check whether this process has written the last record known, in this era.
+
+        Of an own record in the copy, later ones may have been lost.
+        """
         record = self.record_
-        return record is not None and record.holder == self.holder
+        return (
+            record is not None
+            and record.holder == self.holder
+            and record.token >= self._first_token
+        )
 
     @property
     def is_empty(self) -> bool:
         """Check whether the log has been read and never had a record."""
-        return self.end_ == 0
+        return self.end_ == 0 and self.era_ == 0
+
+    @property
+    def is_read(self) -> bool:
+        """Check whether the log has been read in its era."""
+        return self.end_ is not None
+
+    @property
+    def _first_token(self) -> int:
+        return self.era_ * TOKENS_PER_ERA
 
     def age(self, now: datetime) -> timedelta | None:
         """Return the time since the last record was first seen."""
@@ -120,6 +155,20 @@
         """Check whether this process may act."""
         return self.valid_until_ is not None and now < self.valid_until_
 
+    def enter_era(self, era: int, now: datetime) -> None:
+        """Step down if the log has fallen back to an older copy.
+
+        The copy lacks appends that were acknowledged, also those of other processes.
+        All processes wait as long as after a record that they have just seen, so that
+        a holder of the era before has stopped by then.
+        """
+        if era <= self.era_:
+            return
+        self.era_ = era
+        self.earlier_record_ = self.record_ or self.earlier_record_
+        self.end_ = self.record_ = self.offset_ = self.valid_until_ = None
+        self.seen_at_ = now
+
     def observe(
         self, record: LeaseRecord | None, offset: int | None, end: int, now: datetime
     ) -> None:
@@ -145,8 +194,8 @@
         """Return an append that renews the lease or takes it over."""
         record = self.record_
         continues = self.is_own and not record.released
-        # Offsets never fall, so that neither do tokens that begin with them.
-        token = record.token if continues else self.end_ + 1
+        # Offsets never fall in an era, so that neither do tokens made from both.
+        token = record.token if continues else self._first_token + self.end_ + 1
         base = record or LeaseRecord(self.holder, self.node, token)
         proposed = structs.replace(
             base,
--- a/shallotpath/fleet/_duties.py
+++ b/shallotpath/fleet/_duties.py
@@ -116,6 +116,8 @@
         self.is_outdated_ = False
         # Calls of the store that have failed in a row.
         self.store_failures_ = 0
+        store.era.add_listener(self._enter_era)
+        self._enter_era(store.era.era)
 
     @classmethod
     def of_process(cls, process: MemberProcess, settings: DutySettings) -> DutyRunner:
@@ -254,14 +256,16 @@
 
     def _final_counts(self, now: datetime) -> dict[str, object]:
         """Return the reports to record: earlier unconfirmed ones and new windows."""
-        record = self.lease.record
-        last = record.last_window if record else None
-        if record is None and not self.lease.is_empty:
+        known = [r for r in (self.lease.earlier_record, self.lease.record) if r]
+        windows = [r.last_window for r in known if r.last_window is not None]
+        last = max(windows, default=None)
+        if not known and not self.lease.is_empty:
             # The record is lost: any window that had ended may have been reported.
             last = self.rules.number(self.lease.seen_at_ + self.time.correction)
+        recorded = {r.window: r for record in known for r in record.unconfirmed}
         unconfirmed = [
             report
-            for report in (record.unconfirmed if record else ())
+            for report in recorded.values()
             if report.window not in self.confirmed_
             and self.rules.due_at(report.window) > now
         ]
@@ -276,6 +280,9 @@
         gives_up_at = self.clock.now() + self.lease.rules.duration
         while True:
             now = self.clock.now()
+            if not self.lease.is_own:
+                # The era has risen, so that the reports have to be recorded again.
+                return self._next_retry()
             report = self._next_report()
             if report is None:
                 return None
@@ -353,6 +360,15 @@
             "usage_report_failed", window=report.window, outcome=outcome, detail=detail
         )
 
+    def _enter_era(self, era: int, age: timedelta = timedelta()) -> None:
+        """Give up the lease when the store has fallen back to an older copy."""
+        was_held = self.lease.holds(self.clock.now())
+        self.lease.enter_era(era, self.clock.now())
+        self.must_read_ = True
+        if was_held and not self.lease.holds(self.clock.now()):
+            self.reporter.gauge("duty_held", 0)
+            self.reporter.event("duty_lost", holder=None, token=0, era=era)
+
     def _may_send(self) -> bool:
         return self.lease.holds(self.clock.now())
 
@@ -386,9 +402,12 @@
 
     async def _append(self, **changes: object) -> bool:
         """Append a lease record and return whether the store acknowledged it."""
-        was_own = self.lease.is_own
+        was_own, era, started_at = self.lease.is_own, self.lease.era, self.clock.now()
+        if not self.lease.may_propose(started_at):
+            # The era has risen since the lease was read.
+            self.must_read_ = True
+            return False
         proposal = self.lease.propose(**changes)
-        started_at = self.clock.now()
         try:
             await self.store.put(
                 DUTY_TOPIC, LEASE_KEY, encode_record(proposal.record), at=proposal.at
@@ -400,6 +419,9 @@
                 self.lease.step_down()
             self._store_failed("append", error)
             return False
+        if self.lease.era != era:
+            # The record does not count in the era in which it was written.
+            return False
         self.lease.accepted(proposal, started_at, self.clock.now())
         self.store_failures_ = 0
         self.reporter.count("duty_appends", outcome="accepted")
