--- a/shallotpath/duties/tests/test_lease.py
+++ b/shallotpath/duties/tests/test_lease.py
@@ -37,6 +37,7 @@
         super().__init__()
         self.elapsed = timedelta()
         self.offset, self.record, self.end = None, None, 0
+        self.era, self.states = 0, [(None, None, 0)]
         self.leases = [self.lease_type(f"n{n}", 0, RULES) for n in NODES]
         self.incarnations = [0 for _ in NODES]
         self.paused = set()
@@ -67,14 +68,21 @@
     def read(self, node, delayed):
         if node in self.paused:
             return
-        answer = (self.record, self.offset, self.end)
+        answer = (self.era, (self.record, self.offset, self.end))
         if delayed:
             self.answers[node].append(lambda: self._observe(node, answer))
         else:
             self._observe(node, answer)
 
     def _observe(self, node, answer):
-        self.leases[node].observe(*answer, self.now(node))
+        era, state = answer
+        if self._learn(node, era):
+            self.leases[node].observe(*state, self.now(node))
+
+    def _learn(self, node, era):
+        """Return whether an answer is not one of an earlier era."""
+        self.leases[node].enter_era(era, self.now(node))
+        return self.leases[node].era == era
 
     @rule(
         node=node_ids,
@@ -94,8 +102,11 @@
         if not self._apply(proposal) or fate == "answer lost":
             return
 
+        asked_in, era = lease.era, self.era
+
         def accept():
-            lease.accepted(proposal, now, self.now(node))
+            if self._learn(node, era) and era == asked_in:
+                lease.accepted(proposal, now, self.now(node))
 
         if fate == "answered":
             accept()
@@ -123,6 +134,7 @@
         self.record = decode_record(encode_record(proposal.record))
         self.offset = self.end
         self.end += 1
+        self.states.append((self.record, self.offset, self.end))
         return True
 
     @rule()
@@ -154,6 +166,25 @@
                 assert back[1] - left[0] > RULES.duration
 
 
+class HandOverWithFalls(HandOver):
+    """Let the log fall back to older copies, with a higher era in its answers."""
+
+    @rule(lost=st.integers(1, 3))
+    def fall_back(self, lost):
+        del self.states[max(1, len(self.states) - lost) :]
+        self.record, self.offset, self.end = self.states[-1]
+        self.era += 1
+
+    @rule(node=node_ids, lost=st.integers(1, 3), step_ms=st.sampled_from([0, 3350]))
+    def take_after_fall(self, node, lost, step_ms):
+        self.fall_back(lost)
+        self.read(node, delayed=False)
+        self.advance(step_ms)
+        self.read_and_append(node)
+        for each in NODES:
+            self.call(each, delay_ms=0)
+
+
 class ExpiryIgnored(Lease):
     """Act without a look at the end of the lease."""
 
@@ -168,6 +199,19 @@
         return self.end_ is not None
 
 
+class TokensOfOffsets(Lease):
+    """Begin the tokens of all eras at the same number."""
+
+    _first_token = 0
+
+
+class NoWaitAfterFall(Lease):
+    """Take over from the holder of an earlier era without a wait."""
+
+    def may_propose(self, now):
+        return super().may_propose(now) or (self.era > 0 and self.end_ == 0)
+
+
 RUNS = settings(
     max_examples=200,
     stateful_step_count=30,
@@ -181,10 +225,24 @@
     run_state_machine_as_test(HandOver, settings=RUNS)
 
 
-@pytest.mark.parametrize("faulty", [ExpiryIgnored, TakeoverAtOnce])
-def test_model_finds_a_lease_without_its_checks(faulty):
+def test_hand_over_keeps_tokens_in_order_when_the_log_falls_back():
+    # Guards against two holders at a time, one from each era, and against a token that
+    # is given out twice.
+    run_state_machine_as_test(HandOverWithFalls, settings=RUNS)
+
+
+@pytest.mark.parametrize(
+    ("model", "faulty"),
+    [
+        (HandOver, ExpiryIgnored),
+        (HandOver, TakeoverAtOnce),
+        (HandOverWithFalls, TokensOfOffsets),
+        (HandOverWithFalls, NoWaitAfterFall),
+    ],
+)
+def test_model_finds_a_lease_without_its_checks(model, faulty):
     # Guards against a model that would pass any lease.
-    machine = type("Faulty", (HandOver,), {"lease_type": faulty})
+    machine = type("Faulty", (model,), {"lease_type": faulty})
     runs = settings(RUNS, max_examples=2000, phases=[Phase.generate], database=None)
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=runs)
@@ -219,6 +277,34 @@
     assert lease.propose().record.token == 8
 
 
+def test_own_record_in_a_copy_gives_no_lease():
+    # Guards against a holder that goes on with its token after the store came back from
+    # a copy, which lacks the record of a process that took over.
+    lease = Lease("a", 1, RULES)
+    lease.enter_era(1, EPOCH)
+    lease.observe(None, None, 4, EPOCH)
+    now = EPOCH + RULES.takeover_time
+    proposal = lease.propose()
+    lease.accepted(proposal, now, now)
+    assert lease.holds(now)
+    lease.enter_era(2, now)
+    assert not lease.holds(now)
+    lease.observe(proposal.record, 4, 5, now)
+    assert not lease.is_own
+    assert not lease.may_propose(now)
+    assert lease.may_propose(now + RULES.takeover_time)
+    assert lease.propose().record.token > proposal.record.token
+
+
+def test_empty_log_of_a_later_era_is_not_taken_at_once():
+    # Guards against two holders when the store has lost the whole topic.
+    lease = Lease("a", 1, RULES)
+    lease.enter_era(2, EPOCH)
+    lease.observe(None, None, 0, EPOCH)
+    assert not lease.may_propose(EPOCH)
+    assert lease.may_propose(EPOCH + RULES.takeover_time)
+
+
 def test_undecodable_record_is_reported():
     # Guards against a record of another writer ending the process.
     with pytest.raises(LeaseRecordError):
--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -4,6 +4,8 @@
 import base64
 import hashlib
 import json
+import time
+from collections import Counter
 
 from aiohttp import web
 
@@ -20,11 +22,16 @@
 
 
 class Log:
-    """Hold the records of the store's keyed topics."""
+    """Hold the records of the store's keyed topics, and fall back to older copies."""
 
-    def __init__(self):
+    def __init__(self, era=1, clock=time.monotonic):
+        # Sent in all answers; `None` sends nothing.
+        self.era = era
+        self.clock = clock
         self.topics = {}
         self.firsts = {}
+        # Times at which the records of a topic were written.
+        self.times = {}
 
     def put(self, topic, key, value):
         data = b"" if value is None else json.dumps(value).encode()
@@ -32,10 +39,28 @@
 
     def put_raw(self, topic, key, data):
         self.topics.setdefault(topic, []).append((key, data))
+        self.times.setdefault(topic, []).append(self.clock())
 
     def forget_history(self, topic):
         self.firsts[topic] = len(self.topics.get(topic, []))
 
+    def fall_back(self, age_s=0.0):
+        """Return to a copy of an age; return the lost records of each topic."""
+        copied_until = self.clock() - age_s
+        lost = {}
+        for topic, records in self.topics.items():
+            kept = sum(at < copied_until for at in self.times[topic])
+            lost[topic] = records[kept:]
+            del records[kept:], self.times[topic][kept:]
+            self.firsts[topic] = min(self.firsts.get(topic, 0), kept)
+        self.era += 1
+        return lost
+
+    def write_again(self, topic, lost):
+        """Write the last lost record of each key again, as its writer does."""
+        for key, data in dict(lost[topic]).items():
+            self.put_raw(topic, key, data)
+
 
 class StoreStandIn:
     """Serve a log over HTTP, or refuse all calls with 503."""
@@ -44,14 +69,23 @@
         self.log = log
         self.refusing = False
         self.calls = 0
+        # Listings by topic.
+        self.listings = Counter()
 
     async def handle(self, request):
         self.calls += 1
+        response = await self._answer(request)
+        if self.log.era is not None:
+            response.headers["Store-Era"] = str(self.log.era)
+        return response
+
+    async def _answer(self, request):
         if self.refusing:
             return web.Response(status=503)
         topic = request.query["topic"]
         records = self.log.topics.get(topic, [])
         if request.path == "/log-newest":
+            self.listings[topic] += 1
             newest = {k: (v, n) for n, (k, v) in enumerate(records)}
             items = [
                 {"key": k, "value": base64.b64encode(v).decode(), "offset": n}
@@ -61,21 +95,26 @@
             page = {"items": items, "hasMore": False, "end": len(records)}
             return web.json_response(page)
         if request.path == "/log-read":
-            start = int(request.query["from"])
-            if start < self.log.firsts.get(topic, 0):
-                return web.json_response({"first": self.log.firsts[topic]}, status=410)
+            start, first = int(request.query["from"]), self.log.firsts.get(topic, 0)
+            if not first <= start <= len(records):
+                return web.json_response({"first": first}, status=410)
             body = len(records).to_bytes(8, "big") + bytes(8)
             for key, value in records[start:]:
                 content = bytes([len(key)]) + key.encode() + value
                 body += len(content).to_bytes(4, "big") + content
             return web.Response(body=body)
         if request.path == "/log-append":
-            body = await request.read()
-            length = body[4]
-            self.log.put_raw(topic, body[5 : 5 + length].decode(), body[5 + length :])
-            return web.json_response({"offset": len(records), "end": len(records)})
+            return await self._append(request, topic, len(records))
         return web.Response(status=404)
 
+    async def _append(self, request, topic, end):
+        body = await request.read()
+        if int(request.query.get("at", end)) != end:
+            return web.json_response({"end": end}, status=412)
+        length = body[4]
+        self.log.put_raw(topic, body[5 : 5 + length].decode(), body[5 + length :])
+        return web.json_response({"offset": end, "end": end + 1})
+
 
 class Origin:
     """Serve versions of a model; chunks in `spoilt` are corrupt the first time."""
--- a/shallotpath/replication/_replica.py
+++ b/shallotpath/replication/_replica.py
@@ -115,13 +115,15 @@
         self.copied_below_, self.retains_ = None, True
 
     def merge(
-        self, records: Iterable[KeyedRecord], end: int, era: int = UNKNOWN_ERA
+        self, records: Iterable[KeyedRecord], end: int, era: int | None = None
     ) -> list[KeyedRecord]:
         """Apply records that are complete up to `end`; return those now in use.
 
+        Without an era they are of that of this replica.
         A late answer may still have a key whose removal this replica applied without
         keeping it, as a listing only shows the keys that are left.
         """
+        era = self.era_ if era is None else era
         if era < self.era_:
             return []
         self.fall(era)
@@ -143,12 +145,13 @@
         records: Iterable[KeyedRecord],
         end: int,
         kept_keys: Iterable[str] = (),
-        era: int = UNKNOWN_ERA,
+        era: int | None = None,
     ) -> list[KeyedRecord]:
         """Apply a full listing; remove keys that are missing from it.
 
         Of the kept keys, which are listed without a value, the records are held.
         """
+        era = self.era_ if era is None else era
         if era < self.era_:
             return []
         self.fall(era)
