--- a/shallotpath/fleet/tests/test_standstill.py
+++ b/shallotpath/fleet/tests/test_standstill.py
@@ -10,7 +10,7 @@
 from shallotpath.fleet._topics import TopicReplica
 from shallotpath.gateway import WriteTime
 from shallotpath.platform import TopicPage
-from shallotpath.replication import KeyedRecord, TopicItem
+from shallotpath.replication import UNKNOWN_ERA, KeyedRecord, TopicItem
 
 from .processes import Output
 
@@ -24,10 +24,11 @@
     def __init__(self, clock):
         self.clock = clock
         self.answers = []
+        self.before_answer = lambda: None
 
-    def answer(self, after, *keys, end):
-        records = [KeyedRecord(key, b"{}", end - 1) for key in keys]
-        self.answers.append((after, TopicPage(records, end)))
+    def answer(self, after, *keys, end, era=UNKNOWN_ERA):
+        records = [KeyedRecord(key, b"{}", end - 1, era) for key in keys]
+        self.answers.append((after, TopicPage(records, end, era=era)))
 
     async def newest(self, topic):
         return await self.read(topic, 0, WAIT)
@@ -37,6 +38,7 @@
             raise PlatformError("no answer")
         after, page = self.answers.pop(0)
         self.clock.advance(after)
+        self.before_answer()
         return page
 
 
@@ -111,3 +113,53 @@
     topic.confirm_from_peer(TopicItem("t", 1, 0.1))
     assert topic.age(clock.now()) == timedelta(seconds=0.1)
     assert not topic.was_suspended()
+
+
+async def test_time_of_a_record_after_a_fall_counts_from_before_it(
+    topic, store, clock, written
+):
+    # Guards against a version that counts as announced when it is written again, not
+    # when the store had it before it fell back.
+    store.answer(timedelta(), "k", end=9)
+    await topic.read_once()
+    confirmed_at = clock.now()
+    topic.fall(2)
+    store.answer(timedelta(), "k", end=5, era=2)
+    assert await topic.read_once()
+    store.answer(WAIT, "again", end=6, era=2)
+    assert await topic.read_once()
+    assert written["again"] == WriteTime(confirmed_at, exact=False)
+    for _ in range(3):
+        store.answer(WAIT, end=6, era=2)
+        assert await topic.read_once()
+    store.answer(WAIT, "new", end=7, era=2)
+    assert await topic.read_once()
+    assert written["new"] == WriteTime(clock.now())
+
+
+async def test_peer_without_an_era_neither_confirms_nor_is_pulled(topic, store, clock):
+    # Guards against a peer of the release before whose higher end is one that the store
+    # has lost.
+    topic.fall(2)
+    store.answer(timedelta(), "k", end=5, era=2)
+    await topic.read_once()
+    clock.advance(WAIT)
+    assert not topic.receive(TopicItem("t", 90, 0.1), UNKNOWN_ERA)
+    assert not topic.receive(TopicItem("t", 5, 0.1), UNKNOWN_ERA)
+    assert topic.age(clock.now()) == WAIT
+    assert not topic.receive(TopicItem("t", 5, 0.1), 2)
+    assert topic.age(clock.now()) == timedelta(seconds=0.1)
+    assert topic.receive(TopicItem("t", 6, 0.1), 2)
+    assert topic.receive(TopicItem("t", 1, 0.1), 3)
+
+
+async def test_answer_to_a_read_of_an_earlier_era_is_dropped(topic, store, clock):
+    # Guards against a long poll from an offset beyond the new end, whose answer would
+    # count as all that the store has.
+    store.answer(timedelta(), "k", end=9)
+    await topic.read_once()
+    store.before_answer = lambda: topic.fall(2)
+    store.answer(WAIT, "k", end=12, era=2)
+    assert await topic.read_once()
+    assert (topic.era, topic.end) == (2, 0)
+    assert not topic.listed_
