--- a/shallotpath/fleet/_edge.py
+++ b/shallotpath/fleet/_edge.py
@@ -356,10 +356,14 @@
         self.loads.add_peer_placement(placed.sender, placed.upstream, placed.share, now)
 
     def may_pull(self, topic: TopicReplica, message: GossipMessage) -> bool:
-        """Check whether to pull; from other domains, upstreams only when stale."""
+        """Check whether to pull; from other domains, upstreams only when needed."""
         if topic is not self.upstream_topic_ or message.domain == self.settings.domain:
             return super().may_pull(topic, message)
-        return topic.is_stale(MAX_UPSTREAM_AGE) and super().may_pull(topic, message)
+        # After a fall of the store, one listing serves all domains of a region.
+        same_region = self.is_in_own_region(message.sender)
+        is_needed = same_region and not topic.is_listed
+        is_needed = is_needed or topic.is_stale(MAX_UPSTREAM_AGE)
+        return is_needed and super().may_pull(topic, message)
 
     def status(self) -> dict[str, object]:
         """Add the upstreams and their loads."""
--- a/shallotpath/fleet/_topics.py
+++ b/shallotpath/fleet/_topics.py
@@ -135,6 +135,11 @@
         """Return the offset up to which the replica is complete."""
         return self.replica_.end
 
+    @property
+    def is_listed(self) -> bool:
+        """Check whether the topic has been listed in the era, here or at a peer."""
+        return self.listed_
+
     @property
     def era(self) -> int:
         """Return the era of the store that the replica follows."""
@@ -399,6 +404,8 @@
         if newer:
             self.page_cache_ = None
             self.apply(newer, time)
+            if self.fell_at_ is not None:
+                self.reporter.gauge("records_retained", self.retained, topic=self.topic)
         self._expire()
 
     def _expire(self) -> None:
@@ -411,10 +418,11 @@
         expires_at = self.fell_at_ + self.retention.time
         if self.confirmed_at_ < expires_at or not self.replica_.is_retaining:
             return
+        is_first = self.confirmed_before_fall_ is not None
         self.confirmed_before_fall_ = None
         before = self.retained
         changed = self.replica_.expire(keeps_removals=self.retention.keeps_removals)
-        if self.retained == before:
+        if self.retained == before and not (is_first and before):
             return
         self.page_cache_ = None
         self.reporter.gauge("records_retained", self.retained, topic=self.topic)
--- a/shallotpath/replication/tests/test_eras.py
+++ b/shallotpath/replication/tests/test_eras.py
@@ -181,13 +181,15 @@
         self._tell(index, self.model.read_to(self.replicas[index]))
 
     def late(self, index):
-        """Deliver the listing that was made when this was last played."""
-        for records, end, era in self.delayed:
-            newer = self.replicas[index].replace(records, end, era=era)
-            self._tell(index, newer)
-        newest = {r.key: r for r in self.model.records()}.values()
-        listed = [r for r in newest if r.value is not None]
-        self.delayed = [(listed, len(self.model.log), self.model.era)]
+        """Deliver the read and the listing that were made when last played."""
+        replica = self.replicas[index]
+        for read, listed, end, era in self.delayed:
+            if replica.copied_below_ is not None:
+                self._tell(index, replica.merge(read, end, era))
+            self._tell(index, replica.replace(listed, end, era=era))
+        read, end, era = self.model.records(), len(self.model.log), self.model.era
+        listed = [r for r in {r.key: r for r in read}.values() if r.value is not None]
+        self.delayed = [(read, listed, end, era)]
 
     def pull(self, index, peer):
         self._tell(index, pull(self.replicas[index], self.replicas[peer]))
