Let the soak return its store from a copy

A cycle takes the store away for half a second and returns it from a copy that is 0.5 to 5 s old, in a higher era. Upstreams write again with their heartbeats, the operator after 0.7 s, but no key that was written since.

--- a/shallotpath/fleet/tests/standins.py
+++ b/shallotpath/fleet/tests/standins.py
@@ -27,11 +27,15 @@
     def __init__(self, era=1, clock=time.monotonic):
         # Sent in all answers; `None` sends nothing.
         self.era = era
+        # All stores that serve the log refuse calls.
+        self.away = False
         self.clock = clock
         self.topics = {}
         self.firsts = {}
         # Times at which the records of a topic were written.
         self.times = {}
+        # Ends of the copy that the last fall returned to.
+        self.copied = {}
 
     def put(self, topic, key, value):
         data = b"" if value is None else json.dumps(value).encode()
@@ -51,15 +55,21 @@
         for topic, records in self.topics.items():
             kept = sum(at < copied_until for at in self.times[topic])
             lost[topic] = records[kept:]
+            self.copied[topic] = kept
             del records[kept:], self.times[topic][kept:]
             self.firsts[topic] = min(self.firsts.get(topic, 0), kept)
         self.era += 1
         return lost
 
     def write_again(self, topic, lost):
-        """Write the last lost record of each key again, as its writer does."""
-        for key, data in dict(lost[topic]).items():
-            self.put_raw(topic, key, data)
+        """Write the last lost record of each key again, as its writer does.
+
+        Keys that were written since the fall are left out.
+        """
+        written = {key for key, _ in self.topics[topic][self.copied[topic] :]}
+        for key, data in dict(lost.get(topic, ())).items():
+            if key not in written:
+                self.put_raw(topic, key, data)
 
 
 class StoreStandIn:
@@ -80,7 +90,7 @@
         return response
 
     async def _answer(self, request):
-        if self.refusing:
+        if self.refusing or self.log.away:
             return web.Response(status=503)
         topic = request.query["topic"]
         records = self.log.topics.get(topic, [])
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -36,6 +36,13 @@
     """Make the store refuse calls of the target processes."""
 
 
+class StoreFall(Fault):
+    """Take the store away for a moment and return it from a copy as old as `duration`.
+
+    What the operator and the upstreams wrote since is written again.
+    """
+
+
 class RollingStop(Fault):
     """Restart entries by SIGTERM one after the other, `duration` apart."""
 
@@ -87,9 +94,14 @@
     start = FIRST_CYCLE_START
     # Separate, so that earlier seeds keep their other faults.
     upstream_random = Random(f"upstreams {settings.seed}")
+    fall_random = Random(f"falls {settings.seed}")
     while start + MIN_CYCLE_LENGTH <= settings.duration:
         scheduled += _schedule_cycle(settings, random, start)
         scheduled += _schedule_upstream_faults(settings, upstream_random, start)
+        if fall_random.random() < 0.4:
+            age = timedelta(seconds=fall_random.uniform(0.5, 5.0))
+            at = start + timedelta(seconds=fall_random.uniform(2.0, 8.0))
+            scheduled.append(ScheduledFault(at, StoreFall((), age)))
         start += CYCLE_INTERVAL
     return sorted(scheduled, key=lambda item: item.at)
 
--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -68,7 +68,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a call."""
-        if request.path == "/log-read" and not self.refusing:
+        if request.path == "/log-read" and not (self.refusing or self.log.away):
             query = request.query
             wait_s = int(query.get("waitMs", "0")) / 1000
             await self.log.wait(query["topic"], int(query["from"]), wait_s)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -40,6 +40,7 @@
     ReplaceUpstream,
     RollingStop,
     SayLeaving,
+    StoreFall,
     StoreOutage,
     TurnAway,
     WriteOddRecords,
@@ -66,6 +67,10 @@
 RESTART_DELAY_RANGE_S = (0.1, 0.6)
 POLL_INTERVAL_S = 0.02
 ODD_RECORD_INTERVAL_S = 0.3
+# Time for which the store is away before it returns from a copy, and time from there
+# until the operator has written again.
+FALL_OUTAGE_S = 0.5
+REWRITE_DELAY_S = 0.7
 # Holds attempts and runs by the id of the attempt; written next to the processes' logs.
 LEDGER_FILE = "ledger.json"
 # The event loop lags if a sleep of POLL_INTERVAL_S overruns by more than this.
@@ -234,6 +239,17 @@
             for number in fault.targets:
                 self.stores_[number].refusing = False
 
+    @apply.register
+    async def _(self, fault: StoreFall) -> None:
+        with self.ledger.store_outages.recording(self.clock):
+            self.log.away = True
+            await asyncio.sleep(FALL_OUTAGE_S)
+            lost = self.log.fall_back(fault.duration.total_seconds())
+            self.log.away = False
+            await asyncio.sleep(REWRITE_DELAY_S)
+            # Upstreams write again with their heartbeats; removals are not repeated.
+            self.log.write_again(OPERATOR_TOPIC, lost)
+
     @apply.register
     async def _(self, fault: RollingStop) -> None:
         stopping = []
