Send records of earlier eras only in full pages, packed

Cause: each page of a pull had all retained records, at 900 upstreams some hundred kilobytes for each pull of each entry until they expire. Change: only a page from offset 0 has them, compressed. A replica that follows the era has retained its own.

--- a/shallotpath/replication/_messages.py
+++ b/shallotpath/replication/_messages.py
@@ -173,12 +173,14 @@
     era_age_s: float | None = None
     # Records below this offset may have been in the copy that the store came back from.
     copied_below: int | None = None
-    retained: list[RetainedItem] = []
+    # Output of `pack_records` for `RetainedItem`; empty without any.
+    packed_retained: bytes = b""
 
 
 def encode_replica_page(page: ReplicaPage) -> RecordPage:
     """Return the message for a page of a replica, without its ages."""
     packed = pack_records([RecordItem(r.key, r.value, r.offset) for r in page.records])
+    retained = [RetainedItem(r.key, r.value, r.offset, r.era) for r in page.retained]
     if page.era == UNKNOWN_ERA:
         if page.kept_keys is None:
             return RecordPage(page.end, packed)
@@ -189,7 +191,7 @@
         kept_keys=page.kept_keys,
         era=page.era,
         copied_below=page.copied_below,
-        retained=[RetainedItem(r.key, r.value, r.offset, r.era) for r in page.retained],
+        packed_retained=pack_records(retained) if retained else b"",
     )
 
 
@@ -200,12 +202,14 @@
     if not isinstance(page, EraPage):
         records = [KeyedRecord(r.key, r.value, r.offset) for r in items]
         return ReplicaPage(records, page.end, kept_keys)
+    packed = page.packed_retained
+    retained = unpack_records(packed, RetainedItem) if packed else []
     return ReplicaPage(
         [KeyedRecord(r.key, r.value, r.offset, page.era) for r in items],
         page.end,
         kept_keys,
         page.era,
-        tuple(KeyedRecord(r.key, r.value, r.offset, r.era) for r in page.retained),
+        tuple(KeyedRecord(r.key, r.value, r.offset, r.era) for r in retained),
         page.copied_below,
     )
 
@@ -215,7 +219,9 @@
     return zlib.compress(msgspec.msgpack.encode(records), FASTEST_ZLIB_LEVEL)
 
 
-def unpack_records(packed: bytes) -> list[RecordItem]:
+def unpack_records(
+    packed: bytes, item_type: type[RecordItem] = RecordItem
+) -> list[RecordItem]:
     """Decode packed records or raise `FrameError`."""
     decompressor = zlib.decompressobj()
     try:
@@ -225,7 +231,7 @@
                 f"page of records is truncated or above {MAX_PAGE_BYTES} bytes; "
                 "run the same release on all VMs"
             )
-        return msgspec.msgpack.decode(encoded, type=list[RecordItem])
+        return msgspec.msgpack.decode(encoded, type=list[item_type])
     except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise FrameError(
             f"page of records does not decode: {error}; run the same release on all VMs"
--- a/shallotpath/replication/_replica.py
+++ b/shallotpath/replication/_replica.py
@@ -192,7 +192,8 @@
     def page_after(self, offset: int, era: int | None = None) -> ReplicaPage:
         """Return what a replica that is complete up to an offset lacks.
 
-        A replica of a lower era lacks everything.
+        A replica of a lower era lacks everything. Only a page from offset 0 has records
+        of earlier eras: a replica that follows the era has retained its own.
         """
         if era is not None and era < self.era_:
             offset = 0
@@ -210,7 +211,7 @@
             self.end_,
             kept_keys,
             self.era_,
-            tuple(self.retained_by_key_.values()),
+            () if offset else tuple(self.retained_by_key_.values()),
             self.copied_below_,
         )
 
--- a/shallotpath/replication/tests/test_recorded_datagrams.py
+++ b/shallotpath/replication/tests/test_recorded_datagrams.py
@@ -257,11 +257,11 @@
         era=era,
         era_age_s=era_age,
         copied_below=below,
-        retained=[
-            RetainedItem(key=key, value=value, offset=offset, era=of_era)
-            for key, value, offset, of_era in retained
-        ],
+        packed_retained=retained,
     )
+    assert unpack_records(retained, RetainedItem) == [
+        RetainedItem(key="k", value=b"v", offset=95, era=2)
+    ]
     assert decode_page(ERA_PAGE) == page
     assert encode_message(page) == ERA_PAGE
     assert fields_at_default(page) == []
