--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -4,7 +4,16 @@
 
 from shallotpath.core import EPOCH
 from soak._checks import Checks
-from soak._ledger import Arrival, Attempt, Ending, Kind, Ledger, Notice, Run
+from soak._ledger import (
+    Arrival,
+    Attempt,
+    ConfigurationChange,
+    Ending,
+    Kind,
+    Ledger,
+    Notice,
+    Run,
+)
 from soak._settings import SoakSettings
 
 SENT_AT = EPOCH + timedelta(seconds=100)
@@ -23,6 +32,7 @@
         "kind": kind,
         "entry": 0,
         "sent_at": SENT_AT,
+        "whole_at": SENT_AT,
         "ended_at": seconds_before_send(-0.1),
         "ending": Ending.ANSWERED,
         "status": 200,
@@ -182,6 +192,40 @@
     assert violated_invariants(ledger, **changes) == expected
 
 
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, ["LOST"]),
+        # The body of the request was not sent completely.
+        ({"whole_at": None}, []),
+        ({"ended_at": seconds_before_send(-3.1)}, []),
+        ({"ending": Ending.ABANDONED}, []),
+        # The close crossed the last byte of the request.
+        ({"runs": 0, "whole_at": seconds_before_send(-1.9)}, []),
+        ({"runs": 0}, ["LOST"]),
+    ],
+)
+def test_request_cut_off_beside_no_stop_is_found(changes, expected):
+    # Guards against requests that are lost at any other time unnoticed, and against
+    # reports of requests whose time was over.
+    ledger = Ledger()
+    timeouts_s = {20: 6, 1: 3}
+    for version, (age_s, timeout_s) in enumerate(timeouts_s.items()):
+        written_at, timeout = seconds_before_send(age_s), timedelta(seconds=timeout_s)
+        change = ConfigurationChange(written_at, version, timeout, timeout)
+        ledger.configurations.append(change)
+    values = {"ending": Ending.CUT, "ended_at": seconds_before_send(-2)} | changes
+    assert violated_invariants(ledger, **values) == expected
+
+
+def test_refused_attempt_that_is_cut_is_found():
+    # Guards against lost requests that count as never sent because no upstream ran
+    # them.
+    ledger = Ledger()
+    ledger.arrivals_by_upstream["u0"].append(Arrival("r", SENT_AT))
+    assert violated_invariants(ledger, runs=0, ending=Ending.CUT) == ["LOST"]
+
+
 def check_notice(at, closed_until, arrivals_s, restarted_s=None):
     """Return what requests violate that follow a notice by some seconds."""
     ledger = Ledger()
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -1,6 +1,11 @@
 from datetime import timedelta
 
-from soak._schedule import AnnounceVersion, make_schedule
+from soak._schedule import (
+    AnnounceVersion,
+    ChangeConfiguration,
+    Silence,
+    make_schedule,
+)
 from soak._settings import SoakSettings
 
 MINUTE = timedelta(seconds=60)
@@ -20,3 +25,19 @@
         scheduled = make_schedule(settings)
         assert any(isinstance(item.fault, AnnounceVersion) for item in scheduled)
         assert all(timedelta() <= item.at <= MINUTE for item in scheduled)
+
+
+def test_each_schedule_has_silences_beside_configurations_within_its_run():
+    # Guards against runs without the faults that have lost answers in the past.
+    for seed in range(50):
+        scheduled = make_schedule(SoakSettings(seed=seed, duration=MINUTE))
+        silences = [each for each in scheduled if isinstance(each.fault, Silence)]
+        changes = [
+            each for each in scheduled if isinstance(each.fault, ChangeConfiguration)
+        ]
+        assert silences
+        assert all(
+            any(abs(silence.at - each.at) <= timedelta(seconds=1) for each in changes)
+            for silence in silences
+        )
+        assert all(timedelta() <= each.at <= MINUTE for each in scheduled)
