Let a soak leave out the faults that excuse lost requests

Kills, suspensions and outages fall into most runs and excuse requests that are cut beside them. Slow callers ask for resumable streams more often.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,9 @@
     *,
     seed: Annotated[int, Parameter(help="Seed of the faults and callers.")] = 1,
     seconds: Annotated[float, Parameter(help="Length of the run.")] = 30.0,
+    planned_only: Annotated[
+        bool, Parameter(help="Leave out kills, suspensions and outages.")
+    ] = False,
     programs: Annotated[
         Path | None, Parameter(help="Directory whose package shallotpath is run.")
     ] = None,
@@ -32,6 +35,7 @@
     settings = SoakSettings(
         seed=seed,
         duration=timedelta(seconds=seconds),
+        planned_only=planned_only,
         programs=programs.resolve() if programs else None,
         workspace=workspace.resolve() if workspace else None,
     )
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -21,6 +21,7 @@
 
 HOST = "soak.example"
 FREQUENCY_BY_KIND = {Kind.STREAM: 5, Kind.RESUMABLE: 2, Kind.ORDER: 3, Kind.LOOKUP: 1}
+SLOW_FREQUENCY_BY_KIND = FREQUENCY_BY_KIND | {Kind.RESUMABLE: 8}
 DEADLINE_MS = 6000
 # Limit for one read; the whole answer is limited by the deadline.
 READ_TIMEOUT_S = 2.5
@@ -87,6 +88,11 @@
     last_: Attempt | None = None
     session_: aiohttp.ClientSession | None = None
 
+    @property
+    def frequency_by_kind(self) -> Mapping[Kind, int]:
+        """Return how often each kind of request is sent."""
+        return FREQUENCY_BY_KIND
+
     async def run(self) -> None:
         """Send requests until cancelled."""
         try:
@@ -107,9 +113,8 @@
         return attempt.id.encode()
 
     async def _call(self) -> bool:
-        (kind,) = self.random.choices(
-            list(FREQUENCY_BY_KIND), FREQUENCY_BY_KIND.values()
-        )
+        frequencies = self.frequency_by_kind
+        (kind,) = self.random.choices(list(frequencies), frequencies.values())
         if self.session_ is None:
             self.entry_ = self.random.choice(self.balancer.eligible_entries())
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
@@ -210,6 +215,11 @@
 class SlowCaller(Caller):
     """Leave the connection idle for long, and send some bodies slowly in chunks."""
 
+    @property
+    def frequency_by_kind(self) -> Mapping[Kind, int]:
+        """Return frequencies at which long streams are often in progress."""
+        return SLOW_FREQUENCY_BY_KIND
+
     def pause_s(self, *, served: bool) -> float:
         """Return a pause that is mostly short and at most a share of the limit."""
         since = self.clock.now() - CONFIGURATION_MARGIN
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -111,6 +111,9 @@
     fault: Fault
 
 
+UNPLANNED_FAULTS = (Kill, Freeze, StoreOutage, OriginOutage)
+
+
 def make_schedule(settings: SoakSettings) -> list[ScheduledFault]:
     """Return the faults of a run in order of their start times."""
     random = Random(settings.seed)
@@ -124,6 +127,8 @@
         scheduled += _schedule_upstream_faults(settings, upstream_random, start)
         scheduled += _schedule_silences(settings, silence_random, start)
         start += CYCLE_INTERVAL
+    if settings.planned_only:
+        scheduled = [x for x in scheduled if not isinstance(x.fault, UNPLANNED_FAULTS)]
     return sorted(scheduled, key=lambda item: item.at)
 
 
--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -38,6 +38,8 @@
     domain_bound: timedelta = timedelta(seconds=5)
     # Time between SIGTERM and SIGKILL.
     stop_grace: timedelta = timedelta(seconds=6)
+    # Leave out kills, suspensions and outages, which excuse lost requests.
+    planned_only: bool = False
     # Directory whose `shallotpath` package is run; the one that the soak
     # imports by default.
     programs: Path | None = None
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -1,6 +1,8 @@
+from dataclasses import replace
 from datetime import timedelta
 
 from soak._schedule import (
+    UNPLANNED_FAULTS,
     AnnounceVersion,
     ChangeConfiguration,
     Silence,
@@ -41,3 +43,15 @@
             for silence in silences
         )
         assert all(timedelta() <= each.at <= MINUTE for each in scheduled)
+
+
+def test_planned_schedule_has_the_other_faults_of_its_seed():
+    # Guards against a run of a seed without kills that is another run.
+    for seed in range(20):
+        settings = SoakSettings(seed=seed, duration=MINUTE)
+        planned = make_schedule(replace(settings, planned_only=True))
+        every = make_schedule(settings)
+        left_out = [each for each in every if each not in planned]
+        assert planned == [each for each in every if each not in left_out]
+        assert all(isinstance(each.fault, UNPLANNED_FAULTS) for each in left_out)
+        assert not any(isinstance(each.fault, UNPLANNED_FAULTS) for each in planned)
