--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -86,6 +86,10 @@
     """Evacuate a failure domain for `duration`."""
 
 
+class ReloadSettings(Fault):
+    """Send SIGHUP to entries, `duration` apart."""
+
+
 @dataclass(slots=True, frozen=True)
 class Silence(Fault):
     """Let upstreams send nothing for `duration` and go on exactly where they were."""
@@ -121,11 +125,13 @@
     start = FIRST_CYCLE_START
     # Separate, so that earlier seeds keep their other faults.
     upstream_random = Random(f"upstreams {settings.seed}")
+    reload_random = Random(f"reloads {settings.seed}")
     silence_random = Random(f"silences {settings.seed}")
     while start + MIN_CYCLE_LENGTH <= settings.duration:
         scheduled += _schedule_cycle(settings, random, start)
         scheduled += _schedule_upstream_faults(settings, upstream_random, start)
         scheduled += _schedule_silences(settings, silence_random, start)
+        scheduled.append(_schedule_reload(settings, reload_random, start))
         start += CYCLE_INTERVAL
     if settings.planned_only:
         scheduled = [x for x in scheduled if not isinstance(x.fault, UNPLANNED_FAULTS)]
@@ -198,6 +204,16 @@
     ]
 
 
+def _schedule_reload(
+    settings: SoakSettings, random: Random, start: timedelta
+) -> ScheduledFault:
+    """Place a reload of some entries, at times while others stop."""
+    count = random.randint(1, settings.entries)
+    targets = tuple(random.sample(range(settings.entries), count))
+    fault = ReloadSettings(targets, timedelta(seconds=random.uniform(0.0, 0.5)))
+    return ScheduledFault(start + timedelta(seconds=random.uniform(*SERIES_S)), fault)
+
+
 def _schedule_silences(
     settings: SoakSettings, random: Random, start: timedelta
 ) -> list[ScheduledFault]:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -44,6 +44,7 @@
     Freeze,
     Kill,
     OriginOutage,
+    ReloadSettings,
     RemoveRecord,
     ReplaceUpstream,
     RollingStop,
@@ -343,6 +344,14 @@
         )
         self.ledger.configurations.append(change)
 
+    @apply.register
+    async def _(self, fault: ReloadSettings) -> None:
+        for number in fault.targets:
+            # Before it is ready, a process may not handle the signal yet.
+            if self.programs_[number].seen_ready_:
+                self.programs_[number].signal(signal.SIGHUP)
+            await asyncio.sleep(fault.duration.total_seconds())
+
     @apply.register
     async def _(self, fault: EvacuateDomain) -> None:
         domain = self.settings.domains[fault.targets[0]]
