Lower time-outs below the length of some streams in the soak

A time-out that is lowered while a request is in progress does not excuse its end: the check counts only the time-outs that may have been in force as the request was sent.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -217,11 +217,11 @@
             yield Violation("LOST", f"{detail}, ran at {upstreams}: {attempt.detail}")
 
     def _is_timed_out(self, attempt: Attempt) -> bool:
-        """Check whether the lowest time-out that may have been in force is over."""
+        """Check whether the lowest time-out is over that applied when it was sent."""
         since = attempt.sent_at - self.settings.configuration_bound
         in_force = self.ledger.configurations_since(since)
         timeouts = [
-            each.route_timeout for each in in_force if each.at <= attempt.ended_at
+            each.route_timeout for each in in_force if each.at <= attempt.sent_at
         ]
         return attempt.ended_at - attempt.sent_at >= min(
             timeouts, default=timedelta.max
--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -28,8 +28,8 @@
     Kind.LOOKUP: "idempotent",
 }
 DEFAULT_ROUTE_TIMEOUT = timedelta(milliseconds=6000)
-# Longer than the longest stream of the stand-ins and the longest silence together.
-LOW_ROUTE_TIMEOUT = timedelta(milliseconds=5500)
+# Shorter than the longest streams of the stand-ins.
+LOW_ROUTE_TIMEOUT = timedelta(milliseconds=2500)
 HIGH_ROUTE_TIMEOUT = timedelta(milliseconds=20000)
 # The callers keep within the lowest limits except for the idle time, which they read.
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=15)
