Send several requests at once and heads in pieces in the soak

Four more callers write up to three requests before they read the answers, on connections that stay idle for up to four fifths of the idle time-out.

--- a/soak/_settings.py
+++ b/soak/_settings.py
@@ -22,6 +22,8 @@
     callers: int = 12
     # Callers with idle connections and slow bodies.
     slow_callers: int = 8
+    # Callers that send several requests before they read the answers.
+    pipelining_callers: int = 4
     # No request may start on older weights later than this after an announcement.
     version_bound: timedelta = timedelta(seconds=5)
     # A process is held to the bounds once it has run undisturbed for this long.
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -36,6 +36,7 @@
     Configuration,
 )
 from ._program import Program
+from ._raw_callers import PipeliningCaller
 from ._schedule import (
     AnnounceVersion,
     ChangeConfiguration,
@@ -144,9 +145,13 @@
             async with asyncio.timeout(START_TIMEOUT_S):
                 while any(balancer.misses_by_entry_.values()):  # noqa: ASYNC110
                     await asyncio.sleep(POLL_INTERVAL_S)
-            callers = self.settings.callers
-            for number in range(callers + self.settings.slow_callers):
-                caller = (Caller if number < callers else SlowCaller)(
+            classes = (
+                [Caller] * self.settings.callers
+                + [SlowCaller] * self.settings.slow_callers
+                + [PipeliningCaller] * self.settings.pipelining_callers
+            )
+            for number, caller_class in enumerate(classes):
+                caller = caller_class(
                     number=number,
                     balancer=balancer,
                     ledger=self.ledger,
