--- a/shallotpath/connections/_protocol.py
+++ b/shallotpath/connections/_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -28,6 +29,19 @@
 BODY_STATUS_BY_REASON = {"slow_body": 408}
 
 
+@singledispatch
+def release_body(response: web.StreamResponse) -> None:
+    """Let go of the body of a response that has been written.
+
+    aiohttp keeps the response until the connection brings another request.
+    """
+
+
+@release_body.register
+def _(response: web.Response) -> None:
+    response.body = None
+
+
 class BodyRefusedError(Exception):
     """Report that the rest of a body is not received; the request has not run."""
 
@@ -104,6 +118,9 @@
             return Phase.BUSY
         if self._is_body_incomplete():
             return Phase.DISCARDED
+        if self._request_count and self._waiter is None:
+            # A request was taken from the queue and its handler has not begun.
+            return Phase.BUSY
         if self.transport.get_write_buffer_size():
             return Phase.BUSY
         if self.incomplete_since_ is not None:
@@ -114,6 +131,17 @@
         since = self.unread_since_
         return since is not None and self.table.clock.now() - since > READ_TIMEOUT
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that the kernel has not taken yet."""
+        transport = self.tcp_transport_
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    @property
+    def is_in_head(self) -> bool:
+        """Check whether the head of a request has arrived in part."""
+        return self.incomplete_since_ is not None and not self._is_body_incomplete()
+
     @property
     def held_since(self) -> datetime:
         """Return when the phase began."""
@@ -186,6 +214,14 @@
                 self.table.end(self, "large_head")
         self.table.parsed(self, now - begun_at)
 
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: object
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response and let go of its body."""
+        result = await super().finish_response(request, resp, start_time)
+        release_body(result[0])
+        return result
+
     def log_exception(self, *args: object, **options: object) -> None:
         """Log a failure of a handler; count requests that cannot be parsed."""
         if isinstance(options.get("exc_info"), HttpProcessingError):
--- a/shallotpath/forwarding/_hedges.py
+++ b/shallotpath/forwarding/_hedges.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from ..gateway import Failure, FailureKind
 from ._attempt import AttemptError, release_frames
 from ._sending import Sending
 
@@ -25,11 +26,9 @@
     neither is given up for the other before it has answered.
     """
 
-    __slots__ = ("open_", "sendings_by_task_")
+    __slots__ = ("sendings_by_task_",)
 
-    def __init__(self, open_hedge: Callable[[Sending], Awaitable[None]]) -> None:
-        # Returns once the answer has begun; raises `AttemptError`.
-        self.open_ = open_hedge
+    def __init__(self) -> None:
         self.sendings_by_task_: dict[asyncio.Task[None], Sending] = {}
 
     @property
@@ -37,20 +36,34 @@
         """Check whether no hedge is in progress."""
         return not self.sendings_by_task_
 
-    def start(self, sending: Sending) -> None:
-        """Start a hedge."""
-        task = asyncio.ensure_future(self._run(sending))
+    @property
+    def unsent(self) -> int:
+        """Return the number of hedges that are still connecting."""
+        return sum(
+            sending.attempt.sent_at is None
+            for sending in self.sendings_by_task_.values()
+        )
+
+    def start(
+        self, sending: Sending, open_hedge: Callable[[Sending], Awaitable[None]]
+    ) -> None:
+        """Start a hedge; `open_hedge` returns once the answer has begun.
+
+        It is not kept, as a reference back to the exchange would keep the request in
+        memory until a garbage collection.
+        """
+        task = asyncio.ensure_future(_run(sending, open_hedge))
         self.sendings_by_task_[task] = sending
 
     async def wait(
-        self, task: asyncio.Task[object], limit_s: float | None
+        self, task: asyncio.Task[object] | None, limit_s: float | None
     ) -> HedgeEnd | None:
         """Wait until a task or a hedge has ended, or the time is over.
 
         Return the hedge, or `None` if the task has ended or no one has.
         """
         waiting = {*self.sendings_by_task_}
-        if not task.done():
+        if task is not None:
             waiting.add(task)
         done, _ = await asyncio.wait(
             waiting, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
@@ -67,23 +80,36 @@
     def close(self) -> None:
         """End all hedges."""
         for task, sending in self.sendings_by_task_.items():
-            if task.done():
-                # An exception that nobody asks for would be logged.
-                task.exception()
-            task.cancel()
+            discard(task)
             _end(sending)
         self.sendings_by_task_.clear()
 
-    async def _run(self, sending: Sending) -> None:
-        try:
-            await self.open_(sending)
-        except AttemptError as error:
-            release_frames(error)
-            _end(sending)
-            raise
-        except BaseException:
-            _end(sending)
-            raise
+
+async def _run(
+    sending: Sending, open_hedge: Callable[[Sending], Awaitable[None]]
+) -> None:
+    try:
+        await open_hedge(sending)
+    except AttemptError as error:
+        release_frames(error)
+        _end(sending)
+        raise
+    except TimeoutError as error:
+        # The deadline passed in the connect; the first attempt has its grace left.
+        _end(sending)
+        detail = "the deadline has passed"
+        raise AttemptError(Failure(FailureKind.EXPIRED, detail)) from error
+    except BaseException:
+        _end(sending)
+        raise
+
+
+def discard(task: asyncio.Task[object]) -> None:
+    """Cancel a task whose result is not needed any more."""
+    if task.done() and not task.cancelled():
+        # An exception that nobody asks for would be logged.
+        task.exception()
+    task.cancel()
 
 
 def _end(sending: Sending) -> None:
