Count requests behind the last answer of a connection as lost in the soak

By the rule, a whole request that a process has read is answered or refused, also behind an answer that closes the connection. The soak took it for unreachable.

--- a/soak/_raw_callers.py
+++ b/soak/_raw_callers.py
@@ -56,15 +56,10 @@
         attempts = [
             self._make_attempt(entry) for _ in range(self.random.randint(1, MAX_BATCH))
         ]
-        data = b"".join(self._request(attempt) for attempt in attempts)
+        requests = [self._request(attempt) for attempt in attempts]
         keeps_connection = True
         try:
-            if self.random.random() < SPLIT_HEAD_SHARE:
-                size = self.random.randrange(1, len(data))
-                writer.write(data[:size])
-                await asyncio.sleep(self.random.uniform(*HEAD_PAUSE_RANGE_S))
-                data = data[size:]
-            writer.write(data)
+            await self._write(writer, requests)
             for attempt in attempts:
                 attempt.whole_at = self.clock.now()
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -79,10 +74,19 @@
         except (OSError, EOFError) as error:
             self._end(attempts, Ending.CUT, repr(error))
             return False
-        # Behind an answer that closes the connection, requests are not processed.
-        self._end(attempts, Ending.UNREACHABLE, "behind the last answer")
+        self._end(attempts, Ending.CUT, "behind the last answer")
         return keeps_connection
 
+    async def _write(self, writer: asyncio.StreamWriter, requests: list[bytes]) -> None:
+        """Write requests at once, or with a pause inside the first one."""
+        data = b"".join(requests)
+        if self.random.random() < SPLIT_HEAD_SHARE:
+            size = self.random.randrange(1, len(requests[0]))
+            writer.write(data[:size])
+            await asyncio.sleep(self.random.uniform(*HEAD_PAUSE_RANGE_S))
+            data = data[size:]
+        writer.write(data)
+
     def _make_attempt(self, entry: int) -> Attempt:
         self.sent_count_ += 1
         attempt_id = f"{self.number:02x}{self.sent_count_:06x}"
