--- a/shallotpath/platform/_engine_calls.py
+++ b/shallotpath/platform/_engine_calls.py
@@ -94,12 +94,7 @@
         limit = aiohttp.ClientTimeout(total=timeout.total_seconds())
         try:
             async with self.session.request(
-                method,
-                url,
-                data=body,
-                headers=headers,
-                timeout=limit,
-                allow_redirects=False,
+                method, url, data=body, headers=headers, timeout=limit
             ) as response:
                 payload = await read_body(response, max_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
