--- a/soak/_standins.py
+++ b/soak/_standins.py
@@ -448,10 +448,12 @@
         return await super().handle(request)
 
     async def _handle_load_order(self, request: web.BaseRequest) -> web.Response:
-        version = (await request.json())["version"]
+        order = await request.json()
+        version = order["version"]
         if version == self.version:
             return web.Response(status=200)
-        if self.loading_:
+        count = self.load_order_count_
+        if self.loading_ or order.get("expect", count) != count:
             return web.Response(status=409)
         self.loading_ = True
         self.load_order_count_ += 1
