--- a/shallotpath/runtime/tests/parts.py
+++ b/shallotpath/runtime/tests/parts.py
@@ -456,3 +456,15 @@
 
     def __getattr__(self, name):
         return getattr(self.transport, name)
+
+
+def member_at(member, address):
+    return type(member)(
+        member.id,
+        member.role,
+        member.domain,
+        member.region,
+        address,
+        member.incarnation,
+        service=member.service,
+    )
--- a/shallotpath/runtime/tests/test_entry.py
+++ b/shallotpath/runtime/tests/test_entry.py
@@ -7,9 +7,8 @@
 import pytest
 from aiohttp import ClientError, web
 
-from shallotpath.config import DomainState, StaticConfiguration, Team
+from shallotpath.config import DomainState, Team
 from shallotpath.core import Code, DrainRequested
-from shallotpath.routing import RetryPolicy
 from shallotpath.runtime import EntryLimits, EntryTimeouts
 from shallotpath.standins import serve
 from shallotpath.streams import _reader
@@ -17,11 +16,11 @@
 from .parts import (
     TIMEOUT_S,
     FaultyTransport,
-    PausedLink,
     SilentLink,
     Upstream,
     expected_stream,
     make_configuration,
+    member_at,
     system,
     until,
 )
@@ -78,19 +77,6 @@
         assert upstreams[1].engine.counters_["tokens"] < 40
 
 
-async def test_stream_of_a_crashed_engine_is_resumed_under_the_retry_policy():
-    # Guards against a stream that ends with an error though another agent could go on,
-    # as its first part counts as a run that must not be repeated.
-    upstreams = [Upstream(name, "fold-model", token_interval_s=0.02) for name in "ab"]
-    async with system(upstreams) as entry:
-        policy = RetryPolicy(StaticConfiguration(), Random(1))
-        entry.retries.started, entry.retries.next = policy.started, policy.next
-        answer = asyncio.create_task(entry.generate(max_tokens=40))
-        await until(lambda: upstreams[0].engine.counters_["tokens"] >= 10)
-        upstreams[0].engine.crash()
-        assert await answer == expected_stream("crane", 40)
-
-
 async def test_a_stream_is_not_resumed_on_other_weights():
     # Guards against a response that mixes tokens of two versions.
     configuration = make_configuration()
@@ -147,24 +133,6 @@
         assert "connection_replaced" in kinds
 
 
-async def test_a_silent_agent_is_kept_if_no_other_one_can_take_its_request():
-    # Guards against a stream that ends with an error because the only agent was silent
-    # for a second.
-    upstream = Upstream("a", "fold-model", token_interval_s=0.02)
-    async with (
-        system([upstream], timeouts=EntryTimeouts()) as entry,
-        PausedLink(upstream.shell.peer.address_) as link,
-    ):
-        entry.router.members[0] = member_at(upstream.member, link.address)
-        answer = asyncio.create_task(entry.generate(max_tokens=60))
-        await until(lambda: upstream.engine.counters_["tokens"] >= 10)
-        link.flowing.clear()
-        await asyncio.sleep(1.0)
-        link.flowing.set()
-        assert await answer == expected_stream("crane", 60)
-        assert upstream.engine.counters_["runs"] == 1
-
-
 async def test_a_frozen_agent_is_given_up_and_the_call_repeated_elsewhere():
     # Guards against a stream that hangs on an agent that no new connection reaches.
     upstreams = [Upstream(name, "fold-model", token_interval_s=0.02) for name in "ab"]
@@ -517,15 +485,3 @@
     headers = {"Idempotency-Key": key} if key else {}
     async with entry.post("/kit-desk/orders", data=b"{}", headers=headers) as answer:
         return answer.status, await answer.json()
-
-
-def member_at(member, address):
-    return type(member)(
-        member.id,
-        member.role,
-        member.domain,
-        member.region,
-        address,
-        member.incarnation,
-        service=member.service,
-    )
--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -3,6 +3,7 @@
 from ._ledger import Violation
 from ._schedule import make_schedule
 from ._settings import SoakSettings
-from ._world import Verdict, run_soak
+from ._verdict import Verdict
+from ._world import run_soak
 
 __all__ = ["SoakSettings", "Verdict", "Violation", "make_schedule", "run_soak"]
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from collections.abc import Coroutine
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatchmethod
 from pathlib import Path
@@ -26,7 +25,7 @@
 from ._checks import Checks
 from ._content import MODEL, ODD_RECORDS
 from ._copies import Copier
-from ._ledger import ConfigurationChange, Ending, Ledger, Violation
+from ._ledger import ConfigurationChange, Ending, Ledger
 from ._operator import (
     ENGINE_SERVICE,
     ENGINE_SLOTS,
@@ -66,6 +65,7 @@
     Upstream,
     WaitingLog,
 )
+from ._verdict import Verdict
 
 # One in this many upstreams writes copies of its answers.
 COPYING_UPSTREAM_INTERVAL = 2
@@ -91,27 +91,6 @@
 LAG_THRESHOLD_S = 0.1
 
 
-@dataclass(slots=True)
-class Verdict:
-    """Hold the result of a run."""
-
-    settings: SoakSettings
-    violations: list[Violation]
-    counts: Counter[str]
-
-    def text(self) -> str:
-        """Return the verdict as readable text."""
-        counts = ", ".join(f"{name} {n}" for name, n in sorted(self.counts.items()))
-        violations_by_invariant = Counter(item.invariant for item in self.violations)
-        found = ", ".join(
-            f"{name} {n}" for name, n in sorted(violations_by_invariant.items())
-        )
-        lines = [f"seed {self.settings.seed}: {f'BROKEN {found}' if found else 'kept'}"]
-        lines.append(f"  {counts}")
-        lines += [f"  {item.invariant}: {item.detail}" for item in self.violations[:20]]
-        return "\n".join(lines)
-
-
 class SoakRunner:
     """Run the programs against the stand-ins and inject faults."""
 
