Excuse a request of the soak that ends at its own deadline

The trace shows the case to be allowed: the line of the request has patience_ms 6000 and total_ms 6062.3, so the deadline that the caller had sent was over. A configuration had raised the route's time-out to 20 s, and the check knew of that time-out alone; mostly the caller leaves first.

Change: the check takes the deadline of the callers into account, as the rule does.

Measured: the new test fails for 6.07 s without the change; cuts after 5.9 s are still found.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from datetime import datetime, timedelta
 
+from ._callers import DEADLINE_MS
 from ._ledger import Arrival, Attempt, Ending, Ledger, Notice, Run, Violation
 from ._settings import SoakSettings
 
@@ -217,15 +218,14 @@
             yield Violation("LOST", f"{detail}, ran at {upstreams}: {attempt.detail}")
 
     def _is_timed_out(self, attempt: Attempt) -> bool:
-        """Check whether the lowest time-out is over that applied when it was sent."""
+        """Check whether the deadline or the lowest time-out that applied is over."""
         since = attempt.sent_at - self.settings.configuration_bound
         in_force = self.ledger.configurations_since(since)
         timeouts = [
             each.route_timeout for each in in_force if each.at <= attempt.sent_at
         ]
-        return attempt.ended_at - attempt.sent_at >= min(
-            timeouts, default=timedelta.max
-        )
+        deadline = timedelta(milliseconds=DEADLINE_MS)
+        return attempt.ended_at - attempt.sent_at >= min([deadline, *timeouts])
 
     def _latest_configuration(self, at: datetime) -> str:
         """Return which configuration was newest at a time and how old it was."""
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -219,6 +219,18 @@
     assert violated_invariants(ledger, **values) == expected
 
 
+@pytest.mark.parametrize(("lasted_s", "expected"), [(5.9, ["LOST"]), (6.07, [])])
+def test_request_cut_off_at_its_deadline_is_not_found(lasted_s, expected):
+    # Guards against reports of requests that end at their own deadline under a longer
+    # time-out of their route, and against passing over earlier ends.
+    ledger, timeout = Ledger(), timedelta(seconds=20)
+    written_at = seconds_before_send(20)
+    ledger.configurations.append(ConfigurationChange(written_at, 1, timeout, timeout))
+    ended_at = seconds_before_send(-lasted_s)
+    values = {"ending": Ending.CUT, "ended_at": ended_at, "kind": Kind.LOOKUP}
+    assert violated_invariants(ledger, **values) == expected
+
+
 def test_refused_attempt_that_is_cut_is_found():
     # Guards against lost requests that count as never sent because no upstream ran
     # them.
